--- /dev/null
+++ b/crates/sg-clock/src/timer.rs
@@ -0,0 +1,76 @@
+//! The handle that parts hold.
+
+use std::{future::Future, sync::Arc};
+
+use sg_types::time::{Instant, Span};
+use tokio::time;
+
+use crate::Subscription;
+
+/// The timer service of one process. Clones share the clock's start.
+#[derive(Debug, Clone)]
+pub struct Timer {
+    start: Arc<time::Instant>,
+}
+
+/// An operation ran past its deadline.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Elapsed;
+
+impl Timer {
+    /// Starts the clock. Needs a tokio runtime with time enabled.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            start: Arc::new(time::Instant::now()),
+        }
+    }
+
+    /// The time since the clock's start.
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        let elapsed = time::Instant::now().saturating_duration_since(*self.start);
+        Instant::START + Span::from(elapsed)
+    }
+
+    /// Waits for `span`.
+    pub async fn sleep(&self, span: Span) {
+        time::sleep(span.into()).await;
+    }
+
+    /// Waits until `deadline`, which may have passed.
+    pub async fn sleep_until(&self, deadline: Instant) {
+        time::sleep_until(self.to_tokio(deadline)).await;
+    }
+
+    /// Runs `work` until `deadline` at the latest, then drops it.
+    ///
+    /// # Errors
+    /// [`Elapsed`] if the deadline came first.
+    pub async fn until<T>(
+        &self,
+        deadline: Instant,
+        work: impl Future<Output = T>,
+    ) -> Result<T, Elapsed> {
+        time::timeout_at(self.to_tokio(deadline), work)
+            .await
+            .map_err(|_| Elapsed)
+    }
+
+    /// Subscribes to a tick every `period`, the first one a period from now. Ticks that were missed
+    /// are not made up for. Dropping the subscription ends it.
+    #[must_use]
+    pub fn every(&self, period: Span) -> Subscription {
+        Subscription::new(self.clone(), period)
+    }
+
+    fn to_tokio(&self, instant: Instant) -> time::Instant {
+        *self.start + instant.since(Instant::START).into()
+    }
+}
+
+impl Default for Timer {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/sg-clock/tests/clock/main.rs
@@ -0,0 +1,31 @@
+//! Shows that ticks follow a paused clock and tell how late they are.
+
+use sg_clock::Timer;
+use sg_types::time::Span;
+
+#[tokio::test(start_paused = true)]
+async fn ticks_follow_the_paused_clock() {
+    let timer = Timer::new();
+    let mut ticks = timer.every(Span::from_secs(1));
+    let first = ticks.tick().await;
+    let second = ticks.tick().await;
+    assert_eq!(second.now.since(first.now), Span::from_secs(1));
+    assert_eq!(first.late, Span::ZERO);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_pause_shows_as_lateness() {
+    let timer = Timer::new();
+    let mut ticks = timer.every(Span::from_secs(1));
+    tokio::time::advance(std::time::Duration::from_secs(61)).await;
+    let tick = ticks.tick().await;
+    assert_eq!(tick.late, Span::from_secs(60));
+}
+
+#[tokio::test(start_paused = true)]
+async fn work_past_its_deadline_is_dropped() {
+    let timer = Timer::new();
+    let deadline = timer.now() + Span::from_millis(5);
+    let result = timer.until(deadline, timer.sleep(Span::from_secs(1))).await;
+    assert!(result.is_err());
+}
--- /dev/null
+++ b/crates/sg-load/src/lib.rs
@@ -0,0 +1,3 @@
+//! Load and experiments.
+#![forbid(unsafe_code)]
+#![deny(missing_docs, rust_2018_idioms)]
--- /dev/null
+++ b/crates/sg-lookup/src/lib.rs
@@ -0,0 +1,3 @@
+//! sg-lookup.
+#![forbid(unsafe_code)]
+#![deny(missing_docs, rust_2018_idioms)]
--- /dev/null
+++ b/crates/sg-share/src/action.rs
@@ -0,0 +1,68 @@
+//! What the engine wants done, and what it is told.
+
+use sg_types::prelude::*;
+
+use crate::{Message, claim::Claim};
+
+/// What the driver is to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Send a message to a peer. It may be lost, late, doubled or out of order.
+    Send {
+        /// The peer.
+        to: id::Instance,
+        /// The message.
+        message: Message,
+    },
+    /// Read all claims from the store.
+    ReadClaims,
+    /// Write a claim, if the slot's key is still at `expect` (`None`: absent).
+    WriteClaim {
+        /// The claim.
+        claim: Claim,
+        /// The store's version of what is replaced.
+        expect: Option<u64>,
+    },
+    /// Remove one's own claim at a planned stop.
+    RemoveClaim {
+        /// The slot.
+        slot: Slot,
+        /// The store's version of the claim.
+        version: u64,
+    },
+}
+
+/// What the driver tells the engine.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// A message came from a peer.
+    Message {
+        /// The peer.
+        from: id::Instance,
+        /// The peer's run.
+        incarnation: Incarnation,
+        /// The message.
+        message: Message,
+    },
+    /// All claims, each with the store's version, as read by a call that was sent at `sent`.
+    Claims {
+        /// When the call was sent, by this instance's clock.
+        sent: Instant,
+        /// What was found.
+        claims: Vec<(Claim, u64)>,
+    },
+    /// A claim was written.
+    Written {
+        /// When the call was sent, by this instance's clock.
+        sent: Instant,
+        /// The claim.
+        claim: Claim,
+        /// The store's version of it.
+        version: u64,
+    },
+    /// A claim was not written, because another stands there or the store gave no answer.
+    NotWritten {
+        /// The slot.
+        slot: Slot,
+    },
+}
--- /dev/null
+++ b/crates/sg-share/src/lib.rs
@@ -0,0 +1,15 @@
+//! Fleet-wide budgets cut into shares whose sum never exceeds the budget, by construction.
+//!
+//! The crate does no input or output. An engine is told the time, the budgets, what peers said and
+//! what the store answered, and returns [`Action`]s for its driver to carry out.
+#![forbid(unsafe_code)]
+#![deny(missing_docs, rust_2018_idioms)]
+
+pub mod action;
+pub mod budget;
+pub mod claim;
+pub mod message;
+
+pub use action::{Action, Event};
+pub use budget::Budget;
+pub use message::Message;
--- /dev/null
+++ b/crates/sg-tree/src/lib.rs
@@ -0,0 +1,23 @@
+//! The tree of settings: its text form, inheritance, checks and the resolved view.
+//!
+//! Operators write a [`Node`] as JSON: an object is a node, anything else is a setting in its text
+//! form. A node inherits each setting from its parent unless it overrides it. [`compile`] checks a
+//! whole tree and resolves it into a [`View`], which every other part reads.
+#![forbid(unsafe_code)]
+#![deny(missing_docs, rust_2018_idioms)]
+
+pub mod compile;
+pub mod digest;
+pub mod fault;
+pub mod kind;
+pub mod node;
+pub mod path;
+pub mod setting;
+pub mod view;
+
+pub use digest::Digest;
+pub use fault::Fault;
+pub use kind::Kind;
+pub use node::Node;
+pub use path::Path;
+pub use view::View;
--- /dev/null
+++ b/crates/sg-tree/src/path.rs
@@ -0,0 +1,92 @@
+//! Paths of nodes and settings, such as `/accounts/club-noord/rate`.
+
+use std::{fmt, str::FromStr, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+/// A path from the root. The root itself is `/`.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Default, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct Path(Vec<Arc<str>>);
+
+/// A text that is no path.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("'{0}' is not a path; write it like /accounts/NAME/rate")]
+pub struct Malformed(String);
+
+impl Path {
+    /// The root.
+    #[must_use]
+    pub fn root() -> Self {
+        Self::default()
+    }
+
+    /// The path of `name` below this one.
+    #[must_use]
+    pub fn join(&self, name: impl AsRef<str>) -> Self {
+        let mut segments = self.0.clone();
+        segments.push(name.as_ref().into());
+        Self(segments)
+    }
+
+    /// The path above this one and the last segment, unless this is the root.
+    #[must_use]
+    pub fn split(&self) -> Option<(Self, &str)> {
+        let (last, rest) = self.0.split_last()?;
+        Some((Self(rest.to_vec()), last))
+    }
+
+    /// The segments from the root down.
+    pub fn segments(&self) -> impl Iterator<Item = &str> {
+        self.0.iter().map(AsRef::as_ref)
+    }
+
+    /// Whether `other` is this path or lies below it.
+    #[must_use]
+    pub fn contains(&self, other: &Self) -> bool {
+        other.0.starts_with(&self.0)
+    }
+}
+
+impl fmt::Display for Path {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.0.is_empty() {
+            return f.write_str("/");
+        }
+        self.0
+            .iter()
+            .try_for_each(|segment| write!(f, "/{segment}"))
+    }
+}
+
+impl FromStr for Path {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let rest = text
+            .strip_prefix('/')
+            .ok_or_else(|| Malformed(text.to_owned()))?;
+        if rest.is_empty() {
+            return Ok(Self::root());
+        }
+        let segments: Vec<Arc<str>> = rest.split('/').map(Arc::from).collect();
+        if segments.iter().any(|segment| segment.is_empty()) {
+            return Err(Malformed(text.to_owned()));
+        }
+        Ok(Self(segments))
+    }
+}
+
+impl From<Path> for String {
+    fn from(path: Path) -> Self {
+        path.to_string()
+    }
+}
+
+impl TryFrom<String> for Path {
+    type Error = Malformed;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
--- /dev/null
+++ b/crates/sg-types/src/percent.rs
@@ -0,0 +1,71 @@
+//! Fractions of a whole.
+
+use std::{fmt, str::FromStr};
+
+use crate::parse::{self, text_serde};
+
+/// Parts per million in the whole.
+pub const WHOLE: u32 = 1_000_000;
+
+const PPM_PER_PERCENT: f64 = 10_000.0;
+const EXAMPLE: &str = "12.5%";
+
+/// A fraction from 0% to 100%, held in parts per million. Text form: `12.5%`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
+pub struct Percent(u32);
+
+impl Percent {
+    /// Nothing.
+    pub const ZERO: Self = Self(0);
+    /// The whole.
+    pub const FULL: Self = Self(WHOLE);
+
+    /// `ppm` parts per million, at most the whole.
+    #[must_use]
+    pub const fn from_ppm(ppm: u32) -> Self {
+        Self(if ppm > WHOLE { WHOLE } else { ppm })
+    }
+
+    /// Parts per million.
+    #[must_use]
+    pub const fn as_ppm(self) -> u32 {
+        self.0
+    }
+
+    /// The fraction, from 0 to 1.
+    #[must_use]
+    pub fn as_f64(self) -> f64 {
+        f64::from(self.0) / f64::from(WHOLE)
+    }
+}
+
+impl fmt::Display for Percent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}%", f64::from(self.0) / PPM_PER_PERCENT)
+    }
+}
+
+impl FromStr for Percent {
+    type Err = parse::Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (value, unit) = parse::number(text, EXAMPLE)?;
+        if unit != "%" {
+            return Err(parse::Error::Unit {
+                unit: unit.to_owned(),
+                example: EXAMPLE,
+            });
+        }
+        let ppm = (value * PPM_PER_PERCENT).round();
+        if ppm > f64::from(WHOLE) {
+            return Err(parse::Error::Range {
+                text: text.to_owned(),
+                least: "0%",
+                most: "100%",
+            });
+        }
+        Ok(Self(ppm as u32))
+    }
+}
+
+text_serde!(Percent);
--- /dev/null
+++ b/crates/sg-types/src/rate.rs
@@ -0,0 +1,133 @@
+//! Rates: requests a second and bits a second.
+
+use std::{fmt, str::FromStr};
+
+use crate::parse::{self, text_serde};
+
+/// Micro-requests in one request.
+pub const MICRO: u64 = 1_000_000;
+
+const RATE_EXAMPLE: &str = "50/s or 0.5/s";
+const BANDWIDTH_EXAMPLE: &str = "280Mbit/s or 4Gbit/s";
+
+/// Requests a second, held in millionths so that shares add up exactly. Text form: `50/s`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
+pub struct Rate(u64);
+
+impl Rate {
+    /// No requests at all.
+    pub const ZERO: Self = Self(0);
+
+    /// `micros` millionths of a request a second.
+    #[must_use]
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// `requests` requests a second.
+    #[must_use]
+    pub const fn per_second(requests: u64) -> Self {
+        Self(requests * MICRO)
+    }
+
+    /// Millionths of a request a second.
+    #[must_use]
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Requests a second.
+    #[must_use]
+    pub fn as_f64(self) -> f64 {
+        self.0 as f64 / MICRO as f64
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.as_f64())
+    }
+}
+
+impl FromStr for Rate {
+    type Err = parse::Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        const MOST: f64 = 1e9;
+        let (value, unit) = parse::number(text, RATE_EXAMPLE)?;
+        if unit != "/s" {
+            return Err(parse::Error::Unit {
+                unit: unit.to_owned(),
+                example: RATE_EXAMPLE,
+            });
+        }
+        if value > MOST {
+            return Err(parse::Error::Range {
+                text: text.to_owned(),
+                least: "0/s",
+                most: "1000000000/s",
+            });
+        }
+        Ok(Self((value * MICRO as f64).round() as u64))
+    }
+}
+
+text_serde!(Rate);
+
+/// Bits a second of a link. Text form: `280Mbit/s`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
+pub struct Bandwidth(u64);
+
+impl Bandwidth {
+    /// `bits` bits a second.
+    #[must_use]
+    pub const fn from_bits(bits: u64) -> Self {
+        Self(bits)
+    }
+
+    /// Bits a second.
+    #[must_use]
+    pub const fn as_bits(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Bandwidth {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        const UNITS: [(u64, &str); 3] = [
+            (1_000_000_000, "Gbit/s"),
+            (1_000_000, "Mbit/s"),
+            (1_000, "kbit/s"),
+        ];
+        let unit = UNITS
+            .iter()
+            .find(|(bits, _)| self.0 != 0 && self.0.is_multiple_of(*bits));
+        match unit {
+            Some((bits, name)) => write!(f, "{}{name}", self.0 / bits),
+            None => write!(f, "{}bit/s", self.0),
+        }
+    }
+}
+
+impl FromStr for Bandwidth {
+    type Err = parse::Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (value, unit) = parse::number(text, BANDWIDTH_EXAMPLE)?;
+        let bits = match unit {
+            "bit/s" => 1.0,
+            "kbit/s" => 1e3,
+            "Mbit/s" => 1e6,
+            "Gbit/s" => 1e9,
+            _ => {
+                return Err(parse::Error::Unit {
+                    unit: unit.to_owned(),
+                    example: BANDWIDTH_EXAMPLE,
+                });
+            }
+        };
+        Ok(Self((value * bits).round() as u64))
+    }
+}
+
+text_serde!(Bandwidth);
