feat(tree,entry): differences, sources of values, promise checks, predictions; settings of an instance

Cause: operators must read one difference per change and be refused what breaks a promise at once; an instance must refuse bad settings with path, fault and remedy. Conclusion: the command line and the daemon can build on these.

--- a/crates/sg-entry/src/lib.rs
+++ b/crates/sg-entry/src/lib.rs
@@ -1,3 +1,11 @@
-//! The daemon of an entry instance.
+//! The daemon of an entry instance: settings, wiring, and the addresses that it listens on.
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
+
+pub mod logs;
+pub mod options;
+pub mod settings;
+pub mod stop;
+
+pub use options::Options;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/sg-entry/src/main.rs
@@ -0,0 +1,2 @@
+//! `sg-entry`: one entry instance.
+fn main() {}
--- a/crates/sg-tree/src/lib.rs
+++ b/crates/sg-tree/src/lib.rs
@@ -6,12 +6,17 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
+pub mod capacity;
 pub mod compile;
+pub mod diff;
 pub mod digest;
+pub mod effective;
 pub mod fault;
 pub mod kind;
 pub mod node;
 pub mod path;
+pub mod predict;
+pub mod promise;
 pub mod setting;
 pub mod view;
 
--- a/crates/sg-tree/tests/tree/main.rs
+++ b/crates/sg-tree/tests/tree/main.rs
@@ -1,5 +1,7 @@
 //! Shows inheritance, checks and the text form of the tree of settings.
 
+mod change;
+
 use quickcheck::quickcheck;
 use sg_tree::{Node, Path, compile::compile};
 use sg_types::prelude::*;
