feat(report): types of what instances report, and how reports add up and read

Cause: operators defend each change with what the system prints, so reports of many instances need one typed form.

--- /dev/null
+++ b/crates/sg-report/src/counts.rs
@@ -0,0 +1,170 @@
+//! Counters of requests, which only grow and add up over instances.
+
+use serde::{Deserialize, Serialize};
+use sg_types::prelude::*;
+
+use crate::Latency;
+
+/// Requests of one client account, or of callers on open routes.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Account {
+    /// Requests that ran.
+    pub ran: u64,
+    /// Requests whose outcome nobody can know.
+    pub unknown: u64,
+    /// Requests that were refused and did not run, by reason.
+    pub refused: IndexMap<Reason, u64>,
+    /// Latencies of requests that ran.
+    pub latency: Latency,
+}
+
+/// Requests of one service that ran in one region.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Place {
+    /// The service.
+    pub service: id::Service,
+    /// The region.
+    pub region: id::Region,
+}
+
+/// All counters of one instance, or of several added up.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Counts {
+    /// By client account; `open` for callers on open routes without a key.
+    pub accounts: IndexMap<Arc<str>, Account>,
+    /// Requests sent to targets, by service and region.
+    #[serde(with = "places")]
+    pub traffic: IndexMap<Place, u64>,
+}
+
+impl Account {
+    fn add(&mut self, other: &Self) {
+        self.ran += other.ran;
+        self.unknown += other.unknown;
+        for (reason, count) in &other.refused {
+            *self.refused.entry(*reason).or_default() += count;
+        }
+        self.latency.add(&other.latency);
+    }
+
+    fn since(&self, earlier: &Self) -> Self {
+        let old = |reason| earlier.refused.get(reason).copied().unwrap_or_default();
+        Self {
+            ran: self.ran.saturating_sub(earlier.ran),
+            unknown: self.unknown.saturating_sub(earlier.unknown),
+            refused: self
+                .refused
+                .iter()
+                .map(|(reason, count)| (*reason, count.saturating_sub(old(reason))))
+                .filter(|(_, count)| *count > 0)
+                .collect(),
+            latency: self.latency.since(&earlier.latency),
+        }
+    }
+
+    /// All requests.
+    #[must_use]
+    pub fn total(&self) -> u64 {
+        self.ran + self.unknown + self.refused.values().sum::<u64>()
+    }
+
+    /// The part of all requests that ran; `None` if there were none.
+    #[must_use]
+    pub fn goodput(&self) -> Option<f64> {
+        match self.total() {
+            0 => None,
+            total => Some(self.ran as f64 / total as f64),
+        }
+    }
+}
+
+impl Counts {
+    /// Adds the counts of `other`.
+    pub fn add(&mut self, other: &Self) {
+        for (name, account) in &other.accounts {
+            self.accounts.entry(name.clone()).or_default().add(account);
+        }
+        for (place, count) in &other.traffic {
+            *self.traffic.entry(place.clone()).or_default() += count;
+        }
+    }
+
+    /// What came since `earlier`, a state of the same counters.
+    #[must_use]
+    pub fn since(&self, earlier: &Self) -> Self {
+        let none = Account::default();
+        let accounts = self.accounts.iter().map(|(name, account)| {
+            let old = earlier.accounts.get(name).unwrap_or(&none);
+            (name.clone(), account.since(old))
+        });
+        let traffic = self.traffic.iter().map(|(place, count)| {
+            let old = earlier.traffic.get(place).copied().unwrap_or_default();
+            (place.clone(), count.saturating_sub(old))
+        });
+        Self {
+            accounts: accounts.collect(),
+            traffic: traffic.collect(),
+        }
+    }
+
+    /// Refusals by reason, over all client accounts.
+    #[must_use]
+    pub fn refusals(&self) -> IndexMap<Reason, u64> {
+        let mut sum = IndexMap::new();
+        for account in self.accounts.values() {
+            for (reason, count) in &account.refused {
+                *sum.entry(*reason).or_default() += count;
+            }
+        }
+        sum
+    }
+
+    /// The region's part of the service's traffic; `None` if the service had none.
+    #[must_use]
+    pub fn part(&self, place: &Place) -> Option<f64> {
+        let of_service = |other: &&Place| other.service == place.service;
+        let all: u64 = self
+            .traffic
+            .iter()
+            .filter(|(other, _)| of_service(other))
+            .map(|(_, count)| count)
+            .sum();
+        let here = self.traffic.get(place).copied().unwrap_or_default();
+        (all > 0).then(|| here as f64 / all as f64)
+    }
+}
+
+/// Writes the counters of places as a list, since JSON's keys are texts.
+mod places {
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+    use sg_types::prelude::IndexMap;
+
+    use super::Place;
+
+    #[derive(Serialize, Deserialize)]
+    struct Row {
+        #[serde(flatten)]
+        place: Place,
+        requests: u64,
+    }
+
+    pub(super) fn serialize<S: Serializer>(
+        traffic: &IndexMap<Place, u64>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        serializer.collect_seq(traffic.iter().map(|(place, requests)| Row {
+            place: place.clone(),
+            requests: *requests,
+        }))
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<IndexMap<Place, u64>, D::Error> {
+        let rows = Vec::<Row>::deserialize(deserializer)?;
+        Ok(rows
+            .into_iter()
+            .map(|row| (row.place, row.requests))
+            .collect())
+    }
+}
--- /dev/null
+++ b/crates/sg-report/tests/report/main.rs
@@ -0,0 +1,94 @@
+//! Shows that reports of instances add up, and that a revision's effect reads off them.
+
+use quickcheck::quickcheck;
+use sg_report::{
+    Counts, Latency,
+    counts::Place,
+    explain::{self, Evidence, Subject, Window},
+};
+use sg_types::prelude::*;
+
+fn counts(north: u64, south: u64, ran: u64, refused: u64) -> Counts {
+    let mut counts = Counts::default();
+    for (region, requests) in [("north", north), ("south", south)] {
+        let place = Place {
+            service: id::Service::new("desk").expect("a name"),
+            region: id::Region::new(region).expect("a name"),
+        };
+        counts.traffic.insert(place, requests);
+    }
+    let account = counts.accounts.entry("a".into()).or_default();
+    account.ran = ran;
+    account.refused.insert(Reason::OverRate, refused);
+    for _ in 0..ran {
+        account.latency.record(Span::from_millis(10));
+    }
+    counts
+}
+
+fn evidence(name: &str, before: Counts, after: Counts) -> Evidence {
+    let window = |counts| Window {
+        span: Span::from_secs(10),
+        counts,
+    };
+    Evidence {
+        instance: id::Instance::new(name).expect("a name"),
+        incarnation: Incarnation::new(1),
+        age: Span::from_secs(10),
+        before: Some(window(before)),
+        after: window(after),
+    }
+}
+
+#[test]
+fn a_report_adds_up_and_names_the_worst() {
+    let all = [
+        evidence("e1", counts(10, 0, 10, 0), counts(5, 5, 8, 2)),
+        evidence("e2", counts(10, 0, 10, 0), counts(5, 5, 10, 0)),
+    ];
+    let subject = Subject {
+        revision: Revision::new(7),
+        author: "ann".into(),
+        note: "half to the south".into(),
+        difference: sg_tree::diff::Difference::default(),
+    };
+    let silent = vec![id::Instance::new("e3").expect("a name")];
+    let report = explain::report(subject, &all, silent);
+    assert_eq!(report.moves[0].before, Some(1.0));
+    assert_eq!(report.moves[0].after, Some(0.5));
+    assert_eq!(report.accounts[0].after.goodput, Some(0.9));
+    assert_eq!(report.worst.as_deref(), Some("a"));
+    let markdown = report.to_markdown();
+    assert!(
+        markdown.contains("| desk | south | 0.00% | 50.00% |"),
+        "{markdown}"
+    );
+    assert!(markdown.contains("e3 gave no evidence"), "{markdown}");
+    assert!(report.to_string().contains("over-rate"), "{report}");
+    let json = serde_json::to_string(&report).expect("writes");
+    assert_eq!(
+        serde_json::from_str::<explain::Report>(&json).expect("reads"),
+        report
+    );
+}
+
+quickcheck! {
+    fn a_quantile_is_right_to_within_a_fifth(micros: u32) -> bool {
+        let span = Span::from_micros(u64::from(micros % 30_000_000) + 64);
+        let mut latency = Latency::default();
+        latency.record(span);
+        let found = latency.quantile(0.99).unwrap_or_default().as_secs_f64();
+        found >= span.as_secs_f64() * 0.999 && found <= span.as_secs_f64() * 1.2
+    }
+
+    fn what_came_since_adds_back_up(old: Vec<u16>, new: Vec<u16>) -> bool {
+        let mut before = Latency::default();
+        old.iter().for_each(|ms| before.record(Span::from_millis(u64::from(*ms))));
+        let mut now = before.clone();
+        new.iter().for_each(|ms| now.record(Span::from_millis(u64::from(*ms))));
+        let mut sum = now.since(&before);
+        let counted = sum.count() == new.len() as u64;
+        sum.add(&before);
+        counted && sum == now
+    }
+}
