--- /dev/null
+++ b/crates/sg-store/tests/store/publishing.rs
@@ -0,0 +1,139 @@
+//! Publishing, loading and history over a store with faults.
+
+use sg_store::{Store, change, head, history, key, load, memory::Fault, publish};
+use sg_tree::Digest;
+use sg_types::prelude::*;
+
+use super::{options, store, tree};
+
+#[tokio::test(start_paused = true)]
+async fn a_published_tree_reads_back_with_its_history() {
+    let store = store();
+    for base in 0..3 {
+        let tree = tree(&format!("{}s", base + 1));
+        publish::publish(&store, &tree, options(base, u128::from(base)))
+            .await
+            .expect("accepted");
+    }
+    let loaded = load::load(&store).await.expect("loads");
+    assert_eq!(loaded.head.revision, Revision::new(3));
+    assert_eq!(loaded.tree, tree("3s"));
+    let earlier = history::load(&store, Revision::new(1)).await.expect("kept");
+    assert_eq!(earlier.tree, tree("1s"));
+    let revisions: Vec<_> = history::list(&store).await.expect("lists");
+    assert_eq!(revisions.len(), 3);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_answer_is_recognised_whichever_write_it_hits() {
+    for skip in 0..4 {
+        let store = store();
+        let first = options(0, 1);
+        publish::publish(&store, &tree("1s"), first)
+            .await
+            .expect("accepted");
+        store.set_fault(Fault {
+            lose_answers: skip,
+            ..Fault::default()
+        });
+        let outcome = publish::publish(&store, &tree("2s"), options(1, 2)).await;
+        let outcome = outcome.expect("accepted in spite of lost answers");
+        assert_eq!(outcome.head.revision, Revision::new(2), "lost {skip}");
+        let loaded = load::load(&store).await.expect("loads");
+        assert_eq!(loaded.head.change, change::Id::new(2));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_in_doubt_is_made_once_when_sent_again() {
+    let store = store();
+    publish::publish(&store, &tree("1s"), options(0, 1))
+        .await
+        .expect("accepted");
+    let doubtful = store.connect();
+    doubtful.set_fault(Fault {
+        lose_answers: u32::MAX,
+        lose_under: head::KEY,
+        ..Fault::default()
+    });
+    let error = publish::publish(&doubtful, &tree("2s"), options(1, 2))
+        .await
+        .expect_err("in doubt");
+    assert!(
+        matches!(error, publish::Error::Unknown { change, .. } if change == change::Id::new(2))
+    );
+    publish::publish(&store, &tree("3s"), options(2, 3))
+        .await
+        .expect("another operator goes on from it");
+    let again = publish::publish(&store, &tree("2s"), options(1, 2)).await;
+    assert_eq!(again.expect("found").head.revision, Revision::new(2));
+    assert_eq!(load::load(&store).await.expect("loads").tree, tree("3s"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn of_two_racing_operators_one_is_refused_with_the_others_tree() {
+    let store = store();
+    publish::publish(&store, &tree("1s"), options(0, 1))
+        .await
+        .expect("accepted");
+    let slow = store.connect();
+    slow.set_fault(Fault {
+        delay: Span::from_millis(50),
+        ..Fault::default()
+    });
+    let (a, b) = tokio::join!(
+        async { publish::publish(&store, &tree("2s"), options(1, 2)).await },
+        async { publish::publish(&slow, &tree("9s"), options(1, 3)).await },
+    );
+    assert_eq!(a.expect("accepted").head.revision, Revision::new(2));
+    match b.expect_err("refused") {
+        publish::Error::Race {
+            theirs,
+            tree: found,
+        } => {
+            assert_eq!(theirs.change, change::Id::new(2));
+            assert_eq!(*found, tree("2s"));
+        }
+        error => panic!("{error}"),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_corrupt_tree_is_told_apart_from_a_good_one() {
+    let store = store();
+    publish::publish(&store, &tree("1s"), options(0, 1))
+        .await
+        .expect("accepted");
+    let page = store.list("sg/tree/1/").await.expect("lists");
+    store.overwrite(&page.entries[0].key, r#"{"deadline":"7s"}"#);
+    let error = load::load(&store).await.expect_err("corrupt");
+    assert!(matches!(error, load::Error::Corrupt { .. }), "{error}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_history_is_bounded() {
+    let store = store();
+    for base in 0..history::KEEP + 5 {
+        publish::publish(&store, &tree("1s"), options(base, u128::from(base)))
+            .await
+            .expect("accepted");
+    }
+    let heads = history::list(&store).await.expect("lists");
+    assert_eq!(heads.len() as u64, history::KEEP);
+    let all = store.list("sg/tree/").await.expect("lists");
+    assert_eq!(
+        all.entries.len() as u64,
+        2 * history::KEEP,
+        "a chunk and a head each"
+    );
+}
+
+#[test]
+fn keys_are_recognisable_and_hidden_from_logs() {
+    let key = key::generate();
+    let text = key.to_string();
+    assert!(text.starts_with(key::PREFIX));
+    assert_ne!(text, key::generate().to_string());
+    assert_eq!(key.digest(), Digest::of(&text));
+    assert!(!format!("{key:?}").contains(&text[key::PREFIX.len()..]));
+}
