feat(sg): command line for the tree, keys, drains and reports

Cause: operators drive the system only by changing the tree and reading reports. Measured: 3 tests of the command line pass; nothing was run against a store yet.

--- /dev/null
+++ b/crates/sg/src/tree.rs
@@ -0,0 +1,172 @@
+//! `sg tree`: reads and changes the tree of settings.
+
+use std::path::PathBuf;
+
+use sg_store::{head::Head, history};
+use sg_tree::{
+    Fault, Node, Path, compile, diff,
+    effective::{self, Trace},
+    fault::Severity,
+    promise,
+};
+use sg_types::prelude::*;
+
+use crate::{
+    Context, Error,
+    options::{Apply, Check, Diff, Get, Revert, Set, TreeCommand, Unset},
+};
+
+/// Runs one `sg tree` command.
+///
+/// # Errors
+/// See [`Error`].
+pub async fn run(context: &Context, command: &TreeCommand) -> Result<(), Error> {
+    match command {
+        TreeCommand::Get(options) => get(context, options).await,
+        TreeCommand::Set(options) => set(context, options).await,
+        TreeCommand::Unset(options) => unset(context, options).await,
+        TreeCommand::Apply(options) => apply(context, options).await,
+        TreeCommand::Diff(options) => difference(context, options).await,
+        TreeCommand::Check(options) => check(context, options),
+        TreeCommand::History(_) => list(context).await,
+        TreeCommand::Revert(options) => revert(context, options).await,
+    }
+}
+
+async fn get(context: &Context, options: &Get) -> Result<(), Error> {
+    let tree = match options.revision {
+        None => context.load().await?.tree,
+        Some(revision) => history::load(&context.store()?, revision).await?.tree,
+    };
+    let path = options.path.clone().unwrap_or_default();
+    if options.effective {
+        let traces = traces(&tree, &path)?;
+        context.print(&traces, || {
+            let lines: Vec<String> = traces.iter().map(ToString::to_string).collect();
+            lines.join("\n")
+        });
+        return Ok(());
+    }
+    if let Some(value) = tree.setting(&path) {
+        context.print(&value, || value.to_owned());
+        return Ok(());
+    }
+    let node = tree.at(&path).ok_or_else(|| missing(&path))?;
+    context.print(node, || node.to_json());
+    Ok(())
+}
+
+/// The values in force at or below a node, or of one setting.
+fn traces(tree: &Node, path: &Path) -> Result<Vec<Trace>, Error> {
+    if tree.at(path).is_some() {
+        return Ok(effective::list(tree, path));
+    }
+    let trace = effective::trace(tree, path).ok_or_else(|| missing(path))?;
+    Ok(vec![trace])
+}
+
+fn missing(path: &Path) -> Error {
+    Error::Refused(format!(
+        "nothing stands at {path}; 'sg tree get' prints the whole tree"
+    ))
+}
+
+async fn set(context: &Context, options: &Set) -> Result<(), Error> {
+    let (Some(path), Some(value)) = (&options.path, &options.value) else {
+        return Err(Error::Usage("give a path and a value".to_owned()));
+    };
+    let (revision, before) = context.load_or_empty().await?;
+    let mut after = before.clone();
+    after.set(path, value);
+    context.change(revision, &before, &after).await
+}
+
+async fn unset(context: &Context, options: &Unset) -> Result<(), Error> {
+    let path = options.path.clone().unwrap_or_default();
+    let loaded = context.load().await?;
+    let mut after = loaded.tree.clone();
+    if !after.remove(&path) {
+        return Err(missing(&path));
+    }
+    context
+        .change(loaded.head.revision, &loaded.tree, &after)
+        .await
+}
+
+async fn apply(context: &Context, options: &Apply) -> Result<(), Error> {
+    let after = read(&options.file.clone().unwrap_or_default())?;
+    let (revision, before) = context.load_or_empty().await?;
+    context.change(revision, &before, &after).await
+}
+
+async fn revert(context: &Context, options: &Revert) -> Result<(), Error> {
+    let revision = options.revision.unwrap_or_default();
+    let loaded = context.load().await?;
+    let earlier = history::load(&context.store()?, revision).await?;
+    context
+        .change(loaded.head.revision, &loaded.tree, &earlier.tree)
+        .await
+}
+
+async fn difference(context: &Context, options: &Diff) -> Result<(), Error> {
+    let before = side(context, options.before.as_deref()).await?;
+    let after = side(context, options.after.as_deref()).await?;
+    let difference = diff::diff(&before, &after);
+    context.print(&difference, || difference.to_string());
+    Ok(())
+}
+
+/// A revision's number, a file's name, or the accepted revision.
+async fn side(context: &Context, text: Option<&str>) -> Result<Node, Error> {
+    let Some(text) = text else {
+        return Ok(context.load().await?.tree);
+    };
+    match text.parse::<Revision>() {
+        Ok(revision) => Ok(history::load(&context.store()?, revision).await?.tree),
+        Err(_) => read(&PathBuf::from(text)),
+    }
+}
+
+fn check(context: &Context, options: &Check) -> Result<(), Error> {
+    let tree = read(&options.file.clone().unwrap_or_default())?;
+    let outcome = compile::compile(&tree, Revision::new(1))?;
+    let mut faults = outcome.warnings;
+    faults.extend(promise::check(&outcome.view));
+    if faults.iter().any(|fault| fault.severity == Severity::Error) {
+        return Err(Error::Faults(faults));
+    }
+    context.print(&faults, || report(&faults));
+    Ok(())
+}
+
+fn report(faults: &[Fault]) -> String {
+    let mut lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    lines.push(format!("no errors, {} warnings", faults.len()));
+    lines.join("\n")
+}
+
+async fn list(context: &Context) -> Result<(), Error> {
+    let heads = history::list(&context.store()?).await?;
+    context.print(&heads, || {
+        let lines: Vec<String> = heads.iter().map(line).collect();
+        lines.join("\n")
+    });
+    Ok(())
+}
+
+fn line(head: &Head) -> String {
+    format!(
+        "{:>6}  {}  {}  {}  (change {})",
+        head.revision, head.time, head.author, head.note, head.change
+    )
+}
+
+/// Reads a tree from a file.
+pub(crate) fn read(file: &PathBuf) -> Result<Node, Error> {
+    let name = file.display().to_string();
+    let text = std::fs::read(file).map_err(|cause| Error::File {
+        file: name.clone(),
+        cause,
+    })?;
+    Node::from_json(text).map_err(|cause| Error::Unreadable { file: name, cause })
+}
--- /dev/null
+++ b/crates/sg/tests/sg/main.rs
@@ -0,0 +1,40 @@
+//! Shows how the command line reads.
+
+use sg::options;
+
+fn parse(line: &str) -> Result<options::Options, String> {
+    options::parse(line.split_whitespace().map(str::to_owned))
+}
+
+#[test]
+fn options_of_every_command_may_stand_anywhere() {
+    let line = "tree apply FILE --store 127.0.0.1:2379 --author ann --json";
+    let options = parse(line).expect("reads");
+    assert!(options.json);
+    assert_eq!(options.store.len(), 1);
+    assert_eq!(options.author.as_deref(), Some("ann"));
+}
+
+#[test]
+fn a_wrong_line_names_the_help() {
+    let lines = [
+        "tree set /a",
+        "drain moon x",
+        "tree get --store nowhere",
+        "fly",
+        "key add a/b k",
+    ];
+    for line in lines {
+        let error = parse(line).expect_err(line);
+        assert!(error.contains("--help"), "{line}: {error}");
+    }
+}
+
+#[test]
+fn help_names_every_command() {
+    let options = parse("--help").expect("reads");
+    let usage = options::usage(&options);
+    for name in ["tree", "key", "drain", "status", "explain", "why"] {
+        assert!(usage.contains(name), "{name}");
+    }
+}
