feat(share): signatures of the engine

The driver in sg-peer is written against these. Claims are never removed from the store: a release is a claim marked so, which keeps the term growing; the action that removed a claim is dropped for that reason. No behaviour yet.

--- a/crates/sg-share/src/action.rs
+++ b/crates/sg-share/src/action.rs
@@ -14,22 +14,26 @@
         /// The message.
         message: Message,
     },
-    /// Read all claims from the store.
+    /// Read all claims from the store in one linearizable call, and report [`Event::Claims`].
+    /// Nothing is reported if the call fails; the engine asks again by itself.
     ReadClaims,
-    /// Write a claim, if the slot's key is still at `expect` (`None`: absent).
+    /// Write a claim, without a lease, if the slot's key is still at `expect` (`None`: absent).
+    /// Report [`Event::Written`], or [`Event::NotWritten`] also when the answer was lost.
     WriteClaim {
         /// The claim.
         claim: Claim,
         /// The store's version of what is replaced.
         expect: Option<u64>,
     },
-    /// Remove one's own claim at a planned stop.
-    RemoveClaim {
-        /// The slot.
-        slot: Slot,
-        /// The store's version of the claim.
-        version: u64,
-    },
+}
+
+/// A claim as read from the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Standing {
+    /// The claim.
+    pub claim: Claim,
+    /// The store's version of it.
+    pub version: u64,
 }
 
 /// What the driver tells the engine.
@@ -44,12 +48,12 @@
         /// The message.
         message: Message,
     },
-    /// All claims, each with the store's version, as read by a call that was sent at `sent`.
+    /// All claims, as read by a call that was sent at `sent`.
     Claims {
         /// When the call was sent, by this instance's clock.
         sent: Instant,
         /// What was found.
-        claims: Vec<(Claim, u64)>,
+        claims: Vec<Standing>,
     },
     /// A claim was written.
     Written {
