--- a/crates/sg-entry/src/lib.rs
+++ b/crates/sg-entry/src/lib.rs
@@ -2,8 +2,10 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
+pub mod evidence;
 pub mod logs;
 pub mod options;
+pub mod probe;
 pub mod settings;
 pub mod stop;
 
