--- /dev/null
+++ b/crates/sg-fake/src/main.rs
@@ -0,0 +1,219 @@
+//! `sg-fake`: the stand-ins as plain processes.
+
+use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
+
+use gumdrop::Options as _;
+use sg_fake::{list, server, store, target};
+use sg_tree::{Node, compile};
+use sg_types::prelude::*;
+use tokio::signal::unix::{SignalKind, signal};
+
+#[derive(Debug, gumdrop::Options)]
+struct Cli {
+    #[options(help = "show this help and exit")]
+    help: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, gumdrop::Options)]
+enum Command {
+    #[options(help = "the platform's store")]
+    Store(StoreFlags),
+    #[options(help = "the platform's list of instances")]
+    List(ListFlags),
+    #[options(help = "targets, several in one process")]
+    Target(TargetFlags),
+}
+
+#[derive(Debug, gumdrop::Options)]
+struct StoreFlags {
+    #[options(help = "show this help and exit")]
+    help: bool,
+    #[options(help = "the address to listen on", meta = "ADDR", required)]
+    listen: Option<SocketAddr>,
+    #[options(help = "the seed of random faults", default = "1")]
+    seed: u64,
+}
+
+#[derive(Debug, gumdrop::Options)]
+struct ListFlags {
+    #[options(help = "show this help and exit")]
+    help: bool,
+    #[options(help = "the address to listen on", meta = "ADDR", required)]
+    listen: Option<SocketAddr>,
+    #[options(help = "the instances, as a JSON array", meta = "FILE", required)]
+    file: Option<PathBuf>,
+    #[options(
+        help = "how long a change stays invisible",
+        meta = "SPAN",
+        default = "1s"
+    )]
+    lag: Span,
+}
+
+#[derive(Debug, gumdrop::Options)]
+struct TargetFlags {
+    #[options(help = "show this help and exit")]
+    help: bool,
+    #[options(
+        help = "addresses to listen on, with commas between them",
+        meta = "ADDR,..."
+    )]
+    listen: Option<String>,
+    #[options(help = "start every target of this tree", meta = "FILE")]
+    tree: Option<PathBuf>,
+    #[options(help = "requests at once, for --listen", default = "7")]
+    slots: u32,
+    #[options(help = "the usual time of a request", meta = "SPAN")]
+    service_time: Option<Span>,
+    #[options(
+        help = "how long a target is slower after a start",
+        meta = "SPAN",
+        default = "0s"
+    )]
+    cold: Span,
+    #[options(help = "how many times slower it is then", default = "4")]
+    cold_factor: f64,
+    #[options(help = "how old load and health are", meta = "SPAN", default = "0s")]
+    lag: Span,
+    #[options(help = "the seed of the jitter", default = "1")]
+    seed: u64,
+}
+
+/// The time of a request where neither a flag nor a tree says it.
+const SERVICE_TIME: Span = Span::from_millis(20);
+
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error("no command; name one of: store, list, target")]
+    NoCommand,
+    #[error("{0} is missing; give it by its flag")]
+    Missing(&'static str),
+    #[error("{file} can't be read: {source}; check the path")]
+    File {
+        file: String,
+        source: std::io::Error,
+    },
+    #[error("the list is not a JSON array of instances: {0}; correct that place")]
+    List(#[from] serde_json::Error),
+    #[error(transparent)]
+    Tree(#[from] sg_tree::node::Error),
+    #[error(transparent)]
+    Compile(#[from] sg_tree::compile::Error),
+    #[error("'{0}' is not an address; write it like 127.0.0.1:9000")]
+    Address(String),
+    #[error(transparent)]
+    Name(#[from] sg_types::parse::Error),
+    #[error(transparent)]
+    Server(#[from] server::Error),
+    #[error("signals can't be caught: {0}; check the process's limits")]
+    Signal(#[from] std::io::Error),
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let cli = Cli::parse_args_default_or_exit();
+    match run(cli).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("sg-fake: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+async fn run(cli: Cli) -> Result<(), Error> {
+    match cli.command.ok_or(Error::NoCommand)? {
+        Command::Store(flags) => {
+            let listen = flags.listen.ok_or(Error::Missing("the address"))?;
+            let seed = flags.seed;
+            let _server = store::Server::start(store::Options { listen, seed }).await?;
+            stopped().await
+        }
+        Command::List(flags) => {
+            let options = list_options(&flags)?;
+            let _server = list::Server::start(options).await?;
+            stopped().await
+        }
+        Command::Target(flags) => {
+            let mut servers = Vec::new();
+            for options in target_options(&flags)? {
+                servers.push(target::Server::start(options).await?);
+            }
+            stopped().await
+        }
+    }
+}
+
+async fn stopped() -> Result<(), Error> {
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+    }
+    Ok(())
+}
+
+fn read(file: &PathBuf) -> Result<Vec<u8>, Error> {
+    std::fs::read(file).map_err(|source| Error::File {
+        file: file.display().to_string(),
+        source,
+    })
+}
+
+fn list_options(flags: &ListFlags) -> Result<list::Options, Error> {
+    let file = flags.file.as_ref().ok_or(Error::Missing("the file"))?;
+    Ok(list::Options {
+        listen: flags.listen.ok_or(Error::Missing("the address"))?,
+        members: serde_json::from_slice(&read(file)?)?,
+        lag: flags.lag,
+    })
+}
+
+fn target_options(flags: &TargetFlags) -> Result<Vec<target::Options>, Error> {
+    if let Some(file) = &flags.tree {
+        let tree = Node::from_json(read(file)?)?;
+        let view = compile::compile(&tree, Revision::new(1))?.view;
+        return Ok(tree_targets(flags, &view));
+    }
+    let listen = flags.listen.as_ref().ok_or(Error::Missing("an address"))?;
+    listen
+        .split(',')
+        .map(|text| listed_target(flags, text))
+        .collect()
+}
+
+fn tree_targets(flags: &TargetFlags, view: &sg_tree::View) -> Vec<target::Options> {
+    let services = view.services.values();
+    let targets = services.flat_map(|s| s.targets.iter().map(move |(name, t)| (s, name, t)));
+    targets
+        .map(|(service, name, target)| target::Options {
+            slots: target.slots,
+            service_time: flags.service_time.unwrap_or(service.service_time),
+            ..options(flags, name.clone(), target.address)
+        })
+        .collect()
+}
+
+fn listed_target(flags: &TargetFlags, text: &str) -> Result<target::Options, Error> {
+    let address: SocketAddr = text.parse().map_err(|_| Error::Address(text.to_owned()))?;
+    let name = id::Target::new(format!("target-{}", address.port()))?;
+    Ok(options(flags, name, address))
+}
+
+fn options(flags: &TargetFlags, name: id::Target, listen: SocketAddr) -> target::Options {
+    target::Options {
+        name,
+        listen,
+        slots: flags.slots,
+        service_time: flags.service_time.unwrap_or(SERVICE_TIME),
+        cold: target::Cold {
+            span: flags.cold,
+            factor: flags.cold_factor,
+        },
+        lag: flags.lag,
+        seed: flags.seed,
+    }
+}
