feat(steer): regions by capped shifts, limits, ejection, slow start and the retry budget

The first engine chose among all targets of a service. A request now first gets its region by the split in force, drawn in exact proportion, then the less loaded of two random open targets there. Splits move by steps of at most the cap an interval toward a goal that is worked out from the whole demand and each region's capacity after the loss of a failure domain, and a step waits until the regions that gain do well. Targets have limits by instance, back off when they shed, are ejected within the cap and come back by trial. Steer gains start_again for requests that waited, so that asking again does not move traffic past the cap; it defaults to start.

--- a/crates/sg-steer/src/attempt.rs
+++ b/crates/sg-steer/src/attempt.rs
@@ -70,6 +70,17 @@
     /// The reason why no target may be asked now; the request has not run.
     fn start(&self, ask: Ask<'_>) -> Result<Self::Attempt, Reason>;
 
+    /// Asks once more for a request that [`Steer::start`] refused and that has waited since.
+    ///
+    /// Telling it apart keeps the request in the region that it was first meant for: drawn anew
+    /// each time, what waits for a full region would end in another one, past the shift cap.
+    ///
+    /// # Errors
+    /// As [`Steer::start`].
+    fn start_again(&self, ask: Ask<'_>) -> Result<Self::Attempt, Reason> {
+        self.start(ask)
+    }
+
     /// Whether the service's retry budget allows one more attempt; takes it from the budget.
     fn may_retry(&self, service: &id::Service, now: Instant) -> bool;
 }
--- a/crates/sg-steer/src/engine/guard.rs
+++ b/crates/sg-steer/src/engine/guard.rs
@@ -41,7 +41,7 @@
     }
 
     fn in_flight(&self) -> u32 {
-        self.pool.in_flight(&self.start.place)
+        self.pool.in_flight(&self.start)
     }
 
     fn end(mut self, end: End, now: Instant) {
--- a/crates/sg-steer/src/lib.rs
+++ b/crates/sg-steer/src/lib.rs
@@ -8,8 +8,20 @@
 
 pub mod attempt;
 pub mod engine;
+mod health;
+mod link;
+mod load;
+mod member;
 pub mod observation;
 mod pool;
+mod region;
+pub mod report;
+pub mod retry;
+mod settings;
+pub mod shift;
+pub mod split;
+mod wheel;
 
 pub use attempt::{Ask, Attempt, End, Steer};
 pub use engine::Engine;
+pub use split::{Position, Split};
--- /dev/null
+++ b/crates/sg-steer/src/settings.rs
@@ -0,0 +1,54 @@
+//! The settings of a service that the decisions use.
+
+use sg_tree::view;
+use sg_types::prelude::*;
+
+use crate::shift::Limits;
+
+/// The settings of one service.
+#[derive(Debug, Clone)]
+pub(crate) struct Settings {
+    pub(crate) stale: Span,
+    pub(crate) slow_start: Span,
+    pub(crate) service_time: Span,
+    pub(crate) probe_interval: Span,
+    pub(crate) probe_timeout: Span,
+    pub(crate) connections: u32,
+    pub(crate) answer_size: Bytes,
+    pub(crate) ejection_cap: Percent,
+    pub(crate) retry_budget: Percent,
+    pub(crate) headroom: Percent,
+    pub(crate) limits: Limits,
+    /// How many instances share a target.
+    pub(crate) entries: u32,
+}
+
+impl Settings {
+    pub(crate) fn new(service: &view::Service, entries: u32) -> Self {
+        Self {
+            stale: service.load_stale,
+            slow_start: service.slow_start,
+            service_time: service.service_time,
+            probe_interval: service.probe_interval,
+            probe_timeout: service.connect_timeout,
+            connections: service.connections,
+            answer_size: service.answer_size,
+            ejection_cap: service.ejection_cap,
+            retry_budget: service.retry_budget,
+            headroom: service.headroom,
+            limits: Limits {
+                cap: service.shift_cap,
+                interval: service.shift_interval,
+            },
+            entries: entries.max(1),
+        }
+    }
+
+    /// Requests a second that `slots` slots serve, less the headroom.
+    pub(crate) fn capacity(&self, slots: u32) -> Rate {
+        let seconds = self.service_time.as_secs_f64().max(f64::EPSILON);
+        let used = 1.0 - self.headroom.as_f64();
+        let micros = f64::from(slots) / seconds * used * rate::MICRO as f64;
+        Rate::from_micros(micros as u64)
+    }
+}
