feat(sg,tree): settings reference from the code; a revert keeps the accepted keys

Cause: reverting to a revision from before a withdrawal would have made the withdrawn key work again.

--- a/crates/sg-tree/src/lib.rs
+++ b/crates/sg-tree/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod path;
 pub mod predict;
 pub mod promise;
+pub mod reference;
 pub mod setting;
 pub mod view;
 
--- a/crates/sg-tree/tests/tree/main.rs
+++ b/crates/sg-tree/tests/tree/main.rs
@@ -1,6 +1,7 @@
 //! Shows inheritance, checks and the text form of the tree of settings.
 
 mod change;
+mod reference;
 
 use quickcheck::quickcheck;
 use sg_tree::{Node, Path, compile::compile};
--- a/crates/sg/src/options.rs
+++ b/crates/sg/src/options.rs
@@ -133,6 +133,17 @@
     /// Make an earlier tree the next revision.
     #[options(help = "make the tree of an earlier revision the next one")]
     Revert(Revert),
+    /// Print the settings reference.
+    #[options(help = "print the settings reference in Markdown")]
+    Reference(Reference),
+}
+
+/// `sg tree reference`.
+#[derive(Debug, gumdrop::Options)]
+pub struct Reference {
+    /// Print this help.
+    #[options(help = "print this help")]
+    pub help: bool,
 }
 
 /// `sg tree get`.
--- a/crates/sg/src/tree.rs
+++ b/crates/sg/src/tree.rs
@@ -30,6 +30,10 @@
         TreeCommand::Check(options) => check(context, options),
         TreeCommand::History(_) => list(context).await,
         TreeCommand::Revert(options) => revert(context, options).await,
+        TreeCommand::Reference(_) => {
+            print!("{}", sg_tree::reference::markdown());
+            Ok(())
+        }
     }
 }
 
@@ -103,11 +107,32 @@
     let revision = options.revision.unwrap_or_default();
     let loaded = context.load().await?;
     let earlier = history::load(&context.store()?, revision).await?;
+    let after = keep_keys(earlier.tree, &loaded.tree);
     context
-        .change(loaded.head.revision, &loaded.tree, &earlier.tree)
+        .change(loaded.head.revision, &loaded.tree, &after)
         .await
 }
 
+/// The earlier tree with the keys of the accepted one, so that no withdrawn key works again.
+#[must_use]
+pub fn keep_keys(mut earlier: Node, accepted: &Node) -> Node {
+    let accounts = Path::root().join("accounts");
+    let names: IndexSet<Arc<str>> = [&earlier, accepted]
+        .into_iter()
+        .filter_map(|tree| tree.at(&accounts))
+        .flat_map(|node| node.children.keys().cloned())
+        .collect();
+    for name in names {
+        let keys = accounts.join(&name).join("keys");
+        earlier.remove(&keys);
+        let account = earlier.at(&accounts.join(&name)).is_some();
+        if let (true, Some(node)) = (account, accepted.at(&keys)) {
+            *earlier.at_mut(&keys) = node.clone();
+        }
+    }
+    earlier
+}
+
 async fn difference(context: &Context, options: &Diff) -> Result<(), Error> {
     let before = side(context, options.before.as_deref()).await?;
     let after = side(context, options.after.as_deref()).await?;
--- a/crates/sg/tests/sg/main.rs
+++ b/crates/sg/tests/sg/main.rs
@@ -38,3 +38,18 @@
         assert!(usage.contains(name), "{name}");
     }
 }
+
+#[test]
+fn a_reverted_tree_keeps_the_keys_of_the_accepted_one() {
+    let tree = |text: &str| sg_tree::Node::from_json(text).expect("reads");
+    let earlier = tree(r#"{"accounts":{"a":{"rate":"1/s","keys":{"k":{"digest":"d"}}},"b":{}}}"#);
+    let accepted = tree(
+        r#"{"accounts":{"a":{"rate":"2/s","keys":{"k":{"digest":"d","withdrawn":"yes"}}},
+            "c":{"keys":{"x":{}}}}}"#,
+    );
+    let after = sg::tree::keep_keys(earlier, &accepted);
+    let setting = |path: &str| after.setting(&path.parse().expect("a path"));
+    assert_eq!(setting("/accounts/a/rate"), Some("1/s"));
+    assert_eq!(setting("/accounts/a/keys/k/withdrawn"), Some("yes"));
+    assert!(after.at(&"/accounts/c".parse().expect("a path")).is_none());
+}
