--- /dev/null
+++ b/crates/sg-forward/src/answer.rs
@@ -0,0 +1,169 @@
+//! Takes a target's answer: whole if it is small, else as a guarded stream.
+
+use bytes::{Bytes as Content, BytesMut};
+use http::{HeaderMap, Method, StatusCode, header};
+use sg_clock::Timer;
+use sg_types::prelude::*;
+
+use crate::{headers, history::Step};
+
+/// Answers up to this size are held until they are whole.
+pub const WHOLE_LIMIT: u64 = 256 * 1024;
+
+/// An answer that has passed the checks.
+#[derive(Debug)]
+pub enum Answer {
+    /// A whole one.
+    Whole {
+        /// The status.
+        status: StatusCode,
+        /// The headers, as they came.
+        headers: HeaderMap,
+        /// The content.
+        body: Content,
+    },
+    /// The first part of a large one.
+    Part {
+        /// The content so far.
+        first: Content,
+        /// The rest.
+        rest: reqwest::Response,
+    },
+}
+
+/// What bounds the taking of an answer.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// The largest answer.
+    pub limit: Bytes,
+    /// How long the connection may be silent.
+    pub progress: Span,
+    /// When the request's time is over.
+    pub deadline: Instant,
+}
+
+/// Reads the answer to a request of `method` until it is whole or larger than [`WHOLE_LIMIT`].
+///
+/// # Errors
+/// The [`Step`] that the attempt came to.
+pub async fn take(
+    timer: &Timer,
+    mut response: reqwest::Response,
+    method: &Method,
+    request: &id::Request,
+    bounds: Bounds,
+) -> Result<Answer, Step> {
+    check_head(&response, method, request, bounds)?;
+    let mut body = Gathered::Empty;
+    while let Some(part) = next(timer, &mut response, bounds).await? {
+        body.push(part);
+        if body.len() > bounds.limit.get() {
+            return Err(Step::Wrong);
+        }
+        if body.len() > WHOLE_LIMIT {
+            let first = body.into_content();
+            return Ok(Answer::Part {
+                first,
+                rest: response,
+            });
+        }
+    }
+    Ok(Answer::Whole {
+        status: response.status(),
+        headers: std::mem::take(response.headers_mut()),
+        body: body.into_content(),
+    })
+}
+
+/// Waits for the next part of an answer; `None` at its proven end.
+///
+/// # Errors
+/// [`Step::Cut`], [`Step::Silent`] or [`Step::Late`].
+pub async fn next(
+    timer: &Timer,
+    response: &mut reqwest::Response,
+    bounds: Bounds,
+) -> Result<Option<Content>, Step> {
+    let silent = timer.now() + bounds.progress;
+    let until = silent.min(bounds.deadline);
+    match timer.until(until, response.chunk()).await {
+        Ok(Ok(part)) => Ok(part),
+        Ok(Err(_)) => Err(Step::Cut),
+        Err(_) if until == bounds.deadline => Err(Step::Late),
+        Err(_) => Err(Step::Silent),
+    }
+}
+
+fn check_head(
+    response: &reqwest::Response,
+    method: &Method,
+    request: &id::Request,
+    bounds: Bounds,
+) -> Result<(), Step> {
+    let named = response.headers().get(headers::REQUEST_ID);
+    if named.is_some_and(|name| name.as_bytes() != request.as_str().as_bytes()) {
+        return Err(Step::Wrong);
+    }
+    if is_empty(response, method) {
+        return Ok(());
+    }
+    match stated_length(response.headers()) {
+        Some(length) if length > bounds.limit.get() => Err(Step::Wrong),
+        Some(_) => Ok(()),
+        None if response.headers().contains_key(header::TRANSFER_ENCODING) => Ok(()),
+        None => Err(Step::Cut),
+    }
+}
+
+fn stated_length(headers: &HeaderMap) -> Option<u64> {
+    headers::number(headers, &header::CONTENT_LENGTH)
+}
+
+fn is_empty(response: &reqwest::Response, method: &Method) -> bool {
+    method == Method::HEAD
+        || matches!(
+            response.status(),
+            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+        )
+}
+
+/// Parts of a body, copied only if there is more than one.
+enum Gathered {
+    Empty,
+    One(Content),
+    Many(BytesMut),
+}
+
+impl Gathered {
+    fn len(&self) -> u64 {
+        match self {
+            Self::Empty => 0,
+            Self::One(part) => part.len() as u64,
+            Self::Many(parts) => parts.len() as u64,
+        }
+    }
+
+    fn push(&mut self, part: Content) {
+        *self = match std::mem::replace(self, Self::Empty) {
+            Self::Empty => Self::One(part),
+            Self::One(first) => {
+                let mut parts = BytesMut::with_capacity(2 * (first.len() + part.len()));
+                parts.extend_from_slice(&first);
+                parts.extend_from_slice(&part);
+                Self::Many(parts)
+            }
+            Self::Many(mut parts) => {
+                parts.extend_from_slice(&part);
+                Self::Many(parts)
+            }
+        };
+    }
+
+    fn into_content(self) -> Content {
+        match self {
+            Self::Empty => Content::new(),
+            Self::One(part) => part,
+            Self::Many(parts) => parts.freeze(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sg-forward/src/body.rs
@@ -0,0 +1,82 @@
+//! Reads a request's body whole, within its limits.
+
+use bytes::{Bytes as Content, BytesMut};
+use http::HeaderMap;
+use http_body_util::{BodyExt, combinators::BoxBody};
+use sg_clock::Timer;
+use sg_types::prelude::*;
+
+use crate::memory::Held;
+
+/// The body as the HTTP library gives it.
+pub type Incoming = BoxBody<Content, std::io::Error>;
+
+/// What bounds the reading of a body.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// The largest body.
+    pub limit: Bytes,
+    /// When it must be there.
+    pub until: Instant,
+}
+
+/// A whole body.
+#[derive(Debug)]
+pub struct Whole {
+    /// The content.
+    pub content: Content,
+    /// What followed it. It is checked, then dropped.
+    pub trailers: Option<HeaderMap>,
+}
+
+/// Reads `body` to its end.
+///
+/// # Errors
+/// [`Reason::BodyTooLarge`], [`Reason::BodyIncomplete`], or [`Reason::Overloaded`] if the instance
+/// holds as many bytes as it may.
+pub async fn read(
+    timer: &Timer,
+    mut body: Incoming,
+    bounds: Bounds,
+    held: &mut Held,
+) -> Result<Whole, Reason> {
+    let reading = gather(&mut body, bounds.limit, held);
+    timer
+        .until(bounds.until, reading)
+        .await
+        .unwrap_or(Err(Reason::BodyIncomplete))
+}
+
+async fn gather(body: &mut Incoming, limit: Bytes, held: &mut Held) -> Result<Whole, Reason> {
+    let mut content = Content::new();
+    let mut more = BytesMut::new();
+    let mut trailers = None;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Reason::BodyIncomplete)?;
+        let data = match frame.into_data() {
+            Ok(data) => data,
+            Err(frame) => {
+                trailers = frame.into_trailers().ok();
+                continue;
+            }
+        };
+        let size = (content.len() + more.len() + data.len()) as u64;
+        if size > limit.get() {
+            return Err(Reason::BodyTooLarge);
+        }
+        if !held.grow(data.len() as u64) {
+            return Err(Reason::Overloaded);
+        }
+        if content.is_empty() && more.is_empty() {
+            content = data;
+        } else {
+            more.extend_from_slice(&content);
+            content.clear();
+            more.extend_from_slice(&data);
+        }
+    }
+    if !more.is_empty() {
+        content = more.freeze();
+    }
+    Ok(Whole { content, trailers })
+}
--- /dev/null
+++ b/crates/sg-forward/src/fair.rs
@@ -0,0 +1,128 @@
+//! A queue that serves classes of waiters by weight, with a bound for each class and a deadline for
+//! each waiter. Pure: time is an argument.
+
+use std::{collections::VecDeque, hash::Hash};
+
+use sg_types::prelude::*;
+
+/// How a waiter is queued.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Place {
+    /// How many waiters of the class are served in a round.
+    pub weight: u32,
+    /// How many waiters of the class may wait.
+    pub limit: u32,
+    /// When waiting is of no more use.
+    pub deadline: Instant,
+}
+
+/// The class has as many waiters as it may have.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Full;
+
+/// A queue of waiters `W` in classes `C`, served by deficit round robin.
+#[derive(Debug)]
+pub struct Queue<C, W> {
+    classes: IndexMap<C, Class<W>>,
+    order: VecDeque<C>,
+    len: usize,
+}
+
+#[derive(Debug)]
+struct Class<W> {
+    waiters: VecDeque<(Instant, W)>,
+    weight: u32,
+    credit: u32,
+}
+
+impl<C, W> Default for Queue<C, W> {
+    fn default() -> Self {
+        Self {
+            classes: IndexMap::new(),
+            order: VecDeque::new(),
+            len: 0,
+        }
+    }
+}
+
+impl<C: Clone + Eq + Hash, W> Queue<C, W> {
+    /// Adds a waiter at the end of its class.
+    ///
+    /// # Errors
+    /// [`Full`] if the class has `place.limit` waiters whose deadlines are to come.
+    pub fn push(&mut self, class: C, place: Place, now: Instant, waiter: W) -> Result<(), Full> {
+        self.expire(&class, place.limit, now);
+        let entry = self.classes.entry(class.clone()).or_insert_with(|| Class {
+            waiters: VecDeque::new(),
+            weight: 1,
+            credit: 0,
+        });
+        entry.weight = place.weight.max(1);
+        if entry.waiters.len() >= place.limit as usize {
+            return Err(Full);
+        }
+        if entry.waiters.is_empty() {
+            entry.credit = 0;
+            self.order.push_back(class);
+        }
+        entry.waiters.push_back((place.deadline, waiter));
+        self.len += 1;
+        Ok(())
+    }
+
+    /// Takes the next waiter whose deadline is to come.
+    pub fn pop(&mut self, now: Instant) -> Option<W> {
+        while let Some(class) = self.order.front().cloned() {
+            let Some(entry) = self.classes.get_mut(&class) else {
+                self.order.pop_front();
+                continue;
+            };
+            if entry.credit == 0 {
+                entry.credit = entry.weight;
+            }
+            let next = entry.waiters.pop_front();
+            self.len -= usize::from(next.is_some());
+            let live = next.filter(|(deadline, _)| *deadline > now);
+            entry.credit -= u32::from(live.is_some());
+            if entry.waiters.is_empty() {
+                self.order.pop_front();
+                self.classes.swap_remove(&class);
+            } else if entry.credit == 0 {
+                self.order.rotate_left(1);
+            }
+            if let Some((_, waiter)) = live {
+                return Some(waiter);
+            }
+        }
+        None
+    }
+
+    /// How many waiters there are, those past their deadline included.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether nobody waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Removes waiters of a full class that are past their deadline.
+    fn expire(&mut self, class: &C, limit: u32, now: Instant) {
+        let Some(entry) = self.classes.get_mut(class) else {
+            return;
+        };
+        if entry.waiters.len() < limit as usize {
+            return;
+        }
+        let before = entry.waiters.len();
+        entry.waiters.retain(|(deadline, _)| *deadline > now);
+        self.len -= before - entry.waiters.len();
+        if entry.waiters.is_empty() {
+            self.classes.swap_remove(class);
+            self.order.retain(|other| other != class);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sg-forward/src/forward.rs
@@ -0,0 +1,188 @@
+//! The endpoint that callers reach.
+
+use poem::{Endpoint, Request, Response};
+use sg_clock::Timer;
+use sg_steer::Steer;
+use sg_types::prelude::*;
+
+use crate::{
+    gate::{Admission, Announce, Directory, Freshness, Gates, Parts, Tree},
+    journal::Record,
+    metric::Metric,
+    path,
+    quarantine::Suspicion,
+    reply::Reply,
+    report::Report,
+    shared::Shared,
+    trace::Trace,
+};
+
+/// How long a suspicion from another instance counts if this one does not know the service.
+const UNKNOWN_SERVICE_QUARANTINE: Span = Span::from_secs(60);
+
+/// Who this instance is.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The instance.
+    pub instance: id::Instance,
+    /// This run of it.
+    pub incarnation: Incarnation,
+}
+
+/// Why the request path can't be made.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A counter could not be registered.
+    #[error(
+        "the request path's counters can't be registered: {0}; give each path its own registry"
+    )]
+    Metric(#[from] prometheus::Error),
+    /// A name could not be made.
+    #[error("a request can't be named: {0}; shorten the instance's name")]
+    Name(#[from] sg_types::parse::Error),
+}
+
+type SharedBy<T, A, F, S, N, D> = Arc<Shared<Gates<T, A, F, S, N, D>>>;
+
+/// The request path. Clones share everything.
+#[derive(Debug)]
+pub struct Forward<T, A, F, S, N, D> {
+    shared: SharedBy<T, A, F, S, N, D>,
+}
+
+impl<T, A, F, S, N, D> Clone for Forward<T, A, F, S, N, D> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: self.shared.clone(),
+        }
+    }
+}
+
+impl<T, A, F, S, N, D> Forward<T, A, F, S, N, D>
+where
+    T: Tree,
+    A: Admission,
+    F: Freshness,
+    S: Steer,
+    N: Announce,
+    D: Directory,
+{
+    /// Makes the request path and registers its counters.
+    ///
+    /// # Errors
+    /// [`Error::Metric`] if `registry` has counters of the same names already.
+    pub fn new(
+        options: Options,
+        gates: Gates<T, A, F, S, N, D>,
+        timer: Timer,
+        registry: &prometheus::Registry,
+    ) -> Result<Self, Error> {
+        let unnamed = id::Request::new("unnamed")?;
+        let metric = Metric::new(registry)?;
+        let shared = Shared::new(options, gates, timer, metric, unnamed);
+        Ok(Self {
+            shared: Arc::new(shared),
+        })
+    }
+
+    /// Takes no new work from now on. Resends of requests that ran are still answered.
+    pub fn leave(&self) {
+        self.shared.stop.leave();
+    }
+
+    /// Waits until no work is in hand.
+    pub async fn idle(&self) {
+        self.shared.stop.idle().await;
+    }
+
+    /// How many requests are in hand.
+    #[must_use]
+    pub fn in_hand(&self) -> u64 {
+        self.shared.stop.in_hand()
+    }
+
+    /// Takes note of what another instance tells.
+    pub fn on_notice(&self, notice: Notice) {
+        let Notice::Suspect {
+            account,
+            service,
+            fingerprint,
+            target,
+            in_flight,
+        } = notice
+        else {
+            return;
+        };
+        let view = self.shared.gates.tree().view();
+        let known = view.and_then(|view| Some(view.services.get(&service)?.quarantine));
+        let suspicion = Suspicion {
+            account,
+            fingerprint,
+            target,
+            in_flight,
+        };
+        self.shared
+            .suspect(suspicion, known.unwrap_or(UNKNOWN_SERVICE_QUARANTINE));
+    }
+
+    /// What was decided for `request`, if that is still kept.
+    #[must_use]
+    pub fn why(&self, request: &id::Request) -> Option<Record> {
+        self.shared.journal.find(request)
+    }
+
+    /// Sums for each service and client account since the start.
+    #[must_use]
+    pub fn report(&self) -> Report {
+        self.shared.ledger.report()
+    }
+
+    /// How many answers had `outcome` and `reason`; `account` is `None` for open routes.
+    #[must_use]
+    pub fn answers(&self, outcome: Outcome, reason: Reason, account: Option<&id::Account>) -> u64 {
+        self.shared.metric.answers(outcome, reason, account)
+    }
+}
+
+impl<T, A, F, S, N, D> Endpoint for Forward<T, A, F, S, N, D>
+where
+    T: Tree,
+    A: Admission,
+    F: Freshness,
+    S: Steer,
+    N: Announce,
+    D: Directory,
+{
+    type Output = Response;
+
+    async fn call(&self, request: Request) -> poem::Result<Response> {
+        Ok(answer(&self.shared, request).await)
+    }
+}
+
+async fn answer<P: Parts>(shared: &Arc<Shared<P>>, request: Request) -> Response {
+    let work = shared.stop.begin();
+    shared.metric.in_hand.set(shared.stop.in_hand() as i64);
+    let mut trace = Trace::new(shared.request_id(), shared.timer.now());
+    let reply = path::serve(shared, request, &mut trace).await;
+    let name = trace.request.clone();
+    note(shared, trace, &reply);
+    drop(work);
+    shared.metric.in_hand.set(shared.stop.in_hand() as i64);
+    shared.metric.held_bytes.set(shared.memory.used() as i64);
+    reply.into_response(&name)
+}
+
+/// Counts the answer and keeps what was decided.
+fn note<P: Parts>(shared: &Shared<P>, trace: Trace, reply: &Reply) {
+    let (outcome, reason) = (reply.outcome, reply.reason);
+    let now = shared.timer.now();
+    shared
+        .metric
+        .answer(outcome, reason, trace.account.as_ref());
+    if let Some((service, _)) = &trace.place {
+        let entry = trace.entry(outcome, reason, now);
+        shared.ledger.add(service, trace.account.as_ref(), entry);
+    }
+    shared.journal.add(trace.into_record(outcome, reason, now));
+}
--- /dev/null
+++ b/crates/sg-forward/src/headers.rs
@@ -0,0 +1,113 @@
+//! Names of headers, and which ones pass between caller and target.
+
+use http::{HeaderMap, HeaderName, HeaderValue, header};
+
+/// Whether a target ran the request.
+pub const OUTCOME: HeaderName = HeaderName::from_static("sg-outcome");
+/// Why the answer has its outcome.
+pub const REASON: HeaderName = HeaderName::from_static("sg-reason");
+/// The request's name, for `sg why`.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("sg-request-id");
+/// Milliseconds until the answer is of no use.
+pub const DEADLINE: HeaderName = HeaderName::from_static("sg-deadline-ms");
+/// The client account, told to targets.
+pub const ACCOUNT: HeaderName = HeaderName::from_static("sg-account");
+/// A fresh ticket.
+pub const TICKET: HeaderName = HeaderName::from_static("sg-ticket");
+/// Says that a target takes no new work.
+pub const LEAVING: HeaderName = HeaderName::from_static("sg-leaving");
+/// The ticket that a caller sends.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// The start of the names that belong to this system.
+const OWN: &str = "sg-";
+
+/// Headers that concern one connection, not the exchange.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// Removes what must not reach a target: the key, hop-by-hop headers, this system's own headers, and
+/// those that the HTTP client makes anew.
+pub fn strip_request(headers: &mut HeaderMap) {
+    strip_common(headers);
+    headers.remove(header::AUTHORIZATION);
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+    headers.remove(IDEMPOTENCY_KEY);
+}
+
+/// Removes what must not reach a caller: hop-by-hop headers and this system's own headers.
+pub fn strip_answer(headers: &mut HeaderMap) {
+    strip_common(headers);
+}
+
+fn strip_common(headers: &mut HeaderMap) {
+    if let Some(named) = named_by_connection(headers) {
+        for name in named {
+            headers.remove(name);
+        }
+    }
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+    if !headers.keys().any(is_own) {
+        return;
+    }
+    let own: Vec<HeaderName> = headers
+        .keys()
+        .filter(|name| is_own(name))
+        .cloned()
+        .collect();
+    for name in own {
+        headers.remove(name);
+    }
+}
+
+fn is_own(name: &HeaderName) -> bool {
+    name.as_str().starts_with(OWN)
+}
+
+fn named_by_connection(headers: &HeaderMap) -> Option<Vec<HeaderName>> {
+    headers.get(header::CONNECTION)?;
+    let names = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    Some(names)
+}
+
+/// The size of `headers` on the wire, in bytes.
+#[must_use]
+pub fn size(headers: &HeaderMap) -> u64 {
+    const SEPARATORS: usize = 4;
+    headers
+        .iter()
+        .map(|(name, value)| (name.as_str().len() + value.len() + SEPARATORS) as u64)
+        .sum()
+}
+
+/// The number that a header holds, if it holds one.
+#[must_use]
+pub fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
+
+/// Whether the header's text is `text`.
+#[must_use]
+pub fn says(headers: &HeaderMap, name: &HeaderName, text: &str) -> bool {
+    headers
+        .get(name)
+        .and_then(|value: &HeaderValue| value.to_str().ok())
+        .is_some_and(|value| value.trim().eq_ignore_ascii_case(text))
+}
--- /dev/null
+++ b/crates/sg-forward/src/issue.rs
@@ -0,0 +1,111 @@
+//! Issues tickets, one with a refusal or a batch on demand.
+
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
+use serde::Serialize;
+use sg_tree::View;
+use sg_types::prelude::*;
+
+use crate::{
+    check::{self, Line},
+    gate::{Freshness, Parts},
+    key::Presented,
+    reply::{Payload, Reply},
+    shared::Shared,
+    ticket::Ticket,
+    trace::Trace,
+};
+
+/// Where callers ask for tickets.
+pub const PATH: &str = "/.sg/ticket";
+
+/// The most tickets of one batch.
+const MOST: u64 = 64;
+
+/// A batch of tickets, as callers get it.
+#[derive(Debug, Serialize)]
+struct Batch {
+    tickets: Vec<String>,
+    expires_in_ms: u64,
+}
+
+/// Answers `POST /.sg/ticket?count=N`.
+pub fn answer<P: Parts>(
+    shared: &Shared<P>,
+    line: &Line,
+    headers: &HeaderMap,
+    trace: &mut Trace,
+) -> Reply {
+    match batch(shared, line, headers, trace) {
+        Ok(batch) => reply(&batch),
+        Err(reason) => Reply::not_run(reason),
+    }
+}
+
+/// A fresh ticket, as the value of a header.
+pub fn header<P: Parts>(
+    shared: &Shared<P>,
+    view: &View,
+    account: Option<&id::Account>,
+) -> Option<HeaderValue> {
+    if shared.is_leaving(view) {
+        return None;
+    }
+    let ticket = one(shared, view, account);
+    HeaderValue::from_str(&ticket.to_string()).ok()
+}
+
+fn one<P: Parts>(shared: &Shared<P>, view: &View, account: Option<&id::Account>) -> Ticket {
+    let expires = shared.timer.now() + view.fleet.ticket_lifetime;
+    shared.mint.issue(account, shared.sequence(), expires)
+}
+
+fn batch<P: Parts>(
+    shared: &Shared<P>,
+    line: &Line,
+    headers: &HeaderMap,
+    trace: &mut Trace,
+) -> Result<Batch, Reason> {
+    let view = check::view(shared, trace)?;
+    if line.method != Method::POST {
+        return Err(Reason::NoRoute);
+    }
+    let presented = Presented::of(headers).map_err(|_| Reason::Malformed)?;
+    let holder = match presented {
+        Some(presented) => {
+            let holder = presented.holder(&view).ok_or(Reason::KeyRefused)?;
+            if !shared.gates.freshness().is_fresh(shared.timer.now()) {
+                return Err(Reason::Stale);
+            }
+            Some(holder)
+        }
+        None => None,
+    };
+    trace.holder(holder.as_ref());
+    if shared.is_leaving(&view) {
+        return Err(Reason::Leaving);
+    }
+    let account = holder.as_ref().map(|holder| &holder.account);
+    let count = count(line).ok_or(Reason::Malformed)?;
+    let tickets = (0..count).map(|_| one(shared, &view, account).to_string());
+    Ok(Batch {
+        tickets: tickets.collect(),
+        expires_in_ms: view.fleet.ticket_lifetime.as_millis(),
+    })
+}
+
+fn count(line: &Line) -> Option<u64> {
+    let Some(query) = line.uri.query() else {
+        return Some(1);
+    };
+    let count: u64 = query.strip_prefix("count=")?.parse().ok()?;
+    (1..=MOST).contains(&count).then_some(count)
+}
+
+fn reply(batch: &Batch) -> Reply {
+    let mut reply = Reply::refusal(Outcome::Ran, Reason::Answered);
+    reply.status = StatusCode::OK;
+    let json = HeaderValue::from_static("application/json");
+    reply.headers.insert(header::CONTENT_TYPE, json);
+    reply.payload = Payload::Whole(serde_json::to_vec(batch).unwrap_or_default().into());
+    reply
+}
--- /dev/null
+++ b/crates/sg-forward/src/key.rs
@@ -0,0 +1,123 @@
+//! The key that came with a request: where it may stand, whose it is, and whether it still works.
+
+use http::{HeaderMap, HeaderName, HeaderValue, Uri, header};
+use sg_tree::{Digest, View};
+use sg_types::prelude::*;
+use subtle::ConstantTimeEq;
+
+const SCHEME: &str = "bearer ";
+
+/// Texts shorter than this are not searched for in the rest of a request unless they are a key that
+/// works: in bytes.
+const SEARCHED_LEN: usize = 8;
+
+/// A key that works and whose it is. The key's text is not kept.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Holder {
+    /// The client account.
+    pub account: id::Account,
+    /// The key's public name.
+    pub name: id::Key,
+    /// The key's digest.
+    pub digest: Digest,
+}
+
+/// A key as it came with a request.
+#[derive(Clone, Copy)]
+pub struct Presented<'a>(&'a [u8]);
+
+/// The request has more than one `Authorization` header.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ambiguous;
+
+impl<'a> Presented<'a> {
+    /// The key in the `Authorization` header, if there is one.
+    ///
+    /// # Errors
+    /// [`Ambiguous`] if there are several such headers.
+    pub fn of(headers: &'a HeaderMap) -> Result<Option<Self>, Ambiguous> {
+        let mut values = headers.get_all(header::AUTHORIZATION).iter();
+        let first = values.next();
+        if values.next().is_some() {
+            return Err(Ambiguous);
+        }
+        Ok(first.and_then(bearer).map(Self))
+    }
+
+    /// Whose key it is. The comparison takes the same time whatever the digest.
+    #[must_use]
+    pub fn holder(self, view: &View) -> Option<Holder> {
+        let digest = Digest::of(self.0);
+        let (stored, key) = view.keys.get_key_value(&digest)?;
+        let same: bool = stored.as_bytes().ct_eq(digest.as_bytes()).into();
+        same.then(|| Holder {
+            account: key.account.clone(),
+            name: key.name.clone(),
+            digest,
+        })
+    }
+
+    /// Whether the key's text stands anywhere else in the request's head.
+    #[must_use]
+    pub fn leaks(self, uri: &Uri, headers: &HeaderMap, works: bool) -> bool {
+        if !works && self.0.len() < SEARCHED_LEN {
+            return false;
+        }
+        let path = uri.path_and_query().map_or("", |path| path.as_str());
+        self.is_in(path.as_bytes()) || self.is_in(&percent_decoded(path)) || self.leaks_in(headers)
+    }
+
+    /// Whether the key's text stands in a header other than `Authorization`, or in a header's name.
+    #[must_use]
+    pub fn leaks_in(self, headers: &HeaderMap) -> bool {
+        headers
+            .iter()
+            .filter(|(name, _)| *name != header::AUTHORIZATION)
+            .any(|(name, value)| self.is_in(value.as_bytes()) || self.is_in_name(name))
+    }
+
+    fn is_in(self, text: &[u8]) -> bool {
+        text.windows(self.0.len()).any(|part| part == self.0)
+    }
+
+    fn is_in_name(self, name: &HeaderName) -> bool {
+        name.as_str()
+            .as_bytes()
+            .windows(self.0.len())
+            .any(|part| part.eq_ignore_ascii_case(self.0))
+    }
+}
+
+impl Holder {
+    /// Whether the key still works under `view`, for the same account.
+    #[must_use]
+    pub fn works_in(&self, view: &View) -> bool {
+        view.keys
+            .get(&self.digest)
+            .is_some_and(|key| key.account == self.account)
+    }
+}
+
+fn bearer(value: &HeaderValue) -> Option<&[u8]> {
+    let (scheme, key) = value.as_bytes().split_at_checked(SCHEME.len())?;
+    let key = key.trim_ascii();
+    (scheme.eq_ignore_ascii_case(SCHEME.as_bytes()) && !key.is_empty()).then_some(key)
+}
+
+fn percent_decoded(text: &str) -> Vec<u8> {
+    let mut decoded = Vec::new();
+    let mut rest = text.as_bytes();
+    if !rest.contains(&b'%') {
+        return decoded;
+    }
+    while let Some((&byte, after)) = rest.split_first() {
+        let code = (byte == b'%')
+            .then(|| after.get(..2))
+            .flatten()
+            .and_then(|digits| std::str::from_utf8(digits).ok())
+            .and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        decoded.push(code.unwrap_or(byte));
+        rest = if code.is_some() { &after[2..] } else { after };
+    }
+    decoded
+}
--- /dev/null
+++ b/crates/sg-forward/src/once.rs
@@ -0,0 +1,215 @@
+//! Requests that may not be repeated: what their ticket allows, and their one run.
+
+use http::HeaderMap;
+use sg_tree::View;
+use sg_types::prelude::*;
+use tokio::sync::oneshot;
+
+use crate::{
+    admit,
+    call::Call,
+    check::Head,
+    gate::Parts,
+    headers, issue,
+    limit::Permit,
+    path,
+    register::{Ending, Record, Start},
+    reply::{Payload, Refused, Reply},
+    run::{self, Ran},
+    shared::Shared,
+    ticket::Ticket,
+    trace::Trace,
+};
+
+/// What a request's ticket allows.
+#[derive(Debug)]
+pub enum Standing {
+    /// The request needs no ticket.
+    Repeatable,
+    /// This instance issued the ticket and it was not used.
+    Mine(Ticket),
+    /// This instance issued the ticket and it was used.
+    Started(Ticket),
+    /// Another instance issued the ticket.
+    Other(Ticket),
+}
+
+impl Standing {
+    /// Whether the request may lead to work for a target of this instance.
+    #[must_use]
+    pub const fn is_new_work(&self) -> bool {
+        matches!(self, Self::Repeatable | Self::Mine(_))
+    }
+}
+
+/// The ticket that the headers name.
+#[must_use]
+pub fn named(headers: &HeaderMap) -> Option<Ticket> {
+    let text = headers.get(headers::IDEMPOTENCY_KEY)?.to_str().ok()?;
+    text.parse().ok()
+}
+
+/// What the request's ticket allows.
+///
+/// # Errors
+/// A refusal, with a fresh ticket where it helps.
+pub fn standing<P: Parts>(shared: &Shared<P>, head: &Head) -> Result<Standing, Refused> {
+    if head.terms.repeatable {
+        return Ok(Standing::Repeatable);
+    }
+    let account = head.holder.as_ref().map(|holder| &holder.account);
+    let fresh = |reason| {
+        let ticket = issue::header(shared, &head.view, account);
+        Refused::not_run(reason).with_ticket(ticket)
+    };
+    if !head.headers.contains_key(headers::IDEMPOTENCY_KEY) {
+        return Err(fresh(Reason::TicketMissing));
+    }
+    let Some(ticket) = named(&head.headers) else {
+        return Err(Refused::not_run(Reason::TicketMismatch));
+    };
+    if !shared.mint.is_named_by(&ticket) {
+        return other(shared, head, ticket);
+    }
+    if !shared.mint.issued(&ticket, account) {
+        return Err(Refused::not_run(Reason::TicketMismatch));
+    }
+    let now = shared.timer.now();
+    if shared.tickets.lock().may_have_started(&ticket, now) {
+        return Ok(Standing::Started(ticket));
+    }
+    if ticket.expires <= now {
+        return Err(fresh(Reason::TicketExpired));
+    }
+    Ok(Standing::Mine(ticket))
+}
+
+fn other<P: Parts>(shared: &Shared<P>, head: &Head, ticket: Ticket) -> Result<Standing, Refused> {
+    let earlier_run = ticket.instance == shared.options.instance;
+    if head.relayed || earlier_run {
+        return Err(Refused::unknown(Reason::IssuerGone));
+    }
+    Ok(Standing::Other(ticket))
+}
+
+/// Runs the request, or joins its run, or answers with how that ended.
+pub async fn serve<P: Parts>(
+    shared: &Arc<Shared<P>>,
+    view: &View,
+    call: Call,
+    ticket: &Ticket,
+    trace: &mut Trace,
+) -> Reply {
+    let known = shared
+        .tickets
+        .lock()
+        .find(ticket.sequence, call.fingerprint);
+    if let Some(known) = known {
+        return resume(shared, &call, known).await;
+    }
+    let now = shared.timer.now();
+    if ticket.expires <= now {
+        return Reply::not_run(Reason::TicketExpired);
+    }
+    if shared.tickets.lock().is_full(now) {
+        return Reply::not_run(Reason::Overloaded);
+    }
+    let permit = match admit::admit(shared, view, &call).await {
+        Ok(permit) => permit,
+        Err(refused) => return refused.into(),
+    };
+    let now = shared.timer.now();
+    let start = shared.tickets.lock().start(ticket, call.fingerprint, now);
+    match start {
+        Start::Go => go(shared, call, ticket, permit, trace).await,
+        known => resume(shared, &call, known).await,
+    }
+}
+
+/// Runs the request in a task of its own, so that it ends and is recorded whatever its caller does.
+async fn go<P: Parts>(
+    shared: &Arc<Shared<P>>,
+    call: Call,
+    ticket: &Ticket,
+    permit: Permit,
+    trace: &mut Trace,
+) -> Reply {
+    let (sender, receiver) = oneshot::channel();
+    let task = finish(shared.clone(), call, ticket.clone(), permit, sender);
+    tokio::spawn(task);
+    match receiver.await {
+        Ok(ran) => path::note(trace, ran),
+        Err(_) => Reply::refusal(Outcome::Unknown, Reason::ConnectionLost),
+    }
+}
+
+async fn finish<P: Parts>(
+    shared: Arc<Shared<P>>,
+    call: Call,
+    ticket: Ticket,
+    permit: Permit,
+    sender: oneshot::Sender<Ran>,
+) {
+    let _work = shared.stop.begin();
+    let ran = run::run(&shared, call, permit).await;
+    let mut tickets = shared.tickets.lock();
+    tickets.finish(ticket.sequence, record(&ran.reply));
+    shared.metric.tickets.set(tickets.len() as i64);
+    drop(tickets);
+    // A caller that has gone asks again with the same ticket.
+    let _ = sender.send(ran);
+}
+
+fn record(reply: &Reply) -> Record {
+    let body = match &reply.payload {
+        Payload::Whole(body) => Some(body.clone()),
+        Payload::Text(text) => Some(bytes::Bytes::from_static(text.as_bytes())),
+        Payload::Stream(_) => None,
+    };
+    Record {
+        outcome: reply.outcome,
+        reason: reply.reason,
+        status: reply.status,
+        headers: reply.headers.clone(),
+        body,
+    }
+}
+
+async fn resume<P: Parts>(shared: &Shared<P>, call: &Call, known: Start) -> Reply {
+    match known {
+        Start::Join(ending) => join(shared, call, ending).await,
+        Start::Mismatch => Reply::refusal(Outcome::Unknown, Reason::TicketMismatch),
+        Start::Full => Reply::not_run(Reason::Overloaded),
+        Start::Go => Reply::refusal(Outcome::Unknown, Reason::EarlierUnknown),
+    }
+}
+
+/// Waits for the run to end.
+async fn join<P: Parts>(shared: &Shared<P>, call: &Call, mut ending: Ending) -> Reply {
+    let ended = ending.wait_for(Option::is_some);
+    let record = match shared.timer.until(call.deadline, ended).await {
+        Ok(Ok(record)) => record.clone(),
+        Ok(Err(_)) => return Reply::refusal(Outcome::Unknown, Reason::EarlierUnknown),
+        Err(_) => return Reply::refusal(Outcome::Unknown, Reason::DeadlineRunning),
+    };
+    record.as_deref().map_or_else(
+        || Reply::refusal(Outcome::Unknown, Reason::EarlierUnknown),
+        replay,
+    )
+}
+
+/// The answer to a resend.
+fn replay(record: &Record) -> Reply {
+    match (record.outcome, &record.body) {
+        (Outcome::Unknown, _) => Reply::refusal(Outcome::Unknown, Reason::EarlierUnknown),
+        (Outcome::NotRun, _) => Reply::not_run(record.reason),
+        (Outcome::Ran, None) => Reply::refusal(Outcome::Ran, Reason::AnswerGone),
+        (Outcome::Ran, Some(body)) => {
+            let mut reply = Reply::refusal(Outcome::Ran, Reason::Replayed);
+            reply.status = record.status;
+            reply.headers = record.headers.clone();
+            reply.payload = Payload::Whole(body.clone());
+            reply
+        }
+    }
+}
--- /dev/null
+++ b/crates/sg-forward/src/path.rs
@@ -0,0 +1,181 @@
+//! The way of a request: from its head to its answer.
+
+use http::HeaderMap;
+use poem::{Body, Request};
+use sg_types::prelude::*;
+
+use crate::{
+    admit,
+    body::{self, Incoming},
+    call::{self, Call},
+    check::{self, Head, Line},
+    gate::Parts,
+    issue,
+    key::Presented,
+    once::{self, Standing},
+    relay,
+    reply::Reply,
+    run::{self, Ran},
+    shared::Shared,
+    trace::Trace,
+};
+
+/// When to try another instance after this one said that it leaves.
+const LEAVING_RETRY: Span = Span::from_secs(1);
+
+/// Answers one request.
+pub async fn serve<P: Parts>(
+    shared: &Arc<Shared<P>>,
+    request: Request,
+    trace: &mut Trace,
+) -> Reply {
+    let (parts, body) = request.into_parts();
+    let line = Line {
+        method: parts.method,
+        uri: parts.uri,
+    };
+    let ticket = once::named(&parts.headers);
+    let reply = dispatch(shared, line, parts.headers, body, trace).await;
+    match ticket {
+        Some(ticket) if reply.outcome == Outcome::NotRun && shared.in_doubt(&ticket) => {
+            reply.in_doubt()
+        }
+        _ => reply,
+    }
+}
+
+async fn dispatch<P: Parts>(
+    shared: &Arc<Shared<P>>,
+    line: Line,
+    headers: HeaderMap,
+    body: Body,
+    trace: &mut Trace,
+) -> Reply {
+    let head = match line.uri.path() {
+        issue::PATH => return issue::answer(shared, &line, &headers, trace),
+        relay::PATH => relay::accept(shared, &line, headers, trace),
+        _ => check::direct(shared, line, headers, trace),
+    };
+    match head {
+        Ok(head) => proceed(shared, head, body, trace).await,
+        Err(reason) => Reply::not_run(reason),
+    }
+}
+
+async fn proceed<P: Parts>(
+    shared: &Arc<Shared<P>>,
+    head: Head,
+    body: Body,
+    trace: &mut Trace,
+) -> Reply {
+    let standing = match once::standing(shared, &head) {
+        Ok(standing) => standing,
+        Err(refused) => return refused.into(),
+    };
+    if standing.is_new_work() && shared.is_leaving(&head.view) {
+        return Reply::not_run(Reason::Leaving).after(LEAVING_RETRY);
+    }
+    if !body.is_empty()
+        && standing.is_new_work()
+        && let Err(refused) = admit::peek(shared, head.holder.as_ref())
+    {
+        return refused.into();
+    }
+    let view = head.view.clone();
+    let relayed = Relayed::of(&head);
+    let call = match read(shared, head, body.into(), trace).await {
+        Ok(call) => call,
+        Err(reason) => return Reply::not_run(reason),
+    };
+    if let Some(reply) = quarantined(shared, &call) {
+        return reply;
+    }
+    match standing {
+        Standing::Repeatable => repeatable(shared, &view, call, trace).await,
+        Standing::Mine(ticket) => once::serve(shared, &view, call, &ticket, trace).await,
+        Standing::Started(ticket) => once::serve(shared, &view, call, &ticket, trace).await,
+        Standing::Other(ticket) => relay::pass(shared, call, &relayed, &ticket).await,
+    }
+}
+
+/// What another instance must be told of a request besides what a target is.
+#[derive(Debug)]
+pub struct Relayed {
+    /// The path and query.
+    pub path: Arc<str>,
+}
+
+impl Relayed {
+    fn of(head: &Head) -> Self {
+        Self {
+            path: head.path.clone(),
+        }
+    }
+}
+
+/// Reads the body and makes the request ready for a target.
+async fn read<P: Parts>(
+    shared: &Shared<P>,
+    head: Head,
+    body: Incoming,
+    trace: &Trace,
+) -> Result<Call, Reason> {
+    let until = shared.timer.now() + head.terms.body_timeout;
+    let bounds = body::Bounds {
+        limit: head.terms.body_limit,
+        until: until.min(head.deadline),
+    };
+    let mut held = shared.memory.hold();
+    let whole = body::read(&shared.timer, body, bounds, &mut held).await?;
+    if leaks_in_trailers(&head.headers, whole.trailers.as_ref()) {
+        return Err(Reason::Malformed);
+    }
+    let account = head.holder.as_ref().map(|holder| &holder.account);
+    let fingerprint = call::fingerprint(account, &head.method, &head.path, &whole.content);
+    Ok(Call {
+        id: trace.request.clone(),
+        arrived: trace.arrived,
+        deadline: head.deadline,
+        terms: head.terms,
+        holder: head.holder,
+        fingerprint,
+        outgoing: call::outgoing(head.method, head.url, head.headers, whole.content),
+        held,
+    })
+}
+
+fn leaks_in_trailers(headers: &HeaderMap, trailers: Option<&HeaderMap>) -> bool {
+    let Some(trailers) = trailers else {
+        return false;
+    };
+    let presented = Presented::of(headers).ok().flatten();
+    presented.is_some_and(|key| key.leaks_in(trailers))
+}
+
+fn quarantined<P: Parts>(shared: &Shared<P>, call: &Call) -> Option<Reply> {
+    let now = shared.timer.now();
+    let table = shared.quarantine.lock();
+    let left = table.check(call.account(), call.fingerprint, now)?;
+    Some(Reply::not_run(Reason::Quarantined).after(left))
+}
+
+async fn repeatable<P: Parts>(
+    shared: &Arc<Shared<P>>,
+    view: &sg_tree::View,
+    call: Call,
+    trace: &mut Trace,
+) -> Reply {
+    let permit = match admit::admit(shared, view, &call).await {
+        Ok(permit) => permit,
+        Err(refused) => return refused.into(),
+    };
+    let ran = run::run(shared, call, permit).await;
+    note(trace, ran)
+}
+
+/// Notes the attempts; returns the answer.
+pub fn note(trace: &mut Trace, ran: Ran) -> Reply {
+    trace.attempts = ran.attempts;
+    trace.started = Some(ran.started);
+    ran.reply
+}
--- /dev/null
+++ b/crates/sg-forward/src/relay.rs
@@ -0,0 +1,234 @@
+//! Passes a request to the instance that issued its ticket.
+//!
+//! The plain key stays here: the other instance gets a proof made with the key's digest, which it
+//! knows from the tree. The request goes to a path that no target serves, so that an address that was
+//! given to a target meanwhile runs nothing.
+
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
+use sg_steer::End;
+use sg_tree::{Digest, View};
+use sg_types::prelude::*;
+use subtle::ConstantTimeEq;
+
+use crate::{
+    answer::{self, Answer, Bounds},
+    call::Call,
+    check::{self, Head, Line},
+    gate::{Directory, Parts},
+    headers,
+    history::Step,
+    key::Holder,
+    path::Relayed,
+    reply::{Payload, Reply},
+    shared::Shared,
+    stream::Flow,
+    ticket::Ticket,
+    trace::Trace,
+    upstream::{self, Connection, Outgoing},
+};
+
+/// Where instances pass requests to each other.
+pub const PATH: &str = "/.sg/relay";
+
+const METHOD: HeaderName = HeaderName::from_static("sg-relay-method");
+const TARGET_PATH: HeaderName = HeaderName::from_static("sg-relay-path");
+const HOLDER: HeaderName = HeaderName::from_static("sg-relay-holder");
+const PROOF: HeaderName = HeaderName::from_static("sg-relay-proof");
+
+/// Stands between the account and the key's name.
+const SEPARATOR: char = '/';
+
+/// Passes the request to the ticket's issuer and its answer back.
+pub async fn pass<P: Parts>(
+    shared: &Arc<Shared<P>>,
+    call: Call,
+    relayed: &Relayed,
+    ticket: &Ticket,
+) -> Reply {
+    let directory = shared.gates.directory();
+    let gone = || Reply::refusal(Outcome::Unknown, Reason::IssuerGone);
+    let Some(address) = directory.entry(&ticket.instance, ticket.incarnation) else {
+        return gone();
+    };
+    let Some(outgoing) = outgoing(shared, &call, relayed, ticket) else {
+        return gone();
+    };
+    shared.metric.relays.inc();
+    let bounds = Bounds {
+        limit: call.terms.answer_limit,
+        progress: call.terms.deadline,
+        deadline: call.deadline,
+    };
+    let timer = &shared.timer;
+    let sent = shared.clients.send(
+        timer,
+        Connection::Fresh,
+        call.terms.connect_timeout,
+        address,
+        &outgoing,
+        call.deadline,
+    );
+    let answer = match sent.await {
+        Ok(response) => {
+            answer::take(timer, response, &call.outgoing.method, &call.id, bounds).await
+        }
+        Err(step) => Err(step),
+    };
+    match answer {
+        Ok(answer) => back(shared, call, bounds, answer).unwrap_or_else(gone),
+        Err(Step::ConnectFailed) => gone(),
+        Err(step) => Reply::refusal(Outcome::Unknown, step.reason()),
+    }
+}
+
+fn outgoing<P: Parts>(
+    shared: &Shared<P>,
+    call: &Call,
+    relayed: &Relayed,
+    ticket: &Ticket,
+) -> Option<Outgoing> {
+    let left = call.deadline.since(shared.timer.now()).as_millis();
+    let method = call.outgoing.method.as_str();
+    let ticket = ticket.to_string();
+    let mut headers = call.outgoing.headers.clone();
+    let mut put = |name: HeaderName, text: &str| {
+        let value = HeaderValue::from_str(text).ok()?;
+        headers.insert(name, value);
+        Some(())
+    };
+    put(METHOD, method)?;
+    put(TARGET_PATH, &relayed.path)?;
+    put(headers::IDEMPOTENCY_KEY, &ticket)?;
+    put(headers::REQUEST_ID, call.id.as_str())?;
+    put(headers::DEADLINE, &left.to_string())?;
+    if let Some(holder) = &call.holder {
+        let name = format!("{}{SEPARATOR}{}", holder.account, holder.name);
+        put(HOLDER, &name)?;
+        let proof = proof(&holder.digest, &ticket, method, &relayed.path);
+        put(PROOF, proof.to_hex().as_str())?;
+    }
+    Some(Outgoing {
+        method: Method::POST,
+        url: upstream::url(PATH)?,
+        headers,
+        body: call.outgoing.body.clone(),
+    })
+}
+
+/// What shows that the key came with the request, to those who know the key's digest.
+fn proof(digest: &Digest, ticket: &str, method: &str, path: &str) -> blake3::Hash {
+    let mut hasher = blake3::Hasher::new_keyed(digest.as_bytes());
+    for part in [PATH, ticket, method, path] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    hasher.finalize()
+}
+
+/// The answer of the issuer, passed on; `None` if it is not one of an instance.
+fn back<P: Parts>(
+    shared: &Arc<Shared<P>>,
+    call: Call,
+    bounds: Bounds,
+    answer: Answer,
+) -> Option<Reply> {
+    let (status, mut headers, payload) = match answer {
+        Answer::Whole {
+            status,
+            headers,
+            body,
+        } => (status, headers, Payload::Whole(body)),
+        Answer::Part { first, mut rest } => {
+            let status = rest.status();
+            let headers = std::mem::take(rest.headers_mut());
+            let flow = Flow {
+                shared: shared.clone(),
+                terms: call.terms,
+                holder: call.holder,
+                bounds,
+                first,
+                rest,
+                attempt: None,
+                end: End::Cancelled,
+                permit: None,
+                work: shared.stop.begin(),
+            };
+            (status, headers, Payload::Stream(flow.into_body()))
+        }
+    };
+    let text = |name: &HeaderName| headers.get(name)?.to_str().ok();
+    let outcome = text(&headers::OUTCOME)?.parse().ok()?;
+    let reason = text(&headers::REASON)?.parse().ok()?;
+    let ticket = headers.get(&headers::TICKET).cloned();
+    headers::strip_answer(&mut headers);
+    Some(Reply {
+        outcome,
+        reason,
+        status,
+        headers,
+        payload,
+        retry_after: None,
+        ticket,
+        from_issuer: true,
+    })
+}
+
+/// Checks the head of a request that another instance passed on.
+///
+/// # Errors
+/// The reason of the refusal.
+pub fn accept<P: Parts>(
+    shared: &Shared<P>,
+    outer: &Line,
+    mut headers: HeaderMap,
+    trace: &mut Trace,
+) -> Result<Head, Reason> {
+    if outer.method != Method::POST {
+        return Err(Reason::NoRoute);
+    }
+    let view = check::view(shared, trace)?;
+    let line = line_of(&headers).ok_or(Reason::Malformed)?;
+    let terms = check::route(&view, &line, &headers, trace)?;
+    let holder = holder(&view, &line, &headers);
+    if terms.keyed && holder.is_none() {
+        return Err(Reason::KeyRefused);
+    }
+    let holder = holder.filter(|_| terms.keyed);
+    trace.holder(holder.as_ref());
+    if let Some(request) = text(&headers, &headers::REQUEST_ID).and_then(|id| id.parse().ok()) {
+        trace.request = request;
+    }
+    headers.remove(http::header::AUTHORIZATION);
+    let arrived = trace.arrived;
+    let mut head = check::finish(shared, view, line, headers, terms, holder, arrived)?;
+    head.relayed = true;
+    Ok(head)
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn line_of(headers: &HeaderMap) -> Option<Line> {
+    let method = Method::from_bytes(text(headers, &METHOD)?.as_bytes()).ok()?;
+    let uri: Uri = text(headers, &TARGET_PATH)?.parse().ok()?;
+    Some(Line { method, uri })
+}
+
+/// Whose key came with the request, by the proof.
+fn holder(view: &View, line: &Line, headers: &HeaderMap) -> Option<Holder> {
+    let (account, name) = text(headers, &HOLDER)?.split_once(SEPARATOR)?;
+    let ticket = text(headers, &headers::IDEMPOTENCY_KEY)?;
+    let path = line.uri.path_and_query()?.as_str();
+    let shown = blake3::Hash::from_hex(text(headers, &PROOF)?).ok()?;
+    let is_named =
+        |key: &sg_tree::view::Key| key.account.as_str() == account && key.name.as_str() == name;
+    let (digest, key) = view.keys.iter().find(|(_, key)| is_named(key))?;
+    let wanted = proof(digest, ticket, line.method.as_str(), path);
+    let same: bool = shown.as_bytes().ct_eq(wanted.as_bytes()).into();
+    same.then(|| Holder {
+        account: key.account.clone(),
+        name: key.name.clone(),
+        digest: *digest,
+    })
+}
--- /dev/null
+++ b/crates/sg-forward/src/reply.rs
@@ -0,0 +1,178 @@
+//! The answer to a caller, before it becomes an HTTP response.
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, StatusCode, header};
+use poem::Response;
+use sg_types::prelude::*;
+
+use crate::headers;
+
+/// The content of an answer.
+#[derive(Debug)]
+pub enum Payload {
+    /// All of it.
+    Whole(Bytes),
+    /// A fixed text.
+    Text(&'static str),
+    /// A large answer that is passed on while it arrives.
+    Stream(poem::Body),
+}
+
+/// Why a request is refused before anything of it could run.
+#[derive(Debug)]
+pub struct Refused {
+    reason: Reason,
+    outcome: Outcome,
+    retry_after: Option<Span>,
+    ticket: Option<HeaderValue>,
+}
+
+impl Refused {
+    /// The request did not run.
+    #[must_use]
+    pub const fn not_run(reason: Reason) -> Self {
+        Self {
+            reason,
+            outcome: Outcome::NotRun,
+            retry_after: None,
+            ticket: None,
+        }
+    }
+
+    /// An earlier send of the request may have run.
+    #[must_use]
+    pub const fn unknown(reason: Reason) -> Self {
+        Self {
+            reason,
+            outcome: Outcome::Unknown,
+            retry_after: None,
+            ticket: None,
+        }
+    }
+
+    /// Adds when to try again.
+    #[must_use]
+    pub fn after(mut self, span: Span) -> Self {
+        self.retry_after = Some(span);
+        self
+    }
+
+    /// Adds a fresh ticket.
+    #[must_use]
+    pub fn with_ticket(mut self, ticket: Option<HeaderValue>) -> Self {
+        self.ticket = ticket;
+        self
+    }
+}
+
+impl From<Refused> for Reply {
+    fn from(refused: Refused) -> Self {
+        let mut reply = Self::refusal(refused.outcome, refused.reason);
+        reply.retry_after = refused.retry_after;
+        reply.ticket = refused.ticket;
+        reply
+    }
+}
+
+/// An answer.
+#[derive(Debug)]
+pub struct Reply {
+    /// Whether the request ran.
+    pub outcome: Outcome,
+    /// Why.
+    pub reason: Reason,
+    /// The HTTP status.
+    pub status: StatusCode,
+    /// The target's headers, stripped.
+    pub headers: HeaderMap,
+    /// The content.
+    pub payload: Payload,
+    /// When to try again.
+    pub retry_after: Option<Span>,
+    /// A fresh ticket.
+    pub ticket: Option<HeaderValue>,
+    /// Whether the instance that issued the request's ticket said it, which ends all doubt.
+    pub from_issuer: bool,
+}
+
+impl Reply {
+    /// A refusal. Allocates nothing.
+    #[must_use]
+    pub fn refusal(outcome: Outcome, reason: Reason) -> Self {
+        let status = StatusCode::from_u16(reason.status());
+        Self {
+            outcome,
+            reason,
+            status: status.unwrap_or(StatusCode::BAD_GATEWAY),
+            headers: HeaderMap::new(),
+            payload: Payload::Text(reason.as_str()),
+            retry_after: None,
+            ticket: None,
+            from_issuer: false,
+        }
+    }
+
+    /// A refusal of a request that did not run.
+    #[must_use]
+    pub fn not_run(reason: Reason) -> Self {
+        Self::refusal(Outcome::NotRun, reason)
+    }
+
+    /// The same refusal of a request whose earlier send may have run.
+    #[must_use]
+    pub fn in_doubt(mut self) -> Self {
+        if self.outcome == Outcome::NotRun && !self.from_issuer {
+            self.outcome = Outcome::Unknown;
+            self.ticket = None;
+        }
+        self
+    }
+
+    /// Adds when to try again.
+    #[must_use]
+    pub fn after(mut self, span: Span) -> Self {
+        self.retry_after = Some(span);
+        self
+    }
+
+    /// The HTTP response.
+    #[must_use]
+    pub fn into_response(self, request: &id::Request) -> Response {
+        let mut head = self.headers;
+        let body = match self.payload {
+            Payload::Whole(bytes) if bytes.is_empty() => poem::Body::empty(),
+            Payload::Whole(bytes) => {
+                head.remove(header::CONTENT_LENGTH);
+                bytes.into()
+            }
+            Payload::Text(text) => {
+                let plain = HeaderValue::from_static("text/plain; charset=utf-8");
+                head.insert(header::CONTENT_TYPE, plain);
+                text.into()
+            }
+            Payload::Stream(body) => body,
+        };
+        let outcome = HeaderValue::from_static(self.outcome.as_str());
+        let reason = HeaderValue::from_static(self.reason.as_str());
+        head.insert(headers::OUTCOME, outcome);
+        head.insert(headers::REASON, reason);
+        if let Ok(request) = HeaderValue::from_str(request.as_str()) {
+            head.insert(headers::REQUEST_ID, request);
+        }
+        if let Some(ticket) = self.ticket {
+            head.insert(headers::TICKET, ticket);
+        }
+        if let Some(span) = self.retry_after {
+            head.insert(header::RETRY_AFTER, HeaderValue::from(whole_seconds(span)));
+        }
+        let mut response = Response::builder().status(self.status).body(body);
+        *response.headers_mut() = head;
+        response
+    }
+}
+
+/// Seconds, rounded up, at least one.
+fn whole_seconds(span: Span) -> u64 {
+    const MILLIS: u64 = 1_000;
+    span.as_millis().div_ceil(MILLIS).max(1)
+}
--- /dev/null
+++ b/crates/sg-forward/src/run.rs
@@ -0,0 +1,348 @@
+//! The attempts of one admitted request.
+
+use std::net::SocketAddr;
+
+use http::{HeaderMap, StatusCode};
+use sg_steer::{Ask, Attempt, End, Steer};
+use sg_types::prelude::*;
+
+use crate::{
+    answer::{self, Answer, Bounds},
+    call::Call,
+    gate::Parts,
+    headers,
+    history::{History, Step},
+    journal,
+    limit::Permit,
+    quarantine::Suspicion,
+    reply::{Payload, Reply},
+    shared::Shared,
+    stream::Flow,
+    upstream::Connection,
+};
+
+/// What came of a request.
+#[derive(Debug)]
+pub struct Ran {
+    /// The answer.
+    pub reply: Reply,
+    /// The attempts, in order.
+    pub attempts: Vec<journal::Attempt>,
+    /// When the first one started.
+    pub started: Instant,
+}
+
+/// The parts of a target's good answer.
+struct Good {
+    answer: Answer,
+    latency: Span,
+}
+
+/// Sends the request until an answer is good or nothing more may be tried.
+pub async fn run<P: Parts>(shared: &Arc<Shared<P>>, call: Call, permit: Permit) -> Ran {
+    let started = shared.timer.now();
+    let mut work = Work {
+        shared,
+        call,
+        permit: Some(permit),
+        history: History::default(),
+        tried: Vec::new(),
+        attempts: Vec::new(),
+    };
+    let reply = work.run().await;
+    Ran {
+        reply,
+        attempts: work.attempts,
+        started,
+    }
+}
+
+struct Work<'a, P: Parts> {
+    shared: &'a Arc<Shared<P>>,
+    call: Call,
+    permit: Option<Permit>,
+    history: History,
+    tried: Vec<id::Target>,
+    attempts: Vec<journal::Attempt>,
+}
+
+type AttemptOf<P> = <<P as Parts>::Steer as Steer>::Attempt;
+
+impl<P: Parts> Work<'_, P> {
+    async fn run(&mut self) -> Reply {
+        loop {
+            let attempt = match self.start() {
+                Ok(attempt) => attempt,
+                Err(reason) => {
+                    self.history.refuse(reason);
+                    break;
+                }
+            };
+            match self.send(attempt.address()).await {
+                Ok(good) => return self.accept(attempt, good),
+                Err(step) => self.fail(attempt, step),
+            }
+            if let Err(reason) = self.may_retry() {
+                self.history.refuse(reason);
+                break;
+            }
+        }
+        let (outcome, reason) = self.history.verdict();
+        Reply::refusal(outcome, reason)
+    }
+
+    /// Starts an attempt, after the last checks before bytes leave.
+    fn start(&mut self) -> Result<AttemptOf<P>, Reason> {
+        let call = &self.call;
+        self.shared
+            .allows(&call.terms, call.holder.as_ref(), call.deadline)?;
+        let now = self.shared.timer.now();
+        let attempt = self.shared.gates.steer().start(Ask {
+            service: &call.terms.service,
+            tried: &self.tried,
+            now,
+            fingerprint: call.fingerprint,
+        })?;
+        if self.tried.contains(attempt.target()) {
+            self.shared.metric.broken_invariants.inc();
+            debug_assert!(false, "a request went to one target twice");
+            return Err(Reason::NoTarget);
+        }
+        self.tried.push(attempt.target().clone());
+        self.attempts.push(journal::Attempt {
+            target: attempt.target().clone(),
+            region: attempt.region().clone(),
+            started: now.since(call.arrived),
+            end: Arc::default(),
+        });
+        self.call.address(now);
+        Ok(attempt)
+    }
+
+    async fn send(&self, address: SocketAddr) -> Result<Good, Step> {
+        let call = &self.call;
+        let timer = &self.shared.timer;
+        let sent = timer.now();
+        let response = self
+            .shared
+            .clients
+            .send(
+                timer,
+                self.connection(),
+                call.terms.connect_timeout,
+                address,
+                &call.outgoing,
+                self.head_deadline(sent),
+            )
+            .await?;
+        let latency = timer.now().since(sent);
+        let method = &call.outgoing.method;
+        let answer = answer::take(timer, response, method, &call.id, self.bounds()).await?;
+        if let Answer::Whole {
+            status, headers, ..
+        } = &answer
+            && let Some(step) = refusal(*status, headers)
+        {
+            return Err(step);
+        }
+        Ok(Good { answer, latency })
+    }
+
+    /// Requests that may not be repeated, and second attempts, use a new connection.
+    fn connection(&self) -> Connection {
+        if self.call.terms.repeatable && self.tried.len() == 1 {
+            Connection::Pooled
+        } else {
+            Connection::Fresh
+        }
+    }
+
+    /// A request that may not be repeated gains nothing from giving up early.
+    fn head_deadline(&self, now: Instant) -> Instant {
+        if self.call.terms.repeatable {
+            self.call
+                .deadline
+                .min(now + self.call.terms.progress_timeout)
+        } else {
+            self.call.deadline
+        }
+    }
+
+    fn bounds(&self) -> Bounds {
+        Bounds {
+            limit: self.call.terms.answer_limit,
+            progress: self.call.terms.progress_timeout,
+            deadline: self.call.deadline,
+        }
+    }
+
+    fn accept(&mut self, attempt: AttemptOf<P>, good: Good) -> Reply {
+        let now = self.shared.timer.now();
+        self.shared
+            .metric
+            .attempt(&self.call.terms.service, "answered");
+        self.note_end("answered");
+        let latency = good.latency;
+        match good.answer {
+            Answer::Whole {
+                status,
+                mut headers,
+                body,
+            } => {
+                self.note_leaving(&attempt, &headers);
+                self.note_innocence(status, now);
+                let failed = status.is_server_error();
+                attempt.end(End::Answered { latency, failed }, now);
+                headers::strip_answer(&mut headers);
+                answered(status, headers, Payload::Whole(body))
+            }
+            Answer::Part { first, rest } => self.pass_on(attempt, latency, first, rest),
+        }
+    }
+
+    fn pass_on(
+        &mut self,
+        attempt: AttemptOf<P>,
+        latency: Span,
+        first: bytes::Bytes,
+        mut rest: reqwest::Response,
+    ) -> Reply {
+        let status = rest.status();
+        let mut headers = std::mem::take(rest.headers_mut());
+        self.note_leaving(&attempt, &headers);
+        headers::strip_answer(&mut headers);
+        let flow = Flow {
+            shared: self.shared.clone(),
+            terms: self.call.terms.clone(),
+            holder: self.call.holder.clone(),
+            bounds: self.bounds(),
+            first,
+            rest,
+            attempt: Some(attempt),
+            end: End::Answered {
+                latency,
+                failed: status.is_server_error(),
+            },
+            permit: self.permit.take(),
+            work: self.shared.stop.begin(),
+        };
+        answered(status, headers, Payload::Stream(flow.into_body()))
+    }
+
+    fn fail(&mut self, attempt: AttemptOf<P>, step: Step) {
+        let now = self.shared.timer.now();
+        self.shared
+            .metric
+            .attempt(&self.call.terms.service, step.as_str());
+        self.note_end(step.as_str());
+        self.history.push(step);
+        if step == Step::Leaving {
+            self.announce_leaving(attempt.target());
+        }
+        if step.lost_target() {
+            self.announce_suspect(&attempt);
+        }
+        attempt.end(step.end(Span::ZERO), now);
+    }
+
+    /// Whether another attempt may follow.
+    fn may_retry(&self) -> Result<(), Reason> {
+        let terms = &self.call.terms;
+        let steps = self.attempts.len();
+        let now = self.shared.timer.now();
+        if !self.history.may_go_on(terms.repeatable) || steps >= terms.attempts as usize {
+            return Err(Reason::NoTarget);
+        }
+        if now >= self.call.deadline {
+            return Err(Reason::Deadline);
+        }
+        let account = self.call.account();
+        let table = self.shared.quarantine.lock();
+        if table.check(account, self.call.fingerprint, now).is_some() {
+            return Err(Reason::Quarantined);
+        }
+        drop(table);
+        if !self.shared.gates.steer().may_retry(&terms.service, now) {
+            return Err(Reason::RetryBudget);
+        }
+        let after = self
+            .attempts
+            .last()
+            .map_or("", |attempt| attempt.end.as_ref());
+        self.shared.metric.retry(&terms.service, after);
+        Ok(())
+    }
+
+    fn note_end(&mut self, end: &'static str) {
+        if let Some(attempt) = self.attempts.last_mut() {
+            attempt.end = end.into();
+        }
+    }
+
+    fn note_innocence(&self, status: StatusCode, now: Instant) {
+        if status.is_server_error() {
+            return;
+        }
+        let account = self.call.account();
+        let mut table = self.shared.quarantine.lock();
+        table.clear(account, self.call.fingerprint, now);
+    }
+
+    fn note_leaving(&self, attempt: &AttemptOf<P>, headers: &HeaderMap) {
+        if headers::says(headers, &headers::LEAVING, "yes") {
+            self.announce_leaving(attempt.target());
+        }
+    }
+
+    fn announce_leaving(&self, target: &id::Target) {
+        self.shared.announce(Notice::Leaving {
+            service: self.call.terms.service.clone(),
+            target: target.clone(),
+        });
+    }
+
+    fn announce_suspect(&self, attempt: &AttemptOf<P>) {
+        let in_flight = attempt.in_flight();
+        let suspicion = Suspicion {
+            account: self.call.account().cloned(),
+            fingerprint: self.call.fingerprint,
+            target: attempt.target().clone(),
+            in_flight,
+        };
+        self.shared.metric.suspects.inc();
+        self.shared.announce(Notice::Suspect {
+            account: suspicion.account.clone(),
+            service: self.call.terms.service.clone(),
+            fingerprint: suspicion.fingerprint,
+            target: suspicion.target.clone(),
+            in_flight,
+        });
+        self.shared.suspect(suspicion, self.call.terms.quarantine);
+    }
+}
+
+/// The step of an answer that says that the request did not run.
+fn refusal(status: StatusCode, headers: &HeaderMap) -> Option<Step> {
+    let not_run = status == StatusCode::SERVICE_UNAVAILABLE
+        && headers::says(headers, &headers::OUTCOME, Outcome::NotRun.as_str());
+    let leaving = headers::says(headers, &headers::LEAVING, "yes");
+    match (not_run, leaving) {
+        (true, true) => Some(Step::Leaving),
+        (true, false) => Some(Step::Shed),
+        (false, _) => None,
+    }
+}
+
+/// The answer of a target.
+fn answered(status: StatusCode, headers: HeaderMap, payload: Payload) -> Reply {
+    Reply {
+        outcome: Outcome::Ran,
+        reason: Reason::Answered,
+        status,
+        headers,
+        payload,
+        retry_after: None,
+        ticket: None,
+        from_issuer: false,
+    }
+}
--- /dev/null
+++ b/crates/sg-forward/src/shared.rs
@@ -0,0 +1,155 @@
+//! What the modules of the request path share.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use parking_lot::Mutex;
+use sg_clock::Timer;
+use sg_tree::View;
+use sg_types::prelude::*;
+
+use crate::{
+    forward::Options,
+    gate::{Announce, Freshness, Parts, Tree},
+    journal::Journal,
+    key::Holder,
+    limit::Limit,
+    memory::Budget,
+    metric::Metric,
+    quarantine::{Suspicion, Table},
+    register::{self, Register},
+    report::Ledger,
+    stop::Stop,
+    terms::Terms,
+    ticket::{Mint, Sequence, Ticket},
+    upstream::Clients,
+    wait::Waiting,
+};
+
+/// Bytes of bodies and whole answers that an instance holds at once.
+const BODY_MEMORY: u64 = 64 * 1024 * 1024;
+/// Requests whose decisions are kept.
+const JOURNAL_RECORDS: usize = 4_096;
+/// Bounds of the memory of used tickets.
+const TICKET_BOUNDS: register::Bounds = register::Bounds {
+    tickets: 131_072,
+    bytes: 64 * 1024 * 1024,
+};
+
+/// The state of one [`crate::Forward`].
+#[derive(Debug)]
+pub struct Shared<P> {
+    pub gates: P,
+    pub timer: Timer,
+    pub options: Options,
+    pub clients: Clients,
+    pub limit: Limit,
+    pub waiting: Waiting,
+    pub memory: Budget,
+    pub metric: Metric,
+    pub journal: Journal,
+    pub ledger: Ledger,
+    pub stop: Stop,
+    pub mint: Mint,
+    pub tickets: Mutex<Register>,
+    pub quarantine: Mutex<Table>,
+    requests: AtomicU64,
+    sequences: AtomicU64,
+    unnamed: id::Request,
+}
+
+impl<P: Parts> Shared<P> {
+    pub fn new(
+        options: Options,
+        gates: P,
+        timer: Timer,
+        metric: Metric,
+        unnamed: id::Request,
+    ) -> Self {
+        Self {
+            unnamed,
+            gates,
+            clients: Clients::default(),
+            limit: Limit::new(timer.clone()),
+            waiting: Waiting::default(),
+            memory: Budget::new(BODY_MEMORY),
+            metric,
+            journal: Journal::new(JOURNAL_RECORDS),
+            ledger: Ledger::default(),
+            stop: Stop::default(),
+            mint: Mint::new(options.instance.clone(), options.incarnation),
+            tickets: Mutex::new(Register::new(TICKET_BOUNDS)),
+            quarantine: Mutex::default(),
+            requests: AtomicU64::new(0),
+            sequences: AtomicU64::new(0),
+            timer,
+            options,
+        }
+    }
+
+    /// A new name for a request.
+    pub fn request_id(&self) -> id::Request {
+        let number = self.requests.fetch_add(1, Ordering::Relaxed);
+        let text = format!("{:016x}-{number:x}", self.options.incarnation.get());
+        id::Request::new(&text).unwrap_or_else(|_| self.unnamed.clone())
+    }
+
+    /// A new number for a ticket.
+    pub fn sequence(&self) -> Sequence {
+        Sequence::new(self.sequences.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Whether this instance takes no new work.
+    pub fn is_leaving(&self, view: &View) -> bool {
+        let entry = view.entries.get(&self.options.instance);
+        self.stop.is_leaving() || entry.is_some_and(|entry| entry.drain)
+    }
+
+    /// Whether a request may still be sent: its key works, this instance would know if it did not,
+    /// and its time is not over. Asked at the last moment before a target is.
+    ///
+    /// # Errors
+    /// The reason why not.
+    pub fn allows(
+        &self,
+        terms: &Terms,
+        holder: Option<&Holder>,
+        deadline: Instant,
+    ) -> Result<(), Reason> {
+        let now = self.timer.now();
+        if now >= deadline {
+            return Err(Reason::Deadline);
+        }
+        let Some(holder) = holder.filter(|_| terms.keyed) else {
+            return Ok(());
+        };
+        if !self.gates.freshness().is_fresh(now) {
+            return Err(Reason::Stale);
+        }
+        let view = self.gates.tree().view().ok_or(Reason::NoTree)?;
+        if holder.works_in(&view) {
+            Ok(())
+        } else {
+            Err(Reason::KeyRefused)
+        }
+    }
+
+    /// Whether an earlier send of a request with this ticket may have run.
+    pub fn in_doubt(&self, ticket: &Ticket) -> bool {
+        let now = self.timer.now();
+        !self.mint.is_named_by(ticket) || self.tickets.lock().may_have_started(ticket, now)
+    }
+
+    /// Notes that a target was lost with a request.
+    pub fn suspect(&self, suspicion: Suspicion, length: Span) {
+        let now = self.timer.now();
+        let began = self.quarantine.lock().note(suspicion, length, now);
+        if began {
+            self.metric.quarantines.inc();
+        }
+    }
+
+    /// Tells the other instances.
+    pub fn announce(&self, notice: Notice) {
+        self.gates.announce().announce(notice);
+    }
+}
--- /dev/null
+++ b/crates/sg-forward/src/stop.rs
@@ -0,0 +1,76 @@
+//! Counts the requests in hand, so that a planned stop can wait for them.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, AtomicU64, Ordering},
+};
+
+use tokio::sync::Notify;
+
+/// The count, and whether new work is taken. Clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct Stop {
+    state: Arc<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    leaving: AtomicBool,
+    in_hand: AtomicU64,
+    changed: Notify,
+}
+
+/// A request in hand. Dropping it ends it.
+#[derive(Debug)]
+pub struct Work {
+    state: Arc<State>,
+}
+
+impl Stop {
+    /// Takes no new work from now on.
+    pub fn leave(&self) {
+        self.state.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether new work is refused.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.state.leaving.load(Ordering::SeqCst)
+    }
+
+    /// Counts a request as in hand.
+    #[must_use]
+    pub fn begin(&self) -> Work {
+        self.state.in_hand.fetch_add(1, Ordering::SeqCst);
+        Work {
+            state: self.state.clone(),
+        }
+    }
+
+    /// How many requests are in hand.
+    #[must_use]
+    pub fn in_hand(&self) -> u64 {
+        self.state.in_hand.load(Ordering::SeqCst)
+    }
+
+    /// Waits until no request is in hand.
+    pub async fn idle(&self) {
+        loop {
+            let changed = self.state.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            if self.in_hand() == 0 {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        if self.state.in_hand.fetch_sub(1, Ordering::SeqCst) == 1 {
+            self.state.changed.notify_waiters();
+        }
+    }
+}
--- /dev/null
+++ b/crates/sg-forward/src/ticket.rs
@@ -0,0 +1,159 @@
+//! Tickets: names for one run of a request that may not be repeated, issued by the instance that
+//! alone may run it.
+
+use std::{fmt, str::FromStr};
+
+use sg_types::prelude::*;
+use subtle::ConstantTimeEq;
+
+/// Stands between the parts of a ticket's text form.
+const SEPARATOR: char = ':';
+/// The length of the authentication code, in bytes.
+const MAC_LEN: usize = 16;
+
+/// A ticket. Text form: `INSTANCE:INCARNATION:SEQUENCE:EXPIRY:MAC`, numbers in hexadecimal digits.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ticket {
+    /// The instance that issued it.
+    pub instance: id::Instance,
+    /// The run of that instance.
+    pub incarnation: Incarnation,
+    /// Its number within that run.
+    pub sequence: Sequence,
+    /// When it stops being good, by the issuer's clock.
+    pub expires: Instant,
+    mac: [u8; MAC_LEN],
+}
+
+/// The number of a ticket within one run of its issuer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Sequence(u64);
+
+/// A text that is no ticket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("this is no ticket; take one from Sg-Ticket or POST /.sg/ticket")]
+pub struct Malformed;
+
+impl Sequence {
+    /// Wraps a number.
+    #[must_use]
+    pub const fn new(value: u64) -> Self {
+        Self(value)
+    }
+}
+
+impl fmt::Display for Ticket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}:{:x}:{:x}:{:x}:{:032x}",
+            self.instance,
+            self.incarnation.get(),
+            self.sequence.0,
+            self.expires.as_nanos(),
+            u128::from_be_bytes(self.mac)
+        )
+    }
+}
+
+impl FromStr for Ticket {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<Self, Malformed> {
+        let mut parts = text.trim().trim_matches('"').split(SEPARATOR);
+        let mut next = || parts.next().ok_or(Malformed);
+        let instance = next()?.parse().map_err(|_| Malformed)?;
+        let incarnation = number(next()?)?;
+        let sequence = number(next()?)?;
+        let expires = number(next()?)?;
+        let mac = u128::from_str_radix(next()?, 16).map_err(|_| Malformed)?;
+        if parts.next().is_some() {
+            return Err(Malformed);
+        }
+        Ok(Self {
+            instance,
+            incarnation: Incarnation::new(incarnation),
+            sequence: Sequence(sequence),
+            expires: Instant::from_nanos(expires),
+            mac: mac.to_be_bytes(),
+        })
+    }
+}
+
+fn number(text: &str) -> Result<u64, Malformed> {
+    u64::from_str_radix(text, 16).map_err(|_| Malformed)
+}
+
+/// Issues tickets and recognises its own.
+pub struct Mint {
+    instance: id::Instance,
+    incarnation: Incarnation,
+    secret: [u8; blake3::KEY_LEN],
+}
+
+impl fmt::Debug for Mint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Mint")
+            .field("instance", &self.instance)
+            .field("incarnation", &self.incarnation)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Mint {
+    /// A mint with a secret of its own, which ends with the process.
+    #[must_use]
+    pub fn new(instance: id::Instance, incarnation: Incarnation) -> Self {
+        Self {
+            instance,
+            incarnation,
+            secret: rand::random(),
+        }
+    }
+
+    /// Issues a ticket to `account`.
+    #[must_use]
+    pub fn issue(
+        &self,
+        account: Option<&id::Account>,
+        sequence: Sequence,
+        expires: Instant,
+    ) -> Ticket {
+        Ticket {
+            instance: self.instance.clone(),
+            incarnation: self.incarnation,
+            sequence,
+            expires,
+            mac: self.mac(account, sequence, expires),
+        }
+    }
+
+    /// Whether the ticket names this run of this instance.
+    #[must_use]
+    pub fn is_named_by(&self, ticket: &Ticket) -> bool {
+        ticket.instance == self.instance && ticket.incarnation == self.incarnation
+    }
+
+    /// Whether this mint issued the ticket to `account`.
+    #[must_use]
+    pub fn issued(&self, ticket: &Ticket, account: Option<&id::Account>) -> bool {
+        let mac = self.mac(account, ticket.sequence, ticket.expires);
+        self.is_named_by(ticket) && bool::from(mac.ct_eq(&ticket.mac))
+    }
+
+    fn mac(
+        &self,
+        account: Option<&id::Account>,
+        sequence: Sequence,
+        expires: Instant,
+    ) -> [u8; MAC_LEN] {
+        let mut hasher = blake3::Hasher::new_keyed(&self.secret);
+        hasher.update(&sequence.0.to_le_bytes());
+        hasher.update(&expires.as_nanos().to_le_bytes());
+        hasher.update(&[u8::from(account.is_some())]);
+        hasher.update(account.map_or("", id::Account::as_str).as_bytes());
+        let mut mac = [0; MAC_LEN];
+        mac.copy_from_slice(&hasher.finalize().as_bytes()[..MAC_LEN]);
+        mac
+    }
+}
--- /dev/null
+++ b/crates/sg-forward/src/wait.rs
@@ -0,0 +1,49 @@
+//! Counts, for each client account, the requests that wait for share.
+
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use sg_types::prelude::*;
+
+/// The counts. Clones share them.
+#[derive(Debug, Clone, Default)]
+pub struct Waiting {
+    counts: Arc<Mutex<IndexMap<id::Account, u32>>>,
+}
+
+/// A waiting request. Dropping it ends the wait.
+#[derive(Debug)]
+pub struct Waiter {
+    counts: Arc<Mutex<IndexMap<id::Account, u32>>>,
+    account: id::Account,
+}
+
+impl Waiting {
+    /// Counts one more request of `account`, unless `limit` of them wait already.
+    #[must_use]
+    pub fn begin(&self, account: &id::Account, limit: u32) -> Option<Waiter> {
+        let mut counts = self.counts.lock();
+        let count = counts.entry(account.clone()).or_insert(0);
+        if *count >= limit {
+            return None;
+        }
+        *count += 1;
+        Some(Waiter {
+            counts: self.counts.clone(),
+            account: account.clone(),
+        })
+    }
+}
+
+impl Drop for Waiter {
+    fn drop(&mut self) {
+        let mut counts = self.counts.lock();
+        let Some(count) = counts.get_mut(&self.account) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            counts.swap_remove(&self.account);
+        }
+    }
+}
