feat(peer): membership, dissemination, freshness and the transport between instances

The protocol is a core without input or output that is told the time; tasks carry it out over JSON-RPC. Freshness is dated by when a request was sent, travels with its age, and may come from the store or from votes of a majority of slots. Relays chosen by rendezvous hash follow the store's head; others learn it from their contacts and read the store only when evidence runs out.

--- /dev/null
+++ b/crates/sg-peer/src/config/install.rs
@@ -0,0 +1,178 @@
+//! Checks a tree and puts it in force, only ever forward.
+
+use std::sync::Arc;
+
+use sg_store::Head;
+use sg_tree::{Fault, Node, View, compile};
+use sg_types::time::Instant;
+
+use super::{Handle, MAX_PAST, Newest, Refusal, State, Term, withdraw};
+
+/// Where a tree came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Origin {
+    /// The store.
+    Store,
+    /// Another instance.
+    Peer,
+}
+
+impl Origin {
+    /// The text that counters carry.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+        }
+    }
+}
+
+/// What became of a tree.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Outcome {
+    /// It is in force now.
+    Installed,
+    /// It is the one already known.
+    Known,
+    /// It is not in force.
+    Rejected(Rejected),
+}
+
+/// Why a tree is not in force.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Rejected {
+    /// It is older than the one known.
+    Older,
+    /// The same revision is known with another tree.
+    OtherDigest,
+    /// The tree is not the one that its head names.
+    Corrupt,
+    /// It has faults. The last good one stays, without the keys that this one withdraws.
+    Faults(Vec<Fault>),
+}
+
+impl Rejected {
+    /// The text that counters carry.
+    #[must_use]
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Older => "older",
+            Self::OtherDigest => "other-digest",
+            Self::Corrupt => "corrupt",
+            Self::Faults(_) => "faults",
+        }
+    }
+}
+
+impl Handle {
+    /// Puts `tree` in force if it is newer and good.
+    pub fn install(&self, head: &Head, tree: &Node, now: Instant) -> Outcome {
+        let mut state = self.shared.state.write();
+        if let Some(outcome) = settled(&state, head) {
+            return outcome;
+        }
+        if tree.digest() != head.digest {
+            return Outcome::Rejected(Rejected::Corrupt);
+        }
+        let text: Arc<str> = serde_json::to_string(tree).unwrap_or_default().into();
+        state.newest = Newest {
+            revision: head.revision,
+            digest: head.digest,
+        };
+        match compile::compile(tree, head.revision) {
+            Ok(outcome) => {
+                state.refusal = None;
+                self.put(&mut state, head.clone(), Arc::new(outcome.view), text, now);
+                Outcome::Installed
+            }
+            Err(error) => {
+                state.refusal = Some(Refusal {
+                    head: head.clone(),
+                    text,
+                    faults: error.faults.clone(),
+                    at: now,
+                });
+                self.withdraw(&mut state, tree);
+                Outcome::Rejected(Rejected::Faults(error.faults))
+            }
+        }
+    }
+
+    /// Puts an earlier tree in force where none is and the newest has faults, without the keys that
+    /// the newest withdraws.
+    pub fn install_last_good(&self, head: &Head, tree: &Node, now: Instant) -> Outcome {
+        let mut state = self.shared.state.write();
+        let Some(refusal) = state.refusal.clone() else {
+            return Outcome::Known;
+        };
+        if !state.terms.is_empty() || head.revision >= refusal.head.revision {
+            return Outcome::Rejected(Rejected::Older);
+        }
+        if tree.digest() != head.digest {
+            return Outcome::Rejected(Rejected::Corrupt);
+        }
+        let outcome = match compile::compile(tree, head.revision) {
+            Ok(outcome) => outcome,
+            Err(error) => return Outcome::Rejected(Rejected::Faults(error.faults)),
+        };
+        let view = match Node::from_json(refusal.text.as_bytes()) {
+            Ok(newest) => withdraw::without_keys_of(&outcome.view, &newest),
+            Err(_) => None,
+        };
+        let view = Arc::new(view.unwrap_or(outcome.view));
+        let text = serde_json::to_string(tree).unwrap_or_default().into();
+        self.put(&mut state, head.clone(), view, text, now);
+        Outcome::Installed
+    }
+
+    fn put(&self, state: &mut State, head: Head, view: Arc<View>, text: Arc<str>, now: Instant) {
+        if let Some((_, last)) = state.terms.last_mut() {
+            last.until = Some(now);
+        }
+        let term = Term {
+            head,
+            view: Arc::clone(&view),
+            text,
+            from: now,
+            until: None,
+        };
+        state.terms.insert(view.revision, term);
+        if state.terms.len() > MAX_PAST {
+            state.terms.shift_remove_index(0);
+        }
+        self.publish(view);
+    }
+
+    /// Takes keys that `tree` withdraws out of the view in force.
+    fn withdraw(&self, state: &mut State, tree: &Node) {
+        let Some((_, term)) = state.terms.last_mut() else {
+            return;
+        };
+        if let Some(view) = withdraw::without_keys_of(&term.view, tree) {
+            term.view = Arc::new(view);
+            let view = Arc::clone(&term.view);
+            self.publish(view);
+        }
+    }
+
+    fn publish(&self, view: Arc<View>) {
+        self.shared.view.store(Some(Arc::clone(&view)));
+        self.shared.changes.send_replace(Some(view));
+    }
+}
+
+/// Whether the head alone decides.
+fn settled(state: &State, head: &Head) -> Option<Outcome> {
+    let newest = state.newest;
+    if head.revision > newest.revision {
+        return None;
+    }
+    if head.revision < newest.revision {
+        return Some(Outcome::Rejected(Rejected::Older));
+    }
+    match head.digest == newest.digest {
+        true => Some(Outcome::Known),
+        false => Some(Outcome::Rejected(Rejected::OtherDigest)),
+    }
+}
--- /dev/null
+++ b/crates/sg-peer/src/contact.rs
@@ -0,0 +1,100 @@
+//! Whom an instance talks to, by rendezvous hashing: each instance ranks the others the same way
+//! without talking, and a change of membership moves few contacts.
+
+use indexmap::IndexSet;
+use sg_types::prelude::*;
+
+/// Contacts in the same failure domain.
+const NEAR: usize = 4;
+/// Contacts in other failure domains.
+const FAR: usize = 4;
+/// The largest fleet in which everybody talks to everybody.
+const SMALL_FLEET: usize = 9;
+/// How many instances that do not answer are called besides the contacts.
+pub const MAX_SUSPECTS: usize = 2;
+
+/// An instance that may be a contact.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// The instance.
+    pub instance: id::Instance,
+    /// Its failure domain.
+    pub domain: id::Domain,
+}
+
+/// The contacts of one instance.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Contacts {
+    /// The relays of the instance's own failure domain, best first, itself included.
+    pub relays: IndexSet<id::Instance>,
+    /// Whom to talk to, itself excluded.
+    pub peers: IndexSet<id::Instance>,
+}
+
+fn score(a: &str, b: &str) -> u64 {
+    let (a, b) = if a <= b { (a, b) } else { (b, a) };
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(a.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(b.as_bytes());
+    let hash = hasher.finalize();
+    hash.as_bytes()[..8]
+        .iter()
+        .fold(0, |score, byte| score << 8 | u64::from(*byte))
+}
+
+/// The relays of `domain` among `candidates`, best first.
+#[must_use]
+pub fn relays(
+    candidates: &[Candidate],
+    domain: &id::Domain,
+    count: usize,
+) -> IndexSet<id::Instance> {
+    let mut ranked: Vec<_> = candidates
+        .iter()
+        .filter(|candidate| candidate.domain == *domain)
+        .map(|candidate| (score("relay", candidate.instance.as_str()), candidate))
+        .collect();
+    ranked.sort_unstable_by(|(a, x), (b, y)| b.cmp(a).then(x.instance.cmp(&y.instance)));
+    ranked
+        .into_iter()
+        .take(count)
+        .map(|(_, candidate)| candidate.instance.clone())
+        .collect()
+}
+
+/// The contacts of `me` among `candidates`, which include it.
+#[must_use]
+pub fn choose(me: &Candidate, candidates: &[Candidate], relay_count: usize) -> Contacts {
+    let relays = relays(candidates, &me.domain, relay_count);
+    let others = || {
+        candidates
+            .iter()
+            .filter(|candidate| candidate.instance != me.instance)
+    };
+    if candidates.len() <= SMALL_FLEET {
+        let peers = others().map(|candidate| candidate.instance.clone());
+        return Contacts {
+            relays,
+            peers: peers.collect(),
+        };
+    }
+    let mut peers: IndexSet<_> = relays
+        .iter()
+        .filter(|relay| **relay != me.instance)
+        .cloned()
+        .collect();
+    for (near, count) in [(true, NEAR), (false, FAR)] {
+        let mut ranked: Vec<_> = others()
+            .filter(|candidate| (candidate.domain == me.domain) == near)
+            .map(|candidate| {
+                let score = score(me.instance.as_str(), candidate.instance.as_str());
+                (score, &candidate.instance)
+            })
+            .collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        let best = ranked.into_iter().take(count);
+        peers.extend(best.map(|(_, instance)| instance.clone()));
+    }
+    Contacts { relays, peers }
+}
--- /dev/null
+++ b/crates/sg-peer/src/core/exchange.rs
@@ -0,0 +1,158 @@
+//! Building frames and taking them in.
+
+use sg_types::prelude::*;
+
+use super::{Core, Effect};
+use crate::{
+    Frame,
+    frame::{MAX_SHARES, Refused},
+    fresh,
+};
+
+/// The oldest confirmation that is worth a look.
+const MAX_AGE_MILLIS: u64 = 60_000;
+
+impl Core {
+    /// The frame to send to `to` now. Messages in it are no longer queued.
+    pub fn request(&mut self, to: &id::Instance, now: Instant) -> Frame {
+        self.nonce = self.nonce.wrapping_add(1);
+        let nonce = self.nonce;
+        let mut frame = self.frame(to, nonce, now);
+        if !self.members.is_known(to) {
+            frame.place = Some(self.me.place.clone());
+        }
+        frame
+    }
+
+    /// Takes a request in and builds the answer.
+    ///
+    /// # Errors
+    /// [`Refused`] if the frame is not taken; nothing of it has an effect.
+    pub fn answer(&mut self, frame: Frame, now: Instant) -> Result<(Frame, Vec<Effect>), Refused> {
+        self.check(&frame)?;
+        self.members.heard(&frame, now)?;
+        let (to, nonce) = (frame.from.clone(), frame.nonce);
+        let effects = self.take(frame, None, now);
+        let answer = self.frame(&to, nonce, now);
+        // Whether the answer arrives is not known, so notices in it count as told only when the
+        // peer shows that it has them.
+        Ok((answer, effects))
+    }
+
+    /// Takes the answer to `request`, which was sent at `sent`.
+    ///
+    /// # Errors
+    /// [`Refused`] if the answer is not taken.
+    pub fn answered(
+        &mut self,
+        to: &id::Instance,
+        request: &Frame,
+        answer: Frame,
+        sent: Instant,
+        now: Instant,
+    ) -> Result<Vec<Effect>, Refused> {
+        self.check(&answer)?;
+        if answer.nonce != request.nonce || answer.from != *to {
+            return Err(Refused::Crossed);
+        }
+        self.members.answered(&answer, now);
+        self.board.told(to, &request.notices);
+        self.done(to, now);
+        Ok(self.take(answer, Some(sent), now))
+    }
+
+    /// Notes that an exchange with `to` failed. The messages in it are lost, as the share engine
+    /// allows; the notices are told again.
+    pub fn failed(&mut self, to: &id::Instance, now: Instant) {
+        self.members.failed(to, now);
+        self.done(to, now);
+        self.hold(to, now);
+    }
+
+    fn frame(&mut self, to: &id::Instance, nonce: u32, now: Instant) -> Frame {
+        let newest = self.local.newest;
+        let differs = self.local.in_force != newest.revision;
+        Frame {
+            from: self.me.instance.clone(),
+            incarnation: self.me.incarnation,
+            nonce,
+            revision: newest.revision,
+            mark: newest.digest.into(),
+            in_force: differs.then_some(self.local.in_force),
+            slot: self.local.slot,
+            confirmed: self.confirmation(now),
+            shares: self.shares_for(to),
+            notices: self.board.pending(to),
+            hints: self.members.some_hints(to, now),
+            place: None,
+            leaving: self.leaving,
+        }
+    }
+
+    /// Puts messages that came up since the frame was built into it.
+    pub fn add_shares(&mut self, to: &id::Instance, frame: &mut Frame) {
+        if frame.shares.is_empty() {
+            frame.shares = self.shares_for(to);
+        }
+    }
+
+    fn shares_for(&mut self, to: &id::Instance) -> Vec<sg_share::Message> {
+        let Some(waiting) = self.waiting.get_mut(to) else {
+            return Vec::new();
+        };
+        let count = waiting.len().min(MAX_SHARES);
+        let messages = waiting.drain(..count).collect();
+        if waiting.is_empty() {
+            self.waiting.shift_remove(to);
+        }
+        messages
+    }
+
+    /// Takes a checked frame. `sent`: when the request that it answers was sent, if it is an answer.
+    fn take(&mut self, frame: Frame, sent: Option<Instant>, now: Instant) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if let Some(sent) = sent {
+            self.weigh(&frame, sent);
+        }
+        self.compare(&frame, &mut effects);
+        self.members.hints(&self.me.instance, &frame.hints, now);
+        self.deliver(frame.notices, &frame.from, now, &mut effects);
+        if !frame.shares.is_empty() {
+            effects.push(Effect::Shares {
+                from: frame.from,
+                incarnation: frame.incarnation,
+                messages: frame.shares,
+            });
+        }
+        effects
+    }
+
+    /// Takes evidence out of an answer.
+    fn weigh(&mut self, frame: &Frame, sent: Instant) {
+        if let Some(slot) = frame.slot {
+            self.gate.vote(slot, frame.revision, sent);
+        }
+        let Some(confirmed) = frame.confirmed else {
+            return;
+        };
+        let age = Span::from_millis(confirmed.age_millis.min(MAX_AGE_MILLIS));
+        if let Some(at) =
+            fresh::dated(sent, age).filter(|_| age < Span::from_millis(MAX_AGE_MILLIS))
+        {
+            self.gate.confirm(confirmed.revision, at);
+        }
+    }
+
+    fn compare(&mut self, frame: &Frame, effects: &mut Vec<Effect>) {
+        let ours = self.local.newest;
+        if frame.revision > ours.revision {
+            effects.push(Effect::Fetch {
+                from: frame.from.clone(),
+                revision: frame.revision,
+            });
+        }
+        if frame.revision == ours.revision && frame.mark != ours.digest.into() {
+            self.counts.conflicts += 1;
+        }
+    }
+}
--- a/crates/sg-peer/src/lib.rs
+++ b/crates/sg-peer/src/lib.rs
@@ -1,3 +1,31 @@
 //! Membership, dissemination of configuration, freshness, and the transport of shares.
+//!
+//! [`Node::start`] makes a process part of the fleet. The protocol is in [`core`], which does no
+//! input or output and is told the time; tasks carry out what it decides over a [`Transport`].
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
+
+pub mod config;
+pub mod contact;
+pub mod core;
+pub mod frame;
+pub mod fresh;
+pub mod handler;
+pub mod list;
+pub mod member;
+pub mod members;
+mod metrics;
+pub mod node;
+pub mod notice;
+pub mod report;
+pub mod rpc;
+mod shared;
+mod task;
+pub mod transport;
+
+pub use frame::Frame;
+pub use metrics::Metrics;
+pub use node::{Handle, Node, Options};
+pub use rpc::Rpc;
+pub use shared::Budgets;
+pub use transport::Transport;
--- /dev/null
+++ b/crates/sg-peer/src/list.rs
@@ -0,0 +1,191 @@
+//! The platform's lagging list of instances.
+
+use std::{future::Future, net::SocketAddr, sync::Arc};
+
+use serde::Deserialize;
+use sg_clock::Timer;
+use sg_types::prelude::*;
+
+use crate::frame::Place;
+
+/// The path of the list.
+const PATH: &str = "/v1/health/service/sassafrasgauge";
+/// The largest answer that is read, in bytes.
+const MAX_ANSWER: usize = 16 << 20;
+
+/// An instance as the list has it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listed {
+    /// The instance.
+    pub instance: id::Instance,
+    /// Where it is.
+    pub place: Place,
+    /// Whether the list says that it leaves.
+    pub leaving: bool,
+}
+
+/// What one read of the list brought.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Outcome {
+    /// The entries that can be used, doubled ones included.
+    pub entries: Vec<Listed>,
+    /// How many entries can't be read.
+    pub malformed: usize,
+}
+
+/// Why the list was not read.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No address was given.
+    #[error("the instance list has no address; name one or more in the settings")]
+    NoAddress,
+    /// The list did not answer.
+    #[error("the instance list does not answer ({0}); check its address and that it runs")]
+    Unreachable(String),
+    /// The answer is not a list.
+    #[error("the instance list's answer can't be read ({0}); check that the address is the list's")]
+    Malformed(String),
+}
+
+/// Reads the list of instances.
+pub trait Source: Clone + Send + Sync + 'static {
+    /// Reads the list once.
+    fn read(&self) -> impl Future<Output = Result<Outcome, Error>> + Send;
+}
+
+/// How the list is reached.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Its addresses, tried in turn.
+    pub addresses: Vec<SocketAddr>,
+    /// How long to wait for an answer.
+    pub timeout: Span,
+}
+
+/// A client of the Consul health interface.
+#[derive(Debug, Clone)]
+pub struct Client {
+    http: reqwest::Client,
+    options: Arc<Options>,
+    timer: Timer,
+}
+
+impl Client {
+    /// Makes a client; connects to nothing yet.
+    ///
+    /// # Errors
+    /// [`Error::NoAddress`], or [`Error::Unreachable`] if the HTTP library fails.
+    pub fn new(options: Options, timer: Timer) -> Result<Self, Error> {
+        if options.addresses.is_empty() {
+            return Err(Error::NoAddress);
+        }
+        let http = reqwest::Client::builder()
+            .redirect(reqwest::redirect::Policy::none())
+            .no_proxy()
+            .http1_only()
+            .build()
+            .map_err(|error| Error::Unreachable(error.to_string()))?;
+        Ok(Self {
+            http,
+            options: Arc::new(options),
+            timer,
+        })
+    }
+
+    async fn fetch(&self, address: SocketAddr) -> Result<Vec<u8>, Error> {
+        let unreachable = |error: reqwest::Error| Error::Unreachable(error.to_string());
+        let request = self.http.get(format!("http://{address}{PATH}"));
+        let mut response = request.send().await.map_err(unreachable)?;
+        if !response.status().is_success() {
+            return Err(Error::Unreachable(format!("status {}", response.status())));
+        }
+        let mut answer = Vec::new();
+        while let Some(chunk) = response.chunk().await.map_err(unreachable)? {
+            if answer.len() + chunk.len() > MAX_ANSWER {
+                return Err(Error::Malformed("too long".to_owned()));
+            }
+            answer.extend_from_slice(&chunk);
+        }
+        Ok(answer)
+    }
+}
+
+impl Source for Client {
+    async fn read(&self) -> Result<Outcome, Error> {
+        let mut last = Error::NoAddress;
+        for address in &self.options.addresses {
+            let deadline = self.timer.now() + self.options.timeout;
+            let fetched = self.timer.until(deadline, self.fetch(*address)).await;
+            match fetched.unwrap_or_else(|_| Err(Error::Unreachable("no answer in time".into()))) {
+                Ok(answer) => return parse(&answer),
+                Err(error) => last = error,
+            }
+        }
+        Err(last)
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct Entry {
+    #[serde(rename = "Service")]
+    service: Service,
+}
+
+#[derive(Debug, Deserialize)]
+struct Service {
+    #[serde(rename = "ID")]
+    id: String,
+    #[serde(rename = "Address")]
+    address: String,
+    #[serde(rename = "Port")]
+    port: u16,
+    #[serde(rename = "Meta", default)]
+    meta: Option<Meta>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Meta {
+    domain: String,
+    region: String,
+    peer: String,
+    admin: String,
+    leaving: String,
+}
+
+impl Service {
+    fn listed(self) -> Option<Listed> {
+        let meta = self.meta?;
+        let place = Place {
+            domain: meta.domain.parse().ok()?,
+            region: meta.region.parse().ok()?,
+            peer: meta.peer.parse().ok()?,
+            entry: SocketAddr::new(self.address.parse().ok()?, self.port),
+            admin: meta.admin.parse().ok(),
+        };
+        Some(Listed {
+            instance: self.id.parse().ok()?,
+            place,
+            leaving: meta.leaving == "true",
+        })
+    }
+}
+
+/// Reads the text of the list. Entries that can't be used are counted and left out.
+///
+/// # Errors
+/// [`Error::Malformed`] if the text is no list at all.
+pub fn parse(text: &[u8]) -> Result<Outcome, Error> {
+    let values: Vec<serde_json::Value> =
+        serde_json::from_slice(text).map_err(|error| Error::Malformed(error.to_string()))?;
+    let total = values.len();
+    let entries: Vec<_> = values
+        .into_iter()
+        .filter_map(|value| serde_json::from_value::<Entry>(value).ok())
+        .filter_map(|entry| entry.service.listed())
+        .collect();
+    Ok(Outcome {
+        malformed: total - entries.len(),
+        entries,
+    })
+}
--- /dev/null
+++ b/crates/sg-peer/src/members.rs
@@ -0,0 +1,243 @@
+//! Membership: who there is, from the lagging list, direct contact and hints of others.
+//!
+//! Direct contact goes before the list. An entry of the list that is stale, missing or doubled does
+//! no harm: an instance that answers stays, one that doesn't is suspect whatever the list says.
+
+use sg_types::prelude::*;
+
+use crate::{
+    contact::Candidate,
+    frame::{Frame, Hint, MAX_HINTS, Place, Refused},
+    list::Listed,
+    member::{GONE_AFTER, Member, Record, Status},
+};
+
+/// The most instances that are known.
+const MAX_MEMBERS: usize = 16_384;
+/// The most instances that are known from others' hints and not from the list.
+const MAX_UNLISTED: usize = 256;
+/// A hint about an instance that was last heard from longer ago is not taken.
+const MAX_HINT_AGE: Span = GONE_AFTER;
+
+/// The other instances.
+#[derive(Debug, Default)]
+pub struct Table {
+    records: IndexMap<id::Instance, Record>,
+    next_hint: usize,
+}
+
+impl Table {
+    /// Takes a read of the list.
+    pub fn list(&mut self, me: &id::Instance, entries: &[Listed], now: Instant) {
+        let mut named = IndexSet::new();
+        for entry in entries.iter().filter(|entry| entry.instance != *me) {
+            let first = named.insert(entry.instance.clone());
+            let full = self.records.len() >= MAX_MEMBERS;
+            if full && !self.records.contains_key(&entry.instance) {
+                continue;
+            }
+            let record = self
+                .records
+                .entry(entry.instance.clone())
+                .or_insert_with(|| Record::new(entry.place.clone(), now));
+            let in_contact = record.status(now) == Status::Alive && record.heard.is_some();
+            if !in_contact && (first || record.failing.is_some()) {
+                record.place = entry.place.clone();
+            }
+            record.listed = true;
+            record.leaving = match first {
+                true => entry.leaving,
+                false => record.leaving && entry.leaving,
+            };
+        }
+        for (instance, record) in &mut self.records {
+            record.listed = named.contains(instance);
+        }
+    }
+
+    /// Takes a frame that came in as a request.
+    ///
+    /// # Errors
+    /// [`Refused::Replaced`] if its sender's run was replaced.
+    pub fn heard(&mut self, frame: &Frame, now: Instant) -> Result<(), Refused> {
+        let Some(record) = self.record(frame, now) else {
+            return Ok(());
+        };
+        if record.is_retired(frame.incarnation) {
+            return Err(Refused::Replaced);
+        }
+        note(record, frame, now);
+        Ok(())
+    }
+
+    /// Takes the answer to a request that was sent to `place`: whoever answers there is the run
+    /// of now.
+    pub fn answered(&mut self, frame: &Frame, now: Instant) {
+        if let Some(record) = self.records.get_mut(&frame.from) {
+            note(record, frame, now);
+        }
+    }
+
+    fn record(&mut self, frame: &Frame, now: Instant) -> Option<&mut Record> {
+        if !self.records.contains_key(&frame.from) {
+            let place = frame.place.clone()?;
+            self.add_unlisted(&frame.from, place, now)?;
+        }
+        let record = self.records.get_mut(&frame.from)?;
+        if let Some(place) = &frame.place {
+            record.place = place.clone();
+        }
+        Some(record)
+    }
+
+    fn add_unlisted(&mut self, instance: &id::Instance, place: Place, now: Instant) -> Option<()> {
+        let unlisted = self.records.values().filter(|record| !record.listed);
+        if unlisted.count() >= MAX_UNLISTED {
+            return None;
+        }
+        let record = Record::new(place, now);
+        self.records.insert(instance.clone(), record);
+        Some(())
+    }
+
+    /// Notes that an exchange with `instance` failed.
+    pub fn failed(&mut self, instance: &id::Instance, now: Instant) {
+        if let Some(record) = self.records.get_mut(instance) {
+            record.failing.get_or_insert(now);
+        }
+    }
+
+    /// Takes an instance's word that it stops.
+    pub fn stopping(
+        &mut self,
+        instance: &id::Instance,
+        run: Incarnation,
+        within: Span,
+        now: Instant,
+    ) {
+        let record = self.records.get_mut(instance);
+        if let Some(record) = record.filter(|record| record.incarnation == Some(run)) {
+            record.stops.get_or_insert(now + within);
+        }
+    }
+
+    /// Takes hints from a peer. They add instances that are not known; they overrule nothing.
+    pub fn hints(&mut self, me: &id::Instance, hints: &[Hint], now: Instant) {
+        for hint in hints {
+            let old = Span::from_millis(hint.age_millis.min(u64::from(u32::MAX))) >= MAX_HINT_AGE;
+            if old || hint.instance == *me || self.records.contains_key(&hint.instance) {
+                continue;
+            }
+            let _ = self.add_unlisted(&hint.instance, hint.place.clone(), now);
+        }
+    }
+
+    /// A few hints for a peer, other ones each time.
+    pub fn some_hints(&mut self, peer: &id::Instance, now: Instant) -> Vec<Hint> {
+        let total = self.records.len();
+        let start = self.next_hint;
+        self.next_hint = start.wrapping_add(1);
+        (0..total.min(MAX_HINTS))
+            .filter_map(|step| self.records.get_index((start + step) % total))
+            .filter(|(instance, record)| *instance != peer && !record.listed)
+            .filter(|(_, record)| record.status(now) == Status::Alive)
+            .filter_map(|(instance, record)| {
+                Some(Hint {
+                    instance: instance.clone(),
+                    incarnation: record.incarnation?,
+                    place: record.place.clone(),
+                    age_millis: now.since(record.heard?).as_millis(),
+                })
+            })
+            .collect()
+    }
+
+    /// Forgets instances that are gone for long.
+    pub fn expire(&mut self, now: Instant) {
+        let keep = GONE_AFTER + GONE_AFTER;
+        self.records.retain(|_, record| {
+            let silent = now.since(record.heard.unwrap_or(record.added));
+            record.listed || record.status(now) != Status::Gone || silent < keep
+        });
+    }
+
+    /// Where to reach `instance`.
+    #[must_use]
+    pub fn place(&self, instance: &id::Instance) -> Option<&Place> {
+        self.records.get(instance).map(|record| &record.place)
+    }
+
+    /// Whether the run of `instance` has ever answered.
+    #[must_use]
+    pub fn is_known(&self, instance: &id::Instance) -> bool {
+        let record = self.records.get(instance);
+        record.is_some_and(|record| record.heard.is_some() && record.failing.is_none())
+    }
+
+    /// Everybody, as of `now`.
+    #[must_use]
+    pub fn members(&self, now: Instant) -> Vec<Member> {
+        self.records
+            .iter()
+            .map(|(instance, record)| Member {
+                instance: instance.clone(),
+                incarnation: record.incarnation,
+                place: record.place.clone(),
+                status: record.status(now),
+                listed: record.listed,
+                revision: record.revision,
+                in_force: record.in_force,
+                slot: record.slot,
+                heard: record.heard.map(|heard| now.since(heard)),
+            })
+            .collect()
+    }
+
+    /// The member called `instance`, as of `now`.
+    #[must_use]
+    pub fn member(
+        &self,
+        instance: &id::Instance,
+        now: Instant,
+    ) -> Option<(Status, &Place, Option<Incarnation>)> {
+        let record = self.records.get(instance)?;
+        Some((record.status(now), &record.place, record.incarnation))
+    }
+
+    /// Whom contacts are chosen from.
+    #[must_use]
+    pub fn candidates(&self, now: Instant) -> Vec<Candidate> {
+        self.of(&[Status::Alive, Status::Listed, Status::Leaving], now)
+            .collect()
+    }
+
+    /// Who may have come back.
+    #[must_use]
+    pub fn suspects(&self, now: Instant) -> Vec<Candidate> {
+        self.of(&[Status::Suspect], now).collect()
+    }
+
+    fn of<'a>(
+        &'a self,
+        wanted: &'a [Status],
+        now: Instant,
+    ) -> impl Iterator<Item = Candidate> + 'a {
+        self.records
+            .iter()
+            .filter(move |(_, record)| wanted.contains(&record.status(now)))
+            .map(|(instance, record)| Candidate {
+                instance: instance.clone(),
+                domain: record.place.domain.clone(),
+            })
+    }
+}
+
+fn note(record: &mut Record, frame: &Frame, now: Instant) {
+    record.run(frame.incarnation);
+    record.heard = Some(now);
+    record.failing = None;
+    record.slot = frame.slot;
+    record.revision = frame.revision;
+    record.in_force = frame.in_force.unwrap_or(frame.revision);
+    record.leaving |= frame.leaving;
+}
--- /dev/null
+++ b/crates/sg-peer/src/shared.rs
@@ -0,0 +1,186 @@
+//! What the tasks and the handler of one instance share.
+
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use sg_clock::Timer;
+use sg_share::{Action, Budget, Engine, Event, budget, claim::Claim};
+use sg_store::Head;
+use sg_tree::{Node, View};
+use sg_types::{id, notice::Notice, revision::Revision, time::Instant};
+use tokio::sync::{Notify, broadcast, mpsc};
+
+use crate::{
+    config::{self, Origin, Outcome, Rejected},
+    core::{Core, Effect, Local},
+    fresh,
+    metrics::Metrics,
+};
+
+/// What the store is to do for the share engine.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum StoreWork {
+    ReadClaims,
+    WriteClaim { claim: Claim, expect: Option<u64> },
+}
+
+/// A tree to fetch from a peer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Fetch {
+    pub(crate) from: id::Instance,
+    pub(crate) revision: Revision,
+}
+
+/// Finds the budgets of a view.
+pub type Budgets = fn(&View) -> IndexMap<budget::Id, Budget>;
+
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) timer: Timer,
+    pub(crate) core: Mutex<Core>,
+    pub(crate) engine: Mutex<Engine>,
+    pub(crate) config: config::Handle,
+    pub(crate) fresh: fresh::Handle,
+    pub(crate) metrics: Metrics,
+    pub(crate) budgets: Budgets,
+    /// Wakes the caller of peers.
+    pub(crate) wake: Notify,
+    pub(crate) notices: broadcast::Sender<Notice>,
+    pub(crate) fetches: mpsc::Sender<Fetch>,
+    pub(crate) store_work: mpsc::Sender<StoreWork>,
+}
+
+impl Shared {
+    /// Tells the core what the rest of the instance knows, and renews the answer of freshness.
+    pub(crate) fn sync(&self, now: Instant) {
+        let slot = {
+            let engine = self.engine.lock();
+            let confirmed = engine.is_confirmed(now);
+            confirmed.then(|| engine.slot()).flatten()
+        };
+        let mut core = self.core.lock();
+        // Read under the lock, so that an older state never replaces a newer one.
+        let view = self.config.view();
+        let fleet = view.as_ref().map(|view| &view.fleet);
+        core.set_local(Local {
+            newest: self.config.newest(),
+            in_force: self.config.in_force(),
+            slots: fleet.map_or(0, |fleet| fleet.slots),
+            relays: fleet.map_or(1, |fleet| fleet.relays),
+            validity: fleet.map_or_else(|| fresh::FIRST_VALIDITY, |fleet| fleet.validity),
+            slot,
+        });
+        let context = core.local().context();
+        let until = core.gate().until(&context, now);
+        self.fresh.set(until.filter(|_| view.is_some()));
+    }
+
+    /// Carries out what follows from a frame.
+    pub(crate) fn apply(&self, effects: Vec<Effect>, now: Instant) {
+        for effect in effects {
+            match effect {
+                Effect::Shares {
+                    from,
+                    incarnation,
+                    messages,
+                } => {
+                    for message in messages {
+                        let event = Event::Message {
+                            from: from.clone(),
+                            incarnation,
+                            message,
+                        };
+                        self.event(event, now);
+                    }
+                }
+                Effect::Fetch { from, revision } => {
+                    // A full queue loses nothing: the peer tells again.
+                    let _ = self.fetches.try_send(Fetch { from, revision });
+                }
+                Effect::Notify(notice) => {
+                    // An error means that nobody listens.
+                    let _ = self.notices.send(notice);
+                    self.wake.notify_one();
+                }
+            }
+        }
+    }
+
+    /// Tells the share engine something and carries out what it wants.
+    pub(crate) fn event(&self, event: Event, now: Instant) {
+        let actions = self.engine.lock().handle(event, now);
+        self.act(actions, now);
+    }
+
+    /// Carries out what the share engine wants.
+    pub(crate) fn act(&self, actions: Vec<Action>, now: Instant) {
+        for action in actions {
+            match action {
+                Action::Send { to, message } => {
+                    self.core.lock().send(&to, message);
+                    self.wake.notify_one();
+                }
+                Action::ReadClaims => self.work(StoreWork::ReadClaims, now),
+                Action::WriteClaim { claim, expect } => {
+                    self.work(StoreWork::WriteClaim { claim, expect }, now);
+                }
+            }
+        }
+    }
+
+    fn work(&self, work: StoreWork, now: Instant) {
+        let Err(error) = self.store_work.try_send(work) else {
+            return;
+        };
+        if let StoreWork::WriteClaim { claim, .. } = error.into_inner() {
+            self.event(Event::NotWritten { slot: claim.slot }, now);
+        }
+    }
+
+    /// Puts a tree in force, here and in the share engine, and tells peers.
+    pub(crate) fn install(
+        &self,
+        head: &Head,
+        tree: &Node,
+        origin: Origin,
+        now: Instant,
+    ) -> Outcome {
+        let before = self.config.newest().revision;
+        let outcome = self.config.install(head, tree, now);
+        let after = self.config.newest().revision;
+        self.metrics
+            .assert(after >= before, "revision-goes-forward");
+        match &outcome {
+            Outcome::Installed => self.installed(origin, now),
+            Outcome::Known => {}
+            Outcome::Rejected(rejected) => self.rejected(head, rejected),
+        }
+        self.sync(now);
+        self.wake.notify_one();
+        outcome
+    }
+
+    pub(crate) fn installed(&self, origin: Origin, now: Instant) {
+        let Some(view) = self.config.view() else {
+            return;
+        };
+        let revision = view.revision;
+        let labels = [origin.as_str()];
+        self.metrics.installed.with_label_values(&labels).inc();
+        log::info!(
+            "revision {revision} is in force, from a {}",
+            origin.as_str()
+        );
+        let budgets = (self.budgets)(&view);
+        let mut engine = self.engine.lock();
+        engine.configure(revision, view.fleet.slots, budgets, now);
+    }
+
+    fn rejected(&self, head: &Head, rejected: &Rejected) {
+        let labels = [rejected.as_str()];
+        self.metrics.rejected.with_label_values(&labels).inc();
+        if let Rejected::Faults(faults) = rejected {
+            let first = faults.first().map(ToString::to_string).unwrap_or_default();
+            log::warn!("revision {} is refused: {first}", head.revision);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sg-peer/src/task.rs
@@ -0,0 +1,9 @@
+//! The tasks of one instance. Each does one job and ends when it is dropped.
+
+pub(crate) mod call;
+pub(crate) mod claims;
+pub(crate) mod fetch;
+pub(crate) mod follow;
+pub(crate) mod list;
+pub(crate) mod share;
+pub(crate) mod upkeep;
--- /dev/null
+++ b/crates/sg-peer/src/task/claims.rs
@@ -0,0 +1,87 @@
+//! Carries out what the share engine wants of the store.
+
+use std::sync::Arc;
+
+use sg_share::{Event, action::Standing, claim::Claim};
+use sg_store::{Entry, Error, Expect, Store, Swap, Version};
+use tokio::{sync::mpsc, task::JoinSet};
+
+use crate::{
+    shared::{Shared, StoreWork},
+    task::follow::count,
+};
+
+/// What the keys of claims start with.
+const PREFIX: &str = "sg/slot/";
+/// The most calls at once; more wait.
+const MAX_CALLS: usize = 8;
+
+pub(crate) async fn run(
+    shared: Arc<Shared>,
+    store: impl Store,
+    mut work: mpsc::Receiver<StoreWork>,
+) {
+    let mut calls = JoinSet::new();
+    while let Some(next) = work.recv().await {
+        if calls.len() >= MAX_CALLS {
+            calls.join_next().await;
+        }
+        while calls.try_join_next().is_some() {}
+        let (shared, store) = (Arc::clone(&shared), store.clone());
+        match next {
+            StoreWork::ReadClaims => calls.spawn(read(shared, store)),
+            StoreWork::WriteClaim { claim, expect } => {
+                calls.spawn(write(shared, store, claim, expect))
+            }
+        };
+    }
+}
+
+async fn read(shared: Arc<Shared>, store: impl Store) {
+    let sent = shared.timer.now();
+    let result = store.list(PREFIX).await;
+    count(&shared.metrics, "claims", result.as_ref().err());
+    let Ok(page) = result else { return };
+    let claims = page.entries.iter().filter_map(standing).collect();
+    shared.event(Event::Claims { sent, claims }, shared.timer.now());
+}
+
+/// The claim that stands at an entry; `None` for values that aren't claims.
+fn standing(entry: &Entry) -> Option<Standing> {
+    let claim: Claim = serde_json::from_slice(&entry.value).ok()?;
+    let slot = entry.key.strip_prefix(PREFIX)?.parse().ok()?;
+    (claim.slot == slot).then(|| Standing {
+        claim,
+        version: entry.version.get(),
+    })
+}
+
+async fn write(shared: Arc<Shared>, store: impl Store, claim: Claim, expect: Option<u64>) {
+    let sent = shared.timer.now();
+    let key = format!("{PREFIX}{}", claim.slot);
+    let expect = expect.map_or(Expect::Absent, |version| Expect::At(Version::new(version)));
+    let value = serde_json::to_vec(&claim).unwrap_or_default();
+    let result = store.swap(&key, expect, value.into(), None).await;
+    count(&shared.metrics, "claim", result.as_ref().err());
+    let event = match written(&result, &claim) {
+        Some(version) => Event::Written {
+            sent,
+            claim,
+            version,
+        },
+        None => Event::NotWritten { slot: claim.slot },
+    };
+    shared.event(event, shared.timer.now());
+}
+
+/// The version of the claim if it stands, written by this call or by an earlier one whose answer
+/// was lost.
+fn written(result: &Result<Swap, Error>, claim: &Claim) -> Option<u64> {
+    match result {
+        Ok(Swap::Done(version)) => Some(version.get()),
+        Ok(Swap::Conflict(Some(entry))) => standing(entry)
+            .filter(|standing| standing.claim == *claim)
+            .map(|standing| standing.version),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/sg-peer/src/task/fetch.rs
@@ -0,0 +1,125 @@
+//! Fetches trees from peers, one at a time.
+
+use std::sync::Arc;
+
+use sg_store::Head;
+use sg_tree::{Node, compile};
+use sg_types::{id, revision::Revision, time::Span};
+use tokio::sync::mpsc;
+
+use crate::{
+    config::Origin,
+    shared::{Fetch, Shared},
+    transport::{Error, MAX_TREE, Part, Transport},
+};
+
+/// How long one part may take.
+const TIMEOUT: Span = Span::from_secs(2);
+/// How often a first tree is looked at again until a majority backs it.
+const LOOK: Span = Span::from_millis(100);
+
+/// A tree that waits for a majority to back it, since nothing is in force here yet.
+struct Candidate {
+    head: Head,
+    tree: Node,
+    slots: u32,
+    validity: Span,
+}
+
+pub(crate) async fn run(
+    shared: Arc<Shared>,
+    transport: impl Transport,
+    mut wanted: mpsc::Receiver<Fetch>,
+) {
+    let mut candidate: Option<Candidate> = None;
+    loop {
+        let deadline = shared.timer.now() + LOOK;
+        let next = shared.timer.until(deadline, wanted.recv()).await;
+        match next {
+            Ok(None) => return,
+            Ok(Some(fetch)) => {
+                let known = candidate.as_ref().map(|candidate| candidate.head.revision);
+                let known = known.max(Some(shared.config.newest().revision));
+                if known < Some(fetch.revision) {
+                    candidate = take(&shared, &transport, fetch).await.or(candidate);
+                }
+            }
+            Err(_) => {}
+        }
+        candidate = settle(&shared, candidate);
+    }
+}
+
+/// Fetches a tree. Puts it in force if an earlier one is; else returns it as a candidate.
+async fn take(shared: &Arc<Shared>, transport: &impl Transport, fetch: Fetch) -> Option<Candidate> {
+    let (head, tree) = match download(shared, transport, &fetch.from, fetch.revision).await {
+        Ok(found) => found,
+        Err(error) => {
+            let labels = [error.as_str()];
+            shared.metrics.failed.with_label_values(&labels).inc();
+            return None;
+        }
+    };
+    let now = shared.timer.now();
+    if shared.config.view().is_some() {
+        shared.install(&head, &tree, Origin::Peer, now);
+        return None;
+    }
+    let view = compile::compile(&tree, head.revision).ok()?.view;
+    Some(Candidate {
+        head,
+        tree,
+        slots: view.fleet.slots,
+        validity: view.fleet.validity,
+    })
+}
+
+/// Puts the candidate in force once a majority backs it.
+fn settle(shared: &Arc<Shared>, candidate: Option<Candidate>) -> Option<Candidate> {
+    let candidate = candidate?;
+    if shared.config.view().is_some() {
+        return None;
+    }
+    let now = shared.timer.now();
+    let revision = candidate.head.revision;
+    let backed = {
+        let core = shared.core.lock();
+        core.backs(revision, candidate.slots, candidate.validity, now)
+    };
+    if !backed {
+        return Some(candidate);
+    }
+    shared.install(&candidate.head, &candidate.tree, Origin::Peer, now);
+    None
+}
+
+async fn download(
+    shared: &Arc<Shared>,
+    transport: &impl Transport,
+    from: &id::Instance,
+    revision: Revision,
+) -> Result<(Head, Node), Error> {
+    let place = shared.core.lock().members().place(from).cloned();
+    let address = place.ok_or(Error::Absent)?.peer;
+    let mut text = String::new();
+    loop {
+        let part = Part {
+            revision,
+            offset: text.len(),
+        };
+        let deadline = shared.timer.now() + TIMEOUT;
+        let asked = shared.timer.until(deadline, transport.tree(address, part));
+        let slice = asked.await.unwrap_or(Err(Error::Timeout))?;
+        if slice.total > MAX_TREE || slice.text.is_empty() || slice.head.revision != revision {
+            return Err(Error::Malformed("no part of the tree".to_owned()));
+        }
+        text.push_str(&slice.text);
+        if text.len() > slice.total {
+            return Err(Error::Malformed("a tree longer than stated".to_owned()));
+        }
+        if text.len() == slice.total {
+            let tree = Node::from_json(&text).map_err(|error| Error::Malformed(error.to_string()));
+            return Ok((slice.head, tree?));
+        }
+    }
+}
--- /dev/null
+++ b/crates/sg-peer/src/task/upkeep.rs
@@ -0,0 +1,70 @@
+//! What is done about once a second: contacts, gauges, the engine's list of peers.
+
+use std::sync::Arc;
+
+use sg_types::time::Span;
+
+use crate::{member::Status, shared::Shared, task::share};
+
+const PERIOD: Span = Span::from_secs(1);
+/// How soon after the start the first rounds come, while nobody is known.
+const FIRST: Span = Span::from_millis(50);
+
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut was_fresh = false;
+    loop {
+        let now = shared.timer.now();
+        shared.sync(now);
+        shared.core.lock().refresh(now);
+        share::tell_peers(&shared);
+        gauges(&shared);
+        let fresh = shared.fresh.is_fresh(now);
+        if was_fresh && !fresh {
+            shared.metrics.stale_spells.inc();
+            log::warn!("keyed routes are refused: no confirmation from the store or a majority");
+        }
+        if fresh && !was_fresh {
+            log::info!("keyed routes are served");
+        }
+        was_fresh = fresh;
+        shared.wake.notify_one();
+        let alone = shared.core.lock().contacts().peers.is_empty();
+        let period = if alone { FIRST } else { PERIOD };
+        shared.timer.sleep(period).await;
+    }
+}
+
+fn gauges(shared: &Shared) {
+    let now = shared.timer.now();
+    let metrics = &shared.metrics;
+    let (everybody, relay, counts) = {
+        let core = shared.core.lock();
+        (core.everybody(now), core.is_relay(), core.counts())
+    };
+    for status in Status::ALL {
+        let count = everybody.iter().filter(|member| member.status == status);
+        let gauge = metrics.members.with_label_values(&[status.as_str()]);
+        gauge.set(i64::try_from(count.count()).unwrap_or(i64::MAX));
+    }
+    metrics.relay.set(i64::from(relay));
+    metrics.fresh.set(i64::from(shared.fresh.is_fresh(now)));
+    let revisions = [
+        ("newest", shared.config.newest().revision),
+        ("in-force", shared.config.in_force()),
+    ];
+    for (state, revision) in revisions {
+        let gauge = metrics.revision.with_label_values(&[state]);
+        gauge.set(i64::try_from(revision.get()).unwrap_or(i64::MAX));
+    }
+    let events = [
+        ("announced", counts.announced),
+        ("delivered", counts.delivered),
+        ("duplicate", counts.duplicates),
+        ("shares-dropped", counts.shares_dropped),
+        ("revision-conflict", counts.conflicts),
+    ];
+    for (event, total) in events {
+        let counter = metrics.notices.with_label_values(&[event]);
+        counter.inc_by(total.saturating_sub(counter.get()));
+    }
+}
