feat(share): engine with claims, vouching, loans and recutting

Claims are confirmed by the store or by a majority of the slot's voters; share moves by debit first and credit later; a changed number of slots grows only once every claim says that its holder knows it.

--- /dev/null
+++ b/crates/sg-share/src/engine/vouching.rs
@@ -0,0 +1,216 @@
+//! Confirmation of claims by peers.
+//!
+//! A voter vouches for a holder only while its own claim is confirmed, and only for the newest claim
+//! that it knows of. It learns of newer ones from the store, from claimants and from its first read
+//! as a holder, which comes after its predecessor can't vouch any more. So a majority that vouches
+//! for the old holder and one that promised not to can't both come from the same slots.
+
+use sg_types::prelude::*;
+
+use super::{Engine, Fault, Peer, REMEMBERED, Sent};
+use crate::{
+    Action, Message,
+    claim::Claim,
+    message::Term,
+    tenure::{Stage, Tenure},
+};
+
+/// Requests for confirmation in one validity.
+const PER_VALIDITY: f64 = 3.0;
+
+impl Engine {
+    /// The slots that this instance votes with now.
+    fn votes(&self, now: Instant) -> Vec<Slot> {
+        if self.options.fault == Some(Fault::VouchUnconfirmed) {
+            let mine = |known: &&crate::registry::Known| known.claim.instance == self.me.instance;
+            let known = self.registry.claims.values().filter(mine);
+            return known.map(|known| known.claim.slot).collect();
+        }
+        let (validity, outage) = (self.options.validity, self.options.outage);
+        self.tenures
+            .iter()
+            .filter(|tenure| now < tenure.until(validity, outage))
+            .map(|tenure| tenure.claim.slot)
+            .collect()
+    }
+
+    /// Counts the votes of the instance's own other slots.
+    pub(super) fn vote_for_self(&mut self, now: Instant) {
+        let votes = self.votes(now);
+        let vote = |tenure: &mut Tenure| {
+            let others = votes.iter().filter(|vote| **vote != tenure.claim.slot);
+            for voter in others.copied().collect::<Vec<_>>() {
+                tenure.vote(voter, now);
+                if let Stage::Promises { promised, .. } = &mut tenure.stage {
+                    promised.insert(voter);
+                }
+            }
+        };
+        self.tenures.iter_mut().for_each(vote);
+        if let Some(trial) = &mut self.trial {
+            trial.promised.extend(votes);
+        }
+    }
+
+    /// Asks the voters of all claims, several times in each validity.
+    pub(super) fn confirm(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let period = self.options.validity.mul_f64(1.0 / PER_VALIDITY);
+        let waits = self
+            .confirmed_at
+            .is_some_and(|last| now.since(last) < period);
+        if waits || self.tenures.is_empty() {
+            return;
+        }
+        self.confirmed_at = Some(now);
+        let number = self.next();
+        self.remember(Sent { number, at: now });
+        let asked: IndexSet<_> = self
+            .tenures
+            .iter()
+            .flat_map(Tenure::voters)
+            .filter_map(|voter| self.registry.holder(voter))
+            .filter(|holder| **holder != self.me.instance)
+            .cloned()
+            .collect();
+        let active = self.tenures.iter().filter(|tenure| tenure.is_active());
+        let terms: Vec<_> = active.map(Tenure::term).collect();
+        actions.extend(asked.into_iter().map(|to| Action::Send {
+            to,
+            message: Message::Confirm {
+                n: number,
+                s: terms.clone(),
+            },
+        }));
+    }
+
+    fn remember(&mut self, sent: Sent) {
+        if self.confirms.len() == REMEMBERED {
+            self.confirms.pop_front();
+        }
+        self.confirms.push_back(sent);
+    }
+
+    pub(super) fn on_confirm(
+        &mut self,
+        from: &Peer,
+        n: u64,
+        terms: &[Term],
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let votes = self.votes(now);
+        let mut counted = Vec::new();
+        let mut newer = Vec::new();
+        for term in terms {
+            match self.registry.claims.get(&term.slot) {
+                Some(known) if is_newer(&known.claim, from, term) => {
+                    newer.push(known.claim.clone());
+                }
+                _ => counted.push(*term),
+            }
+        }
+        if votes.is_empty() && newer.is_empty() {
+            return;
+        }
+        actions.push(Action::Send {
+            to: from.instance.clone(),
+            message: Message::Vouch {
+                n,
+                s: counted,
+                v: votes,
+                x: newer,
+            },
+        });
+    }
+
+    pub(super) fn on_vouch(
+        &mut self,
+        n: u64,
+        terms: &[Term],
+        votes: &[Slot],
+        newer: &[Claim],
+        now: Instant,
+    ) {
+        let Some(sent) = self.confirms.iter().find(|sent| sent.number == n).copied() else {
+            self.counters.stale_messages += 1;
+            return;
+        };
+        for tenure in &mut self.tenures {
+            if terms.contains(&tenure.term()) {
+                for voter in votes {
+                    tenure.vote(*voter, sent.at);
+                }
+            }
+        }
+        for claim in newer {
+            self.learn(claim, now);
+        }
+    }
+
+    /// Learns of a claim from a peer, and drops one's own claim that it replaced.
+    fn learn(&mut self, claim: &Claim, now: Instant) {
+        self.registry.learn(claim, None, now);
+        self.drop_replaced(now);
+    }
+
+    pub(super) fn on_yield(
+        &mut self,
+        from: &Peer,
+        claim: &Claim,
+        trial: bool,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        if !trial {
+            self.learn(claim, now);
+        }
+        let votes = self.votes(now);
+        let lost = self
+            .registry
+            .is_silent(claim.slot, self.options.silence.mul_f64(0.5), now);
+        let agrees = if trial {
+            lost && self.registry.term(claim.slot) < claim.term
+        } else {
+            self.registry.claims.get(&claim.slot).is_some_and(|known| {
+                known.claim.term == claim.term && known.claim.incarnation == claim.incarnation
+            })
+        };
+        let mine = self.tenures.iter().any(|t| t.claim.slot == claim.slot);
+        if votes.is_empty() || !agrees || mine {
+            return;
+        }
+        actions.push(Action::Send {
+            to: from.instance.clone(),
+            message: Message::Yielded {
+                s: Term {
+                    slot: claim.slot,
+                    term: claim.term,
+                },
+                trial,
+                v: votes,
+            },
+        });
+    }
+
+    pub(super) fn on_yielded(&mut self, term: Term, trial: bool, votes: &[Slot]) {
+        if trial {
+            if let Some(trial) = self.trial.as_mut().filter(|trial| trial.term() == term) {
+                trial.promised.extend(votes.iter().copied());
+            }
+            return;
+        }
+        for tenure in &mut self.tenures {
+            if tenure.term() != term {
+                continue;
+            }
+            if let Stage::Promises { promised, .. } = &mut tenure.stage {
+                promised.extend(votes.iter().copied());
+            }
+        }
+    }
+}
+
+/// Whether a known claim rules out what a holder says it holds.
+fn is_newer(claim: &Claim, holder: &Peer, term: &Term) -> bool {
+    claim.term > term.term || (claim.term == term.term && claim.incarnation != holder.incarnation)
+}
--- /dev/null
+++ b/crates/sg-share/src/ledger/demand.rs
@@ -0,0 +1,76 @@
+//! How much callers ask of a budget here.
+
+use sg_types::prelude::*;
+
+/// How long a budget counts as active after the last take.
+const ACTIVE: Span = Span::from_secs(3);
+/// How long a refusal counts as a caller that waits.
+const URGENT: Span = Span::from_millis(500);
+/// The weight of the newest tick when demand grows.
+const RISE: f64 = 0.5;
+/// The weight of the newest tick when demand falls.
+const FALL: f64 = 0.05;
+
+/// The demand for one budget at one instance.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Demand {
+    /// Units asked for since the last tick.
+    units: u64,
+    since: Instant,
+    /// Units a second, smoothed.
+    rate: f64,
+    last: Option<Instant>,
+    refused: Option<Instant>,
+    largest: u32,
+}
+
+impl Demand {
+    /// Counts a take that was asked for.
+    pub(crate) fn ask(&mut self, units: u32, now: Instant) {
+        self.units += u64::from(units);
+        self.largest = self.largest.max(units);
+        self.last = Some(now);
+    }
+
+    /// Counts a take that was refused.
+    pub(crate) fn refuse(&mut self, now: Instant) {
+        self.refused = Some(now);
+    }
+
+    /// Smooths what was asked for since the last call.
+    pub(crate) fn tick(&mut self, now: Instant) {
+        let span = now.since(self.since).as_secs_f64();
+        if span <= 0.0 {
+            return;
+        }
+        let fresh = self.units as f64 / span;
+        let weight = if fresh > self.rate { RISE } else { FALL };
+        self.rate += weight * (fresh - self.rate);
+        self.units = 0;
+        self.since = now;
+        if !self.is_active(now) {
+            self.rate = 0.0;
+            self.largest = 0;
+        }
+    }
+
+    /// The rate that covers the demand with some room, in millionths of a unit a second.
+    pub(crate) fn rate_micros(&self, room: f64) -> u64 {
+        (self.rate * room * rate::MICRO as f64) as u64
+    }
+
+    /// The most units asked for at once, in millionths.
+    pub(crate) fn largest_micros(&self) -> u64 {
+        u64::from(self.largest) * rate::MICRO
+    }
+
+    /// Whether callers came lately.
+    pub(crate) fn is_active(&self, now: Instant) -> bool {
+        self.last.is_some_and(|last| now.since(last) < ACTIVE)
+    }
+
+    /// Whether a caller was refused moments ago.
+    pub(crate) fn is_urgent(&self, now: Instant) -> bool {
+        self.refused.is_some_and(|last| now.since(last) < URGENT)
+    }
+}
--- /dev/null
+++ b/crates/sg-share/src/ledger/lending.rs
@@ -0,0 +1,238 @@
+//! The lender's side: what goes to whom.
+//!
+//! A lender debits itself before it answers, counts the greater of what the borrower still uses and
+//! what it is granted, and takes it back after the borrower's time is certainly over, or once the
+//! borrower said that it stopped to use it.
+
+use sg_types::prelude::*;
+
+use super::{Ledger, NANOS, Terms};
+use crate::{
+    engine::{Fault, Peer},
+    message::{Ask, Grant},
+    panel,
+    part::Part,
+};
+
+/// Room above the own demand that a lender keeps.
+const OWN_ROOM: f64 = 1.25;
+/// A base burst below this many millionths is too small to cut further; one user gets it whole.
+const LEAST_BURST: u64 = 2 * rate::MICRO;
+
+/// What is lent to one borrower.
+#[derive(Debug, Clone)]
+pub(crate) struct Lent {
+    pub(crate) to: Peer,
+    pub(crate) part: Part,
+    pub(crate) until: Instant,
+    want: Part,
+    urgent: bool,
+}
+
+/// One that wants a part of a lender's base share.
+struct Claimant {
+    order: (bool, u64),
+    want: u64,
+}
+
+impl Ledger {
+    pub(super) fn lent_part(&self, now: Instant) -> Part {
+        self.lent
+            .iter()
+            .filter(|lent| now < lent.until)
+            .fold(Part::default(), |sum, lent| sum.plus(lent.part))
+    }
+
+    /// Handles a borrower's request and answers it. The base share must be valid now.
+    pub(crate) fn lend(
+        &mut self,
+        to: &Peer,
+        ask: &Ask,
+        seed: u64,
+        now: Instant,
+        terms: Terms,
+    ) -> Grant {
+        self.settle(now, terms);
+        let before = self.lent_to(to);
+        let keep = ask.keep.min(before);
+        self.credit(ask.back, before.burst - keep.burst);
+        self.record(to, ask, keep, now, terms);
+        let part = self.grant(to, seed, now);
+        let added = part.burst.saturating_sub(keep.burst);
+        let tokens = (self.tokens / NANOS).min(added);
+        if terms.fault != Some(Fault::LendTwice) {
+            self.tokens -= tokens * NANOS;
+            self.debit(to, part.max(keep));
+        }
+        self.settle(now, terms);
+        Grant {
+            id: ask.id.clone(),
+            part,
+            tokens,
+        }
+    }
+
+    fn lent_to(&self, to: &Peer) -> Part {
+        self.lent
+            .iter()
+            .find(|lent| lent.to == *to)
+            .map_or(Part::default(), |lent| lent.part)
+    }
+
+    fn credit(&mut self, back: u64, freed: u64) {
+        self.tokens = self.tokens.saturating_add(back.min(freed) * NANOS);
+    }
+
+    fn record(&mut self, to: &Peer, ask: &Ask, keep: Part, now: Instant, terms: Terms) {
+        self.lent.retain(|lent| lent.to != *to);
+        if ask.want.is_empty() && keep.is_empty() {
+            return;
+        }
+        self.lent.push(Lent {
+            to: to.clone(),
+            part: keep,
+            until: now + terms.drift.outlast(terms.loan),
+            want: ask.want,
+            urgent: ask.urgent,
+        });
+    }
+
+    fn debit(&mut self, to: &Peer, part: Part) {
+        if let Some(lent) = self.lent.iter_mut().find(|lent| lent.to == *to) {
+            lent.part = part;
+        }
+    }
+
+    fn grant(&self, to: &Peer, seed: u64, now: Instant) -> Part {
+        let others = self
+            .lent
+            .iter()
+            .filter(|lent| lent.to != *to)
+            .fold(Part::default(), |sum, lent| sum.plus(lent.part));
+        self.target(to, seed, now).min(self.base.minus(others))
+    }
+
+    /// What a borrower should hold, by its want and that of the others.
+    fn target(&self, to: &Peer, seed: u64, now: Instant) -> Part {
+        Part {
+            rate: self.target_rate(to, now),
+            burst: self.target_burst(to, seed, now),
+        }
+    }
+
+    fn target_rate(&self, to: &Peer, now: Instant) -> u64 {
+        let own = self.own_rate(now);
+        let free = self.base.rate.saturating_sub(own);
+        let wants = |lent: &Lent| match lent.want.is_empty() {
+            true => 0,
+            false => lent.want.rate.max(1),
+        };
+        let sum: u64 = self.lent.iter().map(wants).sum();
+        let mine = self
+            .lent
+            .iter()
+            .find(|lent| lent.to == *to)
+            .map_or(0, wants);
+        if sum == 0 {
+            return 0;
+        }
+        if sum <= free {
+            let scaled = u128::from(free) * u128::from(mine) / u128::from(sum);
+            return u64::try_from(scaled).unwrap_or(free);
+        }
+        let all: Vec<_> = self.lent.iter().map(wants).collect();
+        mine.min(level(&all, free))
+    }
+
+    /// The rate that the callers here need.
+    fn own_rate(&self, now: Instant) -> u64 {
+        if self.demand.is_active(now) {
+            self.demand.rate_micros(OWN_ROOM)
+        } else {
+            0
+        }
+    }
+
+    fn target_burst(&self, to: &Peer, seed: u64, now: Instant) -> u64 {
+        let own = if self.demand.is_active(now) {
+            self.base.burst
+        } else {
+            0
+        };
+        let Some(mine) = self.lent.iter().find(|lent| lent.to == *to) else {
+            return 0;
+        };
+        if self.base.burst < LEAST_BURST {
+            return self.whole_burst(mine, own, seed, now);
+        }
+        let mut wants: Vec<_> = self.lent.iter().map(|lent| lent.want.burst).collect();
+        wants.push(own);
+        mine.want.burst.min(level(&wants, self.base.burst))
+    }
+
+    /// A burst that is too small to cut goes to one after the other: first those whose callers
+    /// wait, then in an order that all lenders share, so that whole units come together.
+    fn whole_burst(&self, mine: &Lent, own: u64, seed: u64, now: Instant) -> u64 {
+        let rank = |lent: &Lent| panel::rank(&lent.to.instance, seed);
+        let mut claimants: Vec<_> = self
+            .lent
+            .iter()
+            .map(|lent| Claimant {
+                order: (!lent.urgent, rank(lent)),
+                want: lent.want.burst,
+            })
+            .collect();
+        claimants.push(Claimant {
+            order: (!self.demand.is_urgent(now), 0),
+            want: own,
+        });
+        let order = (!mine.urgent, rank(mine));
+        let ahead: u64 = claimants
+            .iter()
+            .filter(|claimant| claimant.order < order)
+            .map(|claimant| claimant.want)
+            .fold(0, u64::saturating_add);
+        mine.want.burst.min(self.base.burst.saturating_sub(ahead))
+    }
+
+    /// Borrowers that should ask again: they hold more than they should, or may have more.
+    pub(crate) fn nudged(&self, seed: u64, now: Instant) -> Vec<Peer> {
+        let free = self.base.minus(self.lent_part(now));
+        let is_off = |lent: &&Lent| {
+            let target = self.target(&lent.to, seed, now);
+            let over = is_above(lent.part.rate, target.rate, self.base.rate)
+                || is_above(lent.part.burst, target.burst, self.base.burst);
+            let under = Part {
+                rate: lent.part.rate.saturating_add(free.rate).min(target.rate),
+                burst: lent.part.burst.saturating_add(free.burst).min(target.burst),
+            };
+            over || is_above(under.rate, lent.part.rate, self.base.rate)
+                || is_above(under.burst, lent.part.burst, self.base.burst)
+        };
+        self.lent
+            .iter()
+            .filter(is_off)
+            .map(|lent| lent.to.clone())
+            .collect()
+    }
+}
+
+/// Whether `value` is above `target` by enough of `whole` to act on.
+fn is_above(value: u64, target: u64, whole: u64) -> bool {
+    value > target.saturating_add(whole / 8)
+}
+
+/// The greatest level so that the wants, each cut to it, add up to `total` at most.
+fn level(wants: &[u64], total: u64) -> u64 {
+    let mut sorted = wants.to_vec();
+    sorted.sort_unstable();
+    let mut left = total;
+    for (index, want) in sorted.iter().enumerate() {
+        let share = left / (sorted.len() - index) as u64;
+        if *want > share {
+            return share;
+        }
+        left -= want;
+    }
+    total
+}
--- a/crates/sg-share/src/lib.rs
+++ b/crates/sg-share/src/lib.rs
@@ -8,11 +8,18 @@
 pub mod action;
 pub mod budget;
 pub mod claim;
+mod drift;
 pub mod engine;
+mod ledger;
 pub mod message;
+mod panel;
+pub mod part;
+mod registry;
 pub mod report;
+mod tenure;
 
 pub use action::{Action, Event};
 pub use budget::Budget;
 pub use engine::Engine;
 pub use message::Message;
+pub use part::Part;
