--- /dev/null
+++ b/crates/sg-share/tests/share/main.rs
@@ -0,0 +1,5 @@
+//! Shows that shares never add up to more than a budget, and that they reach the callers.
+
+mod calm;
+mod check;
+mod world;
