feat(entry): wire the daemon; the whole path runs as separate processes

Cause: every later change is to be measured against a request that goes from a caller through an entry to a target and back, with the tree from the store.

--- /dev/null
+++ b/crates/sg-entry/src/admin.rs
@@ -0,0 +1,81 @@
+//! The endpoint that operators reach.
+
+#![expect(
+    clippy::needless_pass_by_value,
+    reason = "extractors are handed over by value"
+)]
+
+mod state;
+
+use poem::{
+    Endpoint, EndpointExt as _, IntoResponse as _, Response, Route, get, handler,
+    http::StatusCode,
+    web::{Data, Json, Path},
+};
+use prometheus::{Encoder as _, TextEncoder};
+use sg_types::prelude::*;
+
+use crate::daemon::Parts;
+
+/// The endpoint that operators reach.
+pub fn endpoint(parts: Parts) -> impl Endpoint {
+    Route::new()
+        .at("/metrics", get(metrics))
+        .at("/status", get(status))
+        .at("/report", get(report))
+        .at("/explain/:revision", get(explain))
+        .at("/why/:request", get(why))
+        .data(parts)
+}
+
+#[handler]
+fn metrics(parts: Data<&Parts>) -> Response {
+    let encoder = TextEncoder::new();
+    let mut text = Vec::new();
+    match encoder.encode(&parts.registry.gather(), &mut text) {
+        Ok(()) => Response::builder()
+            .content_type(encoder.format_type())
+            .body(text),
+        Err(error) => {
+            log::warn!("the counters can't be written: {error}");
+            StatusCode::INTERNAL_SERVER_ERROR.into_response()
+        }
+    }
+}
+
+#[handler]
+fn status(parts: Data<&Parts>) -> Response {
+    Json(state::of(&parts)).into_response()
+}
+
+/// Everything that the parts report, for a close look.
+#[handler]
+fn report(parts: Data<&Parts>) -> Response {
+    Json(state::Report::of(&parts)).into_response()
+}
+
+#[handler]
+fn explain(parts: Data<&Parts>, revision: Path<String>) -> Response {
+    let now = parts.timer.now();
+    let counts = parts.path.counts();
+    let evidence = revision
+        .parse::<Revision>()
+        .ok()
+        .and_then(|revision| parts.evidence.explain(revision, &counts, now));
+    match evidence {
+        Some(evidence) => Json(evidence).into_response(),
+        None => StatusCode::NOT_FOUND.into_response(),
+    }
+}
+
+#[handler]
+fn why(parts: Data<&Parts>, request: Path<String>) -> Response {
+    let record = request
+        .parse::<id::Request>()
+        .ok()
+        .and_then(|request| parts.path.why(&request));
+    match record {
+        Some(record) => Json(record).into_response(),
+        None => StatusCode::NOT_FOUND.into_response(),
+    }
+}
--- /dev/null
+++ b/crates/sg-entry/src/daemon/build.rs
@@ -0,0 +1,132 @@
+//! Makes the parts of an instance.
+
+use std::sync::Arc;
+
+use sg_clock::Timer;
+use sg_forward::{Forward, forward, gate::Gates};
+use sg_peer::{Metrics, Rpc, core::Identity, frame::Place, list, node};
+use sg_share::engine;
+use sg_store::http;
+use sg_types::prelude::*;
+use tokio::sync::watch;
+
+use super::{Error, Node, Parts, Path};
+use crate::{
+    Settings, budgets,
+    evidence::Ring,
+    gates::{Accounts, Config, Fresh, Others, Speaker, Steering},
+};
+
+/// How long another instance may take to answer.
+const PEER_TIMEOUT: Span = Span::from_secs(1);
+/// How long the list of instances may take to answer.
+const LIST_TIMEOUT: Span = Span::from_secs(2);
+/// How often the list of instances is read.
+const LIST_PERIOD: Span = Span::from_secs(2);
+/// How long handing shares on may take at a stop.
+const STOP_WITHIN: Span = Span::from_secs(2);
+/// How many instances the fleet is thought to have at first.
+const FIRST_ENTRIES: u32 = 7;
+
+/// Makes and starts the parts; nothing is served yet.
+pub(super) async fn build(
+    settings: Settings,
+    leaving: watch::Receiver<bool>,
+) -> Result<Parts, Error> {
+    let settings = Arc::new(settings);
+    let timer = Timer::new();
+    let registry = prometheus::Registry::new();
+    let incarnation = Incarnation::new(rand::random());
+    let node = node(&settings, incarnation, &timer, &registry).await?;
+    let steer = sg_steer::Engine::new(sg_steer::engine::Options {
+        region: settings.region.clone(),
+        domain: settings.domain.clone(),
+        seed: rand::random(),
+        entries: FIRST_ENTRIES,
+    });
+    let path = path(&settings, incarnation, &timer, &registry, &node, &steer)?;
+    Ok(Parts {
+        evidence: Arc::new(Ring::new(settings.instance.clone(), incarnation)),
+        settings,
+        incarnation,
+        timer,
+        registry,
+        node: Arc::new(node),
+        steer,
+        path,
+        leaving,
+    })
+}
+
+async fn node(
+    settings: &Settings,
+    incarnation: Incarnation,
+    timer: &Timer,
+    registry: &prometheus::Registry,
+) -> Result<Node, Error> {
+    let place = Place {
+        domain: settings.domain.clone(),
+        region: settings.region.clone(),
+        peer: settings.peer,
+        entry: settings.serve,
+        admin: Some(settings.admin),
+    };
+    let options = node::Options {
+        identity: Identity {
+            instance: settings.instance.clone(),
+            incarnation,
+            place,
+        },
+        listen: settings.peer,
+        share: engine::Options {
+            seed: rand::random(),
+            ..engine::Options::default()
+        },
+        budgets: budgets::of,
+        list_period: LIST_PERIOD,
+        stop_within: STOP_WITHIN,
+        metrics: Metrics::register(registry)?,
+    };
+    let store = http::Client::new(http::Options::new(settings.store.clone()), timer.clone())?;
+    let list = list::Options {
+        addresses: vec![settings.instances],
+        timeout: LIST_TIMEOUT,
+    };
+    let list = list::Client::new(list, timer.clone())?;
+    let rpc = Rpc::new(PEER_TIMEOUT);
+    Ok(sg_peer::Node::start(options, timer.clone(), store, list, rpc).await?)
+}
+
+fn path(
+    settings: &Settings,
+    incarnation: Incarnation,
+    timer: &Timer,
+    registry: &prometheus::Registry,
+    node: &Node,
+    steer: &sg_steer::Engine,
+) -> Result<Path, Error> {
+    let gates = Gates {
+        tree: Config(node.config.clone()),
+        admission: Accounts(node.shares.clone()),
+        freshness: Fresh(node.fresh.clone()),
+        steer: Steering {
+            engine: steer.clone(),
+            shares: node.shares.clone(),
+            region: settings.region.clone(),
+        },
+        announce: Speaker {
+            notices: node.notices.clone(),
+            engine: steer.clone(),
+            timer: timer.clone(),
+        },
+        directory: Others {
+            members: node.members.clone(),
+            timer: timer.clone(),
+        },
+    };
+    let options = forward::Options {
+        instance: settings.instance.clone(),
+        incarnation,
+    };
+    Ok(Forward::new(options, gates, timer.clone(), registry)?)
+}
--- a/crates/sg-entry/src/lib.rs
+++ b/crates/sg-entry/src/lib.rs
@@ -2,10 +2,15 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
+pub mod admin;
+pub mod budgets;
+pub mod daemon;
 pub mod evidence;
+pub mod gates;
 pub mod logs;
 pub mod options;
 pub mod probe;
+pub mod serve;
 pub mod settings;
 pub mod stop;
 
--- /dev/null
+++ b/crates/sg-forward/src/counts.rs
@@ -0,0 +1,59 @@
+//! Counters that operators read, by client account and by place of the work.
+
+use parking_lot::Mutex;
+use sg_report::{Counts, counts::Place};
+use sg_types::prelude::*;
+
+use crate::trace::Trace;
+
+/// The name that callers on open routes are counted under.
+const OPEN: &str = "open";
+
+/// Where the counters are kept.
+#[derive(Debug, Default)]
+pub struct Tally {
+    counts: Mutex<Counts>,
+}
+
+impl Tally {
+    /// Counts an answer.
+    pub fn add(&self, trace: &Trace, outcome: Outcome, reason: Reason, now: Instant) {
+        let place = place(trace);
+        let mut counts = self.counts.lock();
+        let account = trace.account.as_ref().map_or(OPEN, id::Account::as_str);
+        if !counts.accounts.contains_key(account) {
+            counts
+                .accounts
+                .insert(account.into(), sg_report::counts::Account::default());
+        }
+        if let Some(account) = counts.accounts.get_mut(account) {
+            match outcome {
+                Outcome::Ran => {
+                    account.ran += 1;
+                    account.latency.record(now.since(trace.arrived));
+                }
+                Outcome::NotRun => *account.refused.entry(reason).or_default() += 1,
+                Outcome::Unknown => account.unknown += 1,
+            }
+        }
+        if let Some(place) = place {
+            *counts.traffic.entry(place).or_default() += 1;
+        }
+    }
+
+    /// The counters so far.
+    #[must_use]
+    pub fn read(&self) -> Counts {
+        self.counts.lock().clone()
+    }
+}
+
+/// Where the last attempt went.
+fn place(trace: &Trace) -> Option<Place> {
+    let (service, _) = trace.place.as_ref()?;
+    let attempt = trace.attempts.last()?;
+    Some(Place {
+        service: service.clone(),
+        region: attempt.region.clone(),
+    })
+}
--- a/crates/sg-forward/src/forward.rs
+++ b/crates/sg-forward/src/forward.rs
@@ -137,6 +137,12 @@
         self.shared.ledger.report()
     }
 
+    /// Counters by client account and by place since the start, for explaining.
+    #[must_use]
+    pub fn counts(&self) -> sg_report::Counts {
+        self.shared.tally.read()
+    }
+
     /// How many answers had `outcome` and `reason`; `account` is `None` for open routes.
     #[must_use]
     pub fn answers(&self, outcome: Outcome, reason: Reason, account: Option<&id::Account>) -> u64 {
@@ -180,6 +186,7 @@
     shared
         .metric
         .answer(outcome, reason, trace.account.as_ref());
+    shared.tally.add(&trace, outcome, reason, now);
     if let Some((service, _)) = &trace.place {
         let entry = trace.entry(outcome, reason, now);
         shared.ledger.add(service, trace.account.as_ref(), entry);
--- a/crates/sg-forward/src/lib.rs
+++ b/crates/sg-forward/src/lib.rs
@@ -14,6 +14,7 @@
 mod body;
 mod call;
 mod check;
+mod counts;
 pub mod fair;
 pub mod forward;
 pub mod gate;
--- a/crates/sg-forward/src/shared.rs
+++ b/crates/sg-forward/src/shared.rs
@@ -8,6 +8,7 @@
 use sg_types::prelude::*;
 
 use crate::{
+    counts::Tally,
     forward::Options,
     gate::{Announce, Freshness, Parts, Tree},
     journal::Journal,
@@ -48,6 +49,7 @@
     pub metric: Metric,
     pub journal: Journal,
     pub ledger: Ledger,
+    pub tally: Tally,
     pub stop: Stop,
     pub mint: Mint,
     pub tickets: Mutex<Register>,
@@ -75,6 +77,7 @@
             metric,
             journal: Journal::new(JOURNAL_RECORDS),
             ledger: Ledger::default(),
+            tally: Tally::default(),
             stop: Stop::default(),
             mint: Mint::new(options.instance.clone(), options.incarnation),
             tickets: Mutex::new(Register::new(TICKET_BOUNDS)),
--- a/crates/sg-report/src/counts.rs
+++ b/crates/sg-report/src/counts.rs
@@ -62,10 +62,15 @@
         }
     }
 
-    /// All requests.
+    /// All requests, without those that only fetched a ticket.
     #[must_use]
     pub fn total(&self) -> u64 {
-        self.ran + self.unknown + self.refused.values().sum::<u64>()
+        let refused = self.refused.iter();
+        let refused: u64 = refused
+            .filter(|(reason, _)| **reason != Reason::TicketMissing)
+            .map(|(_, count)| count)
+            .sum();
+        self.ran + self.unknown + refused
     }
 
     /// The part of all requests that ran; `None` if there were none.
--- a/crates/sg-report/src/status.rs
+++ b/crates/sg-report/src/status.rs
@@ -135,11 +135,34 @@
                     instance.instance
                 )?;
             }
+        }
+        for (act, names) in self.acts() {
+            let names = shorten(&names, self.instances.len());
+            writeln!(f, "{} {}: {} ({names})", act.what, act.about, act.why)?;
+        }
+        Ok(())
+    }
+}
+
+impl Fleet {
+    /// What instances do by themselves, each with the instances that do it.
+    #[must_use]
+    pub fn acts(&self) -> IndexMap<&Act, Vec<&id::Instance>> {
+        let mut acts: IndexMap<&Act, Vec<&id::Instance>> = IndexMap::new();
+        for instance in &self.instances {
             for act in &instance.acts {
-                let name = &instance.instance;
-                writeln!(f, "{name}: {} {}: {}", act.what, act.about, act.why)?;
+                acts.entry(act).or_default().push(&instance.instance);
             }
         }
-        Ok(())
+        acts
+    }
+}
+
+/// Names, or `all` if all instances are meant.
+fn shorten(names: &[&id::Instance], all: usize) -> String {
+    if names.len() == all {
+        return "all".to_owned();
     }
+    let names: Vec<&str> = names.iter().map(|name| name.as_str()).collect();
+    names.join(", ")
 }
--- a/crates/sg-tree/src/diff.rs
+++ b/crates/sg-tree/src/diff.rs
@@ -35,13 +35,21 @@
 impl fmt::Display for Change {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let sign = match (&self.before, &self.after) {
+            (before, after) if before == after => '=',
             (None, _) => '+',
             (_, None) => '-',
             _ => '~',
         };
         let before = self.before.as_deref().unwrap_or("not set");
         let after = self.after.as_deref().unwrap_or("not set");
-        write!(f, "{sign} {}: {before} -> {after}", self.path)?;
+        if self.before == self.after {
+            write!(f, "{sign} {}: {after}", self.path)?;
+        } else {
+            write!(f, "{sign} {}: {before} -> {after}", self.path)?;
+        }
+        if self.own && self.before == self.after {
+            f.write_str(" (now set here)")?;
+        }
         if !self.own && self.after.is_some() {
             f.write_str(" (inherited again)")?;
         }
--- a/crates/sg-tree/tests/tree/change.rs
+++ b/crates/sg-tree/tests/tree/change.rs
@@ -42,6 +42,12 @@
     assert_eq!(text, "~ /accounts/b/rate: 50/s -> 5/s (inherited again)");
 }
 
+#[test]
+fn a_value_that_is_pinned_without_change_is_told_apart() {
+    let text = diff(&tree(), &set("/accounts/a/rate", "5/s")).to_string();
+    assert_eq!(text, "= /accounts/a/rate: 5/s (now set here)");
+}
+
 #[test]
 fn a_value_tells_where_it_comes_from() {
     let trace = |path: &str| effective::trace(&tree(), &path.parse().expect("a path"));
--- a/crates/sg-types/src/id.rs
+++ b/crates/sg-types/src/id.rs
@@ -49,7 +49,7 @@
 
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(&self.0)
+                f.pad(&self.0)
             }
         }
 
