feat(forward): break callers' connections and notice callers that left; tests of the promises

Cause: the HTTP server polls a connection again after its body failed, which ended a cut chunked answer cleanly, and goes on with a request after its caller left. Found by a test with a target that cuts a chunked answer after 400 KiB: the caller got a proper end. Buffering all answers whole was ruled out for its memory (16 MiB each). A listener below the server now notes each connection; a broken answer breaks it, and a caller that left cancels its exchange. Without that listener, answers of unstated length are held until they are whole.

--- a/crates/sg-forward/src/answer.rs
+++ b/crates/sg-forward/src/answer.rs
@@ -5,7 +5,7 @@
 use sg_clock::Timer;
 use sg_types::prelude::*;
 
-use crate::{headers, history::Step};
+use crate::{headers, history::Step, memory::Held};
 
 /// Answers up to this size are held until they are whole.
 pub const WHOLE_LIMIT: u64 = 256 * 1024;
@@ -40,6 +40,8 @@
     pub progress: Span,
     /// When the request's time is over.
     pub deadline: Instant,
+    /// Whether an answer of unstated length may be passed on before it is whole.
+    pub may_stream: bool,
 }
 
 /// Reads the answer to a request of `method` until it is whole or larger than [`WHOLE_LIMIT`].
@@ -52,15 +54,19 @@
     method: &Method,
     request: &id::Request,
     bounds: Bounds,
+    held: &mut Held,
 ) -> Result<Answer, Step> {
     check_head(&response, method, request, bounds)?;
+    let may_stream = bounds.may_stream || stated_length(response.headers()).is_some();
     let mut body = Gathered::Empty;
     while let Some(part) = next(timer, &mut response, bounds).await? {
+        let size = part.len() as u64;
         body.push(part);
         if body.len() > bounds.limit.get() {
             return Err(Step::Wrong);
         }
-        if body.len() > WHOLE_LIMIT {
+        let fits = held.grow(size) && body.len() <= WHOLE_LIMIT;
+        if !fits && may_stream {
             let first = body.into_content();
             return Ok(Answer::Part {
                 first,
--- a/crates/sg-forward/src/call.rs
+++ b/crates/sg-forward/src/call.rs
@@ -5,7 +5,7 @@
 use reqwest::Url;
 use sg_types::prelude::*;
 
-use crate::{headers, key::Holder, memory::Held, terms::Terms, upstream::Outgoing};
+use crate::{headers, key::Holder, link::Link, memory::Held, terms::Terms, upstream::Outgoing};
 
 /// A request that passed every check that needs no waiting, and whose body is there.
 #[derive(Debug)]
@@ -27,6 +27,8 @@
     /// The bytes that its body takes from the instance's budget.
     #[expect(dead_code, reason = "released when it is dropped")]
     pub held: Held,
+    /// The caller's connection, if it can be broken off.
+    pub link: Option<Arc<Link>>,
 }
 
 impl Call {
--- a/crates/sg-forward/src/forward.rs
+++ b/crates/sg-forward/src/forward.rs
@@ -1,6 +1,6 @@
 //! The endpoint that callers reach.
 
-use poem::{Endpoint, Request, Response};
+use poem::{Endpoint, Request, Response, listener::Acceptor};
 use sg_clock::Timer;
 use sg_steer::Steer;
 use sg_types::prelude::*;
@@ -8,6 +8,7 @@
 use crate::{
     gate::{Admission, Announce, Directory, Freshness, Gates, Parts, Tree},
     journal::Record,
+    link::{Link, Listener},
     metric::Metric,
     path,
     quarantine::Suspicion,
@@ -85,6 +86,13 @@
         })
     }
 
+    /// Wraps the acceptor of callers' connections. An entry that serves without it ends exchanges of
+    /// callers that left only at their deadline, and refuses large answers of unstated length.
+    #[must_use]
+    pub fn listener<L: Acceptor>(&self, inner: L) -> Listener<L> {
+        Listener::new(inner, self.shared.links.clone())
+    }
+
     /// Takes no new work from now on. Resends of requests that ran are still answered.
     pub fn leave(&self) {
         self.shared.stop.leave();
@@ -164,7 +172,13 @@
     let work = shared.stop.begin();
     shared.metric.in_hand.set(shared.stop.in_hand() as i64);
     let mut trace = Trace::new(shared.request_id(), shared.timer.now());
-    let reply = path::serve(shared, request, &mut trace).await;
+    let link = shared.links.find(&request.remote_addr().0);
+    let serving = path::serve(shared, request, link.clone(), &mut trace);
+    let Some(reply) = unless_gone(link.as_deref(), serving).await else {
+        shared.metric.callers_gone.inc();
+        link.inspect(|link| link.break_off());
+        return Response::default();
+    };
     let name = trace.request.clone();
     note(shared, trace, &reply);
     drop(work);
@@ -173,6 +187,18 @@
     reply.into_response(&name)
 }
 
+/// Serves, and gives up if the caller goes away: nobody would read the answer.
+async fn unless_gone(link: Option<&Link>, serving: impl Future<Output = Reply>) -> Option<Reply> {
+    let Some(link) = link else {
+        return Some(serving.await);
+    };
+    tokio::select! {
+        biased;
+        reply = serving => Some(reply),
+        () = link.gone() => None,
+    }
+}
+
 /// Counts the answer and keeps what was decided.
 fn note<P: Parts>(shared: &Shared<P>, trace: Trace, reply: &Reply) {
     let (outcome, reason) = (reply.outcome, reply.reason);
--- a/crates/sg-forward/src/lib.rs
+++ b/crates/sg-forward/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod journal;
 mod key;
 mod limit;
+pub mod link;
 mod memory;
 mod metric;
 mod once;
--- /dev/null
+++ b/crates/sg-forward/src/link.rs
@@ -0,0 +1,223 @@
+//! Callers' connections, so that an exchange learns that its caller has gone and can break a
+//! connection whose answer must not end well.
+//!
+//! The HTTP server goes on with a connection after a body failed or its caller left: it would end a
+//! cut answer cleanly, and work for nobody. A [`Listener`] sits below it and closes that gap.
+
+use std::{
+    io::{self, IoSlice},
+    net::SocketAddr,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    task::{Context, Poll},
+};
+
+use futures_util::task::AtomicWaker;
+use http::uri::Scheme;
+use parking_lot::Mutex;
+use poem::{
+    Addr,
+    listener::Acceptor,
+    web::{LocalAddr, RemoteAddr},
+};
+use sg_types::prelude::IndexMap;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    sync::Notify,
+};
+
+/// A caller's connection, as its exchanges see it.
+#[derive(Debug, Default)]
+pub struct Link {
+    broken: AtomicBool,
+    gone: AtomicBool,
+    left: Notify,
+    writer: AtomicWaker,
+}
+
+impl Link {
+    /// Lets nothing more be written; the connection ends without a proper end of its answer.
+    pub fn break_off(&self) {
+        self.broken.store(true, Ordering::SeqCst);
+        self.writer.wake();
+    }
+
+    /// Waits until the caller closes its side.
+    pub async fn gone(&self) {
+        let left = self.left.notified();
+        tokio::pin!(left);
+        left.as_mut().enable();
+        if !self.gone.load(Ordering::SeqCst) {
+            left.await;
+        }
+    }
+
+    fn close(&self) {
+        self.gone.store(true, Ordering::SeqCst);
+        self.left.notify_waiters();
+    }
+
+    fn check(&self) -> io::Result<()> {
+        if self.broken.load(Ordering::SeqCst) {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        Ok(())
+    }
+}
+
+/// The open connections, by the caller's address. Clones share them.
+#[derive(Debug, Clone, Default)]
+pub struct Links {
+    open: Arc<Mutex<IndexMap<SocketAddr, Arc<Link>>>>,
+}
+
+impl Links {
+    /// The connection from `remote`, if it came through a [`Listener`].
+    #[must_use]
+    pub fn find(&self, remote: &Addr) -> Option<Arc<Link>> {
+        let Addr::SocketAddr(remote) = remote else {
+            return None;
+        };
+        self.open.lock().get(remote).cloned()
+    }
+
+    fn open(&self, remote: SocketAddr) -> Arc<Link> {
+        let link = Arc::new(Link::default());
+        self.open.lock().insert(remote, link.clone());
+        link
+    }
+
+    fn close(&self, remote: SocketAddr, link: &Arc<Link>) {
+        let mut open = self.open.lock();
+        let same = open
+            .get(&remote)
+            .is_some_and(|found| Arc::ptr_eq(found, link));
+        if same {
+            open.swap_remove(&remote);
+        }
+    }
+}
+
+/// Accepts callers' connections for a [`crate::Forward`].
+#[derive(Debug)]
+pub struct Listener<A> {
+    inner: A,
+    links: Links,
+}
+
+impl<A> Listener<A> {
+    /// Accepts by `inner` and notes each connection in `links`.
+    #[must_use]
+    pub fn new(inner: A, links: Links) -> Self {
+        Self { inner, links }
+    }
+}
+
+impl<A: Acceptor> Acceptor for Listener<A> {
+    type Io = Io<A::Io>;
+
+    fn local_addr(&self) -> Vec<LocalAddr> {
+        self.inner.local_addr()
+    }
+
+    async fn accept(&mut self) -> io::Result<(Self::Io, LocalAddr, RemoteAddr, Scheme)> {
+        let (inner, local, remote, scheme) = self.inner.accept().await?;
+        let noted = match &remote.0 {
+            Addr::SocketAddr(address) => Some((*address, self.links.open(*address))),
+            _ => None,
+        };
+        let io = Io {
+            inner,
+            noted,
+            links: self.links.clone(),
+        };
+        Ok((io, local, remote, scheme))
+    }
+}
+
+/// The bytes of one connection.
+#[derive(Debug)]
+pub struct Io<T> {
+    inner: T,
+    noted: Option<(SocketAddr, Arc<Link>)>,
+    links: Links,
+}
+
+impl<T> Io<T> {
+    fn link(&self) -> Option<&Link> {
+        self.noted.as_ref().map(|(_, link)| link.as_ref())
+    }
+
+    fn before_write(&self, cx: &Context<'_>) -> io::Result<()> {
+        let Some(link) = self.link() else {
+            return Ok(());
+        };
+        link.writer.register(cx.waker());
+        link.check()
+    }
+}
+
+impl<T: AsyncRead + Unpin> AsyncRead for Io<T> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.inner).poll_read(cx, buffer);
+        let ended = match &read {
+            Poll::Ready(Ok(())) => buffer.filled().len() == before,
+            Poll::Ready(Err(_)) => true,
+            Poll::Pending => false,
+        };
+        if ended && let Some(link) = self.link() {
+            link.close();
+        }
+        read
+    }
+}
+
+impl<T: AsyncWrite + Unpin> AsyncWrite for Io<T> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.before_write(cx)?;
+        Pin::new(&mut self.inner).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.before_write(cx)?;
+        Pin::new(&mut self.inner).poll_write_vectored(cx, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.before_write(cx)?;
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
+
+impl<T> Drop for Io<T> {
+    fn drop(&mut self) {
+        if let Some((remote, link)) = self.noted.take() {
+            link.close();
+            self.links.close(remote, &link);
+        }
+    }
+}
--- a/crates/sg-forward/src/metric.rs
+++ b/crates/sg-forward/src/metric.rs
@@ -16,6 +16,8 @@
     pub broken_streams: IntCounter,
     /// Streams that ended because their key was withdrawn or this instance lost touch.
     pub ended_streams: IntCounter,
+    /// Exchanges that ended because their caller had gone.
+    pub callers_gone: IntCounter,
     /// Requests that waited for a permit or for share.
     pub queued: IntCounter,
     /// Bytes of bodies that are held now.
@@ -71,6 +73,7 @@
             )?,
             broken_streams: counter("broken_streams_total", "Large answers that broke.")?,
             ended_streams: counter("ended_streams_total", "Streams ended for their key.")?,
+            callers_gone: counter("callers_gone_total", "Callers that left.")?,
             queued: counter("queued_total", "Requests that waited.")?,
             held_bytes: gauge("held_bytes", "Bytes of bodies held.")?,
             in_hand: gauge("in_hand", "Requests in hand.")?,
@@ -82,10 +85,11 @@
         })
     }
 
-    fn counters(&self) -> [&IntCounter; 7] {
+    fn counters(&self) -> [&IntCounter; 8] {
         [
             &self.broken_streams,
             &self.ended_streams,
+            &self.callers_gone,
             &self.queued,
             &self.relays,
             &self.suspects,
--- a/crates/sg-forward/src/path.rs
+++ b/crates/sg-forward/src/path.rs
@@ -12,6 +12,7 @@
     gate::Parts,
     issue,
     key::Presented,
+    link::Link,
     once::{self, Standing},
     relay,
     reply::Reply,
@@ -27,6 +28,7 @@
 pub async fn serve<P: Parts>(
     shared: &Arc<Shared<P>>,
     request: Request,
+    link: Option<Arc<Link>>,
     trace: &mut Trace,
 ) -> Reply {
     let (parts, body) = request.into_parts();
@@ -35,7 +37,7 @@
         uri: parts.uri,
     };
     let ticket = once::named(&parts.headers);
-    let reply = dispatch(shared, line, parts.headers, body, trace).await;
+    let reply = dispatch(shared, line, parts.headers, body, link, trace).await;
     match ticket {
         Some(ticket) if reply.outcome == Outcome::NotRun && shared.in_doubt(&ticket) => {
             reply.in_doubt()
@@ -49,6 +51,7 @@
     line: Line,
     headers: HeaderMap,
     body: Body,
+    link: Option<Arc<Link>>,
     trace: &mut Trace,
 ) -> Reply {
     let head = match line.uri.path() {
@@ -57,7 +60,7 @@
         _ => check::direct(shared, line, headers, trace),
     };
     match head {
-        Ok(head) => proceed(shared, head, body, trace).await,
+        Ok(head) => proceed(shared, head, body, link, trace).await,
         Err(reason) => Reply::not_run(reason),
     }
 }
@@ -66,6 +69,7 @@
     shared: &Arc<Shared<P>>,
     head: Head,
     body: Body,
+    link: Option<Arc<Link>>,
     trace: &mut Trace,
 ) -> Reply {
     let standing = match once::standing(shared, &head) {
@@ -83,7 +87,7 @@
     }
     let view = head.view.clone();
     let relayed = Relayed::of(&head);
-    let call = match read(shared, head, body.into(), trace).await {
+    let call = match read(shared, head, body.into(), link, trace).await {
         Ok(call) => call,
         Err(reason) => return Reply::not_run(reason),
     };
@@ -118,6 +122,7 @@
     shared: &Shared<P>,
     head: Head,
     body: Incoming,
+    link: Option<Arc<Link>>,
     trace: &Trace,
 ) -> Result<Call, Reason> {
     let until = shared.timer.now() + head.terms.body_timeout;
@@ -141,6 +146,7 @@
         fingerprint,
         outgoing: call::outgoing(head.method, head.url, head.headers, whole.content),
         held,
+        link,
     })
 }
 
--- a/crates/sg-forward/src/relay.rs
+++ b/crates/sg-forward/src/relay.rs
@@ -58,6 +58,7 @@
         limit: call.terms.answer_limit,
         progress: call.terms.deadline,
         deadline: call.deadline,
+        may_stream: call.link.is_some(),
     };
     let timer = &shared.timer;
     let sent = shared.clients.send(
@@ -70,7 +71,16 @@
     );
     let answer = match sent.await {
         Ok(response) => {
-            answer::take(timer, response, &call.outgoing.method, &call.id, bounds).await
+            let held = &mut shared.memory.hold();
+            answer::take(
+                timer,
+                response,
+                &call.outgoing.method,
+                &call.id,
+                bounds,
+                held,
+            )
+            .await
         }
         Err(step) => Err(step),
     };
@@ -150,6 +160,7 @@
                 rest,
                 attempt: None,
                 end: End::Cancelled,
+                link: call.link,
                 permit: None,
                 work: shared.stop.begin(),
             };
--- a/crates/sg-forward/src/run.rs
+++ b/crates/sg-forward/src/run.rs
@@ -137,7 +137,8 @@
             .await?;
         let latency = timer.now().since(sent);
         let method = &call.outgoing.method;
-        let answer = answer::take(timer, response, method, &call.id, self.bounds()).await?;
+        let held = &mut self.shared.memory.hold();
+        let answer = answer::take(timer, response, method, &call.id, self.bounds(), held).await?;
         if let Answer::Whole {
             status, headers, ..
         } = &answer
@@ -173,6 +174,7 @@
             limit: self.call.terms.answer_limit,
             progress: self.call.terms.progress_timeout,
             deadline: self.call.deadline,
+            may_stream: self.call.link.is_some(),
         }
     }
 
@@ -223,6 +225,7 @@
                 latency,
                 failed: status.is_server_error(),
             },
+            link: self.call.link.clone(),
             permit: self.permit.take(),
             work: self.shared.stop.begin(),
         };
--- a/crates/sg-forward/src/stream.rs
+++ b/crates/sg-forward/src/stream.rs
@@ -6,6 +6,7 @@
 use futures_util::stream;
 use sg_steer::{Attempt, End, Steer};
 use sg_types::prelude::*;
+use tokio::task::AbortHandle;
 
 use crate::{
     answer::{self, Bounds},
@@ -13,6 +14,7 @@
     history::Step,
     key::Holder,
     limit::Permit,
+    link::Link,
     shared::Shared,
     stop::Work,
     terms::Terms,
@@ -36,6 +38,8 @@
     pub attempt: Option<<P::Steer as Steer>::Attempt>,
     /// How the attempt ends if the answer does.
     pub end: End,
+    /// The caller's connection.
+    pub link: Option<Arc<Link>>,
     /// The right to work.
     #[expect(dead_code, reason = "released when it is dropped")]
     pub permit: Option<Permit>,
@@ -48,9 +52,20 @@
     /// The body that a caller gets.
     #[must_use]
     pub fn into_body(self) -> poem::Body {
+        let guard = self.link.clone().map(|link| {
+            let watch = watch(
+                self.shared.clone(),
+                self.terms.clone(),
+                self.holder.clone(),
+                self.bounds.deadline,
+                link,
+            );
+            Guard(tokio::spawn(watch).abort_handle())
+        });
         let state = State {
             sent: 0,
             flow: Some(self),
+            guard,
         };
         poem::Body::from_bytes_stream(stream::unfold(state, step))
     }
@@ -92,9 +107,39 @@
     }
 }
 
+/// How often a stream's key is checked while its caller reads nothing.
+const CHECK: Span = Span::from_secs(1);
+
+/// Breaks a stream whose caller reads too slowly for its deadline, or whose key was withdrawn.
+async fn watch<P: Parts>(
+    shared: Arc<Shared<P>>,
+    terms: Terms,
+    holder: Option<Holder>,
+    deadline: Instant,
+    link: Arc<Link>,
+) {
+    while shared.allows(&terms, holder.as_ref(), deadline).is_ok() {
+        let next = shared.timer.now() + CHECK;
+        shared.timer.sleep_until(next.min(deadline)).await;
+    }
+    shared.metric.ended_streams.inc();
+    link.break_off();
+}
+
+/// Ends the watch of a stream with the stream.
+struct Guard(AbortHandle);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 struct State<P: Parts> {
     sent: u64,
     flow: Option<Flow<P>>,
+    #[expect(dead_code, reason = "released when it is dropped")]
+    guard: Option<Guard>,
 }
 
 async fn step<P: Parts>(mut state: State<P>) -> Option<(io::Result<Content>, State<P>)> {
@@ -112,6 +157,9 @@
         }
         Err(step) => {
             flow.shared.metric.broken_streams.inc();
+            if let Some(link) = &flow.link {
+                link.break_off();
+            }
             flow.finish(step.end(Span::ZERO));
             let broken = io::Error::other("the answer broke; see Sg-Request-Id");
             Some((Err(broken), state))
--- /dev/null
+++ b/crates/sg-forward/tests/forward/double.rs
@@ -0,0 +1,249 @@
+//! Doubles of what the request path needs, and an entry made with them.
+
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicBool, AtomicU32, Ordering},
+};
+
+use parking_lot::Mutex;
+use poem::{Server, listener::TcpAcceptor};
+use sg_clock::Timer;
+use sg_forward::{Forward, Gates, forward::Options, gate};
+use sg_steer::{Ask, Attempt, End, Steer};
+use sg_tree::{Digest, Node, View, compile::compile};
+use sg_types::prelude::*;
+
+pub const KEY_A: &str = "key-of-account-a-0123456789";
+pub const KEY_B: &str = "key-of-account-b-0123456789";
+
+/// The tree of the tests; `changes` are paths and values that replace or add settings.
+pub fn view(revision: u64, changes: &[(&str, &str)]) -> View {
+    let text = r#"{
+      "fleet": { "concurrency": 64 },
+      "regions": { "north": { "domains": { "n1": {} } } },
+      "services": { "desk": {
+        "attempts": 2, "progress-timeout": "300ms", "connect-timeout": "1s",
+        "routes": {
+          "open": { "path": "/open", "access": "open", "repeatable": "yes" },
+          "read": { "path": "/read", "repeatable": "yes" },
+          "book": { "path": "/book", "deadline": "700ms" } } } },
+      "accounts": { "a": { "keys": { "k1": {} } }, "b": { "keys": { "k1": {} } } }
+    }"#;
+    let mut tree = Node::from_json(text).expect("the tree reads");
+    for (account, key) in [("a", KEY_A), ("b", KEY_B)] {
+        let path = format!("/accounts/{account}/keys/k1/digest");
+        let digest = Digest::of(key).to_string();
+        tree.set(&path.parse().expect("a path"), digest);
+    }
+    for (path, value) in changes {
+        tree.set(&path.parse().expect("a path"), value);
+    }
+    compile(&tree, Revision::new(revision))
+        .expect("compiles")
+        .view
+}
+
+/// A share of 100 that a retry may take for each request.
+pub const TENTH: u32 = 10;
+
+#[derive(Default)]
+pub struct State {
+    pub view: Mutex<Option<Arc<View>>>,
+    pub refusal: Mutex<Option<gate::Refusal>>,
+    pub admitted: AtomicU32,
+    pub stale: AtomicBool,
+    pub targets: Mutex<Vec<(id::Target, SocketAddr)>>,
+    pub starts: Mutex<Vec<id::Target>>,
+    pub ends: Mutex<Vec<End>>,
+    pub retry_percent: AtomicU32,
+    pub retries: AtomicU32,
+    pub notices: Mutex<Vec<Notice>>,
+    pub entries: Mutex<IndexMap<(id::Instance, Incarnation), SocketAddr>>,
+}
+
+/// All gates at once; clones share their state.
+#[derive(Clone, Default)]
+pub struct World(pub Arc<State>);
+
+impl World {
+    pub fn new(targets: &[SocketAddr]) -> Self {
+        let world = Self::default();
+        world.set(view(1, &[]));
+        let named = targets.iter().enumerate();
+        *world.0.targets.lock() = named
+            .map(|(n, address)| (format!("t{n}").parse().expect("a name"), *address))
+            .collect();
+        world.0.retry_percent.store(100, Ordering::SeqCst);
+        world
+    }
+
+    pub fn set(&self, view: View) {
+        *self.0.view.lock() = Some(Arc::new(view));
+    }
+
+    pub fn refuse(&self, retry_after: Span, may_wait: bool) {
+        *self.0.refusal.lock() = Some(gate::Refusal {
+            retry_after,
+            may_wait,
+        });
+    }
+
+    pub fn ends(&self) -> Vec<End> {
+        self.0.ends.lock().clone()
+    }
+}
+
+impl gate::Tree for World {
+    fn view(&self) -> Option<Arc<View>> {
+        self.0.view.lock().clone()
+    }
+}
+
+impl gate::Admission for World {
+    fn admit(&self, account: &id::Account, now: Instant) -> Result<(), gate::Refusal> {
+        self.peek(account, now)?;
+        self.0.admitted.fetch_add(1, Ordering::SeqCst);
+        Ok(())
+    }
+
+    fn peek(&self, _: &id::Account, _: Instant) -> Result<(), gate::Refusal> {
+        self.0.refusal.lock().map_or(Ok(()), Err)
+    }
+}
+
+impl gate::Freshness for World {
+    fn is_fresh(&self, _: Instant) -> bool {
+        !self.0.stale.load(Ordering::SeqCst)
+    }
+}
+
+impl gate::Announce for World {
+    fn announce(&self, notice: Notice) {
+        self.0.notices.lock().push(notice);
+    }
+}
+
+impl gate::Directory for World {
+    fn entry(&self, instance: &id::Instance, incarnation: Incarnation) -> Option<SocketAddr> {
+        let key = (instance.clone(), incarnation);
+        self.0.entries.lock().get(&key).copied()
+    }
+}
+
+impl Steer for World {
+    type Attempt = Started;
+
+    fn start(&self, ask: Ask<'_>) -> Result<Started, Reason> {
+        let targets = self.0.targets.lock();
+        let next = targets.iter().find(|(name, _)| !ask.tried.contains(name));
+        let (target, address) = next.cloned().ok_or(Reason::NoTarget)?;
+        self.0.starts.lock().push(target.clone());
+        Ok(Started {
+            target,
+            address,
+            region: "north".parse().expect("a name"),
+            world: self.clone(),
+            ended: false,
+        })
+    }
+
+    fn may_retry(&self, _: &id::Service, _: Instant) -> bool {
+        let retries = self.0.retries.fetch_add(1, Ordering::SeqCst) + 1;
+        let requests = self.0.starts.lock().len() as u32 + 1 - retries;
+        let allowed = retries * 100 < requests * self.0.retry_percent.load(Ordering::SeqCst);
+        if !allowed {
+            self.0.retries.fetch_sub(1, Ordering::SeqCst);
+        }
+        allowed || self.0.retry_percent.load(Ordering::SeqCst) >= 100
+    }
+}
+
+pub struct Started {
+    target: id::Target,
+    address: SocketAddr,
+    region: id::Region,
+    world: World,
+    ended: bool,
+}
+
+impl Attempt for Started {
+    fn target(&self) -> &id::Target {
+        &self.target
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn region(&self) -> &id::Region {
+        &self.region
+    }
+
+    fn in_flight(&self) -> u32 {
+        1
+    }
+
+    fn end(mut self, end: End, _: Instant) {
+        self.ended = true;
+        self.world.0.ends.lock().push(end);
+    }
+}
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.world.0.ends.lock().push(End::Cancelled);
+        }
+    }
+}
+
+pub type Path = Forward<World, World, World, World, World, World>;
+
+/// An entry that listens.
+pub struct Entry {
+    pub forward: Path,
+    pub address: SocketAddr,
+    pub instance: id::Instance,
+    pub incarnation: Incarnation,
+}
+
+impl Entry {
+    pub async fn start(name: &str, incarnation: u64, world: &World) -> Self {
+        let options = Options {
+            instance: name.parse().expect("a name"),
+            incarnation: Incarnation::new(incarnation),
+        };
+        let gates = Gates {
+            tree: world.clone(),
+            admission: world.clone(),
+            freshness: world.clone(),
+            steer: world.clone(),
+            announce: world.clone(),
+            directory: world.clone(),
+        };
+        let registry = prometheus::Registry::new();
+        let forward =
+            Forward::new(options.clone(), gates, Timer::new(), &registry).expect("is made");
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("binds");
+        let address = listener.local_addr().expect("has an address");
+        listener.set_nonblocking(true).expect("is set");
+        let listener = tokio::net::TcpListener::from_std(listener).expect("listens");
+        let acceptor = TcpAcceptor::from_tokio(listener).expect("accepts");
+        let acceptor = forward.listener(acceptor);
+        tokio::spawn(Server::new_with_acceptor(acceptor).run(forward.clone()));
+        let key = (options.instance.clone(), options.incarnation);
+        world.0.entries.lock().insert(key, address);
+        Self {
+            forward,
+            address,
+            instance: options.instance,
+            incarnation: options.incarnation,
+        }
+    }
+
+    /// Forgets the entry as the directory does when an instance dies.
+    pub fn vanish(&self, world: &World) {
+        let key = (self.instance.clone(), self.incarnation);
+        world.0.entries.lock().swap_remove(&key);
+    }
+}
--- /dev/null
+++ b/crates/sg-forward/tests/forward/limits.rs
@@ -0,0 +1,180 @@
+//! Limits of headers, bodies, time and rate; refusals before the body is read.
+
+use sg_types::prelude::*;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+use crate::{
+    double::{Entry, KEY_A, World, view},
+    wire::{Act, Answer, Target, bearer, ok, raw, read_all, request},
+};
+
+const SMALL: &[(&str, &str)] = &[
+    ("/fleet/header-limit", "1KiB"),
+    ("/services/desk/body-limit", "64B"),
+    ("/services/desk/body-timeout", "200ms"),
+];
+
+async fn set_up() -> (Target, World, Entry) {
+    let target = Target::start(|_, _| ok("hello")).await;
+    let world = World::new(&[target.address]);
+    world.set(view(2, SMALL));
+    let entry = Entry::start("e1", 1, &world).await;
+    (target, world, entry)
+}
+
+/// Sends the start of a request, closes the sending side if told to, and reads the answer.
+async fn part(entry: &Entry, text: &str, close: bool) -> Answer {
+    let mut stream = TcpStream::connect(entry.address).await.expect("connects");
+    stream.write_all(text.as_bytes()).await.expect("writes");
+    if close {
+        stream.shutdown().await.expect("shuts down");
+    }
+    Answer::of(&read_all(&mut stream).await)
+}
+
+#[tokio::test]
+async fn what_is_over_a_limit_or_incomplete_runs_nothing() {
+    let (target, _world, entry) = set_up().await;
+    let long = format!("x-long: {}", "x".repeat(2048));
+    let text = request("GET", "/read", &[bearer(KEY_A), long], "");
+    raw(entry.address, text)
+        .await
+        .expect(Outcome::NotRun, Reason::HeadersTooLarge);
+    let chunked = request(
+        "POST",
+        "/read",
+        &[bearer(KEY_A), "transfer-encoding: chunked".into()],
+        "",
+    );
+    let large = format!("{chunked}80\r\n{}\r\n0\r\n\r\n", "x".repeat(128));
+    raw(entry.address, large)
+        .await
+        .expect(Outcome::NotRun, Reason::BodyTooLarge);
+    let slow = format!("{chunked}2\r\nhi\r\n");
+    part(&entry, &slow, false)
+        .await
+        .expect(Outcome::NotRun, Reason::BodyIncomplete);
+    let cut = part(&entry, &slow, true).await;
+    assert!(cut.head.is_empty() || cut.said().0 == "not-run", "{cut:?}");
+    let short = request(
+        "GET",
+        "/read",
+        &[bearer(KEY_A), "sg-deadline-ms: 0".into()],
+        "",
+    );
+    raw(entry.address, short)
+        .await
+        .expect(Outcome::NotRun, Reason::Deadline);
+    assert!(target.seen().is_empty(), "{:?}", target.seen());
+    let good = format!("{chunked}2\r\nhi\r\n0\r\n\r\n");
+    raw(entry.address, good)
+        .await
+        .expect(Outcome::Ran, Reason::Answered);
+    assert!(target.seen()[0].ends_with("\r\n\r\nhi"));
+}
+
+#[tokio::test]
+async fn refusals_come_before_the_body() {
+    let (target, world, entry) = set_up().await;
+    // The heads promise bodies that are never sent, so only an early refusal can answer.
+    let large = request(
+        "POST",
+        "/read",
+        &[bearer(KEY_A), "content-length: 4096".into()],
+        "",
+    );
+    part(&entry, &large, false)
+        .await
+        .expect(Outcome::NotRun, Reason::BodyTooLarge);
+    world.refuse(Span::from_millis(1500), false);
+    let head = request(
+        "POST",
+        "/read",
+        &[bearer(KEY_A), "content-length: 60".into()],
+        "",
+    );
+    let answer = part(&entry, &head, false).await;
+    answer.expect(Outcome::NotRun, Reason::OverRate);
+    assert_eq!(answer.header("retry-after").as_deref(), Some("2"));
+    let account = "a".parse().expect("a name");
+    assert_eq!(
+        entry
+            .forward
+            .answers(Outcome::NotRun, Reason::OverRate, Some(&account)),
+        1
+    );
+    assert!(target.seen().is_empty());
+    // Without the refusal the same head waits for its body.
+    *world.0.refusal.lock() = None;
+    part(&entry, &head, false)
+        .await
+        .expect(Outcome::NotRun, Reason::BodyIncomplete);
+}
+
+#[tokio::test]
+async fn a_request_waits_a_moment_for_share_that_is_on_its_way() {
+    let (target, world, entry) = set_up().await;
+    world.refuse(Span::from_millis(10), true);
+    let later = world.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(std::time::Duration::from_millis(60)).await;
+        *later.0.refusal.lock() = None;
+    });
+    let text = request("GET", "/read", &[bearer(KEY_A)], "");
+    raw(entry.address, &text)
+        .await
+        .expect(Outcome::Ran, Reason::Answered);
+    // Share that does not come ends the wait with a refusal.
+    world.refuse(Span::from_millis(10), true);
+    raw(entry.address, &text)
+        .await
+        .expect(Outcome::NotRun, Reason::OverRate);
+    assert_eq!(target.seen().len(), 1);
+}
+
+#[tokio::test]
+async fn a_caller_that_does_not_read_is_cut_off_at_its_deadline() {
+    const SIZE: usize = 32 * 1024 * 1024;
+    let target = Target::start(|_, _| {
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {SIZE}\r\n\r\n");
+        Act::Answer(head + &"x".repeat(SIZE))
+    })
+    .await;
+    let world = World::new(&[target.address]);
+    let limit = ("/services/desk/answer-limit", "64MiB");
+    world.set(view(2, &[limit, ("/services/desk/deadline", "300ms")]));
+    let entry = Entry::start("e1", 1, &world).await;
+    let mut stream = TcpStream::connect(entry.address).await.expect("connects");
+    let text = request("GET", "/read", &[bearer(KEY_A)], "");
+    stream.write_all(text.as_bytes()).await.expect("writes");
+    let mut first = [0; 64];
+    stream.read_exact(&mut first).await.expect("reads");
+    assert_eq!(entry.forward.in_hand(), 1);
+    entry.forward.idle().await;
+    assert!(read_all(&mut stream).await.len() < SIZE);
+}
+
+#[tokio::test]
+async fn the_deadline_is_cut_and_passed_on() {
+    let (target, _world, entry) = set_up().await;
+    let text = request(
+        "GET",
+        "/read",
+        &[bearer(KEY_A), "sg-deadline-ms: 500".into()],
+        "",
+    );
+    raw(entry.address, text)
+        .await
+        .expect(Outcome::Ran, Reason::Answered);
+    let seen = target.seen();
+    let line = seen[0]
+        .lines()
+        .find(|line| line.starts_with("sg-deadline-ms: "));
+    let left: u64 = line.expect("is told")["sg-deadline-ms: ".len()..]
+        .parse()
+        .expect("a number");
+    assert!(left <= 500, "{left}");
+}
--- /dev/null
+++ b/crates/sg-forward/tests/forward/main.rs
@@ -0,0 +1,14 @@
+//! Shows the promises of the request path with targets and callers that see every byte.
+
+mod double;
+mod fairness;
+mod keys;
+mod limits;
+mod once;
+mod outcomes;
+mod quarantine;
+mod retries;
+mod stops;
+mod tickets;
+mod whole;
+mod wire;
--- /dev/null
+++ b/crates/sg-forward/tests/forward/tickets.rs
@@ -0,0 +1,164 @@
+//! Tickets and the memory of used ones, without sockets.
+
+use bytes::Bytes as Content;
+use http::{HeaderMap, StatusCode};
+use quickcheck::quickcheck;
+use sg_forward::{
+    register::{Bounds, GRACE, Record, Register, Start},
+    ticket::{Mint, Sequence, Ticket},
+};
+use sg_types::prelude::*;
+
+use crate::{
+    double::{Entry, KEY_A, World},
+    wire::{bearer, raw, request},
+};
+
+const LIFE: Span = Span::from_secs(600);
+
+fn mint(incarnation: u64) -> Mint {
+    Mint::new("e1".parse().expect("a name"), Incarnation::new(incarnation))
+}
+
+fn at(secs: u64) -> Instant {
+    Instant::START + Span::from_secs(secs)
+}
+
+fn issue(number: u64) -> Ticket {
+    mint(1).issue(None, Sequence::new(number), Instant::START + LIFE)
+}
+
+fn register(tickets: usize, bytes: u64) -> Register {
+    Register::new(Bounds { tickets, bytes })
+}
+
+fn record(outcome: Outcome, body: &'static str) -> Record {
+    Record {
+        outcome,
+        reason: Reason::Answered,
+        status: StatusCode::OK,
+        headers: HeaderMap::new(),
+        body: Some(Content::from_static(body.as_bytes())),
+    }
+}
+
+const REQUEST: Fingerprint = Fingerprint::new(7);
+
+/// How often two sends of one ticket run, given a register for each.
+fn runs(registers: [&mut Register; 2]) -> usize {
+    let ticket = issue(1);
+    let starts = registers.map(|one| one.start(&ticket, REQUEST, at(1)));
+    starts
+        .iter()
+        .filter(|start| matches!(start, Start::Go))
+        .count()
+}
+
+#[test]
+fn a_used_ticket_never_starts_again_and_a_register_that_forgets_is_caught() {
+    let mut kept = register(8, 1024);
+    let ticket = issue(1);
+    assert!(matches!(kept.start(&ticket, REQUEST, at(1)), Start::Go));
+    assert!(matches!(
+        kept.start(&ticket, REQUEST, at(2)),
+        Start::Join(_)
+    ));
+    kept.finish(Sequence::new(1), record(Outcome::Ran, "booked"));
+    assert!(matches!(
+        kept.start(&ticket, REQUEST, at(3)),
+        Start::Join(_)
+    ));
+    assert!(matches!(
+        kept.start(&ticket, Fingerprint::new(8), at(3)),
+        Start::Mismatch
+    ));
+    // Two registers, as if the first had been forgotten, run it twice.
+    assert_eq!(runs([&mut register(8, 1024), &mut register(8, 1024)]), 2);
+}
+
+#[test]
+fn a_full_register_refuses_new_tickets_and_forgets_none() {
+    let mut register = register(2, 1024);
+    for number in 0..2 {
+        assert!(matches!(
+            register.start(&issue(number), REQUEST, at(1)),
+            Start::Go
+        ));
+    }
+    assert!(matches!(
+        register.start(&issue(2), REQUEST, at(2)),
+        Start::Full
+    ));
+    assert!(matches!(
+        register.start(&issue(0), REQUEST, at(2)),
+        Start::Join(_)
+    ));
+    // Room comes only when no answer about a ticket is owed any more.
+    let end = Instant::START + LIFE + GRACE;
+    assert!(register.may_have_started(&issue(0), end));
+    let later = mint(1).issue(None, Sequence::new(3), end + LIFE);
+    assert!(matches!(register.start(&later, REQUEST, end), Start::Go));
+    assert_eq!(register.len(), 1);
+}
+
+#[test]
+fn answers_are_kept_within_a_bound_of_bytes() {
+    let mut register = register(8, 10);
+    for number in 0..3 {
+        assert!(matches!(
+            register.start(&issue(number), REQUEST, at(1)),
+            Start::Go
+        ));
+        register.finish(Sequence::new(number), record(Outcome::Ran, "12345"));
+    }
+    assert_eq!(register.bytes(), 10);
+    let Some(Start::Join(ending)) = register.find(Sequence::new(2), REQUEST) else {
+        panic!("the third ticket is remembered");
+    };
+    let kept = ending.borrow().clone().expect("ended");
+    assert!(
+        kept.body.is_none(),
+        "its answer is gone, its outcome is not"
+    );
+    assert_eq!(kept.outcome, Outcome::Ran);
+}
+
+#[test]
+fn a_run_that_reached_nothing_frees_its_ticket() {
+    let mut register = register(8, 1024);
+    assert!(matches!(
+        register.start(&issue(1), REQUEST, at(1)),
+        Start::Go
+    ));
+    register.finish(Sequence::new(1), record(Outcome::NotRun, ""));
+    assert!(matches!(
+        register.start(&issue(1), REQUEST, at(2)),
+        Start::Go
+    ));
+}
+
+#[tokio::test]
+async fn a_batch_of_tickets_is_bounded() {
+    let world = World::new(&[]);
+    let entry = Entry::start("e1", 1, &world).await;
+    let ask = |path: &str| request("POST", path, &[bearer(KEY_A)], "");
+    let answer = raw(entry.address, ask("/.sg/ticket?count=3")).await;
+    assert_eq!(answer.body.matches("e1:1:").count(), 3, "{answer:?}");
+    let answer = raw(entry.address, ask("/.sg/ticket?count=65")).await;
+    answer.expect(Outcome::NotRun, Reason::Malformed);
+}
+
+quickcheck! {
+    fn a_ticket_reads_back_and_only_its_own_mint_knows_it(number: u64, expires: u64) -> bool {
+        let mint = mint(1);
+        let a: id::Account = "a".parse().expect("a name");
+        let ticket = mint.issue(Some(&a), Sequence::new(number), Instant::from_nanos(expires));
+        let copy: Ticket = ticket.to_string().parse().expect("reads back");
+        let b: id::Account = "b".parse().expect("a name");
+        copy == ticket
+            && mint.issued(&copy, Some(&a))
+            && !mint.issued(&copy, Some(&b))
+            && !mint.issued(&copy, None)
+            && !self::mint(1).issued(&copy, Some(&a))
+    }
+}
