--- a/crates/sg-forward/src/lib.rs
+++ b/crates/sg-forward/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod journal;
 mod key;
 mod limit;
+pub mod link;
 mod memory;
 mod metric;
 mod once;
