--- a/crates/sg-steer/src/health.rs
+++ b/crates/sg-steer/src/health.rs
@@ -212,6 +212,12 @@
         self.trial
     }
 
+    /// Whether the target is thought to work. One on trial is so only while its probe says so.
+    pub(crate) fn works(&self, stale: Span, now: Instant) -> bool {
+        let is_proven = !self.trial || self.fresh_probe(stale, now) == Some(true);
+        self.out.is_none() && is_proven
+    }
+
     /// Whether the target showed a sign that it leaves.
     pub(crate) const fn is_leaving(&self) -> bool {
         self.leaving.is_some()
--- a/crates/sg-steer/src/load.rs
+++ b/crates/sg-steer/src/load.rs
@@ -85,6 +85,11 @@
         self.trusted(stale, now).map(|report| report.in_flight)
     }
 
+    /// The requests of this instance when the believed report was made.
+    pub(crate) fn own(&self, stale: Span, now: Instant) -> u32 {
+        self.trusted(stale, now).map_or(0, |report| report.own)
+    }
+
     /// The requests of other instances, fading with the report's age.
     pub(crate) fn others(&self, stale: Span, now: Instant) -> f64 {
         let Some(report) = self.trusted(stale, now) else {
--- a/crates/sg-steer/src/member.rs
+++ b/crates/sg-steer/src/member.rs
@@ -81,21 +81,23 @@
         self.drain || self.health.is_leaving()
     }
 
-    /// Whether the target may take work, now or as soon as it has room.
-    pub(crate) const fn is_able(&self) -> bool {
-        !self.is_leaving() && self.health.out().is_none()
+    /// Whether the target is thought able to take work, now or as soon as it has room.
+    pub(crate) fn is_able(&self, stale: Span, now: Instant) -> bool {
+        !self.is_leaving() && self.health.works(stale, now)
     }
 
-    /// Whether the target may take a request now.
+    /// Whether the target may be given a request now.
     pub(crate) fn is_open(&self, settings: &Settings, now: Instant) -> bool {
+        let is_in = !self.is_leaving() && self.health.out().is_none();
         let waits = now < self.health.backoff();
-        self.is_able() && !waits && self.in_flight < self.limit(settings, now)
+        is_in && !waits && self.in_flight < self.limit(settings, now)
     }
 
     /// The most requests of this instance that may be in flight on the target.
     ///
-    /// It is this instance's part of the slots, and half of what a believed report says is free
-    /// besides, never more than the slots or this instance's part of the connections.
+    /// It is this instance's part of the slots, or what it had in flight when a believed report was
+    /// made, and half of what that report says is free besides: never more than the slots or this
+    /// instance's part of the connections.
     pub(crate) fn limit(&self, settings: &Settings, now: Instant) -> u32 {
         if self.health.is_trial() {
             return 1;
@@ -103,11 +105,11 @@
         let entries = settings.entries.max(1);
         let slots = self.load.slots(self.slots);
         let part = (slots / entries).max(1);
-        let free = self
-            .load
-            .total(settings.stale, now)
-            .map_or(0, |total| slots.saturating_sub(total.max(self.in_flight)));
-        let limit = (part + free / 2).min(slots);
+        let extra = self.load.total(settings.stale, now).map_or(0, |total| {
+            let used = self.load.own(settings.stale, now).saturating_sub(part);
+            used + slots.saturating_sub(total) / 2
+        });
+        let limit = (part + extra).min(slots);
         let connections = (settings.connections / entries).max(1);
         let warm = f64::from(limit) * self.warmth(settings.slow_start, now);
         (warm.ceil() as u32).min(connections).max(1)
@@ -135,7 +137,7 @@
     pub(crate) fn busy(&self, settings: &Settings, now: Instant) -> f64 {
         let own = f64::from(self.in_flight);
         match self.load.total(settings.stale, now) {
-            Some(total) => f64::from(total).max(own),
+            Some(total) => f64::from(total),
             None => (own * f64::from(settings.entries)).min(f64::from(self.slots)),
         }
     }
--- a/crates/sg-steer/src/pool.rs
+++ b/crates/sg-steer/src/pool.rs
@@ -219,7 +219,7 @@
     fn refresh(&mut self, index: usize, now: Instant) {
         let member = &mut self.members[index];
         let region = &mut self.regions[member.region];
-        let is_able = member.is_able();
+        let is_able = member.is_able(self.settings.stale, now);
         if is_able != member.is_counted {
             member.is_counted = is_able;
             region.able = if is_able {
--- a/crates/sg-steer/src/pool/plan.rs
+++ b/crates/sg-steer/src/pool/plan.rs
@@ -8,7 +8,7 @@
     link::Links,
     region::{Region, Warmth},
     report::{Cause, Phase},
-    shift::{self, DEADBAND, Goal, Limits, Shifter, Slots},
+    shift::{self, Goal, Limits, Shifter, Slots},
     split::Split,
     wheel::Wheel,
 };
@@ -19,8 +19,14 @@
 const PLAN_INTERVAL: Span = Span::from_millis(250);
 /// How long the last decision stays after measurements stopped, in stale spans of load.
 const HOLD_SPANS: f64 = 6.0;
-/// How long a peak of demand is remembered.
-const DEMAND_MEMORY: Span = Span::from_secs(60);
+/// How much more demand must fit for the tree's split to be taken for safe.
+const MARGIN: f64 = 1.1;
+/// The least step that takes traffic from a region for want of capacity.
+const DEADBAND_AWAY: Percent = Percent::from_ppm(20_000);
+/// The least step that gives it back.
+const DEADBAND_BACK: Percent = Percent::from_ppm(50_000);
+/// The time over which demand is averaged.
+const DEMAND_MEMORY: Span = Span::from_secs(15);
 /// The time over which this instance's rate is averaged.
 const RATE_MEMORY: Span = Span::from_secs(10);
 /// Intervals that a step waits for answers that tell whether the receivers are warm.
@@ -42,6 +48,8 @@
     starts: u32,
     measured: Instant,
     planned: Instant,
+    /// When the stage of the shift that is on began.
+    stage: Option<Instant>,
     moves: VecDeque<(Instant, Percent)>,
 }
 
@@ -77,13 +85,19 @@
         &self.goal
     }
 
+    pub(super) const fn demand(&self) -> Slots {
+        self.demand
+    }
+
     pub(super) const fn phase(&self) -> Phase {
         self.phase
     }
 
-    /// Why traffic moves, if it does.
+    /// Why traffic moves or is not split as the tree wants, if so.
     pub(super) fn cause(&self) -> Option<Cause> {
-        self.cause.filter(|_| self.phase != Phase::Steady)
+        let is_moved = self.shifter.in_force() != &self.wanted;
+        self.cause
+            .filter(|_| is_moved || self.phase != Phase::Steady)
     }
 
     /// Puts the split in force for the coming draws.
@@ -113,6 +127,21 @@
         self.shifter.is_away_from(&self.goal.split, Percent::ZERO)
     }
 
+    /// How far the goal must be for a step. Demand is measured with noise, so that traffic which
+    /// left a region for want of capacity goes back only when there is clearly room.
+    fn deadband(&self) -> Percent {
+        if self.cause != Some(Cause::Capacity) {
+            return Percent::ZERO;
+        }
+        let in_force = self.shifter.in_force();
+        let goes_back = self.goal.split.distance(&self.wanted) < in_force.distance(&self.wanted);
+        if goes_back {
+            DEADBAND_BACK
+        } else {
+            DEADBAND_AWAY
+        }
+    }
+
     fn count_rate(&mut self, elapsed: Span) {
         let seconds = elapsed.as_secs_f64();
         let now = f64::from(self.starts) / seconds;
@@ -122,8 +151,8 @@
     }
 
     fn count_demand(&mut self, busy: Slots, elapsed: Span) {
-        let faded = (-elapsed.as_secs_f64() / DEMAND_MEMORY.as_secs_f64()).exp();
-        self.demand = busy.max(self.demand * faded);
+        let weight = elapsed.as_secs_f64() / DEMAND_MEMORY.as_secs_f64();
+        self.demand += (busy - self.demand) * weight.min(1.0);
     }
 
     /// Keeps the moves of the last interval. Returns whether they are under the cap.
@@ -163,13 +192,9 @@
         let silence = now.since(self.plan.measured);
         let hold = self.settings.stale.mul_f64(HOLD_SPANS);
         if silence < self.settings.stale {
-            let busy = self
-                .members
-                .values()
-                .map(|m| m.busy(&self.settings, now))
-                .sum();
+            let busy = self.busy(now);
             self.plan.count_demand(busy, elapsed);
-            self.aim(home, links);
+            self.aim(home, links, now);
         } else if silence < hold {
             self.plan.phase = Phase::Holding;
             return;
@@ -179,16 +204,26 @@
         self.advance(silence >= hold, now);
     }
 
+    /// Requests in work on all targets from all instances, at least those of this one.
+    fn busy(&self, now: Instant) -> Slots {
+        let members = self.members.values();
+        let own: u32 = members.clone().map(|member| member.in_flight).sum();
+        let all: Slots = members.map(|member| member.busy(&self.settings, now)).sum();
+        all.max(f64::from(own))
+    }
+
     /// Works out the goal from what is measured.
-    fn aim(&mut self, home: &id::Region, links: &Links) {
-        let regions = self.evidence(home, links);
+    fn aim(&mut self, home: &id::Region, links: &Links, now: Instant) {
+        let regions = self.evidence(home, links, now);
+        let headroom = self.settings.headroom;
         let plan = &mut self.plan;
-        plan.goal = shift::goal(&regions, plan.demand, self.settings.headroom);
+        plan.goal = shift::goal(&regions, plan.demand, headroom);
+        let with_margin = shift::goal(&regions, plan.demand * MARGIN, headroom);
         let is_down = |name: &id::Region| self.regions.get(name).is_none_or(|r| r.able == 0);
         let down = regions
             .iter()
             .any(|(name, region)| region.wanted > Percent::ZERO && is_down(name));
-        plan.cause = Some(match plan.goal.split == plan.wanted {
+        plan.cause = Some(match with_margin.split == plan.wanted {
             true => Cause::Tree,
             false if down => Cause::RegionDown,
             false => Cause::Capacity,
@@ -207,11 +242,8 @@
     /// Takes a step if there is cause and leave for one.
     fn advance(&mut self, is_blind: bool, now: Instant) {
         let limits = self.settings.limits;
-        let deadband = match self.plan.cause {
-            Some(Cause::Capacity) => DEADBAND,
-            _ => Percent::ZERO,
-        };
         let plan = &mut self.plan;
+        let deadband = plan.deadband();
         if !plan.shifter.is_away_from(&plan.goal.split, deadband) {
             plan.phase = Phase::Steady;
             return;
@@ -220,13 +252,17 @@
             true => Phase::Returning,
             false => Phase::Shifting,
         };
-        if !plan.shifter.is_due(limits.interval, now) {
+        if plan.shifter.allowance(limits, now) == Percent::ZERO {
             return;
         }
-        if !is_blind && !self.receivers_are_warm(now) {
+        if !is_blind && !self.may_go_on(now) {
             self.plan.phase = Phase::WaitingForWarmth;
             return;
         }
+        self.step(limits, now);
+    }
+
+    fn step(&mut self, limits: Limits, now: Instant) {
         let plan = &mut self.plan;
         let Some(step) = plan.shifter.step(&plan.goal.split, limits, now) else {
             return;
@@ -236,17 +272,24 @@
             debug_assert!(false, "a shift over its cap");
         }
         self.counts.steps += 1;
-        self.regions.values_mut().for_each(Region::on_step);
+        if plan.stage.is_none_or(|stage| now > stage + limits.interval) {
+            plan.stage = Some(now);
+            self.regions.values_mut().for_each(Region::on_step);
+        }
         self.plan.set_wheel(&self.regions);
     }
 
-    /// Whether the regions that gain have been seen to do well since the last step.
-    fn receivers_are_warm(&self, now: Instant) -> bool {
-        let Some(last) = self.plan.shifter.last() else {
+    /// Whether the regions that gain have been seen to do well since the last stage began. A stage
+    /// is what moves within one interval; it needs no evidence of itself.
+    fn may_go_on(&self, now: Instant) -> bool {
+        let Some(stage) = self.plan.stage else {
             return true;
         };
+        let waited = |intervals| now >= stage + self.settings.limits.interval.mul_f64(intervals);
+        if !waited(1.0) {
+            return true;
+        }
         let (goal, in_force) = (&self.plan.goal.split, self.plan.in_force());
-        let waited = |intervals| now >= last + self.settings.limits.interval.mul_f64(intervals);
         let mut gaining = self
             .regions
             .values()
@@ -260,10 +303,15 @@
     }
 
     /// What is known of each region.
-    fn evidence(&self, home: &id::Region, links: &Links) -> IndexMap<id::Region, shift::Region> {
+    fn evidence(
+        &self,
+        home: &id::Region,
+        links: &Links,
+        now: Instant,
+    ) -> IndexMap<id::Region, shift::Region> {
         let names = self.regions.keys().enumerate();
         let evidence = names.map(|(index, name)| {
-            let slots = self.slots(index);
+            let slots = self.slots(index, now);
             let answers = links.answers(name, self.settings.answer_size);
             let link = match answers.filter(|_| name != home) {
                 Some(answers) => (answers / self.plan.rate.max(f64::MIN_POSITIVE)).min(1.0),
--- a/crates/sg-steer/src/pool/status.rs
+++ b/crates/sg-steer/src/pool/status.rs
@@ -28,7 +28,7 @@
         let state = self.state.lock();
         let names = state.regions.keys().enumerate();
         let capacity = names.map(|(index, name)| {
-            let slots = state.slots(index).whole;
+            let slots = state.slots(index, Instant::START).whole;
             (name.clone(), state.settings.capacity(slots))
         });
         capacity.collect()
@@ -43,6 +43,7 @@
             revision: state.revision,
             phase: state.plan.phase(),
             cause: state.plan.cause(),
+            demand: state.plan.demand(),
             unplaced: Percent::from_ppm(unplaced),
             regions: names
                 .map(|(index, name)| (name.clone(), state.region_report(index, now)))
@@ -54,13 +55,13 @@
 
 impl State {
     /// Counts the slots of a region.
-    pub(super) fn slots(&self, region: usize) -> Slots {
+    pub(super) fn slots(&self, region: usize, now: Instant) -> Slots {
         let mut slots = Slots::default();
         let mut domains: IndexMap<&id::Domain, u32> = IndexMap::new();
         for member in self.members_of(region).filter(|member| !member.drain) {
             slots.whole += member.slots;
             *domains.entry(&member.domain).or_default() += member.slots;
-            if member.is_able() {
+            if member.is_able(self.settings.stale, now) {
                 slots.able += f64::from(member.load.slots(member.slots));
             }
         }
@@ -80,7 +81,7 @@
 
     fn region_report(&self, index: usize, now: Instant) -> report::Region {
         let region = &self.regions[index];
-        let slots = self.slots(index);
+        let slots = self.slots(index, now);
         let members = || self.members_of(index);
         let busy: f64 = members().map(|m| m.busy(&self.settings, now)).sum();
         let free = (1.0 - busy / slots.able.max(1.0)).clamp(0.0, 1.0);
--- a/crates/sg-steer/src/report.rs
+++ b/crates/sg-steer/src/report.rs
@@ -126,6 +126,8 @@
     pub phase: Phase,
     /// Why it moves, if it does.
     pub cause: Option<Cause>,
+    /// Requests in work at once in all regions, averaged, by the reports that are believed.
+    pub demand: f64,
     /// The part of the traffic that no region has room for.
     pub unplaced: Percent,
     /// The regions.
--- a/crates/sg-steer/src/shift.rs
+++ b/crates/sg-steer/src/shift.rs
@@ -5,14 +5,12 @@
 //! [`Shifter`] walks toward the goal. Each instance applies its split to its own traffic; no
 //! instance moves more than the cap in an interval, so neither does the fleet.
 
-use serde::Serialize;
+use std::collections::VecDeque;
+
 use sg_types::prelude::*;
 
 use crate::split::Split;
 
-/// How far a goal that follows from measured capacity has to be for a step to be worth it.
-pub const DEADBAND: Percent = Percent::from_ppm(10_000);
-
 /// Requests in work at once: the unit of capacity and of demand.
 pub type Slots = f64;
 
@@ -99,27 +97,29 @@
     }
 }
 
-/// What a step is allowed.
+/// What steps are allowed.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
-    /// The most traffic that one step moves.
+    /// The most traffic that moves in any interval.
     pub cap: Percent,
-    /// The time between steps; also the interval that the cap counts over.
+    /// The interval that the cap counts over.
     pub interval: Span,
 }
 
 /// A step that was taken.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Step {
+    /// When.
+    pub at: Instant,
     /// The part of the traffic that it moved.
     pub moved: Percent,
 }
 
-/// The split in force and when it last changed.
+/// The split in force and the steps of the last interval.
 #[derive(Debug, Clone, Default)]
 pub struct Shifter {
     in_force: Split,
-    last: Option<Instant>,
+    steps: VecDeque<Step>,
 }
 
 impl Shifter {
@@ -128,16 +128,20 @@
     pub fn new(split: Split) -> Self {
         Self {
             in_force: split,
-            last: None,
+            steps: VecDeque::new(),
         }
     }
 
     /// Starts with what other instances have in force. The next step waits for an interval.
     #[must_use]
-    pub const fn adopt(split: Split, now: Instant) -> Self {
+    pub fn adopt(split: Split, now: Instant) -> Self {
+        let all = Step {
+            at: now,
+            moved: Percent::FULL,
+        };
         Self {
             in_force: split,
-            last: Some(now),
+            steps: VecDeque::from([all]),
         }
     }
 
@@ -147,16 +151,15 @@
         &self.in_force
     }
 
-    /// When the last step was taken.
-    #[must_use]
-    pub const fn last(&self) -> Option<Instant> {
-        self.last
-    }
-
-    /// Whether a step is due by time.
+    /// The part of the traffic that may still move at `now`.
     #[must_use]
-    pub fn is_due(&self, interval: Span, now: Instant) -> bool {
-        self.last.is_none_or(|last| now > last + interval)
+    pub fn allowance(&self, limits: Limits, now: Instant) -> Percent {
+        let recent = self
+            .steps
+            .iter()
+            .filter(|step| now <= step.at + limits.interval);
+        let moved: u32 = recent.map(|step| step.moved.as_ppm()).sum();
+        Percent::from_ppm(limits.cap.as_ppm().saturating_sub(moved))
     }
 
     /// Whether `goal` is more than `deadband` away from the split in force.
@@ -165,18 +168,21 @@
         !goal.is_empty() && self.in_force.distance(goal) > deadband
     }
 
-    /// Takes one step toward `goal`, if one is due.
+    /// Takes a step toward `goal`, as far as the steps of the last interval leave room.
     pub fn step(&mut self, goal: &Split, limits: Limits, now: Instant) -> Option<Step> {
-        if !self.is_due(limits.interval, now) || goal.is_empty() {
+        let allowance = self.allowance(limits, now);
+        if goal.is_empty() || allowance == Percent::ZERO {
             return None;
         }
-        let next = self.in_force.toward(goal, limits.cap);
+        let next = self.in_force.toward(goal, allowance);
         let moved = self.in_force.distance(&next);
         if moved == Percent::ZERO {
             return None;
         }
+        let step = Step { at: now, moved };
         self.in_force = next;
-        self.last = Some(now);
-        Some(Step { moved })
+        self.steps.retain(|step| now <= step.at + limits.interval);
+        self.steps.push_back(step);
+        Some(step)
     }
 }
--- /dev/null
+++ b/crates/sg-steer/tests/steer/main.rs
@@ -0,0 +1,7 @@
+//! Shows that the steering decisions keep their promises under faults, and that each check
+//! catches a mutation that breaks the promise.
+
+mod balance;
+mod shifts;
+mod targets;
+mod world;
--- /dev/null
+++ b/crates/sg-steer/tests/steer/targets.rs
@@ -0,0 +1,330 @@
+//! Shows the choice of targets: leaving, ejection, limits, slow start and the retry budget.
+
+use std::sync::Arc;
+
+use quickcheck::{TestResult, quickcheck};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use sg_steer::{Attempt, End, Engine, Steer, observation, retry};
+use sg_types::prelude::*;
+
+use crate::world::{FINE, World, ask, engine, healthy, service, view};
+
+const BAD: End = End::Answered {
+    latency: Span::from_millis(50),
+    failed: true,
+};
+
+fn secs(secs: u64) -> Instant {
+    Instant::START + Span::from_secs(secs)
+}
+
+fn target(name: &str) -> id::Target {
+    id::Target::new(name).expect("a name")
+}
+
+/// Tells an engine that a target leaves.
+type Signal<'a> = &'a dyn Fn(&Engine);
+
+/// How many of 2,000 requests start on `leaving`.
+fn starts_on<S: Steer>(steer: &S, leaving: &id::Target, now: Instant) -> usize {
+    let starts = (0..2_000).filter_map(|_| ask(steer, &[], now).ok());
+    starts.filter(|attempt| attempt.target() == leaving).count()
+}
+
+#[test]
+fn a_leaving_target_gets_no_new_work_by_any_signal() {
+    let leaving = target("t0-1");
+    let notice = Notice::Leaving {
+        service: service(),
+        target: leaving.clone(),
+    };
+    let saying = observation::Target {
+        leaving: true,
+        ..Default::default()
+    };
+    let signals: [(&str, Signal<'_>); 4] = [
+        ("notice", &|engine| engine.on_notice(&notice, secs(1))),
+        ("probe", &|engine| {
+            engine.observe(&service(), &leaving, saying, secs(1));
+        }),
+        ("answer", &|engine| loop {
+            let attempt = ask(engine, &[], secs(1)).expect("a target");
+            if *attempt.target() == leaving {
+                return attempt.end(End::Leaving, secs(1));
+            }
+        }),
+        ("tree", &|engine| {
+            let mut next = (*view(2, 4, [34, 33, 33], "")).clone();
+            let desk = next.services.get_mut("desk").expect("the service");
+            desk.targets.get_mut("t0-1").expect("the target").drain = true;
+            engine.configure(&Arc::new(next), secs(1));
+        }),
+    ];
+    for (name, signal) in signals {
+        let engine = engine(0, 7, 1);
+        engine.configure(&view(1, 4, [34, 33, 33], ""), secs(0));
+        assert!(
+            starts_on(&engine, &leaving, secs(1)) > 0,
+            "{name}: no signal yet"
+        );
+        signal(&engine);
+        assert_eq!(starts_on(&engine, &leaving, secs(1)), 0, "{name}");
+        let able = engine.report(secs(1)).services["desk"].regions["r0"].able;
+        assert_eq!(able, 7, "{name}");
+    }
+}
+
+#[test]
+fn a_target_that_left_comes_back_when_its_probe_is_well_for_a_while() {
+    let engine = engine(0, 7, 1);
+    engine.configure(&view(1, 4, [34, 33, 33], ""), secs(0));
+    let notice = Notice::Leaving {
+        service: service(),
+        target: target("t0-1"),
+    };
+    engine.on_notice(&notice, secs(1));
+    for second in 1..11 {
+        engine.observe(&service(), &target("t0-1"), healthy(0), secs(second));
+        assert_eq!(starts_on(&engine, &target("t0-1"), secs(second)), 0);
+    }
+    engine.observe(&service(), &target("t0-1"), healthy(0), secs(11));
+    assert!(starts_on(&engine, &target("t0-1"), secs(30)) > 0);
+}
+
+/// Ends random attempts badly and returns the most targets of a region that were ejected at once
+/// and the fewest that were able.
+fn storm(seed: u64, settings: &str) -> (u32, u32) {
+    let engine = engine(0, seed, 1);
+    engine.configure(&view(1, 5, [34, 33, 33], settings), secs(0));
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let share = rng.random_range(0.3..1.0);
+    let (mut most, mut least) = (0, u32::MAX);
+    for step in 0..3_000_u64 {
+        let now = Instant::START + Span::from_millis(step * 20);
+        for index in 0..5 {
+            let name = target(&format!("t{}-{index}", step % 6));
+            engine.observe(&service(), &name, healthy(0), now);
+        }
+        engine.tick(now);
+        if let Ok(attempt) = ask(&engine, &[], now) {
+            let end = match rng.random_range(0..3) {
+                0 => End::TimedOut,
+                1 => End::Lost,
+                _ => BAD,
+            };
+            let end = if rng.random_bool(share) { end } else { FINE };
+            attempt.end(end, now);
+        }
+        for region in engine.report(now).services["desk"].regions.values() {
+            most = most.max(region.targets - region.able);
+            least = least.min(region.able);
+        }
+    }
+    (most, least)
+}
+
+#[test]
+fn ejection_stays_within_its_cap_and_never_empties_a_region() {
+    for seed in 1..6 {
+        let (most, least) = storm(seed, "");
+        println!("seed {seed}: at most {most} of 10 ejected, at least {least} able");
+        assert!(most > 0, "seed {seed}: nothing was ejected");
+        assert!(
+            most <= 3,
+            "seed {seed}: {most} of 10 ejected at a cap of 30%"
+        );
+        assert!(least > 0, "seed {seed}: a region is empty");
+    }
+    let (most, least) = storm(1, r#""ejection-cap":"100%","#);
+    assert!(most > 3, "the check sees a wider cap");
+    assert!(least > 0, "the last target stays at any cap");
+}
+
+#[test]
+fn an_ejected_target_comes_back_by_trial() {
+    let engine = engine(0, 3, 1);
+    engine.configure(&view(1, 5, [100, 0, 0], ""), secs(0));
+    let bad = target("t0-0");
+    let mut out_at = None;
+    for second in 0..60 {
+        let now = secs(second);
+        engine.tick(now);
+        let mut on_bad = 0;
+        let attempts: Vec<_> = (0..60)
+            .filter_map(|_| ask(&engine, &[], now).ok())
+            .collect();
+        for attempt in attempts {
+            let is_bad = *attempt.target() == bad;
+            on_bad += usize::from(is_bad);
+            attempt.end(if is_bad && second < 3 { BAD } else { FINE }, now);
+        }
+        let out = &engine.report(now).services["desk"].regions["r0"].out;
+        let is_out = out.iter().any(|out| out.target == bad && on_bad == 0);
+        if is_out && out_at.is_none() {
+            out_at = Some(second);
+        }
+    }
+    let counts = engine.report(secs(60)).services["desk"].counts;
+    assert!(out_at.is_some() && counts.ejected >= 1, "{counts:?}");
+    assert!(
+        engine.report(secs(60)).services["desk"].regions["r0"]
+            .out
+            .is_empty()
+    );
+}
+
+#[test]
+fn a_whole_service_that_fails_is_not_emptied() {
+    let engine = engine(0, 3, 1);
+    engine.configure(&view(1, 5, [34, 33, 33], ""), secs(0));
+    for step in 0..500 {
+        let now = Instant::START + Span::from_millis(step * 20);
+        if let Ok(attempt) = ask(&engine, &[], now) {
+            attempt.end(BAD, now);
+        }
+    }
+    assert!(ask(&engine, &[], secs(10)).is_ok());
+}
+
+#[test]
+fn limits_add_up_to_no_more_than_the_slots_when_nothing_is_reported() {
+    let tree = view(1, 2, [34, 33, 33], "");
+    let open = |entries: u32| {
+        let engines: Vec<_> = (0..7).map(|i| engine(i, 5, entries)).collect();
+        let mut held = Vec::new();
+        for engine in &engines {
+            engine.configure(&tree, secs(0));
+            held.extend((0..500).filter_map(|_| ask(engine, &[], secs(0)).ok()));
+        }
+        held.iter()
+            .filter(|attempt| attempt.target().as_str() == "t0-0")
+            .count()
+    };
+    assert!(open(7) <= 7, "{}", open(7));
+    assert!(
+        open(1) > 7,
+        "the check sees instances that don't divide the slots"
+    );
+}
+
+#[test]
+fn a_reported_free_target_takes_more_than_an_instances_part() {
+    let engine = engine(0, 5, 7);
+    engine.configure(&view(1, 2, [100, 0, 0], ""), secs(0));
+    let count = |now| {
+        let held: Vec<_> = (0..100)
+            .filter_map(|_| ask(&engine, &[], now).ok())
+            .collect();
+        held.len()
+    };
+    assert_eq!(count(secs(0)), 4, "one on each of four targets");
+    for name in ["t0-0", "t0-1", "t1-0", "t1-1"] {
+        engine.observe(&service(), &target(name), healthy(1), secs(1));
+    }
+    assert_eq!(count(secs(1)), 16, "and half of the six that are free");
+    assert_eq!(count(secs(7)), 4, "a stale report counts no more");
+}
+
+#[test]
+fn a_report_that_denies_own_requests_is_not_believed() {
+    let engine = engine(0, 5, 1);
+    engine.configure(&view(1, 1, [100, 0, 0], r#""connections":"400","#), secs(0));
+    let held: Vec<_> = (0..14)
+        .filter_map(|_| ask(&engine, &[], secs(0)).ok())
+        .collect();
+    assert_eq!(held.len(), 14);
+    for second in 0..30 {
+        for name in ["t0-0", "t1-0"] {
+            engine.observe(&service(), &target(name), healthy(0), secs(second));
+        }
+    }
+    let free = engine.report(secs(30)).services["desk"].regions["r0"].headroom;
+    assert_eq!(free, Percent::ZERO, "the targets call themselves idle");
+}
+
+#[test]
+fn a_new_target_starts_slowly() {
+    let engine = engine(0, 5, 1);
+    engine.configure(&view(1, 4, [100, 0, 0], ""), secs(0));
+    engine.configure(&view(2, 5, [100, 0, 0], ""), secs(1));
+    let share = |now| {
+        let starts = (0..5_000).filter_map(|_| {
+            let attempt = ask(&engine, &[], now).ok()?;
+            let is_new = attempt.target().as_str() == "t0-4";
+            attempt.end(FINE, now);
+            Some(u32::from(is_new))
+        });
+        f64::from(starts.sum::<u32>()) / 5_000.0
+    };
+    let (first, half, last) = (share(secs(1)), share(secs(6)), share(secs(12)));
+    assert!(first < 0.05 && first > 0.0, "{first}");
+    assert!(first < half && half < last, "{first} {half} {last}");
+    assert!((last - 0.1).abs() < 0.02, "{last}");
+}
+
+#[test]
+fn what_was_tried_is_not_tried_again_and_a_retry_keeps_its_region() {
+    let engine = engine(0, 5, 1);
+    engine.configure(&view(1, 1, [34, 33, 33], ""), secs(0));
+    for _ in 0..200 {
+        let first = ask(&engine, &[], secs(0)).expect("a target");
+        let tried = [first.target().clone()];
+        let second = ask(&engine, &tried, secs(0)).expect("another target");
+        assert_ne!(second.target(), first.target());
+        assert_eq!(second.region(), first.region());
+        let both = [tried[0].clone(), second.target().clone()];
+        assert_eq!(ask(&engine, &both, secs(0)).err(), Some(Reason::NoTarget));
+    }
+}
+
+/// Attempts for each request of a full outage when every request would retry.
+fn attempts(requests: u64, mut may: impl FnMut() -> bool) -> f64 {
+    let retries = (0..requests).filter(|_| may()).count();
+    (requests + retries as u64) as f64 / requests as f64
+}
+
+quickcheck! {
+    fn retries_stay_below_their_share(requests: u16, ppm: u32) -> TestResult {
+        let share = Percent::from_ppm(ppm % 500_000);
+        if requests == 0 || share == Percent::ZERO {
+            return TestResult::discard();
+        }
+        let mut budget = retry::Budget::default();
+        let amount = attempts(u64::from(requests), || {
+            budget.deposit(share);
+            budget.take()
+        });
+        TestResult::from_bool(amount < 1.0 + share.as_f64())
+    }
+}
+
+#[test]
+fn a_full_outage_costs_under_a_tenth_more_attempts() {
+    let mut world = World::new(1, 9, Span::from_secs(1), &view(1, 5, [34, 33, 33], ""));
+    (0..3).for_each(|region| world.set_dead(region, true));
+    let engine = world.engines.remove(0);
+    let (mut requests, mut tried) = (0, 0);
+    for step in 0..5_000 {
+        let now = Instant::START + Span::from_millis(step * 5);
+        engine.tick(now);
+        let Ok(attempt) = ask(&engine, &[], now) else {
+            continue;
+        };
+        requests += 1;
+        tried += 1;
+        let target = attempt.target().clone();
+        attempt.end(End::ConnectFailed, now);
+        if engine.may_retry(&service(), now)
+            && let Ok(attempt) = ask(&engine, &[target], now)
+        {
+            tried += 1;
+            attempt.end(End::ConnectFailed, now);
+        }
+    }
+    println!("{tried} attempts for {requests} requests");
+    assert!(f64::from(tried) < 1.1 * f64::from(requests));
+    assert!(
+        attempts(100, || true) >= 1.1,
+        "the check sees retries without a budget"
+    );
+}
--- /dev/null
+++ b/crates/sg-steer/tests/steer/world.rs
@@ -0,0 +1,237 @@
+//! A small model of targets, callers and probes in virtual time.
+
+use std::{collections::VecDeque, fmt::Write as _};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use sg_steer::{Ask, Attempt, End, Engine, Steer, engine::Options, observation};
+use sg_tree::{Node, View, compile::compile};
+use sg_types::prelude::*;
+
+pub const STEP: Span = Span::from_millis(10);
+pub const SERVICE_TIME: Span = Span::from_millis(50);
+
+/// A tree of three regions of two failure domains, with `per_domain` targets in each.
+pub fn view(revision: u64, per_domain: usize, split: [u32; 3], settings: &str) -> Arc<View> {
+    let mut targets = String::new();
+    for domain in 0..6 {
+        for target in 0..per_domain {
+            let port = 10_000 + domain * 2_000 + target;
+            let comma = if targets.is_empty() { "" } else { "," };
+            write!(
+                targets,
+                r#"{comma}"t{domain}-{target}":{{"address":"127.0.0.1:{port}","domain":"d{domain}"}}"#
+            )
+            .expect("writes");
+        }
+    }
+    let [a, b, c] = split;
+    let text = format!(
+        r#"{{"fleet":{{"slots":7}},
+        "regions":{{"r0":{{"domains":{{"d0":{{}},"d1":{{}}}}}},"r1":{{"domains":{{"d2":{{}},"d3":{{}}}}}},
+                    "r2":{{"domains":{{"d4":{{}},"d5":{{}}}}}}}},
+        "services":{{"desk":{{{settings}
+          "split":{{"r0":{{"weight":"{a}%"}},"r1":{{"weight":"{b}%"}},"r2":{{"weight":"{c}%"}}}},
+          "routes":{{"all":{{"path":"/"}}}},
+          "targets":{{"slots":7,{targets}}}}}}}}}"#
+    );
+    let node = Node::from_json(&text).expect("reads");
+    Arc::new(
+        compile(&node, Revision::new(revision))
+            .expect("compiles")
+            .view,
+    )
+}
+
+pub fn service() -> id::Service {
+    id::Service::new("desk").expect("a name")
+}
+
+pub fn region(index: usize) -> id::Region {
+    id::Region::new(format!("r{index}")).expect("a name")
+}
+
+pub fn engine(index: usize, seed: u64, entries: u32) -> Engine {
+    Engine::new(Options {
+        region: region(index % 3),
+        domain: id::Domain::new(format!("d{}", index % 6)).expect("a name"),
+        seed: seed + index as u64,
+        entries,
+    })
+}
+
+/// Asks `steer` for a target.
+pub fn ask<S: Steer>(steer: &S, tried: &[id::Target], now: Instant) -> Result<S::Attempt, Reason> {
+    steer.start(Ask {
+        service: &service(),
+        tried,
+        now,
+        fingerprint: Fingerprint::new(1),
+    })
+}
+
+pub const FINE: End = End::Answered {
+    latency: SERVICE_TIME,
+    failed: false,
+};
+
+pub fn healthy(in_flight: u32) -> observation::Target {
+    observation::Target {
+        healthy: true,
+        in_flight: Some(in_flight),
+        slots: Some(7),
+        ..Default::default()
+    }
+}
+
+/// One modelled target.
+#[derive(Debug, Default)]
+pub struct Model {
+    pub dead: bool,
+    pub in_flight: u32,
+    history: VecDeque<u32>,
+}
+
+/// The fleet, its targets and its callers.
+pub struct World {
+    pub engines: Vec<Engine>,
+    pub targets: IndexMap<id::Target, Model>,
+    pub now: Instant,
+    pub probes: bool,
+    pub refused: IndexMap<Reason, u64>,
+    pub served: IndexMap<id::Region, u64>,
+    lag: Span,
+    running: Vec<(Instant, <Engine as Steer>::Attempt)>,
+    rng: SmallRng,
+}
+
+impl World {
+    pub fn new(entries: usize, seed: u64, lag: Span, view: &Arc<View>) -> Self {
+        let engines: Vec<_> = (0..entries)
+            .map(|i| engine(i, seed, entries as u32))
+            .collect();
+        for engine in &engines {
+            engine.configure(view, Instant::START);
+        }
+        let names = view.services["desk"].targets.keys();
+        Self {
+            engines,
+            targets: names.map(|name| (name.clone(), Model::default())).collect(),
+            now: Instant::START,
+            probes: true,
+            refused: IndexMap::new(),
+            served: IndexMap::new(),
+            lag,
+            running: Vec::new(),
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Runs for `span` with `rate` requests a second on each instance.
+    pub fn run(&mut self, span: Span, rate: f64) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step(rate);
+        }
+    }
+
+    pub fn step(&mut self, rate: f64) {
+        self.now += STEP;
+        self.finish();
+        for index in 0..self.engines.len() {
+            let mut due = rate * STEP.as_secs_f64();
+            while due > 0.0 {
+                if self.rng.random_bool(due.min(1.0)) {
+                    self.arrive(index);
+                }
+                due -= 1.0;
+            }
+        }
+        let every = |span: Span| self.now.as_nanos().is_multiple_of(span.as_nanos());
+        let (probe, tick) = (every(Span::from_secs(1)), every(Span::from_millis(250)));
+        if probe {
+            self.probe();
+        }
+        if tick {
+            self.engines.iter().for_each(|engine| engine.tick(self.now));
+        }
+    }
+
+    fn arrive(&mut self, index: usize) {
+        match ask(&self.engines[index], &[], self.now) {
+            Err(reason) => *self.refused.entry(reason).or_default() += 1,
+            Ok(attempt) => {
+                let model = &mut self.targets[attempt.target()];
+                if model.dead {
+                    return attempt.end(End::ConnectFailed, self.now);
+                }
+                if model.in_flight >= 7 {
+                    return attempt.end(End::Shed, self.now);
+                }
+                model.in_flight += 1;
+                *self.served.entry(attempt.region().clone()).or_default() += 1;
+                let time = SERVICE_TIME.mul_f64(self.rng.random_range(0.5..1.5));
+                self.running.push((self.now + time, attempt));
+            }
+        }
+    }
+
+    fn finish(&mut self) {
+        let now = self.now;
+        let (done, rest) = self.running.drain(..).partition(|(at, _)| *at <= now);
+        self.running = rest;
+        let done: Vec<_> = done;
+        for (_, attempt) in done {
+            self.targets[attempt.target()].in_flight -= 1;
+            attempt.end(FINE, now);
+        }
+    }
+
+    fn probe(&mut self) {
+        let seconds = (self.lag.as_secs_f64() as usize) + 1;
+        for (name, model) in &mut self.targets {
+            model.history.push_back(model.in_flight);
+            if model.history.len() > seconds {
+                model.history.pop_front();
+            }
+            let old = model.history.front().copied().unwrap_or(0);
+            let seen = if model.dead {
+                observation::Target::default()
+            } else {
+                healthy(old)
+            };
+            if self.probes {
+                let target = name;
+                for engine in &self.engines {
+                    engine.observe(&service(), target, seen, self.now);
+                }
+            }
+        }
+    }
+
+    /// Stops or starts all targets of a region.
+    pub fn set_dead(&mut self, region: usize, dead: bool) {
+        let domains = [format!("t{}-", region * 2), format!("t{}-", region * 2 + 1)];
+        for (name, model) in &mut self.targets {
+            if domains
+                .iter()
+                .any(|domain| name.as_str().starts_with(domain))
+            {
+                model.dead = dead;
+            }
+        }
+    }
+
+    /// The fleet's part of the traffic that is meant for each region.
+    pub fn split(&self) -> sg_steer::Split {
+        let positions = self.engines.iter().flat_map(Engine::positions);
+        let splits: Vec<_> = positions.map(|position| position.split).collect();
+        sg_steer::Split::mean(&splits)
+    }
+
+    pub fn violations(&self) -> u64 {
+        let reports = self.engines.iter().map(|engine| engine.report(self.now));
+        reports
+            .map(|report| report.services["desk"].counts.violations)
+            .sum()
+    }
+}
