--- a/crates/sg-fake/src/target/control.rs
+++ b/crates/sg-fake/src/target/control.rs
@@ -3,6 +3,16 @@
 use serde::{Deserialize, Serialize};
 use sg_types::time::Span;
 
+/// How a target starts cold.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cold {
+    /// For how long it is slower after a start.
+    pub span: Span,
+    /// How many times slower it is at the beginning; it falls evenly to one.
+    pub factor: f64,
+}
+
 /// How a target's answers go wrong.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -49,9 +59,9 @@
     /// What its health endpoint says, whatever the truth.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub healthy: Option<bool>,
-    /// Makes it cold as after a start.
-    #[serde(skip_serializing_if = "std::ops::Not::not")]
-    pub cold: bool,
+    /// How it starts cold; makes it cold now.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub cold: Option<Cold>,
     /// Makes it crash and stay down for this long.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub crash: Option<Span>,
@@ -72,6 +82,7 @@
     pub(super) lag: Span,
     pub(super) lie: f64,
     pub(super) healthy: Option<bool>,
+    pub(super) cold: Cold,
 }
 
 impl Behaviour {
@@ -85,5 +96,6 @@
         self.lag = control.lag.unwrap_or(self.lag);
         self.lie = control.lie.unwrap_or(self.lie);
         self.healthy = control.healthy.or(self.healthy);
+        self.cold = control.cold.unwrap_or(self.cold);
     }
 }
--- a/crates/sg-fake/src/target/front.rs
+++ b/crates/sg-fake/src/target/front.rs
@@ -179,6 +179,9 @@
         let state = &mut *guard;
         if let Some(refused) = Refused::now(state) {
             state.records.refuse(refused.as_str());
+            if refused == Refused::Leaving {
+                state.records.leaving_offers_us.push(micros(now));
+            }
             return Err(refused);
         }
         state.in_flight += 1;
@@ -206,7 +209,7 @@
     }
 
     fn cold_factor(&self, state: &State, now: sg_types::time::Instant) -> f64 {
-        let cold = self.options.cold;
+        let cold = state.behaviour.cold;
         if cold.span == Span::ZERO {
             return 1.0;
         }
--- a/crates/sg-fake/src/target/mod.rs
+++ b/crates/sg-fake/src/target/mod.rs
@@ -15,7 +15,8 @@
 
 use self::{control::Behaviour, front::Front};
 pub use self::{
-    control::{Answers, Control},
+    control::{Answers, Cold, Control},
+    front::Answer,
     record::{End, Header, Records, Run},
 };
 use crate::{
@@ -29,15 +30,6 @@
 /// How long a target that was crashed by a request stays down.
 pub const POISON_DOWN: Span = Span::from_secs(2);
 
-/// How a target starts cold.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Cold {
-    /// For how long it is slower after a start.
-    pub span: Span,
-    /// How many times slower it is at the beginning; it falls evenly to one.
-    pub factor: f64,
-}
-
 /// How a target runs.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -135,6 +127,7 @@
                 lag: options.lag,
                 lie: 1.0,
                 healthy: None,
+                cold: options.cold,
             },
             records: Records {
                 target: options.name.to_string(),
@@ -173,7 +166,7 @@
             } else if !was_leaving {
                 state.records.leaving_us = Some(record::micros(now));
             }
-            if control.cold {
+            if control.cold.is_some() {
                 state.started = now;
             }
         }
--- a/crates/sg-fake/src/target/record.rs
+++ b/crates/sg-fake/src/target/record.rs
@@ -66,6 +66,8 @@
     pub forgotten: u64,
     /// When the target last began to leave, if it is leaving, in microseconds of its clock.
     pub leaving_us: Option<u64>,
+    /// When requests were offered to it while it was leaving, in microseconds of its clock.
+    pub leaving_offers_us: Vec<u64>,
     /// How often it crashed.
     pub crashes: u64,
     /// The most requests that ran at once.
--- /dev/null
+++ b/crates/sg-load/src/check/answer.rs
@@ -0,0 +1,29 @@
+//! Whether callers got the whole answer to their own request.
+
+use super::{Promise, Violation};
+use crate::history::{Body, Call, End, History};
+
+pub(super) fn check(history: &History) -> Vec<Violation> {
+    history.calls.iter().flat_map(of_call).collect()
+}
+
+fn of_call(call: &Call) -> Vec<Violation> {
+    let bodies = call
+        .attempts
+        .iter()
+        .filter_map(|attempt| match attempt.end {
+            End::Answer { body, .. } => Some(body),
+            End::NotSent | End::Lost => None,
+        });
+    let broken = bodies.filter_map(|body| match body {
+        Body::Own | Body::Refusal => None,
+        Body::Foreign => Some((Promise::OwnAnswer, "the answer is to another request")),
+        Body::Broken => Some((
+            Promise::WholeAnswer,
+            "a part of the answer was passed as all",
+        )),
+    });
+    broken
+        .map(|(promise, seen)| Violation::new(promise, call.id.as_ref(), seen))
+        .collect()
+}
--- /dev/null
+++ b/crates/sg-load/src/check/drain.rs
@@ -0,0 +1,73 @@
+//! Whether leaving targets got new work.
+
+use sg_tree::Path;
+use sg_types::prelude::*;
+
+use super::{CLOCK_ERROR, GRACE, Promise, Violation, micros};
+use crate::{
+    history::{Event, History, Seen},
+    plan::Fault,
+};
+
+pub(super) fn check(history: &History) -> Vec<Violation> {
+    let targets = history.targets.iter();
+    targets
+        .filter_map(|seen| offered(seen).or_else(|| ran(history, seen)))
+        .collect()
+}
+
+/// Work that was offered to a target that had said for long that it leaves.
+fn offered(seen: &Seen) -> Option<Violation> {
+    let leaving = seen.records.leaving_us?;
+    let last = leaving + span_us(GRACE + CLOCK_ERROR);
+    let late = seen
+        .records
+        .leaving_offers_us
+        .iter()
+        .filter(|at| **at > last);
+    violation(
+        seen,
+        late.count(),
+        "offered after it had said that it leaves",
+    )
+}
+
+/// Work that ran on a target that the tree had drained for long.
+fn ran(history: &History, seen: &Seen) -> Option<Violation> {
+    let drained = drained(history, seen)?;
+    let last = micros(drained + GRACE + CLOCK_ERROR);
+    let late = seen.records.runs.iter().filter(|run| run.start_us > last);
+    violation(seen, late.count(), "run after the tree had drained it")
+}
+
+fn violation(seen: &Seen, count: usize, what: &str) -> Option<Violation> {
+    let text = format!("{count} requests were {what}");
+    (count > 0).then(|| Violation::new(Promise::LeavingTarget, seen.name.as_str(), text))
+}
+
+/// Since when the tree drains the target, if it does at the end.
+pub(crate) fn drained(history: &History, seen: &Seen) -> Option<Instant> {
+    let target = history
+        .view
+        .services
+        .get(&seen.service)?
+        .targets
+        .get(&seen.name)?;
+    let places = [
+        format!("/services/{}/targets/{}/drain", seen.service, seen.name),
+        format!("/regions/{}/domains/{}/drain", target.region, target.domain),
+        format!("/regions/{}/drain", target.region),
+    ];
+    let concerns = |path: &Path| places.contains(&path.to_string());
+    let since = |event: &Event| match &event.fault {
+        Fault::Tree { path, value } if concerns(path) => {
+            Some(event.done.filter(|_| value.as_ref() == "yes"))
+        }
+        _ => None,
+    };
+    history.events.iter().rev().find_map(since).flatten()
+}
+
+fn span_us(span: Span) -> u64 {
+    span.as_nanos() / 1_000
+}
--- /dev/null
+++ b/crates/sg-load/src/check/key.rs
@@ -0,0 +1,78 @@
+//! Whether keys stay with the system, name the account, and stop working.
+
+use sg_types::prelude::*;
+
+use super::{CLOCK_ERROR, GRACE, Promise, Ran, Runs, Violation, micros, runs_of};
+use crate::{
+    history::{Call, Event, History},
+    plan::Fault,
+};
+
+pub(super) fn check(history: &History, runs: &Runs<'_>) -> Vec<Violation> {
+    let mut violations = leaks(history);
+    for call in history.calls.iter().filter(|call| call.keyed) {
+        let ran = runs_of(runs, call);
+        violations.extend(ran.iter().filter_map(|ran| other_account(call, ran)));
+        violations.extend(ran.iter().filter_map(|ran| withdrawn(history, call, ran)));
+    }
+    violations
+}
+
+fn leaks(history: &History) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for target in &history.targets {
+        for run in &target.records.runs {
+            let leak = history.plan.accounts.iter().find(|caller| {
+                let secret = caller.secret.as_ref();
+                run.path.contains(secret) || run.headers.iter().any(|h| h.value.contains(secret))
+            });
+            violations.extend(leak.map(|caller| {
+                let seen = format!("it saw key '{}' of '{}'", caller.key, caller.account);
+                Violation::new(Promise::KeyStaysHere, target.name.as_str(), seen)
+            }));
+        }
+    }
+    violations
+}
+
+fn other_account(call: &Call, ran: &Ran<'_>) -> Option<Violation> {
+    let account = ran.run.account.as_deref();
+    if account == Some(call.account.as_str()) {
+        return None;
+    }
+    let seen = format!(
+        "{} ran it for '{}'; its key is of '{}'",
+        ran.target.name,
+        account.unwrap_or("nobody"),
+        call.account
+    );
+    Some(Violation::new(Promise::OwnAccount, call.id.as_ref(), seen))
+}
+
+fn withdrawn(history: &History, call: &Call, ran: &Ran<'_>) -> Option<Violation> {
+    let done = history
+        .events
+        .iter()
+        .find_map(|event| withdrawal(event, call))?;
+    let last = micros(done + GRACE + CLOCK_ERROR);
+    if ran.run.start_us <= last {
+        return None;
+    }
+    let late = (ran.run.start_us - micros(done)) / 1_000;
+    let seen = format!("it ran {late} ms after key '{}' was withdrawn", call.key);
+    Some(Violation::new(
+        Promise::KeyWithdrawal,
+        call.id.as_ref(),
+        seen,
+    ))
+}
+
+/// When the key of `call` was withdrawn, if `event` does that.
+fn withdrawal(event: &Event, call: &Call) -> Option<Instant> {
+    let Fault::Tree { path, value } = &event.fault else {
+        return None;
+    };
+    let wanted = format!("/accounts/{}/keys/{}/withdrawn", call.account, call.key);
+    let withdraws = path.to_string() == wanted && value.as_ref() == "yes";
+    event.done.filter(|_| withdraws)
+}
--- /dev/null
+++ b/crates/sg-load/src/check/mod.rs
@@ -0,0 +1,130 @@
+//! The judge: holds what targets recorded against what callers saw.
+
+mod answer;
+mod drain;
+mod key;
+mod rate;
+mod run;
+
+pub(crate) use drain::drained;
+use serde::{Deserialize, Serialize};
+use sg_fake::target::Run;
+use sg_types::prelude::*;
+
+use crate::history::{Call, History, Seen};
+
+/// A promise that the judge can tell broken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Promise {
+    /// A refusal that says "not run" is true.
+    NotRunIsTrue,
+    /// A request that may not be repeated runs at most once.
+    RunsAtMostOnce,
+    /// An answer that is passed on as such comes from a target.
+    RanIsTrue,
+    /// No target sees a caller's key.
+    KeyStaysHere,
+    /// A request runs only for the account whose key came with it.
+    OwnAccount,
+    /// A caller gets the answer to its own request.
+    OwnAnswer,
+    /// A caller gets the whole answer.
+    WholeAnswer,
+    /// A withdrawn key stops working within seconds.
+    KeyWithdrawal,
+    /// No account gets more than its rate and burst.
+    RateAndBurst,
+    /// A leaving target gets no new work after a few seconds.
+    LeavingTarget,
+    /// Every target told what it saw, so that the others could be judged.
+    Evidence,
+}
+
+/// How long a withdrawn key or a leaving target may still be used.
+pub const GRACE: Span = Span::from_secs(5);
+
+/// How far the clocks of a target and of this program may be apart after they were lined up.
+pub const CLOCK_ERROR: Span = Span::from_millis(10);
+
+/// A promise that was broken.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Violation {
+    /// The promise.
+    pub promise: Promise,
+    /// The call, target or account that shows it.
+    pub subject: String,
+    /// What was seen.
+    pub seen: String,
+}
+
+impl Violation {
+    fn new(promise: Promise, subject: impl Into<String>, seen: impl Into<String>) -> Self {
+        Self {
+            promise,
+            subject: subject.into(),
+            seen: seen.into(),
+        }
+    }
+}
+
+/// A run and the target that it was on.
+#[derive(Debug, Clone, Copy)]
+struct Ran<'a> {
+    target: &'a Seen,
+    run: &'a Run,
+}
+
+/// All runs by the call that stands in their path.
+type Runs<'a> = IndexMap<&'a str, Vec<Ran<'a>>>;
+
+/// The call that stands in a path.
+fn call_of(path: &str) -> &str {
+    let path = path.split('?').next().unwrap_or_default();
+    path.rsplit('/').next().unwrap_or_default()
+}
+
+fn runs(history: &History) -> Runs<'_> {
+    let mut runs = Runs::new();
+    for target in &history.targets {
+        for run in &target.records.runs {
+            let of_call: &mut Vec<_> = runs.entry(call_of(&run.path)).or_default();
+            of_call.push(Ran { target, run });
+        }
+    }
+    runs
+}
+
+fn runs_of<'a>(runs: &'a Runs<'a>, call: &Call) -> &'a [Ran<'a>] {
+    runs.get(call.id.as_ref()).map_or(&[], Vec::as_slice)
+}
+
+fn micros(instant: Instant) -> u64 {
+    instant.as_nanos() / 1_000
+}
+
+/// Every promise that the history shows broken.
+#[must_use]
+pub fn check(history: &History) -> Vec<Violation> {
+    let runs = runs(history);
+    let mut violations = evidence(history);
+    violations.extend(run::check(history, &runs));
+    violations.extend(answer::check(history));
+    violations.extend(key::check(history, &runs));
+    violations.extend(rate::check(history, &runs));
+    violations.extend(drain::check(history));
+    violations
+}
+
+fn evidence(history: &History) -> Vec<Violation> {
+    let silent = history
+        .missing
+        .iter()
+        .map(|name| Violation::new(Promise::Evidence, name.as_str(), "it did not tell its runs"));
+    let forgetful = history.targets.iter().filter(|t| t.records.forgotten > 0);
+    let forgetful = forgetful.map(|target| {
+        let seen = format!("{} runs were not kept", target.records.forgotten);
+        Violation::new(Promise::Evidence, target.name.as_str(), seen)
+    });
+    silent.chain(forgetful).collect()
+}
--- /dev/null
+++ b/crates/sg-load/src/check/rate.rs
@@ -0,0 +1,100 @@
+//! Whether an account got more than its rate and burst over any window.
+//!
+//! A request was admitted after its caller first sent it and before it began to run. A window that
+//! holds both ends of more requests than rate and burst allow is a certain violation, whatever
+//! happened in between.
+
+use sg_tree::view::Account;
+use sg_types::prelude::*;
+
+use super::{CLOCK_ERROR, Promise, Runs, Violation, micros, runs_of};
+use crate::{
+    history::{Call, History},
+    plan::Fault,
+};
+
+/// Between these two instants a request was admitted, in microseconds.
+#[derive(Debug, Clone, Copy)]
+struct Admitted {
+    after: u64,
+    before: u64,
+}
+
+/// The window that holds the most requests over what is allowed.
+#[derive(Debug, Clone, Copy)]
+struct Worst {
+    requests: usize,
+    allowed: f64,
+    span_us: u64,
+}
+
+pub(super) fn check(history: &History, runs: &Runs<'_>) -> Vec<Violation> {
+    let accounts = history.view.accounts.iter();
+    let steady = accounts.filter(|(name, _)| !changes(history, name));
+    steady
+        .filter_map(|(name, account)| over(history, runs, name, account))
+        .collect()
+}
+
+/// Whether the run changes what the account pays for.
+fn changes(history: &History, name: &id::Account) -> bool {
+    let paths = [
+        format!("/accounts/{name}/rate"),
+        format!("/accounts/{name}/burst"),
+    ];
+    history.events.iter().any(|event| match &event.fault {
+        Fault::Tree { path, .. } => paths.contains(&path.to_string()),
+        _ => false,
+    })
+}
+
+fn over(
+    history: &History,
+    runs: &Runs<'_>,
+    name: &id::Account,
+    account: &Account,
+) -> Option<Violation> {
+    let calls = history.calls.iter();
+    let own = calls.filter(|call| call.keyed && !call.poison && call.account == *name);
+    let admitted: Vec<_> = own.filter_map(|call| admitted(call, runs)).collect();
+    let worst = worst(admitted, account)?;
+    let seen = format!(
+        "{} requests within {} ms; {:.1} are allowed",
+        worst.requests,
+        worst.span_us / 1_000,
+        worst.allowed
+    );
+    Some(Violation::new(Promise::RateAndBurst, name.as_str(), seen))
+}
+
+fn admitted(call: &Call, runs: &Runs<'_>) -> Option<Admitted> {
+    let ran = runs_of(runs, call);
+    let before = ran.iter().map(|ran| ran.run.start_us).min()?;
+    let after = micros(call.attempts.first()?.began).min(before);
+    Some(Admitted { after, before })
+}
+
+fn worst(mut admitted: Vec<Admitted>, account: &Account) -> Option<Worst> {
+    admitted.sort_by_key(|one| one.before);
+    let rate = account.rate.as_f64();
+    let mut worst: Option<Worst> = None;
+    for first in &admitted {
+        let mut requests = 0;
+        for one in admitted.iter().filter(|one| one.after >= first.after) {
+            requests += 1;
+            let span_us = one.before.saturating_sub(first.after);
+            let span = Span::from_micros(span_us) + CLOCK_ERROR;
+            let allowed = f64::from(account.burst) + rate * span.as_secs_f64();
+            let excess = requests as f64 - allowed;
+            let most = worst.map_or(0.0, |worst| worst.requests as f64 - worst.allowed);
+            if excess > most {
+                worst = Some(Worst {
+                    requests,
+                    allowed,
+                    span_us,
+                });
+            }
+        }
+    }
+    worst
+}
--- /dev/null
+++ b/crates/sg-load/src/fault.rs
@@ -0,0 +1,177 @@
+//! Carries out the schedule of faults.
+//!
+//! Stand-ins take their faults by HTTP. What happens to processes and to the tree is asked of
+//! whoever started this program, as a line in one file, and acknowledged by a line in another.
+
+use std::{
+    io::Write,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
+
+use futures_util::future::join_all;
+use reqwest::Client;
+use serde::Serialize;
+use sg_clock::Timer;
+use sg_tree::View;
+use sg_types::prelude::*;
+
+use crate::{
+    history::Event,
+    plan::{Fault, Plan, Which},
+};
+
+/// How often acknowledgements are looked for.
+const ACK_INTERVAL: Span = Span::from_millis(20);
+
+/// How long an acknowledgement is waited for.
+const ACK_PATIENCE: Span = Span::from_secs(20);
+
+/// How long a stand-in may take to answer.
+const CONTROL_TIMEOUT: Span = Span::from_secs(2);
+
+/// The word of a line that says that a request was carried out.
+const DONE: &str = "done";
+
+/// Why faults can't be carried out.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The plan asks for what only the starter of this program can do.
+    #[error(
+        "the plan changes processes or the tree; give --commands and --acks, or use scripts/scenario"
+    )]
+    NoCommands,
+    /// The file of requests can't be written.
+    #[error("{file} can't be written: {source}; check that its reader runs")]
+    Commands {
+        /// The file.
+        file: PathBuf,
+        /// What the system said.
+        source: std::io::Error,
+    },
+}
+
+/// The files through which the starter of this program is asked.
+#[derive(Debug, Clone)]
+pub struct Commands {
+    /// Takes one request a line: a number, a verb and its arguments.
+    pub requests: PathBuf,
+    /// Gets one line for each: the number, and `done` or `failed`.
+    pub acks: PathBuf,
+}
+
+/// Carries out faults.
+#[derive(Debug)]
+pub struct Driver {
+    timer: Timer,
+    client: Client,
+    store: SocketAddr,
+    list: SocketAddr,
+    view: View,
+    commands: Option<Commands>,
+}
+
+impl Driver {
+    /// A driver for `plan`.
+    ///
+    /// # Errors
+    /// [`Error::NoCommands`] if the plan needs them and there are none.
+    pub fn new(
+        timer: Timer,
+        client: Client,
+        plan: &Plan,
+        view: &View,
+        commands: Option<Commands>,
+    ) -> Result<Self, Error> {
+        let asks = |fault: &Fault| matches!(fault, Fault::Entry { .. } | Fault::Tree { .. });
+        if commands.is_none() && plan.faults.iter().any(|timed| asks(&timed.fault)) {
+            return Err(Error::NoCommands);
+        }
+        Ok(Self {
+            timer,
+            client,
+            store: plan.store,
+            list: plan.list,
+            view: view.clone(),
+            commands,
+        })
+    }
+
+    /// Carries out the `number`th fault of the plan.
+    ///
+    /// # Errors
+    /// [`Error::Commands`] if the starter of this program can't be asked.
+    pub async fn carry_out(&self, number: usize, fault: &Fault) -> Result<Event, Error> {
+        let asked = self.timer.now();
+        let done = match fault {
+            Fault::Store(control) => self.post(self.store, control).await,
+            Fault::List(control) => self.post(self.list, control).await,
+            Fault::Target { which, control } => self.targets(which, control).await,
+            Fault::Entry { instance, action } => {
+                let line = format!("{number} {} {instance}", action.as_str());
+                self.ask(number, &line).await?
+            }
+            Fault::Tree { path, value } => {
+                let line = format!("{number} tree {path} {value}");
+                self.ask(number, &line).await?
+            }
+            Fault::Rate { .. } | Fault::Poison { .. } => true,
+        };
+        Ok(Event {
+            asked,
+            done: done.then(|| self.timer.now()),
+            fault: fault.clone(),
+        })
+    }
+
+    async fn targets(&self, which: &Which, control: &impl Serialize) -> bool {
+        let services = self.view.services.values();
+        let targets = services.flat_map(|s| s.targets.iter().map(move |(name, t)| (s, name, t)));
+        let posts = targets
+            .filter(|(service, name, target)| which.matches(&service.name, name, target))
+            .map(|(_, _, target)| self.post(target.address, control));
+        join_all(posts).await.into_iter().any(|done| done)
+    }
+
+    async fn post(&self, address: SocketAddr, control: &impl Serialize) -> bool {
+        let url = format!("http://{address}/_control");
+        let request = self.client.post(url).timeout(CONTROL_TIMEOUT.into());
+        // A target that is told to crash resets this connection as well.
+        request
+            .json(control)
+            .send()
+            .await
+            .is_ok_and(|r| r.status().is_success())
+    }
+
+    async fn ask(&self, number: usize, line: &str) -> Result<bool, Error> {
+        let Some(commands) = &self.commands else {
+            return Err(Error::NoCommands);
+        };
+        append(&commands.requests, line).map_err(|source| Error::Commands {
+            file: commands.requests.clone(),
+            source,
+        })?;
+        let deadline = self.timer.now() + ACK_PATIENCE;
+        let wanted = number.to_string();
+        while self.timer.now() < deadline {
+            if let Some(done) = acknowledged(&commands.acks, &wanted) {
+                return Ok(done);
+            }
+            self.timer.sleep(ACK_INTERVAL).await;
+        }
+        Ok(false)
+    }
+}
+
+fn append(file: &Path, line: &str) -> std::io::Result<()> {
+    let mut file = std::fs::OpenOptions::new().append(true).open(file)?;
+    file.write_all(format!("{line}\n").as_bytes())
+}
+
+fn acknowledged(file: &Path, number: &str) -> Option<bool> {
+    let text = std::fs::read_to_string(file).ok()?;
+    let mut lines = text.lines().filter_map(|line| line.split_once(' '));
+    let (_, word) = lines.find(|(found, _)| *found == number)?;
+    Some(word == DONE)
+}
--- /dev/null
+++ b/crates/sg-load/src/lookup.rs
@@ -0,0 +1,171 @@
+//! Which entry a caller uses: by look-up, with a cache as callers have.
+
+use std::net::SocketAddr;
+
+use parking_lot::Mutex;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use reqwest::Client;
+use serde::Deserialize;
+use sg_clock::Timer;
+use sg_types::prelude::*;
+
+use crate::plan::Entry;
+
+/// How many entries a caller asks before it falls back on the list that it was given.
+const MOST_ASKED: usize = 3;
+
+/// How long the list that a caller was given is used before it looks up again.
+const FALLBACK_CACHE: Span = Span::from_secs(1);
+
+/// How long a caller waits for a look-up.
+const TIMEOUT: Span = Span::from_millis(500);
+
+#[derive(Debug, Deserialize)]
+struct Answer {
+    entries: Vec<Choice>,
+    cache_ms: u64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+struct Choice {
+    instance: id::Instance,
+    address: SocketAddr,
+    weight: f64,
+}
+
+#[derive(Debug, Clone)]
+struct Cached {
+    until: Instant,
+    choices: Vec<Choice>,
+}
+
+/// Who asks for what.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Question {
+    source: usize,
+    service: id::Service,
+}
+
+/// The entries of `known` that don't answer a look-up for `service`.
+pub async fn unready(client: &Client, known: &[Entry], service: &id::Service) -> Vec<id::Instance> {
+    let mut unready = Vec::new();
+    for entry in known {
+        if ask_one(client, entry.address, service).await.is_none() {
+            unready.push(entry.instance.clone());
+        }
+    }
+    unready
+}
+
+async fn ask_one(client: &Client, address: SocketAddr, service: &id::Service) -> Option<Answer> {
+    let url = format!("http://{address}/.sg/lookup?service={service}");
+    let request = client.get(url).timeout(TIMEOUT.into());
+    let response = request.send().await.ok()?.error_for_status().ok()?;
+    let answer = response.json::<Answer>().await.ok()?;
+    (!answer.entries.is_empty()).then_some(answer)
+}
+
+/// The look-ups of all callers of one run.
+#[derive(Debug)]
+pub struct Lookup {
+    timer: Timer,
+    known: Vec<Entry>,
+    cache: Mutex<IndexMap<Question, Cached>>,
+    random: Mutex<StdRng>,
+}
+
+impl Lookup {
+    /// Callers that know the entries `known`.
+    #[must_use]
+    pub fn new(timer: Timer, known: Vec<Entry>, seed: u64) -> Self {
+        Self {
+            timer,
+            known,
+            cache: Mutex::default(),
+            random: Mutex::new(StdRng::seed_from_u64(seed)),
+        }
+    }
+
+    /// An entry for `service`, none of `avoided` if there is another.
+    pub async fn entry(
+        &self,
+        client: &Client,
+        source: usize,
+        service: &id::Service,
+        avoided: &[id::Instance],
+    ) -> Option<Entry> {
+        let question = Question {
+            source,
+            service: service.clone(),
+        };
+        let choices = self.choices(client, question).await;
+        let fresh = |choice: &&Choice| !avoided.contains(&choice.instance);
+        let wanted: Vec<_> = choices.iter().filter(fresh).collect();
+        if let Some(choice) = self.draw(&wanted) {
+            return Some(choice);
+        }
+        let others = self.fallback();
+        let wanted: Vec<_> = others.iter().filter(fresh).collect();
+        let all: Vec<_> = others.iter().collect();
+        self.draw(&wanted).or_else(|| self.draw(&all))
+    }
+
+    async fn choices(&self, client: &Client, question: Question) -> Vec<Choice> {
+        let now = self.timer.now();
+        let cached = self.cache.lock().get(&question).cloned();
+        if let Some(cached) = cached.filter(|cached| cached.until > now) {
+            return cached.choices;
+        }
+        let cached = match self.ask(client, &question.service).await {
+            Some(answer) => Cached {
+                until: now + Span::from_millis(answer.cache_ms),
+                choices: answer.entries,
+            },
+            None => Cached {
+                until: now + FALLBACK_CACHE,
+                choices: self.fallback(),
+            },
+        };
+        self.cache.lock().insert(question, cached.clone());
+        cached.choices
+    }
+
+    async fn ask(&self, client: &Client, service: &id::Service) -> Option<Answer> {
+        for _ in 0..MOST_ASKED {
+            let place = self.random.lock().random_range(0..self.known.len());
+            let answer = ask_one(client, self.known[place].address, service).await;
+            if answer.is_some() {
+                return answer;
+            }
+        }
+        None
+    }
+
+    fn fallback(&self) -> Vec<Choice> {
+        let known = self.known.iter();
+        known
+            .map(|entry| Choice {
+                instance: entry.instance.clone(),
+                address: entry.address,
+                weight: 1.0,
+            })
+            .collect()
+    }
+
+    fn draw(&self, choices: &[&Choice]) -> Option<Entry> {
+        let total: f64 = choices.iter().map(|choice| choice.weight.max(0.0)).sum();
+        if total <= 0.0 {
+            return None;
+        }
+        let mut point = self.random.lock().random_range(0.0..total);
+        let drawn = choices.iter().find(|choice| {
+            point -= choice.weight.max(0.0);
+            point < 0.0
+        });
+        let choice = drawn.or(choices.last())?;
+        Some(Entry {
+            instance: choice.instance.clone(),
+            address: choice.address,
+        })
+    }
+}
--- /dev/null
+++ b/crates/sg-load/src/measure.rs
@@ -0,0 +1,103 @@
+//! Works the measures out of a history.
+
+mod capacity;
+mod fare;
+
+use hdrhistogram::Histogram;
+use sg_types::prelude::*;
+
+use crate::{
+    check,
+    history::{Call, End, History},
+    report::{Latencies, Latency, Outcomes, Report},
+};
+
+/// The longest latency that is told apart, in microseconds.
+const LONGEST_US: u64 = 60_000_000;
+
+/// Digits of a latency that are kept.
+const DIGITS: u8 = 3;
+
+/// Microseconds in a millisecond.
+const US_PER_MS: f64 = 1_000.0;
+
+/// Why a run can't be measured.
+#[derive(Debug, thiserror::Error)]
+#[error("the histogram can't be made: {0}; this is a fault of the program, please report it")]
+pub struct Error(#[from] hdrhistogram::CreationError);
+
+/// The report of `history`.
+///
+/// # Errors
+/// [`Error`] if the histograms can't be made.
+pub fn measure(history: &History) -> Result<Report, Error> {
+    Ok(Report {
+        seed: history.plan.seed,
+        calls: history.calls.len() as u64,
+        latency_ms: latencies(history)?,
+        headroom: capacity::headroom(history),
+        drain_ms: capacity::drain_ms(history),
+        worst_account: fare::worst(history),
+        wrongful_refusals: fare::wrongful(history),
+        refusals: refusals(history),
+        outcomes: outcomes(history),
+        target_crashes: history.targets.iter().map(|t| t.records.crashes).sum(),
+        violations: check::check(history),
+    })
+}
+
+fn latencies(history: &History) -> Result<Latencies, Error> {
+    let mut latencies = Latencies {
+        all: latency(&history.calls, |_| true)?,
+        ..Latencies::default()
+    };
+    for account in history.view.accounts.keys() {
+        let latency = latency(&history.calls, |call| call.account == *account)?;
+        latencies.accounts.insert(account.clone(), latency);
+    }
+    Ok(latencies)
+}
+
+fn latency(calls: &[Call], wanted: impl Fn(&Call) -> bool) -> Result<Latency, Error> {
+    let mut histogram = Histogram::<u64>::new_with_bounds(1, LONGEST_US, DIGITS)?;
+    for call in calls.iter().filter(|call| call.is_good() && wanted(call)) {
+        histogram.saturating_record(call.latency().as_nanos() / 1_000);
+    }
+    let at = |quantile| histogram.value_at_quantile(quantile) as f64 / US_PER_MS;
+    Ok(Latency {
+        count: histogram.len(),
+        p50: at(0.5),
+        p99: at(0.99),
+        p999: at(0.999),
+    })
+}
+
+fn refusals(history: &History) -> IndexMap<Arc<str>, u64> {
+    let mut refusals: IndexMap<Arc<str>, u64> = IndexMap::new();
+    let attempts = history.calls.iter().flat_map(|call| &call.attempts);
+    for attempt in attempts.filter(|attempt| !attempt.end.is_good()) {
+        let reason = match &attempt.end {
+            End::NotSent => "no-connection",
+            End::Lost => "no-answer",
+            end => end.reason().map_or("no-reason", Reason::as_str),
+        };
+        *refusals.entry(reason.into()).or_default() += 1;
+    }
+    refusals.sort_keys();
+    refusals
+}
+
+fn outcomes(history: &History) -> Outcomes {
+    let mut outcomes = Outcomes::default();
+    for call in &history.calls {
+        outcomes.good += u64::from(call.is_good());
+        let counter = match call.end().and_then(End::outcome) {
+            Some(Outcome::Ran) => &mut outcomes.ran,
+            Some(Outcome::NotRun) => &mut outcomes.not_run,
+            Some(Outcome::Unknown) => &mut outcomes.unknown,
+            None => &mut outcomes.silent,
+        };
+        *counter += 1;
+    }
+    outcomes
+}
--- /dev/null
+++ b/crates/sg-load/src/measure/capacity.rs
@@ -0,0 +1,88 @@
+//! Headroom and drain time, from what targets recorded.
+
+use sg_types::prelude::*;
+
+use crate::{
+    check::drained,
+    history::{History, Seen},
+};
+
+/// The window over which use is averaged, in microseconds.
+const WINDOW_US: u64 = 1_000_000;
+
+/// Microseconds in a millisecond.
+const US_PER_MS: f64 = 1_000.0;
+
+/// The targets of one service in one region.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Pool {
+    service: id::Service,
+    region: id::Region,
+}
+
+/// How a pool was used.
+#[derive(Debug, Default)]
+struct Use {
+    slots: u32,
+    /// Busy slot time in microseconds, by window.
+    busy_us: Vec<u64>,
+}
+
+impl Use {
+    fn add(&mut self, start_us: u64, end_us: u64) {
+        let mut at = start_us;
+        while at < end_us {
+            let window = at / WINDOW_US;
+            let end = end_us.min((window + 1) * WINDOW_US);
+            let place = window as usize;
+            if self.busy_us.len() <= place {
+                self.busy_us.resize(place + 1, 0);
+            }
+            self.busy_us[place] += end - at;
+            at = end;
+        }
+    }
+
+    fn unused(&self) -> f64 {
+        let most = self.busy_us.iter().max().copied().unwrap_or(0);
+        let whole = u64::from(self.slots) * WINDOW_US;
+        1.0 - most as f64 / whole.max(1) as f64
+    }
+}
+
+/// The part of capacity that was unused in the busiest second of the busiest pool.
+pub(super) fn headroom(history: &History) -> f64 {
+    let mut pools: IndexMap<Pool, Use> = IndexMap::new();
+    for seen in &history.targets {
+        let service = history.view.services.get(&seen.service);
+        let Some(target) = service.and_then(|service| service.targets.get(&seen.name)) else {
+            continue;
+        };
+        let pool = Pool {
+            service: seen.service.clone(),
+            region: target.region.clone(),
+        };
+        let used = pools.entry(pool).or_default();
+        used.slots += target.slots;
+        for run in &seen.records.runs {
+            used.add(run.start_us, run.end_us);
+        }
+    }
+    pools.values().map(Use::unused).fold(1.0, f64::min)
+}
+
+/// From the order to drain to the end of the last request, the longest of all drained targets.
+pub(super) fn drain_ms(history: &History) -> Option<f64> {
+    let targets = history.targets.iter();
+    targets
+        .filter_map(|seen| drained_us(history, seen))
+        .max()
+        .map(|us| us as f64 / US_PER_MS)
+}
+
+fn drained_us(history: &History, seen: &Seen) -> Option<u64> {
+    let by_tree = drained(history, seen).map(|at| at.as_nanos() / 1_000);
+    let since = by_tree.or(seen.records.leaving_us)?;
+    let ends = seen.records.runs.iter().map(|run| run.end_us);
+    Some(ends.max().unwrap_or(since).saturating_sub(since))
+}
--- /dev/null
+++ b/crates/sg-load/src/measure/fare.rs
@@ -0,0 +1,93 @@
+//! How client accounts fared: goodput against what is due, and wrongful refusals.
+
+use sg_tree::view::Account;
+use sg_types::prelude::*;
+
+use crate::{
+    history::{Call, End, History},
+    plan::Fault,
+    report::{Fare, Wrongful},
+};
+
+/// The client account that got the least of what was due to it.
+pub(super) fn worst(history: &History) -> Option<Fare> {
+    let fares = history.view.accounts.iter();
+    let fares = fares.filter_map(|(name, account)| fare(history, name, account));
+    fares.min_by(|a, b| a.share.total_cmp(&b.share))
+}
+
+fn fare(history: &History, name: &id::Account, account: &Account) -> Option<Fare> {
+    let calls: Vec<_> = history
+        .calls
+        .iter()
+        .filter(|call| call.account == *name && fair(history, call))
+        .collect();
+    if calls.is_empty() {
+        return None;
+    }
+    let seconds = history.plan.duration.as_secs_f64().max(f64::EPSILON);
+    let paid = account.rate.as_f64() * seconds + f64::from(account.burst);
+    let due = (calls.len() as f64).min(paid);
+    let good = calls.iter().filter(|call| call.is_good()).count() as f64;
+    Some(Fare {
+        account: name.clone(),
+        goodput: good / seconds,
+        due: due / seconds,
+        share: (good / due).min(1.0),
+    })
+}
+
+/// Refusals of calls that were inside their account's rate and burst.
+pub(super) fn wrongful(history: &History) -> Wrongful {
+    let mut inside = 0;
+    let mut count = 0;
+    for (name, account) in &history.view.accounts {
+        for call in within_rate(history, name, account) {
+            inside += 1;
+            count += u64::from(refused(call));
+        }
+    }
+    let share = match inside {
+        0 => 0.0,
+        inside => count as f64 / inside as f64,
+    };
+    Wrongful { count, share }
+}
+
+/// The calls of an account that a token bucket of its rate and burst lets through.
+fn within_rate<'a>(history: &'a History, name: &id::Account, account: &Account) -> Vec<&'a Call> {
+    let burst = f64::from(account.burst);
+    let mut tokens = burst;
+    let mut last = history.start;
+    let mut within = Vec::new();
+    for call in history.calls.iter().filter(|call| call.account == *name) {
+        let gained = account.rate.as_f64() * call.intended.since(last).as_secs_f64();
+        tokens = (tokens + gained).min(burst);
+        last = call.intended;
+        if tokens >= 1.0 {
+            tokens -= 1.0;
+            if fair(history, call) {
+                within.push(call);
+            }
+        }
+    }
+    within
+}
+
+/// Whether the call's caller was refused, rather than left in doubt.
+fn refused(call: &Call) -> bool {
+    !call.is_good() && call.end().is_some_and(End::is_not_run)
+}
+
+/// Whether a refusal of the call would be wrong: it crashes nothing and its key works.
+fn fair(history: &History, call: &Call) -> bool {
+    let withdrawn = history.events.iter().any(|event| {
+        let Fault::Tree { path, value } = &event.fault else {
+            return false;
+        };
+        let key = format!("/accounts/{}/keys/{}/withdrawn", call.account, call.key);
+        path.to_string() == key && value.as_ref() == "yes" && call.done >= event.asked
+    });
+    let refusable = withdrawn && call.keyed;
+    !call.poison && !refusable
+}
--- /dev/null
+++ b/crates/sg-load/src/run.rs
@@ -0,0 +1,182 @@
+//! One run from the first call to the report.
+
+use std::sync::Arc;
+
+use reqwest::Client;
+use sg_clock::Timer;
+use sg_types::prelude::*;
+use tokio::task::JoinSet;
+
+use crate::{
+    caller::Callers,
+    collect,
+    fault::{self, Commands, Driver},
+    history::{Call, Event, History},
+    lookup, measure,
+    plan::{self, Plan},
+    report::Report,
+    schedule::{Send, schedule},
+};
+
+/// How long after the start of the program the first call is due.
+const LEAD_TIME: Span = Span::from_millis(200);
+
+/// How often progress is told.
+const PROGRESS_INTERVAL: Span = Span::from_secs(2);
+
+/// Why a run did not come to its report.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The plan can't be used.
+    #[error(transparent)]
+    Plan(#[from] plan::Error),
+    /// The faults can't be carried out.
+    #[error(transparent)]
+    Fault(#[from] fault::Error),
+    /// The run can't be measured.
+    #[error(transparent)]
+    Measure(#[from] measure::Error),
+    /// Entries don't answer look-ups.
+    #[error("these entries answer no look-ups: {0:?}; see their logs, or name others in the plan")]
+    NotReady(Vec<id::Instance>),
+    /// The HTTP client can't be built.
+    #[error("the HTTP client can't be built: {0}; check the source addresses of the plan")]
+    Client(#[from] reqwest::Error),
+}
+
+/// How often entries are asked whether they are ready.
+const READY_INTERVAL: Span = Span::from_millis(100);
+
+/// How long entries that have just become ready settle before the first call.
+const SETTLE_TIME: Span = Span::from_secs(2);
+
+/// Waits, for `patience` at most, until every entry of the plan answers look-ups.
+///
+/// # Errors
+/// [`Error::NotReady`] with the entries that don't.
+pub async fn ready(plan: &Plan, patience: Span) -> Result<(), Error> {
+    let timer = Timer::new();
+    let view = plan.view()?;
+    let client = Client::builder().no_proxy().build()?;
+    let Some(service) = view.services.keys().next() else {
+        return Ok(());
+    };
+    let deadline = timer.now() + patience;
+    loop {
+        let unready = lookup::unready(&client, &plan.entries, service).await;
+        if unready.is_empty() {
+            break;
+        }
+        if timer.now() > deadline {
+            return Err(Error::NotReady(unready));
+        }
+        timer.sleep(READY_INTERVAL).await;
+    }
+    timer.sleep(SETTLE_TIME).await;
+    Ok(())
+}
+
+/// Tells how far a run is.
+pub trait Progress {
+    /// `made` calls of `all` were made.
+    fn made(&mut self, made: usize, all: usize);
+}
+
+/// Carries out `plan` and reports.
+///
+/// # Errors
+/// [`Error`] if the run could not be carried out. A broken promise is no error; it stands in the
+/// report.
+pub async fn run(
+    plan: Plan,
+    commands: Option<Commands>,
+    progress: &mut impl Progress,
+) -> Result<Report, Error> {
+    let history = record(plan, commands, progress).await?;
+    Ok(measure::measure(&history)?)
+}
+
+/// Carries out `plan` and gathers what everybody saw.
+///
+/// # Errors
+/// [`Error`] if the run could not be carried out.
+pub async fn record(
+    plan: Plan,
+    commands: Option<Commands>,
+    progress: &mut impl Progress,
+) -> Result<History, Error> {
+    let timer = Timer::new();
+    let view = plan.view()?;
+    let client = Client::builder().no_proxy().build()?;
+    let driver = Driver::new(timer.clone(), client.clone(), &plan, &view, commands)?;
+    let callers = Arc::new(Callers::new(timer.clone(), plan.clone(), view.clone())?);
+    let start = timer.now() + LEAD_TIME;
+    let faults = tokio::spawn(faults(timer.clone(), driver, plan.clone(), start));
+    let calls = calls(&timer, &callers, &plan, start, progress).await;
+    let events = match faults.await {
+        Ok(events) => events?,
+        Err(_) => Vec::new(),
+    };
+    let collected = collect::collect(&timer, &client, &view).await;
+    Ok(History {
+        plan,
+        view,
+        calls,
+        events,
+        targets: collected.seen,
+        missing: collected.missing,
+        start,
+    })
+}
+
+async fn faults(
+    timer: Timer,
+    driver: Driver,
+    plan: Plan,
+    start: Instant,
+) -> Result<Vec<Event>, fault::Error> {
+    let mut timed: Vec<_> = plan.faults.iter().enumerate().collect();
+    timed.sort_by_key(|(_, timed)| timed.at);
+    let mut events = Vec::new();
+    for (number, timed) in timed {
+        timer.sleep_until(start + timed.at).await;
+        events.push(driver.carry_out(number, &timed.fault).await?);
+    }
+    Ok(events)
+}
+
+/// Makes every call at its time, whether or not earlier ones were answered.
+async fn calls(
+    timer: &Timer,
+    callers: &Arc<Callers>,
+    plan: &Plan,
+    start: Instant,
+    progress: &mut impl Progress,
+) -> Vec<Call> {
+    let sends = schedule(plan);
+    let all = sends.len();
+    let mut tasks = JoinSet::new();
+    let mut told = start;
+    for (number, send) in sends.into_iter().enumerate() {
+        timer.sleep_until(start + send.at).await;
+        if timer.now().since(told) > PROGRESS_INTERVAL {
+            told = timer.now();
+            progress.made(number, all);
+        }
+        tasks.spawn(one(callers.clone(), plan.seed, number, send, start));
+    }
+    let mut calls: Vec<_> = tasks.join_all().await.into_iter().flatten().collect();
+    calls.sort_by_key(|call: &Call| call.intended);
+    calls
+}
+
+async fn one(
+    callers: Arc<Callers>,
+    seed: u64,
+    number: usize,
+    send: Send,
+    start: Instant,
+) -> Option<Call> {
+    let id: Arc<str> = format!("{seed}-{number}").into();
+    callers.call(id, &send, start + send.at).await
+}
--- /dev/null
+++ b/crates/sg-load/tests/load/judge.rs
@@ -0,0 +1,303 @@
+//! For each promise, a history in which it is broken; and one in which none is.
+
+use serde_json::json;
+use sg_fake::target::{self, Header, Records, Run};
+use sg_load::{
+    check::{self, Promise},
+    history::{Attempt, Body, Call, End, Event, History, Seen},
+    measure,
+    plan::{Fault, Plan},
+};
+use sg_tree::{Node, compile};
+use sg_types::prelude::*;
+
+const TREE: &str = r#"{
+  "regions": { "north": { "domains": { "n1": {} } } },
+  "services": { "desk": {
+    "routes": { "list": { "path": "/list", "method": "GET", "repeatable": "yes" },
+                "book": { "path": "/book", "method": "POST" } },
+    "targets": { "slots": 3,
+                 "t1": { "address": "127.0.0.1:9", "domain": "n1" },
+                 "t2": { "address": "127.0.0.1:10", "domain": "n1" } } } },
+  "accounts": { "a": { "rate": "10/s", "burst": 2, "keys": {} }, "b": {} }
+}"#;
+
+fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("a name")
+}
+
+fn at(millis: u64) -> Instant {
+    Instant::START + Span::from_millis(millis)
+}
+
+/// A history without calls, of two targets that saw nothing.
+fn empty() -> History {
+    let plan: Plan = serde_json::from_value(json!({
+        "seed": 1, "duration": "20s", "tree": "", "store": "127.0.0.1:1", "list": "127.0.0.1:2",
+        "entries": [], "mix": [],
+        "accounts": [{ "account": "a", "key": "k", "secret": "s3cret", "rate": "5/s" }]
+    }))
+    .expect("a plan");
+    let tree = Node::from_json(TREE).expect("a tree");
+    let view = compile::compile(&tree, Revision::new(1))
+        .expect("compiles")
+        .view;
+    let target = |name| Seen {
+        name: id(name),
+        service: id("desk"),
+        records: Records::default(),
+    };
+    History {
+        plan,
+        view,
+        calls: Vec::new(),
+        events: Vec::new(),
+        targets: vec![target("t1"), target("t2")],
+        missing: Vec::new(),
+        start: at(0),
+    }
+}
+
+fn answer(body: Body) -> End {
+    End::Answer {
+        status: 200,
+        outcome: Some(Outcome::Ran),
+        reason: Some(Reason::Answered),
+        body,
+    }
+}
+
+fn not_run(reason: Reason) -> End {
+    End::Answer {
+        status: reason.status(),
+        outcome: Some(Outcome::NotRun),
+        reason: Some(reason),
+        body: Body::Refusal,
+    }
+}
+
+fn call(history: &mut History, name: &str, route: &str, millis: u64, end: End) {
+    history.calls.push(Call {
+        id: name.into(),
+        account: id("a"),
+        key: id("k"),
+        route: id(route),
+        path: format!("/{route}/{name}").into(),
+        keyed: true,
+        repeatable: route == "list",
+        poison: false,
+        intended: at(millis),
+        done: at(millis + 20),
+        attempts: vec![Attempt {
+            entry: id("entry-1"),
+            began: at(millis),
+            ended: at(millis + 20),
+            end,
+        }],
+    });
+}
+
+fn ran(history: &mut History, target: usize, name: &str, route: &str, millis: u64) {
+    history.targets[target].records.runs.push(Run {
+        request: name.to_owned(),
+        ticket: None,
+        account: Some("a".to_owned()),
+        method: "GET".to_owned(),
+        path: format!("/{route}/{name}?size=0"),
+        headers: Vec::new(),
+        start_us: millis * 1_000,
+        end_us: (millis + 10) * 1_000,
+        end: target::End::Answered,
+    });
+}
+
+fn kept() -> History {
+    let mut history = empty();
+    call(&mut history, "1-1", "list", 100, answer(Body::Own));
+    ran(&mut history, 0, "1-1", "list", 105);
+    call(&mut history, "1-2", "book", 400, answer(Body::Own));
+    ran(&mut history, 1, "1-2", "book", 405);
+    call(&mut history, "1-3", "book", 900, not_run(Reason::NoTarget));
+    history
+}
+
+fn broken(history: &History) -> Vec<Promise> {
+    let mut broken: Vec<_> = check::check(history)
+        .into_iter()
+        .map(|v| v.promise)
+        .collect();
+    broken.dedup();
+    broken
+}
+
+#[test]
+fn a_history_that_keeps_all_promises_passes() {
+    assert_eq!(broken(&kept()), []);
+}
+
+#[test]
+fn a_refused_request_that_ran_is_seen() {
+    let mut history = kept();
+    ran(&mut history, 0, "1-3", "book", 905);
+    assert_eq!(broken(&history), [Promise::NotRunIsTrue]);
+}
+
+#[test]
+fn a_request_that_ran_twice_is_seen_unless_it_may() {
+    let mut history = kept();
+    ran(&mut history, 0, "1-1", "list", 110);
+    assert_eq!(broken(&history), []);
+    ran(&mut history, 0, "1-2", "book", 410);
+    assert_eq!(broken(&history), [Promise::RunsAtMostOnce]);
+}
+
+#[test]
+fn an_answer_without_a_run_is_seen() {
+    let mut history = kept();
+    history.targets[0].records.runs.clear();
+    assert_eq!(broken(&history), [Promise::RanIsTrue]);
+}
+
+#[test]
+fn a_key_that_reaches_a_target_is_seen() {
+    for header in ["authorization", "x-forwarded-anything"] {
+        let mut history = kept();
+        history.targets[0].records.runs[0].headers.push(Header {
+            name: header.to_owned(),
+            value: "Bearer s3cret".to_owned(),
+        });
+        assert_eq!(broken(&history), [Promise::KeyStaysHere]);
+    }
+    let mut history = kept();
+    history.targets[0].records.runs[0].path += "&key=s3cret";
+    assert_eq!(broken(&history), [Promise::KeyStaysHere]);
+}
+
+#[test]
+fn a_run_for_another_account_or_none_is_seen() {
+    for account in [Some("b".to_owned()), None] {
+        let mut history = kept();
+        history.targets[0].records.runs[0].account = account;
+        assert_eq!(broken(&history), [Promise::OwnAccount]);
+    }
+}
+
+#[test]
+fn a_foreign_or_cut_answer_is_seen() {
+    for (body, promise) in [
+        (Body::Foreign, Promise::OwnAnswer),
+        (Body::Broken, Promise::WholeAnswer),
+    ] {
+        let mut history = kept();
+        history.calls[0].attempts[0].end = answer(body);
+        assert_eq!(broken(&history), [promise]);
+    }
+}
+
+fn tree_event(path: &str, millis: u64) -> Event {
+    Event {
+        asked: at(millis),
+        done: Some(at(millis)),
+        fault: Fault::Tree {
+            path: id(path),
+            value: "yes".into(),
+        },
+    }
+}
+
+#[test]
+fn a_withdrawn_key_that_works_after_the_grace_is_seen() {
+    for (millis, expected) in [(4_900, vec![]), (5_200, vec![Promise::KeyWithdrawal])] {
+        let mut history = kept();
+        history
+            .events
+            .push(tree_event("/accounts/a/keys/k/withdrawn", 1_000));
+        call(
+            &mut history,
+            "1-9",
+            "list",
+            1_000 + millis,
+            answer(Body::Own),
+        );
+        ran(&mut history, 0, "1-9", "list", 1_000 + millis);
+        assert_eq!(broken(&history), expected);
+    }
+}
+
+#[test]
+fn an_account_over_rate_and_burst_is_seen() {
+    // Two at once and ten a second are paid for, so a steady ten a second is allowed.
+    for (gap, expected) in [(100, vec![]), (70, vec![Promise::RateAndBurst])] {
+        let mut history = empty();
+        for n in 0..12 {
+            let millis = 1_000 + n * gap;
+            let name = format!("1-{n}");
+            call(&mut history, &name, "list", millis, answer(Body::Own));
+            ran(&mut history, n as usize % 2, &name, "list", millis + 1);
+        }
+        assert_eq!(broken(&history), expected, "every {gap} ms");
+    }
+}
+
+#[test]
+fn requests_that_waited_in_an_entry_are_no_violation() {
+    let mut history = empty();
+    for n in 0..6 {
+        let name = format!("1-{n}");
+        call(
+            &mut history,
+            &name,
+            "list",
+            1_000 + n * 100,
+            answer(Body::Own),
+        );
+        ran(&mut history, 0, &name, "list", 1_600);
+    }
+    assert_eq!(broken(&history), []);
+}
+
+#[test]
+fn work_for_a_leaving_target_after_the_grace_is_seen() {
+    for (millis, expected) in [(6_000, vec![]), (6_100, vec![Promise::LeavingTarget])] {
+        let mut history = kept();
+        let records = &mut history.targets[0].records;
+        records.leaving_us = Some(1_000_000);
+        records.leaving_offers_us.push(millis * 1_000);
+        assert_eq!(broken(&history), expected);
+    }
+    let mut history = kept();
+    history
+        .events
+        .push(tree_event("/services/desk/targets/t1/drain", 1_000));
+    call(&mut history, "1-9", "list", 6_500, answer(Body::Own));
+    ran(&mut history, 0, "1-9", "list", 6_500);
+    assert_eq!(broken(&history), [Promise::LeavingTarget]);
+}
+
+#[test]
+fn missing_evidence_is_seen() {
+    let mut history = kept();
+    history.missing.push(id("t2"));
+    assert_eq!(broken(&history), [Promise::Evidence]);
+    let mut history = kept();
+    history.targets[0].records.forgotten = 1;
+    assert_eq!(broken(&history), [Promise::Evidence]);
+}
+
+#[test]
+fn measures_follow_from_the_history() {
+    let mut history = kept();
+    history.targets[0].records.runs[0].end_us = 1_605_000;
+    let report = measure::measure(&history).expect("measures");
+    assert_eq!(report.calls, 3);
+    assert_eq!(report.outcomes.good, 2);
+    assert_eq!(report.refusals["no-target"], 1);
+    // The list call and both book calls are inside rate and burst; one was refused.
+    assert_eq!(report.wrongful_refusals.count, 1);
+    assert!((report.wrongful_refusals.share - 1.0 / 3.0).abs() < 1e-9);
+    // 895 ms and 10 ms of six slots were in use in the first second.
+    assert!((report.headroom - (1.0 - 0.905 / 6.0)).abs() < 1e-9);
+    let worst = report.worst_account.expect("an account called");
+    assert!((worst.share - 2.0 / 3.0).abs() < 1e-9);
+    assert_eq!(report.latency_ms.all.p50.round(), 20.0);
+}
--- /dev/null
+++ b/crates/sg-load/tests/load/path.rs
@@ -0,0 +1,200 @@
+//! A load over loopback through a small pass-through to real stand-ins of targets.
+
+use std::{net::SocketAddr, path::PathBuf, sync::Arc};
+
+use poem::{Endpoint, Request, Response, Server, http::StatusCode, listener::TcpAcceptor};
+use serde_json::json;
+use sg_fake::{store, target};
+use sg_load::{
+    check::Promise,
+    plan::Plan,
+    report::Report,
+    run::{self, Progress},
+};
+use sg_types::prelude::*;
+use tokio::net::TcpListener;
+
+/// How the pass-through breaks a promise.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Mutation {
+    None,
+    ForwardsKeys,
+    RunsTwice,
+    SaysNotRun,
+    MixesAnswers,
+}
+
+/// A pass-through to one target, without any of an entry's judgement but one account's key.
+struct Through {
+    target: SocketAddr,
+    client: reqwest::Client,
+    mutation: Mutation,
+}
+
+impl Endpoint for Through {
+    type Output = Response;
+
+    async fn call(&self, mut request: Request) -> poem::Result<Response> {
+        let path = request
+            .uri()
+            .path_and_query()
+            .map_or("/", |p| p.as_str())
+            .to_owned();
+        if path.starts_with("/.sg/") {
+            return Ok(Response::builder().status(StatusCode::NOT_FOUND).finish());
+        }
+        let post = request.method() == poem::http::Method::POST;
+        if post && request.header("Idempotency-Key").is_none() {
+            let builder = Response::builder().status(StatusCode::PRECONDITION_REQUIRED);
+            let builder = builder.header("Sg-Outcome", "not-run");
+            let builder = builder.header("Sg-Reason", "ticket-missing");
+            return Ok(builder.header("Sg-Ticket", "t-1").finish());
+        }
+        let key = request
+            .header("Authorization")
+            .unwrap_or_default()
+            .to_owned();
+        let body = request.take_body().into_vec().await.unwrap_or_default();
+        let times = if self.mutation == Mutation::RunsTwice {
+            2
+        } else {
+            1
+        };
+        let mut answer = Vec::new();
+        for _ in 0..times {
+            let url = match self.mutation {
+                Mutation::MixesAnswers => format!("http://{}/other", self.target),
+                _ => format!("http://{}{path}", self.target),
+            };
+            let mut onward = self
+                .client
+                .post(url)
+                .header("Sg-Account", "a")
+                .body(body.clone());
+            if self.mutation == Mutation::ForwardsKeys {
+                onward = onward.header("Authorization", &key);
+            }
+            let response = onward.send().await.expect("the target answers");
+            answer = response.bytes().await.expect("the whole answer").to_vec();
+        }
+        if self.mutation == Mutation::SaysNotRun {
+            let builder = Response::builder().status(StatusCode::SERVICE_UNAVAILABLE);
+            let builder = builder.header("Sg-Outcome", "not-run");
+            return Ok(builder.header("Sg-Reason", "no-target").finish());
+        }
+        let builder = Response::builder().header("Sg-Outcome", "ran");
+        Ok(builder.header("Sg-Reason", "answered").body(answer))
+    }
+}
+
+struct Quiet;
+
+impl Progress for Quiet {
+    fn made(&mut self, _: usize, _: usize) {}
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+async fn start_target() -> target::Server {
+    target::Server::start(target::Options {
+        name: "t1".parse().expect("a name"),
+        listen: any_port(),
+        slots: 200,
+        service_time: Span::from_millis(1),
+        cold: target::Cold {
+            span: Span::ZERO,
+            factor: 1.0,
+        },
+        lag: Span::ZERO,
+        seed: 1,
+    })
+    .await
+    .expect("a target")
+}
+
+async fn start_entry(target: SocketAddr, mutation: Mutation) -> SocketAddr {
+    let listener = TcpListener::bind(any_port()).await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let acceptor = TcpAcceptor::from_tokio(listener).expect("an acceptor");
+    let client = reqwest::Client::new();
+    let through = Through {
+        target,
+        client,
+        mutation,
+    };
+    tokio::spawn(Server::new_with_acceptor(acceptor).run(Arc::new(through)));
+    address
+}
+
+/// Writes the tree to a file of its own and returns the file.
+fn tree_file(target: SocketAddr) -> PathBuf {
+    let tree = json!({
+        "regions": { "north": { "domains": { "n1": {} } } },
+        "services": { "desk": {
+            "routes": { "list": { "path": "/list", "method": "POST", "repeatable": "yes" },
+                        "book": { "path": "/book", "method": "POST" } },
+            "targets": { "t1": { "address": target.to_string(), "domain": "n1" } } } },
+        "accounts": { "a": { "rate": "1000/s", "burst": 1000 } }
+    });
+    let file = std::env::temp_dir().join(format!(
+        "sg-load-{}-{}.json",
+        std::process::id(),
+        target.port()
+    ));
+    std::fs::write(&file, tree.to_string()).expect("the tree is written");
+    file
+}
+
+async fn load(mutation: Mutation) -> Report {
+    let store = store::Server::start(store::Options {
+        listen: any_port(),
+        seed: 1,
+    });
+    let store = store.await.expect("a store");
+    let target = start_target().await;
+    let entry = start_entry(target.address(), mutation).await;
+    let tree = tree_file(target.address());
+    let plan: Plan = serde_json::from_value(json!({
+        "seed": 3, "duration": "1s", "tree": tree, "store": store.address(),
+        "list": "127.0.0.1:1",
+        "entries": [{ "instance": "entry-1", "address": entry }],
+        "mix": [{ "route": "list", "weight": 1, "size": 300 },
+                { "route": "book", "weight": 1, "size": 0 }],
+        "accounts": [{ "account": "a", "key": "k", "secret": "s3cret", "rate": "100/s" }],
+        "faults": [{ "at": "100ms", "do": { "store": { "outage": "refuse" } } }]
+    }))
+    .expect("a plan");
+    let report = run::run(plan, None, &mut Quiet).await.expect("a report");
+    let _ = std::fs::remove_file(tree);
+    report
+}
+
+fn broken(report: &Report) -> Vec<Promise> {
+    let mut broken: Vec<_> = report.violations.iter().map(|v| v.promise).collect();
+    broken.sort();
+    broken.dedup();
+    broken
+}
+
+#[tokio::test]
+async fn an_honest_pass_through_breaks_no_promise() {
+    let report = load(Mutation::None).await;
+    assert_eq!(broken(&report), []);
+    assert_eq!(report.outcomes.good, report.calls);
+    assert_eq!(report.latency_ms.all.count, report.calls);
+    assert_eq!(report.wrongful_refusals.count, 0);
+}
+
+#[tokio::test]
+async fn each_dishonest_pass_through_is_seen() {
+    for (mutation, promises) in [
+        (Mutation::ForwardsKeys, vec![Promise::KeyStaysHere]),
+        (Mutation::RunsTwice, vec![Promise::RunsAtMostOnce]),
+        (Mutation::SaysNotRun, vec![Promise::NotRunIsTrue]),
+        (Mutation::MixesAnswers, vec![Promise::OwnAnswer]),
+    ] {
+        assert_eq!(broken(&load(mutation).await), promises, "{mutation:?}");
+    }
+}
