--- a/crates/sg-fake/src/wire.rs
+++ b/crates/sg-fake/src/wire.rs
@@ -181,8 +181,9 @@
                 continue;
             };
             tokio::select! {
-                accepted = socket.accept() => return accepted,
+                biased;
                 _ = fate.changed() => {}
+                accepted = socket.accept() => return accepted,
             }
         }
     }
@@ -214,12 +215,13 @@
     let mut fate = place.switch.0.fate.subscribe();
     let at_start = *fate.borrow_and_update();
     let silent = tokio::select! {
-        () = exchange(&mut socket, &mut server) => return,
-        () = place.connection.reset.notified() => false,
+        biased;
         () = until(&mut fate, |now| now.breaks(&at_start)) => {
             let now = *fate.borrow();
             now.cuts == at_start.cuts
         }
+        () = place.connection.reset.notified() => false,
+        () = exchange(&mut socket, &mut server) => return,
     };
     if silent {
         hold(&place, at_start).await;
