test(share): a fleet in virtual time, directed faults and random schedules

The fleet-wide bound is checked at every admitted unit in true time, and the parts in use and the users of each slot at every tick, with clocks 1% apart.

--- a/crates/sg-share/src/engine/claiming.rs
+++ b/crates/sg-share/src/engine/claiming.rs
@@ -43,9 +43,9 @@
         }
     }
 
-    fn is_carried(&self) -> bool {
+    fn is_carried(&self, fault: Option<Fault>) -> bool {
         let (slot, slots) = (self.claim.slot, self.claim.slots);
-        if slots < panel::LEAST_SLOTS {
+        if slots < panel::LEAST_SLOTS || fault == Some(Fault::SkipMajority) {
             return true;
         }
         let agreed = panel::voters(slot, slots)
@@ -401,7 +401,8 @@
         {
             self.trial = None;
         }
-        if let Some(trial) = self.trial.take_if(|trial| trial.is_carried()) {
+        let fault = self.options.fault;
+        if let Some(trial) = self.trial.take_if(|trial| trial.is_carried(fault)) {
             let is_silent = self
                 .registry
                 .is_silent(trial.claim.slot, self.options.silence, now);
--- a/crates/sg-share/src/engine/options.rs
+++ b/crates/sg-share/src/engine/options.rs
@@ -48,10 +48,10 @@
 pub enum Fault {
     /// A claimant does not wait for its predecessor's confirmations to lapse.
     SkipWait,
-    /// A claimant does not need a majority of voters.
+    /// A claimant needs no majority of voters.
     SkipMajority,
-    /// A voter vouches without being confirmed itself.
-    VouchUnconfirmed,
+    /// A restarted voter goes on voting with the slot that its earlier run held.
+    VouchAs(Slot),
     /// A holder uses its share after its confirmation lapsed.
     IgnoreValidity,
     /// A lender credits the borrower without debiting itself.
--- a/crates/sg-share/src/engine/vouching.rs
+++ b/crates/sg-share/src/engine/vouching.rs
@@ -21,10 +21,8 @@
 impl Engine {
     /// The slots that this instance votes with now.
     fn votes(&self, now: Instant) -> Vec<Slot> {
-        if self.options.fault == Some(Fault::VouchUnconfirmed) {
-            let mine = |known: &&crate::registry::Known| known.claim.instance == self.me.instance;
-            let known = self.registry.claims.values().filter(mine);
-            return known.map(|known| known.claim.slot).collect();
+        if let Some(Fault::VouchAs(slot)) = self.options.fault {
+            return vec![slot];
         }
         let (validity, outage) = (self.options.validity, self.options.outage);
         self.tenures
--- /dev/null
+++ b/crates/sg-share/tests/share/check.rs
@@ -0,0 +1,145 @@
+//! What must hold over the fleet, in true time.
+
+use sg_share::{Budget, budget};
+use sg_types::prelude::*;
+
+use crate::world::Node;
+
+/// Token buckets of the budgets as they are for the whole fleet, and what broke first.
+pub struct Check {
+    buckets: IndexMap<budget::Id, Bucket>,
+    pub broken: Option<String>,
+}
+
+/// In units of 1e-15: millionths times nanoseconds.
+struct Bucket {
+    rate: i128,
+    burst: i128,
+    level: i128,
+    at: u64,
+}
+
+const UNIT: i128 = 1_000_000_000_000_000;
+/// While old settings may be in force somewhere.
+const CONVERGE: u64 = 30 * crate::world::SEC;
+
+impl Check {
+    pub fn new(budgets: &IndexMap<budget::Id, Budget>) -> Self {
+        let mut check = Self {
+            buckets: IndexMap::new(),
+            broken: None,
+        };
+        check.set(budgets, 0);
+        check
+    }
+
+    fn set(&mut self, budgets: &IndexMap<budget::Id, Budget>, now: u64) {
+        for (id, budget) in budgets {
+            let rate = i128::from(budget.rate.as_micros());
+            let burst = i128::from(budget.burst) * UNIT;
+            let bucket = self.buckets.entry(id.clone()).or_insert(Bucket {
+                rate,
+                burst,
+                level: burst,
+                at: now,
+            });
+            bucket.settle(now);
+            // A greater burst may be full at once: it is a different bound from here on.
+            bucket.level += (burst - bucket.burst).max(0);
+            bucket.rate = rate;
+            bucket.burst = burst;
+        }
+    }
+
+    /// Puts the greater of the old and the new settings in force; `settled` ends that.
+    pub fn configure(&mut self, budgets: &IndexMap<budget::Id, Budget>, now: u64) {
+        let greater = budgets
+            .iter()
+            .map(|(id, budget)| {
+                let (rate, burst) = self
+                    .buckets
+                    .get(id)
+                    .map_or((0, 0), |old| (old.rate as u64, (old.burst / UNIT) as u32));
+                let greater = Budget {
+                    rate: Rate::from_micros(budget.rate.as_micros().max(rate)),
+                    burst: budget.burst.max(burst),
+                };
+                (id.clone(), greater)
+            })
+            .collect();
+        self.set(&greater, now);
+    }
+
+    /// From now on only the newest settings count.
+    pub fn settled(&mut self, budgets: &IndexMap<budget::Id, Budget>, now: u64) {
+        self.set(budgets, now);
+    }
+
+    pub const fn converge() -> u64 {
+        CONVERGE
+    }
+
+    /// Counts units admitted: over any window, at most the burst and what the rate brings.
+    pub fn admit(&mut self, id: &budget::Id, units: u32, now: u64) {
+        let bucket = &mut self.buckets[id];
+        bucket.settle(now);
+        bucket.level -= i128::from(units) * UNIT;
+        if bucket.level < 0 {
+            self.fail(format!("{id} admitted over burst + rate * T at {now}"));
+        }
+    }
+
+    /// Checks that the parts in use add up to no more than the budgets, and that no slot has two
+    /// users.
+    pub fn sum(&mut self, nodes: &[Node], now: u64) {
+        let mut users: IndexMap<Slot, &id::Instance> = IndexMap::new();
+        let mut twice = None;
+        for node in nodes {
+            let clock = node.clock(now);
+            for slot in node
+                .engine
+                .iter()
+                .flat_map(|engine| engine.slots_in_use(clock))
+            {
+                if let Some(other) = users.insert(slot, &node.name) {
+                    twice = Some(format!(
+                        "slot {slot} used by {other} and {} at {now}",
+                        node.name
+                    ));
+                }
+            }
+        }
+        twice.into_iter().for_each(|what| self.fail(what));
+        let mut over = None;
+        for (id, bucket) in &self.buckets {
+            let held = nodes.iter().filter_map(|node| {
+                let engine = node.engine.as_ref()?;
+                Some(engine.held(id, node.clock(now)))
+            });
+            let (rate, burst) = held.fold((0, 0), |(rate, burst), part| {
+                (rate + i128::from(part.rate), burst + i128::from(part.burst))
+            });
+            if rate > bucket.rate || burst * (UNIT / 1_000_000) > bucket.burst {
+                over = Some(format!("{id}: parts add up to {rate}, {burst} at {now}"));
+            }
+        }
+        over.into_iter().for_each(|what| self.fail(what));
+    }
+
+    fn fail(&mut self, what: String) {
+        self.broken.get_or_insert(what);
+    }
+
+    /// Fails the test with what broke first.
+    pub fn assert(&self) {
+        assert_eq!(self.broken, None);
+    }
+}
+
+impl Bucket {
+    fn settle(&mut self, now: u64) {
+        let fresh = self.rate * i128::from(now - self.at);
+        self.level = (self.level + fresh).min(self.burst);
+        self.at = now;
+    }
+}
--- /dev/null
+++ b/crates/sg-share/tests/share/main.rs
@@ -0,0 +1,10 @@
+//! Shows that shares never add up to more than a budget, and that they reach the callers.
+
+mod calm;
+mod check;
+mod faults;
+mod random;
+mod settings;
+mod world;
+
+use world::budgets;
--- /dev/null
+++ b/crates/sg-share/tests/share/settings.rs
@@ -0,0 +1,76 @@
+//! Rates, bursts and slots that change while shares are out.
+
+use sg_share::engine::Options;
+
+use crate::{
+    budgets,
+    check::Check,
+    world::{MILLI, SEC, World, account},
+};
+
+fn flooded(seed: u64, nodes: usize, slots: u32) -> World {
+    let mut world = World::new(seed, nodes, slots, budgets(50, 20), Options::default());
+    for node in 0..nodes {
+        world.load(node, account("a"), 30.0, 0);
+    }
+    world.run(15 * SEC);
+    world
+}
+
+/// Puts settings in force on one node after the other, then checks that they hold.
+fn change(world: &mut World, rate: u64, burst: u32, slots: u32) {
+    let settings = budgets(rate, burst);
+    world.configure(slots, settings.clone());
+    for node in 0..world.nodes.len() {
+        world.inform(node);
+        world.run(700 * MILLI);
+    }
+    world.run(Check::converge());
+    world.check.settled(&settings, world.now);
+    world.run(20 * SEC);
+    world.check.assert();
+    let held: u64 = world
+        .nodes
+        .iter()
+        .map(|node| {
+            let engine = node.engine.as_ref().expect("it runs");
+            engine.held(&account("a"), node.clock(world.now)).rate
+        })
+        .sum();
+    assert!(held > rate * 900_000, "{held} of {rate}/s is in use");
+}
+
+#[test]
+fn changed_rates_and_bursts_converge() {
+    for seed in 0..5 {
+        let mut world = flooded(seed, 7, 7);
+        change(&mut world, 20, 5, 7);
+        change(&mut world, 100, 40, 7);
+        change(&mut world, 30, 60, 7);
+    }
+}
+
+#[test]
+fn slots_added_and_removed_converge() {
+    for seed in 0..5 {
+        let mut world = flooded(seed, 7, 7);
+        change(&mut world, 50, 20, 9);
+        change(&mut world, 50, 20, 3);
+        change(&mut world, 80, 10, 7);
+    }
+}
+
+#[test]
+fn slots_changed_back_at_once_converge() {
+    for seed in 0..5 {
+        let mut world = flooded(seed, 7, 7);
+        for slots in [9, 7, 5] {
+            world.configure(slots, budgets(50, 20));
+            for node in 0..5 {
+                world.inform(node);
+                world.run(300 * MILLI);
+            }
+        }
+        change(&mut world, 50, 20, 7);
+    }
+}
