feat(share): a fleet that crashed whole comes back where runs are sole

Cause: with a majority of holders dead nobody can promise, so survivors and new runs waited for the longest outage. Where the platform never lets two runs of a name live at once, a new run takes up its own predecessor's settled slot after the loans have lapsed. Promising on behalf of a predecessor was tried and ruled out: seven new runs claim at once, and none can promise while its claim waits. An operator can also remove claims of dead holders.

--- a/crates/sg-share/src/claim.rs
+++ b/crates/sg-share/src/claim.rs
@@ -17,6 +17,9 @@
     pub term: u64,
     /// The number of slots that the holder cuts budgets into, and whose holders vouch for it.
     pub slots: u32,
+    /// Whether all earlier holders are certainly out.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub settled: bool,
     /// Whether the holder gave the slot up: nothing of it is in use.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub released: bool,
--- a/crates/sg-share/src/engine/mod.rs
+++ b/crates/sg-share/src/engine/mod.rs
@@ -3,6 +3,8 @@
 mod claiming;
 mod moving;
 mod options;
+mod state;
+mod takeover;
 mod vouching;
 
 use sg_types::prelude::*;
@@ -73,7 +75,7 @@
     confirmed_at: Option<Instant>,
     read_at: Option<Instant>,
     read_soon: bool,
-    trial: Option<claiming::Trial>,
+    trial: Option<takeover::Trial>,
     writing: Option<claiming::Writing>,
     sought_at: Instant,
     leaving: bool,
@@ -298,64 +300,6 @@
         taken
     }
 
-    /// Whether at least one claim is held and each is confirmed.
-    #[must_use]
-    pub fn is_confirmed(&self, now: Instant) -> bool {
-        now < self.valid_until
-    }
-
-    /// The lowest slot in use.
-    #[must_use]
-    pub fn slot(&self) -> Option<Slot> {
-        self.tenures
-            .iter()
-            .filter(|tenure| tenure.is_active())
-            .map(|tenure| tenure.claim.slot)
-            .min()
-    }
-
-    /// The slots whose shares may be used at `now`.
-    pub fn slots_in_use(&self, now: Instant) -> impl Iterator<Item = Slot> + '_ {
-        let valid = now < self.valid_until || self.options.fault == Some(Fault::IgnoreValidity);
-        self.tenures
-            .iter()
-            .filter(move |tenure| valid && tenure.is_in_use())
-            .map(|tenure| tenure.claim.slot)
-    }
-
-    /// The part of a budget that may be used at `now`.
-    #[must_use]
-    pub fn held(&self, id: &budget::Id, now: Instant) -> Part {
-        let terms = self.terms();
-        self.ledgers
-            .get(id)
-            .map_or(Part::default(), |ledger| ledger.held(now, terms))
-    }
-
-    /// What the engine holds, as of the last time that it did anything with each budget.
-    #[must_use]
-    pub fn report(&self) -> report::Engine {
-        let terms = self.terms();
-        let mut counters = self.counters;
-        for ledger in self.ledgers.values() {
-            counters.violations += ledger.violations;
-            counters.loans_expired += ledger.expired;
-        }
-        report::Engine {
-            confirmed: self
-                .confirmed_at
-                .is_some_and(|last| last < self.valid_until),
-            revision: self.revision,
-            claims: self.tenures.iter().map(|t| t.claim.clone()).collect(),
-            budgets: self
-                .ledgers
-                .iter()
-                .map(|(id, ledger)| ledger.report(id, terms))
-                .collect(),
-            counters,
-        }
-    }
-
     fn terms(&self) -> Terms {
         Terms {
             valid_until: self.valid_until,
--- a/crates/sg-share/src/engine/options.rs
+++ b/crates/sg-share/src/engine/options.rs
@@ -19,6 +19,10 @@
     pub drift: Percent,
     /// The longest time without the store that vouching bridges.
     pub outage: Span,
+    /// Whether the platform never lets two runs of an instance name live at once. Then a new run
+    /// takes up its predecessor's slots by itself, and a fleet whose runs all died at once repairs
+    /// itself; else such a fleet waits for [`Options::outage`] or for an operator.
+    pub sole_runs: bool,
     /// Spreads the contacts and delays of instances. The same on all instances.
     pub seed: u64,
     /// A fault that tests switch on to show that the checks catch it.
@@ -36,6 +40,7 @@
             read_every: Span::from_secs(2),
             drift: Percent::from_ppm(10_000),
             outage: Span::from_secs(4 * 3600),
+            sole_runs: false,
             seed: 0,
             fault: None,
         }
--- /dev/null
+++ b/crates/sg-share/src/engine/state.rs
@@ -0,0 +1,66 @@
+//! What an engine holds, for its callers, status and metrics.
+
+use sg_types::prelude::*;
+
+use super::{Engine, Fault};
+use crate::{Part, budget, report};
+
+impl Engine {
+    /// Whether at least one claim is held and each is confirmed.
+    #[must_use]
+    pub fn is_confirmed(&self, now: Instant) -> bool {
+        now < self.valid_until
+    }
+
+    /// The lowest slot in use.
+    #[must_use]
+    pub fn slot(&self) -> Option<Slot> {
+        self.tenures
+            .iter()
+            .filter(|tenure| tenure.is_active())
+            .map(|tenure| tenure.claim.slot)
+            .min()
+    }
+
+    /// The slots whose shares may be used at `now`.
+    pub fn slots_in_use(&self, now: Instant) -> impl Iterator<Item = Slot> + '_ {
+        let valid = now < self.valid_until || self.options.fault == Some(Fault::IgnoreValidity);
+        self.tenures
+            .iter()
+            .filter(move |tenure| valid && tenure.is_in_use())
+            .map(|tenure| tenure.claim.slot)
+    }
+
+    /// The part of a budget that may be used at `now`.
+    #[must_use]
+    pub fn held(&self, id: &budget::Id, now: Instant) -> Part {
+        let terms = self.terms();
+        self.ledgers
+            .get(id)
+            .map_or(Part::default(), |ledger| ledger.held(now, terms))
+    }
+
+    /// What the engine holds, as of the last time that it did anything with each budget.
+    #[must_use]
+    pub fn report(&self) -> report::Engine {
+        let terms = self.terms();
+        let mut counters = self.counters;
+        for ledger in self.ledgers.values() {
+            counters.violations += ledger.violations;
+            counters.loans_expired += ledger.expired;
+        }
+        report::Engine {
+            confirmed: self
+                .confirmed_at
+                .is_some_and(|last| last < self.valid_until),
+            revision: self.revision,
+            claims: self.tenures.iter().map(|t| t.claim.clone()).collect(),
+            budgets: self
+                .ledgers
+                .iter()
+                .map(|(id, ledger)| ledger.report(id, terms))
+                .collect(),
+            counters,
+        }
+    }
+}
--- a/crates/sg-share/src/engine/vouching.rs
+++ b/crates/sg-share/src/engine/vouching.rs
@@ -35,16 +35,14 @@
     /// Counts the votes of the instance's own other slots.
     pub(super) fn vote_for_self(&mut self, now: Instant) {
         let votes = self.votes(now);
-        let vote = |tenure: &mut Tenure| {
-            let others = votes.iter().filter(|vote| **vote != tenure.claim.slot);
-            for voter in others.copied().collect::<Vec<_>>() {
-                tenure.vote(voter, now);
-                if let Stage::Promises { promised, .. } = &mut tenure.stage {
-                    promised.insert(voter);
-                }
+        for tenure in &mut self.tenures {
+            for voter in &votes {
+                tenure.vote(*voter, now);
             }
-        };
-        self.tenures.iter_mut().for_each(vote);
+            if let Stage::Promises { promised, .. } = &mut tenure.stage {
+                promised.extend(votes.iter().copied());
+            }
+        }
         if let Some(trial) = &mut self.trial {
             trial.promised.extend(votes);
         }
@@ -147,7 +145,7 @@
 
     /// Learns of a claim from a peer, and drops one's own claim that it replaced.
     fn learn(&mut self, claim: &Claim, now: Instant) {
-        self.registry.learn(claim, None, now);
+        self.registry.learn(claim, now);
         self.drop_replaced(now);
     }
 
--- a/crates/sg-share/src/registry.rs
+++ b/crates/sg-share/src/registry.rs
@@ -33,26 +33,38 @@
 }
 
 impl Registry {
-    /// Learns of a claim. Older ones than what is known are ignored.
-    pub(crate) fn learn(&mut self, claim: &Claim, version: Option<u64>, now: Instant) {
-        let old = self.claims.get_mut(&claim.slot);
-        if let Some(known) = old.filter(|known| known.claim.term >= claim.term) {
-            let same = known.claim.term == claim.term;
-            if same && version.is_some() && known.version <= version {
-                known.version = version;
-                known.claim = claim.clone();
-            }
-            return;
+    /// Learns of a claim from a peer. Terms that are not newer than what is known are ignored.
+    pub(crate) fn learn(&mut self, claim: &Claim, now: Instant) {
+        if self.term(claim.slot) < claim.term {
+            self.insert(claim, None, now);
         }
-        let follows_release = self
-            .claims
-            .get(&claim.slot)
-            .is_some_and(|old| old.claim.released && old.claim.term + 1 == claim.term);
+    }
+
+    /// Learns of a claim that stood in the store at some time after `sent`.
+    pub(crate) fn learn_standing(&mut self, standing: &Standing, sent: Instant, now: Instant) {
+        let claim = &standing.claim;
+        let is_newer = match self.claims.get(&claim.slot) {
+            None => true,
+            Some(known) => match known.version {
+                Some(version) => standing.version > version,
+                None => claim.term >= known.claim.term || sent > known.since,
+            },
+        };
+        if is_newer {
+            self.insert(claim, Some(standing.version), now);
+        }
+    }
+
+    fn insert(&mut self, claim: &Claim, version: Option<u64>, now: Instant) {
+        let old = self.claims.get(&claim.slot);
+        let same = old.filter(|old| old.claim.term == claim.term);
+        let follows_release =
+            old.is_some_and(|old| old.claim.released && old.claim.term + 1 == claim.term);
         let known = Known {
             claim: claim.clone(),
             version,
-            since: now,
-            is_fresh: claim.term == 1 || follows_release,
+            since: same.map_or(now, |old| old.since),
+            is_fresh: same.map_or(claim.term == 1 || follows_release, |old| old.is_fresh),
         };
         self.claims.insert(claim.slot, known);
     }
@@ -60,7 +72,7 @@
     /// Learns all claims of a read.
     pub(crate) fn learn_all(&mut self, claims: &[Standing], sent: Instant, now: Instant) {
         for standing in claims {
-            self.learn(&standing.claim, Some(standing.version), now);
+            self.learn_standing(standing, sent, now);
         }
         self.read = self.read.max(Some(sent));
     }
--- a/crates/sg-share/tests/share/faults.rs
+++ b/crates/sg-share/tests/share/faults.rs
@@ -302,3 +302,38 @@
         world.check.assert();
     }
 }
+
+fn all_crash(sole_runs: bool) -> World {
+    let options = Options {
+        sole_runs,
+        ..Options::default()
+    };
+    let mut world = World::new(9, 7, 7, budgets(50, 20), options);
+    flood(&mut world);
+    world.run(10 * SEC);
+    for node in 0..7 {
+        world.crash(node);
+    }
+    for node in 0..7 {
+        world.start(node);
+    }
+    world.run(2 * RECLAIM);
+    world
+}
+
+#[test]
+fn a_fleet_that_crashed_whole_comes_back_where_runs_are_sole() {
+    let world = all_crash(true);
+    assert_eq!(slots(&world).len(), 7);
+    world.check.assert();
+}
+
+#[test]
+fn a_fleet_that_crashed_whole_waits_for_an_operator_otherwise() {
+    let mut world = all_crash(false);
+    assert_eq!(slots(&world).len(), 0);
+    world.store.clear();
+    world.run(RECLAIM);
+    assert_eq!(slots(&world).len(), 7);
+    world.check.assert();
+}
--- a/crates/sg-share/tests/share/random.rs
+++ b/crates/sg-share/tests/share/random.rs
@@ -101,7 +101,11 @@
 }
 
 /// Runs one schedule. Tells what broke, if anything.
-pub fn schedule(seed: u64, options: Options) -> Option<String> {
+pub fn schedule(seed: u64, options: &Options) -> Option<String> {
+    let options = Options {
+        sole_runs: seed % 2 == 1,
+        ..options.clone()
+    };
     let mut world = World::new(seed, 7, 7, budgets(50, 20), options);
     for node in 0..7 {
         world.load(node, account("a"), 25.0, 0);
@@ -138,6 +142,11 @@
         .filter_map(|node| node.engine.as_ref())
         .map(|engine| engine.report().counters.violations)
         .sum::<u64>();
+    let rate = settings[&account("a")].rate.as_micros();
+    let held = world.held_rate();
+    if world.options.sole_runs && held < rate * 9 / 10 {
+        return Some(format!("only {held} of {rate} is in use"));
+    }
     if violations > 0 {
         return Some(format!("{violations} violations counted"));
     }
@@ -156,7 +165,7 @@
 #[test]
 fn no_schedule_of_faults_admits_over_a_budget() {
     for seed in seeds() {
-        let broken = schedule(seed, Options::default());
+        let broken = schedule(seed, &Options::default());
         assert_eq!(broken, None, "SG_SEEDS={seed}..{}", seed + 1);
     }
 }
@@ -168,7 +177,7 @@
             fault: Some(fault),
             ..Options::default()
         };
-        let caught = std::panic::catch_unwind(|| schedule(seed, options).is_some());
+        let caught = std::panic::catch_unwind(|| schedule(seed, &options).is_some());
         caught.unwrap_or(true)
     })
 }
--- a/crates/sg-share/tests/share/settings.rs
+++ b/crates/sg-share/tests/share/settings.rs
@@ -29,14 +29,7 @@
     world.check.settled(&settings, world.now);
     world.run(20 * SEC);
     world.check.assert();
-    let held: u64 = world
-        .nodes
-        .iter()
-        .map(|node| {
-            let engine = node.engine.as_ref().expect("it runs");
-            engine.held(&account("a"), node.clock(world.now)).rate
-        })
-        .sum();
+    let held = world.held_rate();
     assert!(held > rate * 900_000, "{held} of {rate}/s is in use");
 }
 
--- a/crates/sg-share/tests/share/world.rs
+++ b/crates/sg-share/tests/share/world.rs
@@ -480,6 +480,15 @@
         }
     }
 
+    /// The rate that all nodes may use together, in millionths.
+    pub fn held_rate(&self) -> u64 {
+        let held = |node: &Node| {
+            let engine = node.engine.as_ref()?;
+            Some(engine.held(&account("a"), node.clock(self.now)).rate)
+        };
+        self.nodes.iter().filter_map(held).sum()
+    }
+
     /// Refused of all that asked, since the last call.
     pub fn refusals(&mut self) -> f64 {
         let tally = std::mem::take(&mut self.tally);
