--- a/crates/sg-share/src/ledger/lending.rs
+++ b/crates/sg-share/src/ledger/lending.rs
@@ -109,7 +109,13 @@
             .iter()
             .filter(|lent| lent.to != *to)
             .fold(Part::default(), |sum, lent| sum.plus(lent.part));
-        self.target(to, seed, now).min(self.base.minus(others))
+        let target = self.target(to, seed, now);
+        let kept = self.lent_to(to);
+        let steady = Part {
+            rate: steady(kept.rate, target.rate),
+            burst: steady(kept.burst, target.burst),
+        };
+        steady.min(self.base.minus(others))
     }
 
     /// What a borrower should hold, by its want and that of the others.
@@ -136,6 +142,9 @@
         if sum == 0 {
             return 0;
         }
+        if sum <= free && own > 0 {
+            return mine;
+        }
         if sum <= free {
             let scaled = u128::from(free) * u128::from(mine) / u128::from(sum);
             return u64::try_from(scaled).unwrap_or(free);
@@ -217,6 +226,12 @@
     }
 }
 
+/// What is lent already if it is about what it should be, so that it doesn't change at every request.
+fn steady(kept: u64, target: u64) -> u64 {
+    let is_near = kept <= target.saturating_add(target / 4) && kept >= target - target / 4;
+    if is_near { kept } else { target }
+}
+
 /// Whether `value` is above `target` by enough of `whole` to act on.
 fn is_above(value: u64, target: u64, whole: u64) -> bool {
     value > target.saturating_add(whole / 8)
