--- a/crates/sg-share/tests/share/main.rs
+++ b/crates/sg-share/tests/share/main.rs
@@ -2,4 +2,10 @@
 
 mod calm;
 mod check;
+mod faults;
+mod random;
+mod settings;
+mod traffic;
 mod world;
+
+use world::budgets;
--- a/crates/sg-share/tests/share/world.rs
+++ b/crates/sg-share/tests/share/world.rs
@@ -29,8 +29,7 @@
     /// Sides whose calls the store doesn't get.
     pub store_cut: Option<u8>,
     pub answer_loss: f64,
-    /// Messages of this kind are held back by this long.
-    pub hold: Option<(fn(&Message) -> bool, u64)>,
+    pub hold: Option<Hold>,
 }
 
 impl Default for Faults {
@@ -48,6 +47,29 @@
     }
 }
 
+/// Messages of the given kind are held back.
+#[derive(Debug, Clone, Copy)]
+pub struct Hold {
+    pub kind: fn(&Message) -> bool,
+    pub span: u64,
+}
+
+/// What a node sent.
+#[derive(Debug, Clone, Default)]
+pub struct Traffic {
+    pub messages: u64,
+    pub bytes: u64,
+    pub to: IndexSet<id::Instance>,
+}
+
+/// What is in force.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    pub revision: Revision,
+    pub slots: u32,
+    pub budgets: IndexMap<budget::Id, Budget>,
+}
+
 /// Callers of one budget at one node.
 #[derive(Debug, Clone)]
 pub struct Load {
@@ -68,7 +90,7 @@
     pub engine: Option<Engine>,
     pub name: id::Instance,
     pub incarnation: Incarnation,
-    rate_ppm: i64,
+    pub rate_ppm: i64,
     offset: u64,
     paused_until: u64,
     backlog: Vec<Job>,
@@ -118,17 +140,16 @@
     pub loads: Vec<Load>,
     pub tally: Tally,
     pub store: IndexMap<Slot, Standing>,
-    /// Messages and bytes sent by each node, and to how many others.
-    pub sent: Vec<(u64, u64, IndexSet<id::Instance>)>,
+    pub sent: Vec<Traffic>,
     version: u64,
     order: u64,
     queue: BinaryHeap<Reverse<Due>>,
     pub rng: StdRng,
-    pub settings: (Revision, u32, IndexMap<budget::Id, Budget>),
+    pub settings: Settings,
 }
 
 pub fn account(name: &str) -> budget::Id {
-    budget::Id::Account(id::Account::new(name).unwrap())
+    budget::Id::Account(id::Account::new(name).expect("a name"))
 }
 
 pub fn budgets(rate: u64, burst: u32) -> IndexMap<budget::Id, Budget> {
@@ -157,15 +178,19 @@
             loads: Vec::new(),
             tally: Tally::default(),
             store: IndexMap::new(),
-            sent: vec![(0, 0, IndexSet::new()); nodes],
+            sent: vec![Traffic::default(); nodes],
             version: 0,
             order: 0,
             queue: BinaryHeap::new(),
             rng: StdRng::seed_from_u64(seed),
-            settings: (Revision::new(1), slots, budgets),
+            settings: Settings {
+                revision: Revision::new(1),
+                slots,
+                budgets,
+            },
         };
         for index in 0..nodes {
-            let name = id::Instance::new(format!("entry-{index}")).unwrap();
+            let name = id::Instance::new(format!("entry-{index}")).expect("a name");
             world.nodes.push(Node {
                 engine: None,
                 name,
@@ -197,7 +222,11 @@
         node.backlog.clear();
         let now = node.clock(self.now);
         let mut engine = Engine::new(node.name.clone(), incarnation, self.options.clone(), now);
-        let (revision, slots, budgets) = self.settings.clone();
+        let Settings {
+            revision,
+            slots,
+            budgets,
+        } = self.settings.clone();
         engine.configure(revision, slots, budgets, now);
         node.engine = Some(engine);
         self.hint();
@@ -230,29 +259,23 @@
         self.nodes[index].paused_until = self.now + span;
     }
 
-    /// Puts new settings in force on one node, or all.
-    pub fn configure(
-        &mut self,
-        slots: u32,
-        budgets: IndexMap<budget::Id, Budget>,
-        on: Option<usize>,
-    ) {
-        let revision = match on {
-            Some(_) => self.settings.0,
-            None => self.settings.0.next(),
-        };
+    /// Accepts new settings; nodes learn of them by `inform`.
+    pub fn configure(&mut self, slots: u32, budgets: IndexMap<budget::Id, Budget>) {
         self.check.configure(&budgets, self.now);
-        self.settings = (revision, slots, budgets);
-        for index in 0..self.nodes.len() {
-            if on.is_none_or(|only| only == index) {
-                self.inform(index);
-            }
-        }
+        self.settings = Settings {
+            revision: self.settings.revision.next(),
+            slots,
+            budgets,
+        };
     }
 
     /// Tells one node of the newest settings.
     pub fn inform(&mut self, index: usize) {
-        let (revision, slots, budgets) = self.settings.clone();
+        let Settings {
+            revision,
+            slots,
+            budgets,
+        } = self.settings.clone();
         let node = &mut self.nodes[index];
         let now = node.clock(self.now);
         if let Some(engine) = &mut node.engine {
@@ -292,7 +315,7 @@
                 self.check.sum(&self.nodes, self.now);
                 self.drain(index);
                 if self.is_awake(index) {
-                    self.with(index, |engine, now| engine.tick(now));
+                    self.with(index, Engine::tick);
                 }
             }
             Job::Deliver(index, incarnation, ref event) => {
@@ -345,12 +368,12 @@
     }
 
     fn send(&mut self, from: usize, run: Incarnation, to: &id::Instance, message: &Message) {
-        let text = serde_json::to_string(message).unwrap();
-        let message: Message = serde_json::from_str(&text).unwrap();
-        let stat = &mut self.sent[from];
-        stat.0 += 1;
-        stat.1 += text.len() as u64;
-        stat.2.insert(to.clone());
+        let text = serde_json::to_string(message).expect("a message is JSON");
+        let message: Message = serde_json::from_str(&text).expect("JSON is a message");
+        let traffic = &mut self.sent[from];
+        traffic.messages += 1;
+        traffic.bytes += text.len() as u64;
+        traffic.to.insert(to.clone());
         let Some(target) = self.nodes.iter().position(|node| node.name == *to) else {
             return;
         };
@@ -363,8 +386,8 @@
             let mut delay = self
                 .rng
                 .random_range(self.faults.delay.0..=self.faults.delay.1);
-            if let Some((_, span)) = self.faults.hold.filter(|(kind, _)| kind(&message)) {
-                delay += span;
+            if let Some(hold) = self.faults.hold.filter(|hold| (hold.kind)(&message)) {
+                delay += hold.span;
             }
             let event = Event::Message {
                 from: self.nodes[from].name.clone(),
@@ -447,7 +470,7 @@
             Err(exhausted) => {
                 let left = (since + patience).saturating_sub(self.now);
                 let soon = exhausted.may_borrow || exhausted.retry_after.as_nanos() < left;
-                self.with(node, |engine, now| engine.poll(now));
+                self.with(node, Engine::poll);
                 if left >= RETRY && soon {
                     self.push(RETRY, Job::Retry(load, since));
                 } else {
@@ -457,6 +480,15 @@
         }
     }
 
+    /// The rate that all nodes may use together, in millionths.
+    pub fn held_rate(&self) -> u64 {
+        let held = |node: &Node| {
+            let engine = node.engine.as_ref()?;
+            Some(engine.held(&account("a"), node.clock(self.now)).rate)
+        };
+        self.nodes.iter().filter_map(held).sum()
+    }
+
     /// Refused of all that asked, since the last call.
     pub fn refusals(&mut self) -> f64 {
         let tally = std::mem::take(&mut self.tally);
