--- a/crates/sg-peer/src/core/schedule.rs
+++ b/crates/sg-peer/src/core/schedule.rs
@@ -26,6 +26,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Call {
     next: Instant,
+    period: Span,
     busy: bool,
     hold: Instant,
     told: Revision,
@@ -70,10 +71,12 @@
         let spread = Span::from_millis(50 * (index as u64 % 16));
         let call = self.calls.entry(instance).or_insert(Call {
             next: now + spread,
+            period,
             busy: false,
             hold: Instant::START,
-            told: Revision::default(),
+            told: self.local.newest.revision,
         });
+        call.period = period;
         call.next = call.next.min(now + period);
     }
 
@@ -89,12 +92,10 @@
             if is_gone {
                 self.waiting.shift_remove(&instance);
             } else if !self.calls.contains_key(&instance) {
-                self.plan(instance, Span::ZERO, 0, now);
+                self.plan(instance, LARGE_PERIOD, 0, now);
             }
         }
         let newest = self.local.newest.revision;
-        let small = self.calls.len() <= SMALL_FLEET;
-        let period = if small { SMALL_PERIOD } else { LARGE_PERIOD };
         let mut due = Vec::new();
         for (instance, call) in &mut self.calls {
             let urgent = self.waiting.contains_key(instance)
@@ -105,7 +106,7 @@
                 continue;
             }
             call.busy = true;
-            call.next = now + period;
+            call.next = now + call.period;
             call.told = newest;
             due.push(instance.clone());
         }
--- a/crates/sg-peer/src/node.rs
+++ b/crates/sg-peer/src/node.rs
@@ -87,6 +87,15 @@
     _server: T,
 }
 
+/// Calls to the store, by what they are for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct StoreCalls {
+    /// For the configuration and freshness.
+    pub config: u64,
+    /// For claims of slots.
+    pub claims: u64,
+}
+
 /// Starts instances.
 #[derive(Debug, Clone, Copy)]
 pub struct Node;
@@ -162,6 +171,22 @@
         &self.shared
     }
 
+    /// Calls to the store since the start.
+    #[must_use]
+    pub fn store_calls(&self) -> StoreCalls {
+        let count = |call: &str| {
+            let calls = &self.shared.metrics.store_calls;
+            calls.with_label_values(&[call]).get()
+        };
+        StoreCalls {
+            config: ["head", "tree", "history", "watch"]
+                .into_iter()
+                .map(count)
+                .sum(),
+            claims: ["claims", "claim"].into_iter().map(count).sum(),
+        }
+    }
+
     /// Says good-bye, hands the shares on and ends.
     pub async fn stop(mut self) {
         let timer = self.shared.timer.clone();
--- /dev/null
+++ b/crates/sg-peer/tests/peer/fleet.rs
@@ -0,0 +1,223 @@
+//! A fleet in memory: instances, store, list and network under one paused clock.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use parking_lot::Mutex;
+use sg_clock::Timer;
+use sg_peer::{
+    Metrics, Node, Options,
+    core::Identity,
+    frame::Place,
+    list::{Error, Listed, Outcome, Source},
+    node::{self, Handle},
+};
+use sg_share::engine;
+use sg_store::{change, head::Date, memory, memory::Fault, publish};
+use sg_tree::Node as Tree;
+use sg_types::prelude::*;
+
+use super::net::{Guard, Net};
+
+/// The list of instances, as the test writes it.
+#[derive(Clone, Default)]
+pub struct List {
+    pub entries: Arc<Mutex<Vec<Listed>>>,
+}
+
+impl Source for List {
+    async fn read(&self) -> Result<Outcome, Error> {
+        Ok(Outcome {
+            entries: self.entries.lock().clone(),
+            malformed: 0,
+        })
+    }
+}
+
+/// One instance and its connection to the store.
+pub struct Entry {
+    pub handle: Handle<Guard>,
+    pub store: memory::Store,
+    pub identity: Identity,
+}
+
+pub struct Fleet {
+    pub timer: Timer,
+    pub net: Net,
+    pub store: memory::Store,
+    pub list: List,
+    pub entries: Vec<Entry>,
+    domains: usize,
+    runs: u64,
+}
+
+pub const DOWN: Fault = Fault {
+    down: true,
+    delay: Span::ZERO,
+    lose_answers: 0,
+    lose_calls: 0,
+    lose_under: "",
+};
+
+/// A tree for so many slots, with a key that works if `key` is set.
+pub fn tree(slots: u32, key: Option<&str>) -> Tree {
+    let mut tree = Tree::default();
+    let mut set = |path: &str, value: &str| {
+        tree.set(&path.parse().expect("a path"), value);
+    };
+    set("/fleet/slots", &slots.to_string());
+    set("/accounts/a/rate", "100/s");
+    if let Some(key) = key {
+        let digest = sg_tree::Digest::of(key).to_string();
+        set("/accounts/a/keys/k/digest", &digest);
+    }
+    tree
+}
+
+fn place(index: usize, domains: usize) -> Place {
+    let port = |base: usize| {
+        let port = u16::try_from(base + index).expect("a port");
+        SocketAddr::from(([127, 0, 0, 1], port))
+    };
+    Place {
+        domain: id::Domain::new(format!("d{}", index % domains)).expect("a name"),
+        region: id::Region::new("r").expect("a name"),
+        peer: port(10_000),
+        entry: port(20_000),
+        admin: None,
+    }
+}
+
+impl Fleet {
+    /// An empty fleet over `domains` failure domains.
+    pub fn new(domains: usize) -> Self {
+        let timer = Timer::new();
+        Self {
+            net: Net::new(timer.clone()),
+            store: memory::Store::new(timer.clone()),
+            list: List::default(),
+            entries: Vec::new(),
+            timer,
+            domains,
+            runs: 0,
+        }
+    }
+
+    /// A fleet of `count` instances with revision 1 in force and a slot each.
+    pub async fn started(count: usize, domains: usize) -> Self {
+        let mut fleet = Self::new(domains);
+        let slots = u32::try_from(count).expect("a count");
+        fleet.publish(&tree(slots, Some("secret"))).await;
+        for index in 0..count {
+            fleet.add(index, true).await;
+        }
+        fleet.pass(Span::from_secs(30)).await;
+        fleet
+    }
+
+    pub async fn pass(&self, span: Span) {
+        self.timer.sleep(span).await;
+    }
+
+    /// Starts an instance; an index that was used before is a new run of the same instance.
+    pub async fn add(&mut self, index: usize, listed: bool) {
+        self.runs += 1;
+        let identity = Identity {
+            instance: id::Instance::new(format!("i{index}")).expect("a name"),
+            incarnation: Incarnation::new(self.runs),
+            place: place(index, self.domains),
+        };
+        let entry = Listed {
+            instance: identity.instance.clone(),
+            place: identity.place.clone(),
+            leaving: false,
+        };
+        if listed {
+            self.list.entries.lock().push(entry);
+        }
+        let store = self.store.connect();
+        let options = Options {
+            listen: identity.place.peer,
+            identity: identity.clone(),
+            share: engine::Options {
+                seed: 7,
+                ..engine::Options::default()
+            },
+            budgets: node::account_budgets,
+            list_period: Span::from_secs(2),
+            stop_within: Span::from_secs(3),
+            metrics: Metrics::new().expect("metrics"),
+        };
+        let net = self.net.at(identity.place.peer);
+        let list = self.list.clone();
+        let timer = self.timer.clone();
+        let handle = Node::start(options, timer, store.clone(), list, net)
+            .await
+            .expect("starts");
+        self.entries.push(Entry {
+            handle,
+            store,
+            identity,
+        });
+    }
+
+    /// Publishes `tree` after whatever is accepted.
+    pub async fn publish(&self, tree: &Tree) -> Revision {
+        let base = sg_store::head::read(&self.store).await.expect("reads");
+        let base = base.map_or(Revision::default(), |placed| placed.head.revision);
+        let options = publish::Options {
+            base,
+            author: "ann".into(),
+            note: "test".into(),
+            change: change::Id::new(u128::from(base.get()) + 1),
+            time: Date::from_unix_millis(0),
+        };
+        let outcome = publish::publish(&self.store, tree, options).await;
+        outcome.expect("accepted").head.revision
+    }
+
+    /// Takes the store away from the instances at these places, or gives it back.
+    pub fn set_store(&self, fault: Fault, which: impl IntoIterator<Item = usize>) {
+        for index in which {
+            self.entries[index].store.set_fault(fault);
+        }
+    }
+
+    pub fn all(&self) -> std::ops::Range<usize> {
+        0..self.entries.len()
+    }
+
+    pub fn is_fresh(&self, index: usize) -> bool {
+        self.entries[index].handle.fresh.is_fresh(self.timer.now())
+    }
+
+    pub fn in_force(&self, index: usize) -> Revision {
+        self.entries[index].handle.config.in_force()
+    }
+
+    /// Waits until `revision` is in force on all of `which`; returns how long that took.
+    pub async fn until_in_force(
+        &self,
+        revision: Revision,
+        which: &[usize],
+        patience: Span,
+    ) -> Option<Span> {
+        let start = self.timer.now();
+        loop {
+            let waited = self.timer.now().since(start);
+            if which.iter().all(|index| self.in_force(*index) >= revision) {
+                return Some(waited);
+            }
+            if waited >= patience {
+                return None;
+            }
+            self.pass(Span::from_millis(5)).await;
+        }
+    }
+
+    pub fn peers_of(&self, which: &[usize]) -> Vec<SocketAddr> {
+        which
+            .iter()
+            .map(|index| self.entries[*index].identity.place.peer)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/sg-peer/tests/peer/gate.rs
@@ -0,0 +1,142 @@
+//! The gate of freshness by itself: never fresh when a withdrawal may have passed it by.
+
+use sg_peer::fresh::{Context, Gate, Mutation, dated};
+use sg_types::prelude::*;
+
+const V: Span = Span::from_secs(5);
+
+fn at(millis: u64) -> Instant {
+    Instant::START + Span::from_millis(millis)
+}
+
+fn context(slots: u32) -> Context {
+    Context {
+        revision: Revision::new(1),
+        slots,
+        own_slot: Some(Slot::new(0)),
+        validity: V,
+    }
+}
+
+#[test]
+fn evidence_runs_out_within_the_validity() {
+    let mut gate = Gate::default();
+    gate.confirm(Revision::new(1), at(1_000));
+    assert!(gate.is_fresh(&context(7), at(5_900)));
+    assert!(
+        !gate.is_fresh(&context(7), at(6_000)),
+        "by a clock that is 1% slow"
+    );
+    gate.confirm(Revision::new(2), at(8_000));
+    assert!(!gate.is_fresh(&context(7), at(8_001)), "known to be behind");
+}
+
+#[test]
+fn the_votes_of_a_majority_count_and_those_of_the_same_slot_once() {
+    let mut gate = Gate::default();
+    for _ in 0..5 {
+        gate.vote(Slot::new(1), Revision::new(1), at(1_000));
+    }
+    gate.vote(Slot::new(0), Revision::new(1), at(1_000));
+    gate.vote(Slot::new(9), Revision::new(1), at(1_000));
+    gate.vote(Slot::new(2), Revision::new(1), at(1_000));
+    assert!(
+        !gate.is_fresh(&context(7), at(1_001)),
+        "slots 0, 1, 2 and none that is 9"
+    );
+    gate.vote(Slot::new(3), Revision::new(2), at(1_000));
+    assert!(
+        !gate.is_fresh(&context(7), at(1_001)),
+        "a later revision is no backing"
+    );
+    gate.vote(Slot::new(4), Revision::new(1), at(900));
+    assert!(gate.is_fresh(&context(7), at(1_001)));
+    assert!(
+        !gate.is_fresh(&context(7), at(5_900)),
+        "as old as the vote that completes it"
+    );
+}
+
+#[test]
+fn a_late_answer_does_not_replace_a_newer_vote() {
+    let mut gate = Gate::default();
+    let slots = Context {
+        own_slot: None,
+        ..context(1)
+    };
+    gate.vote(Slot::new(0), Revision::new(2), at(2_000));
+    gate.vote(Slot::new(0), Revision::new(1), at(1_000));
+    assert!(!gate.is_fresh(&slots, at(2_001)));
+}
+
+/// A change is accepted once a majority has it. Draws who has it and who votes for whom, and looks
+/// for an instance behind that is fresh more than the validity later, in true time, by clocks that
+/// run apart by 1%. Returns the first seed that finds one.
+fn search(seeds: u64, mutation: Option<Mutation>) -> Option<u64> {
+    (0..seeds).find(|seed| {
+        let mut random = quickcheck_free::Random(*seed);
+        let slots = 2 + u32::try_from(random.below(7)).expect("small");
+        let accepted = 20_000 + random.below(10_000);
+        let rate = 0.99 + random.below(21) as f64 / 1_000.0;
+        let majority = slots / 2 + 1;
+        let mut gate = Gate::default();
+        if let Some(mutation) = mutation {
+            gate.mutate(mutation);
+        }
+        // Slots 0 to majority - 1 have revision 2 from `accepted` on; the last slot is behind.
+        let me = Context {
+            own_slot: Some(Slot::new(slots - 1)),
+            ..context(slots)
+        };
+        let mut truth = 0;
+        for _ in 0..200 {
+            truth += random.below(400);
+            let local = at((truth as f64 * rate) as u64);
+            let slot = u32::try_from(random.below(u64::from(slots) - 1)).expect("small");
+            let is_ahead = slot < majority && truth >= accepted;
+            gate.vote(
+                Slot::new(slot),
+                Revision::new(if is_ahead { 2 } else { 1 }),
+                local,
+            );
+            if truth < accepted && random.below(3) == 0 {
+                let age = Span::from_millis(random.below(3_000));
+                let peer_rate = 0.99 + random.below(21) as f64 / 1_000.0;
+                let told = Span::from_millis((age.as_millis() as f64 * peer_rate) as u64 + 1);
+                if let Some(at) = dated(local, told) {
+                    gate.confirm(Revision::new(1), at);
+                }
+            }
+            if truth > accepted + V.as_millis() && gate.is_fresh(&me, local) {
+                return true;
+            }
+        }
+        false
+    })
+}
+
+mod quickcheck_free {
+    //! A small generator, so that a seed replays a run.
+
+    pub struct Random(pub u64);
+
+    impl Random {
+        pub fn below(&mut self, bound: u64) -> u64 {
+            self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+            let mut z = self.0;
+            z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+            z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+            (z ^ (z >> 31)) % bound
+        }
+    }
+}
+
+#[test]
+fn nobody_behind_is_fresh_a_validity_after_a_change_was_accepted() {
+    assert_eq!(search(2_000, None), None, "the seed that finds one");
+    for mutation in [Mutation::AnyRevision, Mutation::HalfIsEnough] {
+        let seed = search(2_000, Some(mutation));
+        println!("{mutation:?} is caught by seed {seed:?}");
+        assert!(seed.is_some(), "{mutation:?} must be caught");
+    }
+}
--- /dev/null
+++ b/crates/sg-peer/tests/peer/loopback.rs
@@ -0,0 +1,140 @@
+//! Instances over real sockets on the loopback.
+
+use std::net::{SocketAddr, TcpListener};
+
+use sg_clock::Timer;
+use sg_peer::{
+    Frame, Metrics, Node, Options, Rpc, Transport,
+    core::Identity,
+    frame::Place,
+    list::Listed,
+    node::{self, Handle},
+    rpc::Guard,
+};
+use sg_store::{change, head::Date, memory, publish};
+use sg_types::prelude::*;
+
+use super::fleet::{List, tree};
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    listener.local_addr().expect("has an address")
+}
+
+fn identity(index: u64) -> Identity {
+    Identity {
+        instance: id::Instance::new(format!("i{index}")).expect("a name"),
+        incarnation: Incarnation::new(index),
+        place: Place {
+            domain: id::Domain::new(format!("d{index}")).expect("a name"),
+            region: id::Region::new("r").expect("a name"),
+            peer: free_address(),
+            entry: SocketAddr::from(([127, 0, 0, 1], 1)),
+            admin: None,
+        },
+    }
+}
+
+async fn publish(store: &memory::Store, base: u64) {
+    let options = publish::Options {
+        base: Revision::new(base),
+        author: "ann".into(),
+        note: "test".into(),
+        change: change::Id::new(u128::from(base)),
+        time: Date::default(),
+    };
+    let slots = tree(3, None);
+    publish::publish(store, &slots, options)
+        .await
+        .expect("accepted");
+}
+
+async fn until(handles: &[Handle<Guard>], revision: u64) {
+    for handle in handles {
+        let mut changes = handle.config.changes();
+        let wanted = |view: &Option<Arc<sg_tree::View>>| {
+            view.as_ref()
+                .is_some_and(|view| view.revision >= Revision::new(revision))
+        };
+        changes.wait_for(wanted).await.expect("the instance runs");
+    }
+}
+
+#[tokio::test]
+async fn three_instances_agree_over_sockets() {
+    let timer = Timer::new();
+    let store = memory::Store::new(timer.clone());
+    publish(&store, 0).await;
+    let identities: Vec<_> = (0..3).map(identity).collect();
+    let list = List::default();
+    list.entries
+        .lock()
+        .extend(identities.iter().map(|identity| Listed {
+            instance: identity.instance.clone(),
+            place: identity.place.clone(),
+            leaving: false,
+        }));
+    let mut handles = Vec::new();
+    for (index, identity) in identities.into_iter().enumerate() {
+        // Only the first one reaches the store; the others learn from it.
+        let own = store.connect();
+        if index > 0 {
+            own.set_fault(super::fleet::DOWN);
+        }
+        let options = Options {
+            listen: identity.place.peer,
+            identity,
+            share: sg_share::engine::Options::default(),
+            budgets: node::account_budgets,
+            list_period: Span::from_millis(200),
+            stop_within: Span::from_secs(1),
+            metrics: Metrics::new().expect("metrics"),
+        };
+        let rpc = Rpc::new(Span::from_secs(1));
+        let started = Node::start(options, timer.clone(), own, list.clone(), rpc).await;
+        handles.push(started.expect("starts"));
+    }
+    until(&handles, 1).await;
+    let start = timer.now();
+    publish(&store, 1).await;
+    until(&handles, 2).await;
+    println!(
+        "loopback: in force everywhere after {}",
+        timer.now().since(start)
+    );
+    for handle in handles {
+        handle.stop().await;
+    }
+}
+
+#[tokio::test]
+async fn an_oversized_frame_is_refused() {
+    let rpc = Rpc::new(Span::from_secs(1));
+    let timer = Timer::new();
+    let store = memory::Store::new(timer.clone());
+    let me = identity(0);
+    let address = me.place.peer;
+    let options = Options {
+        listen: address,
+        identity: me,
+        share: sg_share::engine::Options::default(),
+        budgets: node::account_budgets,
+        list_period: Span::from_secs(1),
+        stop_within: Span::ZERO,
+        metrics: Metrics::new().expect("metrics"),
+    };
+    let handle = Node::start(options, timer, store, List::default(), rpc.clone())
+        .await
+        .expect("starts");
+    let text = r#"{"f":"i9","i":1,"n":1,"r":0,"d":"00"}"#;
+    let frame: Frame = serde_json::from_str(text).expect("a frame");
+    rpc.exchange(address, &frame)
+        .await
+        .expect("a small one is taken");
+    let many = Frame {
+        shares: vec![sg_share::Message::Seek; 65],
+        ..frame
+    };
+    rpc.exchange(address, &many).await.expect_err("too much");
+    drop(handle);
+}
--- /dev/null
+++ b/crates/sg-peer/tests/peer/main.rs
@@ -0,0 +1,9 @@
+//! Shows that instances find each other, agree on the configuration and know when they can't know.
+
+mod broken;
+mod fleet;
+mod gate;
+mod loopback;
+mod net;
+mod protocol;
+mod spreading;
--- /dev/null
+++ b/crates/sg-peer/tests/peer/net.rs
@@ -0,0 +1,129 @@
+//! A network in memory, with cuts and delays.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use parking_lot::Mutex;
+use sg_clock::Timer;
+use sg_peer::{
+    Frame,
+    handler::Handler,
+    transport::{Error, Part, Slice, Transport},
+};
+use sg_types::prelude::*;
+
+#[derive(Default)]
+struct State {
+    handlers: IndexMap<SocketAddr, Handler>,
+    /// Addresses reach each other only within a group.
+    groups: IndexMap<SocketAddr, u32>,
+    delay: Span,
+    lose_answers: bool,
+    frames: u64,
+    bytes: u64,
+}
+
+/// The network as one instance sees it.
+#[derive(Clone)]
+pub struct Net {
+    state: Arc<Mutex<State>>,
+    timer: Timer,
+    me: SocketAddr,
+}
+
+/// Takes the instance off the network when it is dropped.
+pub struct Guard {
+    state: Arc<Mutex<State>>,
+    address: SocketAddr,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.state.lock().handlers.shift_remove(&self.address);
+    }
+}
+
+impl Net {
+    pub fn new(timer: Timer) -> Self {
+        Self {
+            state: Arc::default(),
+            timer,
+            me: SocketAddr::from(([127, 0, 0, 1], 1)),
+        }
+    }
+
+    pub fn at(&self, me: SocketAddr) -> Self {
+        Self { me, ..self.clone() }
+    }
+
+    /// Puts addresses in a group that reaches only itself.
+    pub fn cut_off(&self, group: u32, addresses: impl IntoIterator<Item = SocketAddr>) {
+        let mut state = self.state.lock();
+        state
+            .groups
+            .extend(addresses.into_iter().map(|address| (address, group)));
+    }
+
+    pub fn heal(&self) {
+        self.state.lock().groups.clear();
+    }
+
+    pub fn set_delay(&self, delay: Span) {
+        self.state.lock().delay = delay;
+    }
+
+    pub fn lose_answers(&self, lose: bool) {
+        self.state.lock().lose_answers = lose;
+    }
+
+    /// Frames and their bytes, requests and answers together.
+    pub fn traffic(&self) -> (u64, u64) {
+        let state = self.state.lock();
+        (state.frames, state.bytes)
+    }
+
+    fn count(&self, frame: &Frame) {
+        let mut state = self.state.lock();
+        state.frames += 1;
+        state.bytes += frame.size() as u64;
+    }
+
+    async fn reach(&self, to: SocketAddr) -> Result<Handler, Error> {
+        let delay = self.state.lock().delay;
+        if delay > Span::ZERO {
+            self.timer.sleep(delay).await;
+        }
+        let state = self.state.lock();
+        let group = |address| state.groups.get(&address).copied().unwrap_or(0);
+        let handler = state.handlers.get(&to).cloned();
+        handler
+            .filter(|_| group(self.me) == group(to))
+            .ok_or_else(|| Error::Unreachable("cut".to_owned()))
+    }
+}
+
+impl Transport for Net {
+    type Server = Guard;
+
+    async fn serve(&self, address: SocketAddr, handler: Handler) -> Result<Guard, Error> {
+        self.state.lock().handlers.insert(address, handler);
+        Ok(Guard {
+            state: Arc::clone(&self.state),
+            address,
+        })
+    }
+
+    async fn exchange(&self, to: SocketAddr, frame: &Frame) -> Result<Frame, Error> {
+        self.count(frame);
+        let handler = self.reach(to).await?;
+        let answer = handler.exchange(frame.clone())?;
+        self.count(&answer);
+        match self.state.lock().lose_answers {
+            true => Err(Error::Unreachable("answer lost".to_owned())),
+            false => Ok(answer),
+        }
+    }
+
+    async fn tree(&self, to: SocketAddr, part: Part) -> Result<Slice, Error> {
+        self.reach(to).await?.tree(part)
+    }
+}
--- /dev/null
+++ b/crates/sg-peer/tests/peer/protocol.rs
@@ -0,0 +1,196 @@
+//! The core by itself: hostile frames, runs that were replaced, contacts.
+
+use std::net::SocketAddr;
+
+use quickcheck::quickcheck;
+use sg_peer::{
+    Frame,
+    contact::{self, Candidate},
+    core::{Core, Identity},
+    frame::{Hint, Place, Refused},
+    list,
+    notice::{Board, Id, Item, Taken},
+};
+use sg_types::prelude::*;
+
+fn name(index: usize) -> id::Instance {
+    id::Instance::new(format!("i{index}")).expect("a name")
+}
+
+fn place() -> Place {
+    let address = SocketAddr::from(([127, 0, 0, 1], 9));
+    Place {
+        domain: id::Domain::new("d").expect("a name"),
+        region: id::Region::new("r").expect("a name"),
+        peer: address,
+        entry: address,
+        admin: None,
+    }
+}
+
+fn core(index: usize, run: u64) -> Core {
+    Core::new(Identity {
+        instance: name(index),
+        incarnation: Incarnation::new(run),
+        place: place(),
+    })
+}
+
+fn at(millis: u64) -> Instant {
+    Instant::START + Span::from_millis(millis)
+}
+
+/// A first frame from instance `index`.
+fn frame(index: usize, run: u64) -> Frame {
+    core(index, run).request(&name(0), at(1_000))
+}
+
+#[test]
+fn late_frames_of_a_replaced_run_are_refused() {
+    let mut core = core(0, 1);
+    core.answer(frame(1, 10), at(1_000)).expect("taken");
+    core.answer(frame(1, 11), at(2_000)).expect("taken");
+    let late = core.answer(frame(1, 10), at(3_000));
+    assert_eq!(late.err(), Some(Refused::Replaced));
+    assert_eq!(core.everybody(at(3_000)).len(), 1);
+}
+
+#[test]
+fn frames_from_oneself_and_crossed_answers_are_refused() {
+    let mut core = core(0, 1);
+    assert_eq!(
+        core.answer(frame(0, 9), at(1)).err(),
+        Some(Refused::FromSelf)
+    );
+    core.answer(frame(1, 10), at(1_000)).expect("taken");
+    let request = core.request(&name(1), at(2_000));
+    let mut answer = frame(1, 10);
+    answer.nonce = request.nonce.wrapping_add(1);
+    let crossed = core.answered(&name(1), &request, answer, at(2_000), at(2_010));
+    assert_eq!(crossed.err(), Some(Refused::Crossed));
+}
+
+#[test]
+fn a_flood_of_hints_does_not_fill_the_memory() {
+    let mut core = core(0, 1);
+    for round in 0..1_000 {
+        let mut frame = frame(1, 10);
+        frame.hints = (0..4)
+            .map(|index| Hint {
+                instance: name(10 + round * 4 + index),
+                incarnation: Incarnation::new(1),
+                place: place(),
+                age_millis: 0,
+            })
+            .collect();
+        core.answer(frame, at(1_000)).expect("taken");
+    }
+    assert!(core.everybody(at(1_000)).len() <= 256);
+}
+
+#[test]
+fn a_notice_board_takes_each_notice_once_and_stays_bounded() {
+    let mut board = Board::default();
+    let item = |sequence| Item {
+        id: Id {
+            origin: name(1),
+            incarnation: Incarnation::new(1),
+            sequence,
+        },
+        notice: Notice::Leaving {
+            service: id::Service::new("s").expect("a name"),
+            target: id::Target::new("t").expect("a name"),
+        },
+    };
+    assert_eq!(board.take(item(0), None, at(0)), Taken::New);
+    assert_eq!(board.take(item(0), None, at(1)), Taken::Known);
+    for sequence in 1..2_000 {
+        board.take(item(sequence), None, at(2));
+    }
+    assert!(board.dropped() > 0, "the oldest give way");
+    board.expire(at(11_000));
+    assert!(!board.is_pending(&name(2)), "nothing is passed on forever");
+    assert_eq!(board.take(item(1_999), None, at(11_000)), Taken::Known);
+}
+
+fn candidates(count: usize) -> Vec<Candidate> {
+    (0..count)
+        .map(|index| Candidate {
+            instance: name(index),
+            domain: id::Domain::new(format!("d{}", index % 77)).expect("a name"),
+        })
+        .collect()
+}
+
+#[test]
+fn contacts_do_not_grow_with_the_fleet_and_reach_everybody() {
+    for count in [7, 100, 1_000] {
+        let all = candidates(count);
+        let contacts: Vec<_> = all
+            .iter()
+            .map(|me| contact::choose(me, &all, 2).peers)
+            .collect();
+        assert!(contacts.iter().all(|peers| peers.len() <= 10));
+        let mut reached = IndexSet::from([name(0)]);
+        let mut next = 0;
+        while let Some(instance) = reached.get_index(next).cloned() {
+            let index = all.iter().position(|c| c.instance == instance);
+            reached.extend(contacts[index.expect("known")].iter().cloned());
+            next += 1;
+        }
+        assert_eq!(reached.len(), count, "by contacts of contacts");
+    }
+}
+
+#[test]
+fn few_relays_change_when_an_instance_leaves() {
+    let all = candidates(770);
+    let domain = &all[0].domain;
+    let before = contact::relays(&all, domain, 2);
+    let left: Vec<_> = all
+        .iter()
+        .filter(|c| c.instance != before[0])
+        .cloned()
+        .collect();
+    let after = contact::relays(&left, domain, 2);
+    assert_eq!(after[0], before[1]);
+}
+
+#[test]
+fn entries_of_the_list_that_cannot_be_used_are_left_out() {
+    let text = r#"[
+        {"Service":{"ID":"a","Address":"127.0.0.1","Port":7,"Meta":
+            {"domain":"d","region":"r","peer":"127.0.0.1:8","admin":"","leaving":"true"}}},
+        {"Service":{"ID":"b","Address":"127.0.0.1","Port":7}}, {"Other":1}]"#;
+    let outcome = list::parse(text.as_bytes()).expect("a list");
+    assert_eq!((outcome.entries.len(), outcome.malformed), (1, 2));
+    assert!(outcome.entries[0].leaving);
+}
+
+quickcheck! {
+    fn any_bytes_are_no_panic(bytes: Vec<u8>) -> bool {
+        let _ = list::parse(&bytes);
+        serde_json::from_slice::<Frame>(&bytes).is_err()
+    }
+
+    fn any_numbers_in_a_frame_are_no_panic(numbers: (u64, u64, u32, u64, u32), now: u64) -> bool {
+        let (run, revision, slot, age, nonce) = numbers;
+        let text = format!(
+            r#"{{"f":"i1","i":{run},"n":{nonce},"r":{revision},"d":"00","s":{slot},
+                "c":{{"r":{revision},"a":{age}}},"w":{{"d":"d","r":"r","p":"127.0.0.1:1","e":"127.0.0.1:2"}},
+                "h":[{{"n":"i2","i":{run},"d":"d","r":"r","p":"127.0.0.1:1","e":"127.0.0.1:2","t":{age}}}],
+                "o":[{{"o":"i1","i":{run},"q":{age},"b":{{"kind":"stopping","instance":"i1",
+                    "incarnation":{run},"within":"18446744073709551615s"}}}}]}}"#
+        );
+        let frame: Frame = serde_json::from_str(&text).expect("a frame");
+        let mut core = core(0, 1);
+        let now = Instant::from_nanos(now);
+        let answer = core.answer(frame.clone(), now).expect("taken").0;
+        let request = core.request(&name(1), now);
+        let echo = Frame { nonce: request.nonce, ..frame };
+        core.answered(&name(1), &request, echo, now, now).expect("taken");
+        core.refresh(now);
+        let _ = (core.due(now), core.is_fresh(now), core.everybody(now));
+        answer.nonce == nonce
+    }
+}
