--- a/crates/sg-peer/src/core.rs
+++ b/crates/sg-peer/src/core.rs
@@ -32,7 +32,7 @@
 }
 
 /// What the rest of the instance tells the core before each step.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Local {
     /// The newest revision that was read here.
     pub newest: Newest,
@@ -44,8 +44,8 @@
     pub relays: u32,
     /// How long evidence is good.
     pub validity: Span,
-    /// The slot held here, if its claim is confirmed.
-    pub slot: Option<Slot>,
+    /// The slots held here, their claims confirmed.
+    pub own_slots: Vec<Slot>,
 }
 
 impl Local {
@@ -55,7 +55,7 @@
         Context {
             revision: self.newest.revision,
             slots: self.slots,
-            own_slot: self.slot,
+            own_slots: self.own_slots.clone(),
             validity: self.validity,
         }
     }
@@ -197,7 +197,7 @@
         let context = Context {
             revision,
             slots,
-            own_slot: None,
+            own_slots: Vec::new(),
             validity,
         };
         self.gate.is_fresh(&context, now)
--- a/crates/sg-peer/src/core/exchange.rs
+++ b/crates/sg-peer/src/core/exchange.rs
@@ -79,7 +79,7 @@
             revision: newest.revision,
             mark: newest.digest.into(),
             in_force: differs.then_some(self.local.in_force),
-            slot: self.local.slot,
+            slots: self.local.own_slots.clone(),
             confirmed: self.confirmation(now),
             shares: self.shares_for(to),
             notices: self.board.pending(to),
@@ -129,8 +129,8 @@
 
     /// Takes evidence out of an answer.
     fn weigh(&mut self, frame: &Frame, sent: Instant) {
-        if let Some(slot) = frame.slot {
-            self.gate.vote(slot, frame.revision, sent);
+        for slot in &frame.slots {
+            self.gate.vote(*slot, frame.revision, sent);
         }
         let Some(confirmed) = frame.confirmed else {
             return;
--- a/crates/sg-peer/src/frame.rs
+++ b/crates/sg-peer/src/frame.rs
@@ -17,6 +17,8 @@
 pub const MAX_NOTICES: usize = 16;
 /// The most hints in a frame.
 pub const MAX_HINTS: usize = 4;
+/// The most slots in a frame.
+pub const MAX_SLOTS: usize = 64;
 /// The largest frame, in bytes.
 pub const MAX_BYTES: u32 = 64 << 10;
 
@@ -132,9 +134,9 @@
     /// The revision in force there, if it is another one.
     #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
     pub in_force: Option<Revision>,
-    /// The slot that the sender holds, if its claim is confirmed.
-    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
-    pub slot: Option<Slot>,
+    /// The slots that the sender holds, their claims confirmed.
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    pub slots: Vec<Slot>,
     /// What the sender has confirmed.
     #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
     pub confirmed: Option<Confirmation>,
@@ -193,7 +195,8 @@
     pub fn check(&self) -> Result<(), Refused> {
         let fits = self.shares.len() <= MAX_SHARES
             && self.notices.len() <= MAX_NOTICES
-            && self.hints.len() <= MAX_HINTS;
+            && self.hints.len() <= MAX_HINTS
+            && self.slots.len() <= MAX_SLOTS;
         fits.then_some(()).ok_or(Refused::TooMuch)
     }
 
--- a/crates/sg-peer/src/fresh.rs
+++ b/crates/sg-peer/src/fresh.rs
@@ -17,6 +17,8 @@
 pub const DRIFT: Percent = Percent::from_ppm(10_000);
 /// The validity that is used until a tree is known.
 pub(crate) const FIRST_VALIDITY: Span = Span::from_secs(5);
+/// The most votes that are kept.
+const MAX_VOTES: usize = 65_536;
 /// The most confirmations that are kept.
 const MAX_CONFIRMATIONS: usize = 8;
 /// The least validity that is used, whatever the tree says.
@@ -42,14 +44,14 @@
 }
 
 /// What a gate needs to know of the instance around it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Context {
     /// The newest revision that this instance has read.
     pub revision: Revision,
     /// The number of slots of the tree.
     pub slots: u32,
-    /// The slot held here, if its claim is confirmed.
-    pub own_slot: Option<Slot>,
+    /// The slots held here, their claims confirmed.
+    pub own_slots: Vec<Slot>,
     /// How long evidence is good, in true time.
     pub validity: Span,
 }
@@ -130,6 +132,9 @@
 
     /// Notes that the holder of `slot` had read no revision after `revision` at `at`.
     pub fn vote(&mut self, slot: Slot, revision: Revision, at: Instant) {
+        if self.votes.len() >= MAX_VOTES && !self.votes.contains_key(&slot) {
+            return;
+        }
         let vote = self.votes.entry(slot).or_insert(Vote { revision, at });
         if at >= vote.at {
             *vote = Vote { revision, at };
@@ -170,16 +175,13 @@
         let mut dates: Vec<Instant> = self
             .votes
             .iter()
-            .filter(|(slot, _)| slot.get() < context.slots && context.own_slot != Some(**slot))
+            .filter(|(slot, _)| slot.get() < context.slots && !context.own_slots.contains(slot))
             .filter(|(_, vote)| self.backs(vote, context))
             .map(|(_, vote)| vote.at)
             .collect();
-        dates.extend(
-            context
-                .own_slot
-                .filter(|slot| slot.get() < context.slots)
-                .map(|_| now),
-        );
+        let own = context.own_slots.iter();
+        let own = own.filter(|slot| slot.get() < context.slots);
+        dates.extend(own.map(|_| now));
         dates.sort_unstable_by(|a, b| b.cmp(a));
         let needed = self.needed(context.slots);
         dates.get(needed.checked_sub(1)?).copied()
--- a/crates/sg-peer/src/lib.rs
+++ b/crates/sg-peer/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
+pub mod accept;
 pub mod config;
 pub mod contact;
 pub mod core;
--- a/crates/sg-peer/src/member.rs
+++ b/crates/sg-peer/src/member.rs
@@ -68,8 +68,8 @@
     pub revision: Revision,
     /// The revision in force there.
     pub in_force: Revision,
-    /// The slot that it holds.
-    pub slot: Option<Slot>,
+    /// The slots that it holds.
+    pub slots: Vec<Slot>,
     /// How long ago it was heard from; `None` if never.
     pub heard: Option<Span>,
 }
@@ -88,7 +88,7 @@
     pub(crate) stops: Option<Instant>,
     pub(crate) revision: Revision,
     pub(crate) in_force: Revision,
-    pub(crate) slot: Option<Slot>,
+    pub(crate) slots: Vec<Slot>,
 }
 
 impl Record {
@@ -105,7 +105,7 @@
             stops: None,
             revision: Revision::default(),
             in_force: Revision::default(),
-            slot: None,
+            slots: Vec::new(),
         }
     }
 
@@ -148,7 +148,7 @@
         self.incarnation = Some(incarnation);
         self.leaving = false;
         self.stops = None;
-        self.slot = None;
+        self.slots.clear();
         self.revision = Revision::default();
         self.in_force = Revision::default();
     }
--- a/crates/sg-peer/src/members.rs
+++ b/crates/sg-peer/src/members.rs
@@ -187,7 +187,7 @@
                 listed: record.listed,
                 revision: record.revision,
                 in_force: record.in_force,
-                slot: record.slot,
+                slots: record.slots.clone(),
                 heard: record.heard.map(|heard| now.since(heard)),
             })
             .collect()
@@ -236,7 +236,7 @@
     record.run(frame.incarnation);
     record.heard = Some(now);
     record.failing = None;
-    record.slot = frame.slot;
+    record.slots.clone_from(&frame.slots);
     record.revision = frame.revision;
     record.in_force = frame.in_force.unwrap_or(frame.revision);
     record.leaving |= frame.leaving;
--- a/crates/sg-peer/src/report.rs
+++ b/crates/sg-peer/src/report.rs
@@ -31,8 +31,8 @@
     pub evidence_age: Option<Span>,
     /// Whether it watches the store.
     pub relay: bool,
-    /// The slot it holds.
-    pub slot: Option<Slot>,
+    /// The slots it holds, their claims confirmed.
+    pub slots: Vec<Slot>,
     /// Whom it talks to.
     pub contacts: Vec<id::Instance>,
     /// The other instances as it sees them.
@@ -65,7 +65,7 @@
             }),
             evidence_age: evidence.map(|evidence| now.since(evidence.at)),
             relay: core.is_relay(),
-            slot: core.local().slot,
+            slots: core.local().own_slots.clone(),
             contacts: core.contacts().peers.iter().cloned().collect(),
             members: core.everybody(now),
         }
--- a/crates/sg-peer/src/shared.rs
+++ b/crates/sg-peer/src/shared.rs
@@ -6,12 +6,18 @@
 use sg_share::{Action, Budget, Engine, Event, budget, claim::Claim};
 use sg_store::Head;
 use sg_tree::{Node, View};
-use sg_types::{id, notice::Notice, revision::Revision, time::Instant};
+use sg_types::{
+    id,
+    notice::Notice,
+    revision::{Revision, Slot},
+    time::Instant,
+};
 use tokio::sync::{Notify, broadcast, mpsc};
 
 use crate::{
     config::{self, Origin, Outcome, Rejected},
     core::{Core, Effect, Local},
+    frame::MAX_SLOTS,
     fresh,
     metrics::Metrics,
 };
@@ -52,11 +58,7 @@
 impl Shared {
     /// Tells the core what the rest of the instance knows, and renews the answer of freshness.
     pub(crate) fn sync(&self, now: Instant) {
-        let slot = {
-            let engine = self.engine.lock();
-            let confirmed = engine.is_confirmed(now);
-            confirmed.then(|| engine.slot()).flatten()
-        };
+        let own_slots = self.own_slots(now);
         let mut core = self.core.lock();
         // Read under the lock, so that an older state never replaces a newer one.
         let view = self.config.view();
@@ -67,13 +69,18 @@
             slots: fleet.map_or(0, |fleet| fleet.slots),
             relays: fleet.map_or(1, |fleet| fleet.relays),
             validity: fleet.map_or_else(|| fresh::FIRST_VALIDITY, |fleet| fleet.validity),
-            slot,
+            own_slots,
         });
         let context = core.local().context();
         let until = core.gate().until(&context, now);
         self.fresh.set(until.filter(|_| view.is_some()));
     }
 
+    fn own_slots(&self, now: Instant) -> Vec<Slot> {
+        let engine = self.engine.lock();
+        engine.slots_in_use(now).take(MAX_SLOTS).collect()
+    }
+
     /// Carries out what follows from a frame.
     pub(crate) fn apply(&self, effects: Vec<Effect>, now: Instant) {
         for effect in effects {
--- a/crates/sg-peer/src/task/call.rs
+++ b/crates/sg-peer/src/task/call.rs
@@ -24,10 +24,11 @@
     loop {
         let planned = shared.timer.now() + LOOK;
         let woken = shared.wake.notified();
-        let waited = shared.timer.until(planned, woken).await;
+        // Being woken early is as good as the time being over.
+        let _ = shared.timer.until(planned, woken).await;
         let now = shared.timer.now();
         let late = now.since(planned);
-        if waited.is_err() && late >= PAUSE {
+        if late >= PAUSE {
             shared.metrics.pauses.inc();
             log::warn!("the process was paused for {late}");
             shared.core.lock().wake(now);
--- a/crates/sg-peer/tests/peer/broken.rs
+++ b/crates/sg-peer/tests/peer/broken.rs
@@ -218,7 +218,7 @@
     let mut slots: Vec<_> = fleet
         .entries
         .iter()
-        .filter_map(|entry| entry.handle.report().slot)
+        .flat_map(|entry| entry.handle.report().slots)
         .collect();
     slots.sort_unstable();
     slots.dedup();
--- a/crates/sg-peer/tests/peer/fleet.rs
+++ b/crates/sg-peer/tests/peer/fleet.rs
@@ -38,6 +38,20 @@
     pub handle: Handle<Guard>,
     pub store: memory::Store,
     pub identity: Identity,
+    registry: prometheus::Registry,
+}
+
+impl Entry {
+    /// The sum of a metric over its labels.
+    pub fn counter(&self, name: &str) -> f64 {
+        let families = self.registry.gather();
+        let family = families.iter().find(|family| family.name() == name);
+        let metrics = family.map_or(&[][..], |family| family.get_metric());
+        metrics
+            .iter()
+            .map(|metric| metric.get_counter().get_value())
+            .sum()
+    }
 }
 
 pub struct Fleet {
@@ -135,6 +149,7 @@
             self.list.entries.lock().push(entry);
         }
         let store = self.store.connect();
+        let registry = prometheus::Registry::new();
         let options = Options {
             listen: identity.place.peer,
             identity: identity.clone(),
@@ -145,7 +160,7 @@
             budgets: node::account_budgets,
             list_period: Span::from_secs(2),
             stop_within: Span::from_secs(3),
-            metrics: Metrics::new().expect("metrics"),
+            metrics: Metrics::register(&registry).expect("metrics"),
         };
         let net = self.net.at(identity.place.peer);
         let list = self.list.clone();
@@ -157,6 +172,7 @@
             handle,
             store,
             identity,
+            registry,
         });
     }
 
--- a/crates/sg-peer/tests/peer/gate.rs
+++ b/crates/sg-peer/tests/peer/gate.rs
@@ -13,7 +13,7 @@
     Context {
         revision: Revision::new(1),
         slots,
-        own_slot: Some(Slot::new(0)),
+        own_slots: vec![Slot::new(0)],
         validity: V,
     }
 }
@@ -61,7 +61,7 @@
 fn a_late_answer_does_not_replace_a_newer_vote() {
     let mut gate = Gate::default();
     let slots = Context {
-        own_slot: None,
+        own_slots: Vec::new(),
         ..context(1)
     };
     gate.vote(Slot::new(0), Revision::new(2), at(2_000));
@@ -85,7 +85,7 @@
         }
         // Slots 0 to majority - 1 have revision 2 from `accepted` on; the last slot is behind.
         let me = Context {
-            own_slot: Some(Slot::new(slots - 1)),
+            own_slots: vec![Slot::new(slots - 1)],
             ..context(slots)
         };
         let mut truth = 0;
--- a/crates/sg-peer/tests/peer/loopback.rs
+++ b/crates/sg-peer/tests/peer/loopback.rs
@@ -1,6 +1,9 @@
 //! Instances over real sockets on the loopback.
 
-use std::net::{SocketAddr, TcpListener};
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::atomic::{AtomicU64, Ordering},
+};
 
 use sg_clock::Timer;
 use sg_peer::{
@@ -13,6 +16,7 @@
 };
 use sg_store::{change, head::Date, memory, publish};
 use sg_types::prelude::*;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
 use super::fleet::{List, tree};
 
@@ -107,8 +111,43 @@
     }
 }
 
+/// Passes one connection on to `to` and counts the bytes of both ways.
+async fn counted(to: SocketAddr) -> (SocketAddr, Arc<AtomicU64>) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("binds");
+    let address = listener.local_addr().expect("has an address");
+    let bytes = Arc::new(AtomicU64::new(0));
+    let total = Arc::clone(&bytes);
+    tokio::spawn(async move {
+        let (near, _) = listener.accept().await.expect("accepts");
+        let far = tokio::net::TcpStream::connect(to).await.expect("connects");
+        let (from_near, to_near) = near.into_split();
+        let (from_far, to_far) = far.into_split();
+        tokio::join!(
+            pump(from_near, to_far, Arc::clone(&total)),
+            pump(from_far, to_near, total)
+        );
+    });
+    (address, bytes)
+}
+
+async fn pump(
+    mut from: impl AsyncRead + Unpin,
+    mut to: impl AsyncWrite + Unpin,
+    total: Arc<AtomicU64>,
+) {
+    let mut buffer = [0; 4_096];
+    while let Ok(count @ 1..) = from.read(&mut buffer).await {
+        total.fetch_add(count as u64, Ordering::Relaxed);
+        if to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+}
+
 #[tokio::test]
-async fn an_oversized_frame_is_refused() {
+async fn frames_travel_cheaply_and_oversized_ones_are_refused() {
     let rpc = Rpc::new(Span::from_secs(1));
     let timer = Timer::new();
     let store = memory::Store::new(timer.clone());
@@ -126,11 +165,17 @@
     let handle = Node::start(options, timer, store, List::default(), rpc.clone())
         .await
         .expect("starts");
-    let text = r#"{"f":"i9","i":1,"n":1,"r":0,"d":"00"}"#;
+    let text = r#"{"f":"entry-09","i":18446744073709551615,"n":1,"r":1234,"d":"00","s":[3],
+        "c":{"r":1234,"a":1250}}"#;
     let frame: Frame = serde_json::from_str(text).expect("a frame");
-    rpc.exchange(address, &frame)
-        .await
-        .expect("a small one is taken");
+    let (proxy, bytes) = counted(address).await;
+    rpc.exchange(proxy, &frame).await.expect("taken");
+    let first = bytes.load(Ordering::Relaxed);
+    let answer = rpc.exchange(proxy, &frame).await.expect("taken");
+    let wire = bytes.load(Ordering::Relaxed) - first;
+    let frames = frame.size() + answer.size();
+    println!("an exchange: {wire} bytes on the wire, {frames} of them frames");
+    assert!(wire < 1_000, "two exchanges a second in 2 KB");
     let many = Frame {
         shares: vec![sg_share::Message::Seek; 65],
         ..frame
--- a/crates/sg-peer/tests/peer/main.rs
+++ b/crates/sg-peer/tests/peer/main.rs
@@ -1,5 +1,6 @@
 //! Shows that instances find each other, agree on the configuration and know when they can't know.
 
+mod accepting;
 mod broken;
 mod fleet;
 mod gate;
--- a/crates/sg-peer/tests/peer/protocol.rs
+++ b/crates/sg-peer/tests/peer/protocol.rs
@@ -176,7 +176,7 @@
     fn any_numbers_in_a_frame_are_no_panic(numbers: (u64, u64, u32, u64, u32), now: u64) -> bool {
         let (run, revision, slot, age, nonce) = numbers;
         let text = format!(
-            r#"{{"f":"i1","i":{run},"n":{nonce},"r":{revision},"d":"00","s":{slot},
+            r#"{{"f":"i1","i":{run},"n":{nonce},"r":{revision},"d":"00","s":[{slot}],
                 "c":{{"r":{revision},"a":{age}}},"w":{{"d":"d","r":"r","p":"127.0.0.1:1","e":"127.0.0.1:2"}},
                 "h":[{{"n":"i2","i":{run},"d":"d","r":"r","p":"127.0.0.1:1","e":"127.0.0.1:2","t":{age}}}],
                 "o":[{{"o":"i1","i":{run},"q":{age},"b":{{"kind":"stopping","instance":"i1",
