--- a/crates/sg-peer/src/report.rs
+++ b/crates/sg-peer/src/report.rs
@@ -31,7 +31,9 @@
     pub evidence_age: Option<Span>,
     /// Whether it watches the store.
     pub relay: bool,
-    /// The slots it holds, their claims confirmed.
+    /// The lowest slot it holds, its claim confirmed.
+    pub slot: Option<Slot>,
+    /// All slots it holds, their claims confirmed.
     pub slots: Vec<Slot>,
     /// Whom it talks to.
     pub contacts: Vec<id::Instance>,
@@ -65,6 +67,7 @@
             }),
             evidence_age: evidence.map(|evidence| now.since(evidence.at)),
             relay: core.is_relay(),
+            slot: core.local().own_slots.iter().min().copied(),
             slots: core.local().own_slots.clone(),
             contacts: core.contacts().peers.iter().cloned().collect(),
             members: core.everybody(now),
