--- a/crates/sg-peer/src/config.rs
+++ b/crates/sg-peer/src/config.rs
@@ -3,7 +3,10 @@
 mod install;
 mod withdraw;
 
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
 
 use arc_swap::ArcSwapOption;
 use indexmap::IndexMap;
@@ -67,6 +70,10 @@
     view: ArcSwapOption<View>,
     state: RwLock<State>,
     changes: watch::Sender<Option<Arc<View>>>,
+    /// How often a view replaced a later one. Anything but zero is a fault of the program.
+    regressions: AtomicU64,
+    #[cfg(feature = "testing")]
+    accepts_older: std::sync::atomic::AtomicBool,
 }
 
 /// The configuration of this instance. Clones share it.
@@ -81,6 +88,9 @@
             view: ArcSwapOption::empty(),
             state: RwLock::default(),
             changes: watch::Sender::new(None),
+            regressions: AtomicU64::new(0),
+            #[cfg(feature = "testing")]
+            accepts_older: std::sync::atomic::AtomicBool::new(false),
         };
         Self {
             shared: Arc::new(shared),
@@ -135,6 +145,18 @@
         self.shared.state.read().terms.values().cloned().collect()
     }
 
+    /// How often a view replaced a later one. Anything but zero is a fault of the program.
+    #[must_use]
+    pub fn regressions(&self) -> u64 {
+        self.shared.regressions.load(Ordering::Relaxed)
+    }
+
+    /// Breaks the rule that revisions go forward, on purpose.
+    #[cfg(feature = "testing")]
+    pub fn accept_older(&self) {
+        self.shared.accepts_older.store(true, Ordering::Relaxed);
+    }
+
     /// The head and text of a revision that is known here, to pass on to peers.
     #[must_use]
     pub(crate) fn text_of(&self, revision: Revision) -> Option<(Head, Arc<str>)> {
--- a/crates/sg-peer/src/config/install.rs
+++ b/crates/sg-peer/src/config/install.rs
@@ -1,6 +1,6 @@
 //! Checks a tree and puts it in force, only ever forward.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use sg_store::Head;
 use sg_tree::{Fault, Node, View, compile};
@@ -69,7 +69,7 @@
     /// Puts `tree` in force if it is newer and good.
     pub fn install(&self, head: &Head, tree: &Node, now: Instant) -> Outcome {
         let mut state = self.shared.state.write();
-        if let Some(outcome) = settled(&state, head) {
+        if let Some(outcome) = self.settled(&state, head) {
             return outcome;
         }
         if tree.digest() != head.digest {
@@ -99,6 +99,17 @@
         }
     }
 
+    #[cfg(not(feature = "testing"))]
+    fn settled(&self, state: &State, head: &Head) -> Option<Outcome> {
+        settled(state, head)
+    }
+
+    #[cfg(feature = "testing")]
+    fn settled(&self, state: &State, head: &Head) -> Option<Outcome> {
+        let broken = self.shared.accepts_older.load(Ordering::Relaxed);
+        settled(state, head).filter(|_| !broken)
+    }
+
     /// Puts an earlier tree in force where none is and the newest has faults, without the keys that
     /// the newest withdraws.
     pub fn install_last_good(&self, head: &Head, tree: &Node, now: Instant) -> Outcome {
@@ -157,6 +168,11 @@
     }
 
     fn publish(&self, view: Arc<View>) {
+        let forward = view.revision >= self.in_force();
+        if !forward {
+            self.shared.regressions.fetch_add(1, Ordering::Relaxed);
+        }
+        debug_assert!(forward, "invariant broken: revision-goes-forward");
         self.shared.view.store(Some(Arc::clone(&view)));
         self.shared.changes.send_replace(Some(view));
     }
--- a/crates/sg-peer/src/core/schedule.rs
+++ b/crates/sg-peer/src/core/schedule.rs
@@ -14,7 +14,7 @@
 /// How often an instance that doesn't answer is called.
 const SUSPECT_PERIOD: Span = Span::from_secs(3);
 /// The least time between two calls to the same instance, so that messages gather.
-const LEAST_GAP: Span = Span::from_millis(20);
+const LEAST_GAP: Span = Span::from_millis(10);
 /// The least time between a call that failed and the next one.
 const RETRY_GAP: Span = Span::from_millis(500);
 /// The largest fleet whose contacts are called at the short period.
@@ -95,29 +95,43 @@
                 self.plan(instance, LARGE_PERIOD, 0, now);
             }
         }
+        let due: Vec<_> = self
+            .calls
+            .iter()
+            .filter(|(instance, call)| !call.busy && self.time_of(instance, call) <= now)
+            .map(|(instance, _)| instance.clone())
+            .collect();
         let newest = self.local.newest.revision;
-        let mut due = Vec::new();
-        for (instance, call) in &mut self.calls {
-            let urgent = self.waiting.contains_key(instance)
-                || call.told < newest
-                || self.board.is_pending(instance);
-            let is_due = call.next <= now || urgent && call.hold <= now;
-            if call.busy || !is_due {
-                continue;
+        for instance in &due {
+            if let Some(call) = self.calls.get_mut(instance) {
+                call.busy = true;
+                call.next = now + call.period;
+                call.told = newest;
             }
-            call.busy = true;
-            call.next = now + call.period;
-            call.told = newest;
-            due.push(instance.clone());
         }
         due
     }
 
+    /// Whether `instance` is to be told something soon.
+    fn is_urgent(&self, instance: &id::Instance, call: &Call) -> bool {
+        self.waiting.contains_key(instance)
+            || call.told < self.local.newest.revision
+            || self.board.is_pending(instance)
+    }
+
+    fn time_of(&self, instance: &id::Instance, call: &Call) -> Instant {
+        match self.is_urgent(instance, call) {
+            true => call.hold.min(call.next),
+            false => call.next,
+        }
+    }
+
     /// When the next call is due without further news.
     #[must_use]
     pub fn next_call(&self) -> Option<Instant> {
-        let idle = self.calls.values().filter(|call| !call.busy);
-        idle.map(|call| call.next).min()
+        let idle = self.calls.iter().filter(|(_, call)| !call.busy);
+        idle.map(|(instance, call)| self.time_of(instance, call))
+            .min()
     }
 
     /// Makes all contacts due, after a pause of the process.
--- a/crates/sg-peer/src/metrics.rs
+++ b/crates/sg-peer/src/metrics.rs
@@ -109,15 +109,6 @@
     pub(crate) fn refused(&self, reason: &str) {
         self.refused.with_label_values(&[reason]).inc();
     }
-
-    /// Counts a broken invariant; a test build stops there.
-    pub(crate) fn assert(&self, holds: bool, invariant: &str) {
-        if !holds {
-            self.violations.with_label_values(&[invariant]).inc();
-            log::error!("invariant broken: {invariant}");
-        }
-        debug_assert!(holds, "invariant broken: {invariant}");
-    }
 }
 
 fn add<C: Collector + Clone + 'static>(
--- a/crates/sg-peer/src/shared.rs
+++ b/crates/sg-peer/src/shared.rs
@@ -151,11 +151,7 @@
         origin: Origin,
         now: Instant,
     ) -> Outcome {
-        let before = self.config.newest().revision;
         let outcome = self.config.install(head, tree, now);
-        let after = self.config.newest().revision;
-        self.metrics
-            .assert(after >= before, "revision-goes-forward");
         match &outcome {
             Outcome::Installed => self.installed(origin, now),
             Outcome::Known => {}
--- a/crates/sg-peer/src/task/call.rs
+++ b/crates/sg-peer/src/task/call.rs
@@ -22,12 +22,14 @@
 pub(crate) async fn run(shared: Arc<Shared>, transport: impl Transport) {
     let mut calls = JoinSet::new();
     loop {
-        let planned = shared.timer.now() + LOOK;
+        let latest = shared.timer.now() + LOOK;
+        let next = shared.core.lock().next_call();
+        let planned = next.map_or(latest, |next| next.min(latest));
         let woken = shared.wake.notified();
         // Being woken early is as good as the time being over.
         let _ = shared.timer.until(planned, woken).await;
         let now = shared.timer.now();
-        let late = now.since(planned);
+        let late = now.since(latest);
         if late >= PAUSE {
             shared.metrics.pauses.inc();
             log::warn!("the process was paused for {late}");
@@ -78,4 +80,6 @@
         }
     }
     shared.sync(now);
+    // More may have come up for this instance during the call.
+    shared.wake.notify_one();
 }
--- a/crates/sg-peer/src/task/upkeep.rs
+++ b/crates/sg-peer/src/task/upkeep.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use prometheus::IntCounter;
 use sg_types::time::Span;
 
 use crate::{member::Status, shared::Shared, task::share};
@@ -56,6 +57,12 @@
         let gauge = metrics.revision.with_label_values(&[state]);
         gauge.set(i64::try_from(revision.get()).unwrap_or(i64::MAX));
     }
+    raise(
+        &metrics
+            .violations
+            .with_label_values(&["revision-goes-forward"]),
+        shared.config.regressions(),
+    );
     let events = [
         ("announced", counts.announced),
         ("delivered", counts.delivered),
@@ -65,6 +72,11 @@
     ];
     for (event, total) in events {
         let counter = metrics.notices.with_label_values(&[event]);
-        counter.inc_by(total.saturating_sub(counter.get()));
+        raise(&counter, total);
     }
 }
+
+/// Brings a counter up to `total`.
+fn raise(counter: &IntCounter, total: u64) {
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
--- a/crates/sg-peer/tests/peer/protocol.rs
+++ b/crates/sg-peer/tests/peer/protocol.rs
@@ -4,13 +4,14 @@
 
 use quickcheck::quickcheck;
 use sg_peer::{
-    Frame,
+    Frame, config,
     contact::{self, Candidate},
     core::{Core, Identity},
     frame::{Hint, Place, Refused},
     list,
     notice::{Board, Id, Item, Taken},
 };
+use sg_store::{Head, change, head::Date};
 use sg_types::prelude::*;
 
 fn name(index: usize) -> id::Instance {
@@ -113,6 +114,39 @@
     assert_eq!(board.take(item(1_999), None, at(11_000)), Taken::Known);
 }
 
+/// Puts revisions 2 and then 1 in force; tells the one in force after that.
+fn install_backward(config: &config::Handle) -> Revision {
+    for revision in [2, 1] {
+        let tree = super::fleet::tree(u32::try_from(revision).expect("small"), None);
+        let head = Head {
+            revision: Revision::new(revision),
+            digest: tree.digest(),
+            change: change::Id::new(0),
+            author: "ann".into(),
+            time: Date::default(),
+            note: "test".into(),
+            chunks: 1,
+        };
+        config.install(&head, &tree, at(revision));
+    }
+    config.in_force()
+}
+
+#[test]
+fn a_revision_goes_forward_whatever_comes() {
+    let config = config::Handle::default();
+    assert_eq!(install_backward(&config), Revision::new(2));
+    assert_eq!(config.regressions(), 0);
+}
+
+#[test]
+#[should_panic(expected = "revision-goes-forward")]
+fn a_revision_that_goes_back_is_caught() {
+    let config = config::Handle::default();
+    config.accept_older();
+    install_backward(&config);
+}
+
 fn candidates(count: usize) -> Vec<Candidate> {
     (0..count)
         .map(|index| Candidate {
