feat(forward): doubt about tickets with other sends in hand; bounded notices; early rate refusals

Cause: a resend could be refused as not run while the first send of the same ticket still waited in the queue and would run later. Sends of a ticket are now counted while they are in hand, and a refusal is unknown while there is another. Repeatable requests over their rate are refused before their URL is made or their headers are copied.

--- a/crates/sg-forward/src/check.rs
+++ b/crates/sg-forward/src/check.rs
@@ -6,9 +6,11 @@
 use sg_types::prelude::*;
 
 use crate::{
+    admit,
     gate::{Freshness, Parts, Tree},
     headers,
     key::{Holder, Presented},
+    reply::Refused,
     shared::Shared,
     terms::Terms,
     trace::Trace,
@@ -56,7 +58,7 @@
     line: Line,
     headers: HeaderMap,
     trace: &mut Trace,
-) -> Result<Head, Reason> {
+) -> Result<Head, Refused> {
     let view = view(shared, trace)?;
     let terms = route(&view, &line, &headers, trace)?;
     let holder = holder(&view, &line, &headers, &terms)?;
@@ -128,15 +130,18 @@
     terms: Terms,
     holder: Option<Holder>,
     arrived: Instant,
-) -> Result<Head, Reason> {
+) -> Result<Head, Refused> {
     if terms.keyed && !shared.gates.freshness().is_fresh(shared.timer.now()) {
-        return Err(Reason::Stale);
+        return Err(Reason::Stale.into());
+    }
+    if terms.repeatable {
+        admit::peek(shared, holder.as_ref())?;
     }
     let path = line.uri.path_and_query().ok_or(Reason::Malformed)?.as_str();
     let url = upstream::url(path).ok_or(Reason::Malformed)?;
     let length = headers::number(&headers, &header::CONTENT_LENGTH);
     if length.is_some_and(|length| length > terms.body_limit.get()) {
-        return Err(Reason::BodyTooLarge);
+        return Err(Reason::BodyTooLarge.into());
     }
     let wanted = headers::number(&headers, &headers::DEADLINE).map(Span::from_millis);
     let allowed = wanted.map_or(terms.deadline, |wanted| wanted.min(terms.deadline));
--- a/crates/sg-forward/src/metric.rs
+++ b/crates/sg-forward/src/metric.rs
@@ -30,6 +30,8 @@
     pub relays: IntCounter,
     /// Suspects that this instance told the others.
     pub suspects: IntCounter,
+    /// Notices that were not told because many were told lately.
+    pub notices_withheld: IntCounter,
     /// Quarantines that began here.
     pub quarantines: IntCounter,
     /// Broken invariants. Anything but zero is a fault of the program.
@@ -80,12 +82,13 @@
             tickets: gauge("tickets", "Tickets remembered.")?,
             relays: counter("relays_total", "Requests passed to their ticket's issuer.")?,
             suspects: counter("suspects_total", "Suspects told to the other instances.")?,
+            notices_withheld: counter("notices_withheld_total", "Notices not told.")?,
             quarantines: counter("quarantines_total", "Quarantines begun.")?,
             broken_invariants: counter("broken_invariants_total", "Faults of the program.")?,
         })
     }
 
-    fn counters(&self) -> [&IntCounter; 8] {
+    fn counters(&self) -> [&IntCounter; 9] {
         [
             &self.broken_streams,
             &self.ended_streams,
@@ -93,6 +96,7 @@
             &self.queued,
             &self.relays,
             &self.suspects,
+            &self.notices_withheld,
             &self.quarantines,
             &self.broken_invariants,
         ]
--- a/crates/sg-forward/src/path.rs
+++ b/crates/sg-forward/src/path.rs
@@ -37,13 +37,19 @@
         uri: parts.uri,
     };
     let ticket = once::named(&parts.headers);
+    let send = ticket
+        .as_ref()
+        .filter(|ticket| shared.mint.is_named_by(ticket))
+        .map(|ticket| shared.pending.begin(ticket.sequence));
     let reply = dispatch(shared, line, parts.headers, body, link, trace).await;
-    match ticket {
-        Some(ticket) if reply.outcome == Outcome::NotRun && shared.in_doubt(&ticket) => {
-            reply.in_doubt()
-        }
-        _ => reply,
+    let Some(ticket) = ticket.filter(|_| reply.outcome == Outcome::NotRun) else {
+        return reply;
+    };
+    let has_others = send.is_some_and(|send| send.has_others());
+    if has_others || shared.in_doubt(&ticket) {
+        return reply.in_doubt();
     }
+    reply
 }
 
 async fn dispatch<P: Parts>(
@@ -61,7 +67,7 @@
     };
     match head {
         Ok(head) => proceed(shared, head, body, link, trace).await,
-        Err(reason) => Reply::not_run(reason),
+        Err(refused) => refused.into(),
     }
 }
 
@@ -79,8 +85,7 @@
     if standing.is_new_work() && shared.is_leaving(&head.view) {
         return Reply::not_run(Reason::Leaving).after(LEAVING_RETRY);
     }
-    if !body.is_empty()
-        && standing.is_new_work()
+    if matches!(standing, Standing::Mine(_))
         && let Err(refused) = admit::peek(shared, head.holder.as_ref())
     {
         return refused.into();
--- a/crates/sg-forward/src/relay.rs
+++ b/crates/sg-forward/src/relay.rs
@@ -19,7 +19,7 @@
     history::Step,
     key::Holder,
     path::Relayed,
-    reply::{Payload, Reply},
+    reply::{Payload, Refused, Reply},
     shared::Shared,
     stream::Flow,
     ticket::Ticket,
@@ -193,16 +193,16 @@
     outer: &Line,
     mut headers: HeaderMap,
     trace: &mut Trace,
-) -> Result<Head, Reason> {
+) -> Result<Head, Refused> {
     if outer.method != Method::POST {
-        return Err(Reason::NoRoute);
+        return Err(Reason::NoRoute.into());
     }
     let view = check::view(shared, trace)?;
     let line = line_of(&headers).ok_or(Reason::Malformed)?;
     let terms = check::route(&view, &line, &headers, trace)?;
     let holder = holder(&view, &line, &headers);
     if terms.keyed && holder.is_none() {
-        return Err(Reason::KeyRefused);
+        return Err(Reason::KeyRefused.into());
     }
     let holder = holder.filter(|_| terms.keyed);
     trace.holder(holder.as_ref());
--- a/crates/sg-forward/src/reply.rs
+++ b/crates/sg-forward/src/reply.rs
@@ -65,6 +65,12 @@
     }
 }
 
+impl From<Reason> for Refused {
+    fn from(reason: Reason) -> Self {
+        Self::not_run(reason)
+    }
+}
+
 impl From<Refused> for Reply {
     fn from(refused: Refused) -> Self {
         let mut reply = Self::refusal(refused.outcome, refused.reason);
--- a/crates/sg-forward/src/shared.rs
+++ b/crates/sg-forward/src/shared.rs
@@ -16,6 +16,8 @@
     link::Links,
     memory::Budget,
     metric::Metric,
+    pace::Pace,
+    pending::Pending,
     quarantine::{Suspicion, Table},
     register::{self, Register},
     report::Ledger,
@@ -54,6 +56,8 @@
     pub mint: Mint,
     pub tickets: Mutex<Register>,
     pub quarantine: Mutex<Table>,
+    pub pending: Pending,
+    pace: Mutex<Pace>,
     requests: AtomicU64,
     sequences: AtomicU64,
     unnamed: id::Request,
@@ -82,6 +86,8 @@
             mint: Mint::new(options.instance.clone(), options.incarnation),
             tickets: Mutex::new(Register::new(TICKET_BOUNDS)),
             quarantine: Mutex::default(),
+            pending: Pending::default(),
+            pace: Mutex::default(),
             requests: AtomicU64::new(0),
             sequences: AtomicU64::new(0),
             timer,
@@ -151,8 +157,20 @@
         }
     }
 
-    /// Tells the other instances.
+    /// Tells the other instances, unless too much was told lately.
     pub fn announce(&self, notice: Notice) {
-        self.gates.announce().announce(notice);
+        let now = self.timer.now();
+        let mut pace = self.pace.lock();
+        let may_tell = match &notice {
+            Notice::Suspect { .. } => pace.may_tell_suspect(now),
+            Notice::Leaving { service, target } => pace.may_tell_leaving(service, target, now),
+            Notice::Stopping { .. } => true,
+        };
+        drop(pace);
+        if may_tell {
+            self.gates.announce().announce(notice);
+        } else {
+            self.metric.notices_withheld.inc();
+        }
     }
 }
