test(forward): a randomised run of bookings over several entries and failing targets

Invariants before bytes leave are asserted in the program: no target twice, nothing unrepeatable again, no key.

--- a/crates/sg-forward/src/run.rs
+++ b/crates/sg-forward/src/run.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, StatusCode, header};
 use sg_steer::{Ask, Attempt, End, Steer};
 use sg_types::prelude::*;
 
@@ -103,11 +103,7 @@
             now,
             fingerprint: call.fingerprint,
         })?;
-        if self.tried.contains(attempt.target()) {
-            self.shared.metric.broken_invariants.inc();
-            debug_assert!(false, "a request went to one target twice");
-            return Err(Reason::NoTarget);
-        }
+        self.check_invariants(attempt.target())?;
         self.tried.push(attempt.target().clone());
         self.attempts.push(journal::Attempt {
             target: attempt.target().clone(),
@@ -119,6 +115,25 @@
         Ok(attempt)
     }
 
+    /// What must hold before bytes leave.
+    fn check_invariants(&self, target: &id::Target) -> Result<(), Reason> {
+        let again = self.tried.contains(target);
+        let repeated = !self.history.may_go_on(self.call.terms.repeatable);
+        let key = self
+            .call
+            .outgoing
+            .headers
+            .contains_key(header::AUTHORIZATION);
+        if again || repeated || key {
+            self.shared.metric.broken_invariants.inc();
+            debug_assert!(!again, "a request goes to one target twice");
+            debug_assert!(!repeated, "a request that may not be repeated is");
+            debug_assert!(!key, "a target would see a key");
+            return Err(Reason::NoTarget);
+        }
+        Ok(())
+    }
+
     async fn send(&self, address: SocketAddr) -> Result<Good, Step> {
         let call = &self.call;
         let timer = &self.shared.timer;
--- a/crates/sg-forward/tests/forward/double.rs
+++ b/crates/sg-forward/tests/forward/double.rs
@@ -53,6 +53,7 @@
     pub admitted: AtomicU32,
     pub stale: AtomicBool,
     pub targets: Mutex<Vec<(id::Target, SocketAddr)>>,
+    pub spread: AtomicBool,
     pub starts: Mutex<Vec<id::Target>>,
     pub ends: Mutex<Vec<End>>,
     pub retry_percent: AtomicU32,
@@ -135,9 +136,17 @@
 
     fn start(&self, ask: Ask<'_>) -> Result<Started, Reason> {
         let targets = self.0.targets.lock();
-        let next = targets.iter().find(|(name, _)| !ask.tried.contains(name));
+        let mut starts = self.0.starts.lock();
+        let first = if self.0.spread.load(Ordering::SeqCst) {
+            starts.len()
+        } else {
+            0
+        };
+        let mut from_first = (0..targets.len()).map(|n| &targets[(first + n) % targets.len()]);
+        let next = from_first.find(|(name, _)| !ask.tried.contains(name));
         let (target, address) = next.cloned().ok_or(Reason::NoTarget)?;
-        self.0.starts.lock().push(target.clone());
+        starts.push(target.clone());
+        drop(starts);
         Ok(Started {
             target,
             address,
--- a/crates/sg-forward/tests/forward/limits.rs
+++ b/crates/sg-forward/tests/forward/limits.rs
@@ -7,7 +7,7 @@
 };
 
 use crate::{
-    double::{Entry, KEY_A, World, view},
+    double::{Entry, KEY_A, KEY_B, World, view},
     wire::{Act, Answer, Target, bearer, ok, raw, read_all, request},
 };
 
@@ -135,6 +135,40 @@
     assert_eq!(target.seen().len(), 1);
 }
 
+#[tokio::test]
+async fn over_the_concurrency_limit_accounts_queue_apart() {
+    let target = Target::start(|text, _| match text.contains("/read/held") {
+        true => Act::Silence,
+        false => ok("hello"),
+    })
+    .await;
+    let world = World::new(&[target.address]);
+    let limits = [
+        ("/fleet/concurrency", "1"),
+        ("/accounts/queue-limit", "1"),
+        ("/services/desk/progress-timeout", "1s"),
+        ("/services/desk/attempts", "1"),
+    ];
+    world.set(view(2, &limits));
+    let entry = Entry::start("e1", 1, &world).await;
+    let send = |path: &str, key| raw(entry.address, request("GET", path, &[bearer(key)], ""));
+    let held = tokio::spawn(send("/read/held", KEY_A));
+    while target.seen().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    let (first, other, second) = tokio::join!(
+        send("/read/1", KEY_A),
+        send("/read/1", KEY_B),
+        send("/read/2", KEY_A)
+    );
+    let mut said = [first.said().1, second.said().1];
+    said.sort();
+    assert_eq!(said, ["answered", "queue-full"]);
+    other.expect(Outcome::Ran, Reason::Answered);
+    let held = held.await.expect("ends");
+    held.expect(Outcome::Unknown, Reason::DeadlineRunning);
+}
+
 #[tokio::test]
 async fn a_caller_that_does_not_read_is_cut_off_at_its_deadline() {
     const SIZE: usize = 32 * 1024 * 1024;
--- a/crates/sg-forward/tests/forward/main.rs
+++ b/crates/sg-forward/tests/forward/main.rs
@@ -9,6 +9,7 @@
 mod quarantine;
 mod retries;
 mod stops;
+mod storm;
 mod tickets;
 mod whole;
 mod wire;
--- a/crates/sg-forward/tests/forward/once.rs
+++ b/crates/sg-forward/tests/forward/once.rs
@@ -108,6 +108,19 @@
     target.ran_at_most_once().expect("at most once");
 }
 
+#[tokio::test]
+async fn a_large_answer_is_not_kept_but_its_outcome_is() {
+    let large = "x".repeat(400 * 1024);
+    let (target, _world, entry) = set_up(move |_, _| ok(&large)).await;
+    let ticket = ticket(&entry, KEY_A).await;
+    let first = send(&entry, &ticket, "donkey 7").await;
+    first.expect(Outcome::Ran, Reason::Answered);
+    assert!(first.is_whole());
+    let again = send(&entry, &ticket, "donkey 7").await;
+    again.expect(Outcome::Ran, Reason::AnswerGone);
+    assert_eq!(target.seen().len(), 1);
+}
+
 #[tokio::test]
 async fn sends_at_the_same_time_share_one_run() {
     let slow = Act::Late(
--- a/crates/sg-forward/tests/forward/outcomes.rs
+++ b/crates/sg-forward/tests/forward/outcomes.rs
@@ -59,6 +59,20 @@
     }
 }
 
+#[test]
+fn the_callers_page_lists_every_reason_with_its_status() {
+    let page = include_str!("../../../../docs/CALLERS.md");
+    for reason in Reason::ALL {
+        let row = page
+            .lines()
+            .find(|line| line.starts_with(&format!("| `{reason}` |")));
+        let row = row.unwrap_or_else(|| panic!("{reason} is missing"));
+        let own = matches!(reason, Reason::Answered | Reason::Replayed);
+        let status = format!("| {} |", reason.status());
+        assert!(own || row.contains(&status), "{row}");
+    }
+}
+
 #[test]
 fn a_verdict_by_the_last_attempt_alone_would_be_caught() {
     let steps = [Step::Lost, Step::ConnectFailed];
