feat(lookup): the table of client blocks and the answer to a look-up

Changes go to a small overlay, a prefix trie, and are folded into a new base off the request path. Answers name near entries first, spread callers by weighted rendezvous hashing over headroom, and may not be cached longer than an entry that stops goes on.

--- /dev/null
+++ b/crates/sg-lookup/tests/lookup/answers.rs
@@ -0,0 +1,171 @@
+//! Shows what answers name: near entries first, spread by headroom, none that leaves.
+
+use sg_lookup::{Answer, Ask, Member, Table, decide, member::Set};
+use sg_tree::{Node, View, compile::compile};
+use sg_types::prelude::*;
+
+const TREE: &str = r#"{
+  "regions": { "r0": { "domains": { "d0": { "blocks": "10.0.0.0/16" },
+                                    "d1": { "blocks": "10.1.0.0/16" } } },
+               "r1": { "domains": { "d2": { "blocks": "10.2.0.0/16, 2001:db8::/32" } } } },
+  "entries": { "e0-1": { "drain": "no" } }
+}"#;
+
+fn view() -> View {
+    let node = Node::from_json(TREE).expect("reads");
+    compile(&node, Revision::new(1)).expect("compiles").view
+}
+
+/// Two members a failure domain.
+fn members() -> Vec<Member> {
+    let member = |index: usize| {
+        let (domain, nth) = (index / 2, index % 2);
+        Member {
+            instance: id::Instance::new(format!("e{domain}-{nth}")).expect("a name"),
+            address: format!("127.0.0.1:{}", 9_000 + index)
+                .parse()
+                .expect("an address"),
+            region: id::Region::new(format!("r{}", domain / 2)).expect("a name"),
+            domain: id::Domain::new(format!("d{domain}")).expect("a name"),
+            leaving: false,
+            headroom: Percent::from_ppm(500_000),
+        }
+    };
+    (0..6).map(member).collect()
+}
+
+fn answer(view: &View, members: &[Member], address: &str) -> Answer {
+    let service = id::Service::new("desk").expect("a name");
+    let ask = Ask {
+        address: address.parse().expect("an address"),
+        service: &service,
+        account: None,
+    };
+    decide(view, &Table::from_view(view), &Set::new(members, view), ask)
+}
+
+fn names(answer: &Answer) -> Vec<&str> {
+    answer
+        .entries
+        .iter()
+        .map(|entry| entry.instance.as_str())
+        .collect()
+}
+
+#[test]
+fn near_entries_come_first() {
+    let answer = answer(&view(), &members(), "10.1.7.7");
+    let places: Vec<_> = names(&answer).iter().map(|name| &name[..2]).collect();
+    assert_eq!(places, ["e1", "e1", "e0", "e0", "e2"]);
+    assert_eq!(
+        answer.domain.map(|domain| domain.to_string()),
+        Some("d1".into())
+    );
+    let weights: Vec<_> = answer
+        .entries
+        .iter()
+        .map(|entry| entry.weight.as_ppm())
+        .collect();
+    assert_eq!(weights, [500_000, 500_000, 0, 0, 0]);
+}
+
+#[test]
+fn a_caller_of_no_block_is_still_answered() {
+    let answer = answer(&view(), &members(), "192.0.2.1");
+    assert_eq!((answer.entries.len(), answer.domain), (5, None));
+}
+
+#[test]
+fn what_leaves_is_not_named() {
+    let mut members = members();
+    members[2].leaving = true;
+    let left = answer(&view(), &members, "10.1.7.7");
+    assert!(!names(&left).contains(&"e1-0"), "{left:?}");
+    assert_eq!(left.entries[0].weight, Percent::FULL);
+    let mut view = view();
+    let drained = sg_tree::view::Entry { drain: true };
+    view.entries.insert(members[3].instance.clone(), drained);
+    assert!(!names(&answer(&view, &members, "10.1.7.7")).contains(&"e1-1"));
+    let all: Vec<_> = members
+        .iter()
+        .cloned()
+        .map(|m| Member { leaving: true, ..m })
+        .collect();
+    assert!(answer(&view, &all, "10.1.7.7").entries.is_empty());
+}
+
+#[test]
+fn overloaded_entries_are_left_out_unless_all_are() {
+    let mut members = members();
+    members[2].headroom = Percent::ZERO;
+    assert!(!names(&answer(&view(), &members, "10.1.7.7")).contains(&"e1-0"));
+    let busy = |m| Member {
+        headroom: Percent::ZERO,
+        ..m
+    };
+    let all: Vec<_> = members.into_iter().map(busy).collect();
+    let answer = answer(&view(), &all, "10.1.7.7");
+    assert_eq!(answer.entries.len(), 5);
+    let sum: u32 = answer
+        .entries
+        .iter()
+        .map(|entry| entry.weight.as_ppm())
+        .sum();
+    assert_eq!(sum, 1_000_000);
+}
+
+#[test]
+fn scarce_headroom_passes_callers_on() {
+    let mut members = members();
+    members[2].headroom = Percent::from_ppm(100_000);
+    members[3].headroom = Percent::from_ppm(100_000);
+    let answer = answer(&view(), &members, "10.1.7.7");
+    let near: u32 = answer.entries[..2]
+        .iter()
+        .map(|entry| entry.weight.as_ppm())
+        .sum();
+    assert!((399_000..=401_000).contains(&near), "{answer:?}");
+}
+
+#[test]
+fn callers_spread_by_headroom_and_stay_when_another_entry_goes() {
+    let (view, mut members) = (view(), members());
+    members[2].headroom = Percent::from_ppm(900_000);
+    members[3].headroom = Percent::from_ppm(300_000);
+    let firsts = |members: &[Member]| -> Vec<String> {
+        let network = |n: u32| format!("10.1.{}.9", n % 256);
+        let answers = (0..256).map(|n| answer(&view, members, &network(n)));
+        answers.map(|answer| names(&answer)[0].to_owned()).collect()
+    };
+    let before = firsts(&members);
+    let first = before.iter().filter(|name| *name == "e1-0").count();
+    assert!(
+        (160..=224).contains(&first),
+        "three quarters of 256: {first}"
+    );
+    members[0].leaving = true;
+    assert_eq!(before, firsts(&members), "no caller of e0-0 among them");
+    members[3].leaving = true;
+    let after = firsts(&members);
+    let moved = before.iter().zip(&after).filter(|(a, b)| a != b);
+    assert!(moved.clone().all(|(a, _)| a == "e1-1"));
+    assert!(moved.count() > 0, "the check sees callers that move");
+}
+
+#[test]
+fn answers_run_out_before_an_entry_that_stops_is_gone() {
+    let mut view = view();
+    assert_eq!(
+        answer(&view, &members(), "10.1.7.7").cache,
+        Span::from_secs(2)
+    );
+    view.fleet.lookup_cache = Span::from_secs(60);
+    let answer = answer(&view, &members(), "10.1.7.7");
+    assert!(answer.cache + sg_lookup::SPREAD <= view.fleet.drain_grace);
+    assert_eq!(answer.cache_control(), "private, max-age=4");
+    let json = serde_json::to_string(&answer).expect("writes");
+    assert_eq!(
+        serde_json::from_str::<Answer>(&json).expect("reads"),
+        answer
+    );
+}
--- /dev/null
+++ b/crates/sg-lookup/tests/lookup/blocks.rs
@@ -0,0 +1,198 @@
+//! Shows that the table agrees with a plain search of all blocks.
+
+use std::net::IpAddr;
+
+use ipnet::{IpNet, Ipv4Net, Ipv6Net};
+use quickcheck::quickcheck;
+use sg_lookup::{
+    Block, Table,
+    site::Index,
+    table::{Base, Change, Error, Match},
+};
+use sg_types::prelude::*;
+
+type Blocks = IndexMap<Block, Index>;
+
+/// A block or address from few random bits, so that they nest often.
+fn net(bits: u16, len: u8, is_v4: bool) -> IpNet {
+    if is_v4 {
+        let address = (u32::from(bits) << 16 | u32::from(bits)).into();
+        return Ipv4Net::new_assert(address, len % 33).into();
+    }
+    let address = (u128::from(bits) << 112 | u128::from(bits) << 56 | u128::from(bits)).into();
+    Ipv6Net::new_assert(address, len % 129).into()
+}
+
+fn block((bits, len, is_v4): (u16, u8, bool)) -> Block {
+    Block::new(net(bits, len, is_v4))
+}
+
+/// The length and site of the longest block around `address`.
+fn plain(blocks: &Blocks, address: IpAddr) -> Option<(u8, Index)> {
+    let address = sg_lookup::block::canonical(address);
+    let around = blocks
+        .iter()
+        .filter(|(block, _)| block.net().contains(&address));
+    let found = around.map(|(block, site)| (block.net().prefix_len(), *site));
+    found.max_by_key(|(len, _)| *len)
+}
+
+fn agrees(
+    table: impl Fn(IpAddr) -> Option<Match>,
+    blocks: &Blocks,
+    asks: &[(u16, u8, bool)],
+) -> bool {
+    let ends = blocks.keys().map(|block| block.net().broadcast());
+    let asked = asks
+        .iter()
+        .map(|(bits, _, is_v4)| net(*bits, 128, *is_v4).addr());
+    let mut all = ends.chain(asked);
+    all.all(|address| {
+        let found = table(address).map(|found| (found.len, found.site));
+        found == plain(blocks, address)
+    })
+}
+
+fn number((index, key): (usize, (u16, u8, bool))) -> (Block, Index) {
+    (block(key), Index::new(index as u16))
+}
+
+quickcheck! {
+    fn the_longest_block_is_found(
+        blocks: Vec<(u16, u8, bool)>, asks: Vec<(u16, u8, bool)>
+    ) -> bool {
+        let blocks: Blocks = blocks.into_iter().enumerate().map(number).collect();
+        let table = Table::new(Base::new(blocks.clone()));
+        agrees(|address| table.find(address), &blocks, &asks)
+    }
+
+    fn changes_count_at_once_and_after_compaction(
+        before: Vec<(u16, u8, bool)>, changes: Vec<((u16, u8, bool), bool)>,
+        asks: Vec<(u16, u8, bool)>
+    ) -> bool {
+        let mut blocks: Blocks = before.iter().copied().enumerate().map(number).collect();
+        let table = Table::new(Base::new(blocks.clone()));
+        for (index, (key, sets)) in changes.into_iter().enumerate() {
+            let site = Index::new(10_000 + index as u16);
+            // Half of the removals are of blocks that are there.
+            let there = before.get(index).copied().filter(|_| index % 2 == 0);
+            let block = block(there.unwrap_or(key));
+            let change = if sets { Change::Set(site) } else { Change::Remove };
+            match change {
+                Change::Set(site) => blocks.insert(block, site),
+                Change::Remove => blocks.swap_remove(&block),
+            };
+            table.change(&[(block, change)]);
+        }
+        let asks: Vec<_> = asks.into_iter().chain(before).collect();
+        let at_once = agrees(|address| table.find(address), &blocks, &asks);
+        table.compact();
+        let length = table.snapshot().len();
+        let after = agrees(|address| table.find(address), &blocks, &asks);
+        at_once && after && length.overlay == 0 && length.base == blocks.len()
+    }
+}
+
+#[test]
+fn the_check_sees_a_table_that_forgets_a_removal_or_takes_any_block() {
+    let outer = block((0x0a00, 8, true));
+    let inner = block((0x0a00, 16, true));
+    let blocks: Blocks = [(outer, Index::new(1)), (inner, Index::new(2))].into();
+    let table = Table::new(Base::new(blocks.clone()));
+    let without: Blocks = [(outer, Index::new(1))].into();
+    let find = |address| table.find(address);
+    let inside = [(0x0a00, 0, true)];
+    assert!(agrees(find, &blocks, &inside));
+    assert!(
+        !agrees(find, &without, &inside),
+        "a removal that had no effect"
+    );
+    let any = |_| {
+        Some(Match {
+            len: 8,
+            site: Index::new(1),
+        })
+    };
+    assert!(
+        !agrees(any, &blocks, &inside),
+        "the first block, not the longest"
+    );
+}
+
+#[test]
+fn changes_during_a_compaction_are_kept() {
+    let first = block((1, 16, true));
+    let second = block((2, 16, true));
+    let table = Table::new(Base::new([(first, Index::new(1))]));
+    table.change(&[(second, Change::Set(Index::new(2)))]);
+    std::thread::scope(|scope| {
+        scope.spawn(|| table.compact());
+        scope.spawn(|| table.change(&[(first, Change::Set(Index::new(3)))]));
+    });
+    let site = |block: Block| table.find(block.net().addr()).map(|found| found.site);
+    assert_eq!(site(first), Some(Index::new(3)));
+    assert_eq!(site(second), Some(Index::new(2)));
+}
+
+#[test]
+fn a_mapped_address_counts_as_ipv4() {
+    let table = Table::new(Base::new([(block((0x0a00, 8, true)), Index::new(7))]));
+    let mapped: IpAddr = "::ffff:10.1.2.3".parse().expect("an address");
+    assert_eq!(
+        table.find(mapped).map(|found| found.site),
+        Some(Index::new(7))
+    );
+}
+
+#[test]
+fn a_text_is_read_or_refused_with_the_line_and_the_remedy() {
+    let site = |name| id::Site::new(name).expect("a name");
+    let sites: IndexSet<id::Site> = [site("gent"), site("namur")].into();
+    let good = "# blocks\n10.0.0.0/8 gent\n\n10.1.0.0/16  namur\n";
+    let table = Table::new(Base::from_text(good, &sites).expect("reads"));
+    let address = "10.1.9.9".parse().expect("an address");
+    assert_eq!(table.find(address).map(|found| found.site.get()), Some(1));
+    for (text, remedy) in [
+        ("10.0.0.0/8", "write it like"),
+        ("\n10.0.0.0/40 gent", "line 2"),
+        ("10.0.0.0/8 aalst", "add the site first"),
+    ] {
+        let error: Error = Base::from_text(text, &sites).expect_err(text);
+        assert!(error.to_string().contains(remedy), "{error}");
+    }
+}
+
+/// Bytes of a table of blocks that lie far apart, so that nothing is shared between them.
+fn bytes_a_block(bytes_of: impl Fn(&Blocks) -> usize) -> f64 {
+    let spread = |n: u32| n.wrapping_mul(2_654_435_761);
+    let nets = (0..47_000).map(|n| match n % 10 < 7 {
+        true => Ipv4Net::new_assert((spread(n) & 0xffff_ff00).into(), 24).into(),
+        false => Ipv6Net::new_assert((u128::from(spread(n)) << 92).into(), 48).into(),
+    });
+    let blocks: Blocks = nets
+        .map(|net: IpNet| (Block::new(net), Index::new(1)))
+        .collect();
+    bytes_of(&blocks) as f64 / blocks.len() as f64
+}
+
+#[test]
+fn a_block_takes_its_part_of_100_megabytes() {
+    let most = 100e6 / 4.7e6;
+    let table = bytes_a_block(|blocks| Table::new(Base::new(blocks.clone())).snapshot().bytes());
+    assert!(table < most, "{table} bytes a block");
+    let trie = bytes_a_block(|blocks| {
+        let mut v4 = prefix_trie::PrefixMap::<Ipv4Net, Index>::new();
+        let mut v6 = prefix_trie::PrefixMap::<Ipv6Net, Index>::new();
+        for (block, site) in blocks {
+            match block.net() {
+                IpNet::V4(net) => v4.insert(net, *site),
+                IpNet::V6(net) => v6.insert(net, *site),
+            };
+        }
+        v4.mem_size() + v6.mem_size()
+    });
+    assert!(
+        trie > most,
+        "the check sees a larger structure: {trie} bytes a block"
+    );
+}
