--- a/crates/sg-lookup/tests/lookup/blocks.rs
+++ b/crates/sg-lookup/tests/lookup/blocks.rs
@@ -3,7 +3,6 @@
 use std::net::IpAddr;
 
 use ipnet::{IpNet, Ipv4Net, Ipv6Net};
-use quickcheck::quickcheck;
 use sg_lookup::{
     Block, Table,
     site::Index,
@@ -40,12 +39,12 @@
 fn agrees(
     table: impl Fn(IpAddr) -> Option<Match>,
     blocks: &Blocks,
-    asks: &[(u16, u8, bool)],
+    asks: Vec<(u16, u8, bool)>,
 ) -> bool {
     let ends = blocks.keys().map(|block| block.net().broadcast());
     let asked = asks
-        .iter()
-        .map(|(bits, _, is_v4)| net(*bits, 128, *is_v4).addr());
+        .into_iter()
+        .map(|(bits, _, is_v4)| net(bits, 128, is_v4).addr());
     let mut all = ends.chain(asked);
     all.all(|address| {
         let found = table(address).map(|found| (found.len, found.site));
@@ -57,18 +56,22 @@
     (block(key), Index::new(index as u16))
 }
 
-quickcheck! {
-    fn the_longest_block_is_found(
-        blocks: Vec<(u16, u8, bool)>, asks: Vec<(u16, u8, bool)>
-    ) -> bool {
+#[test]
+fn the_longest_block_is_found() {
+    fn property(blocks: Vec<(u16, u8, bool)>, asks: Vec<(u16, u8, bool)>) -> bool {
         let blocks: Blocks = blocks.into_iter().enumerate().map(number).collect();
         let table = Table::new(Base::new(blocks.clone()));
-        agrees(|address| table.find(address), &blocks, &asks)
+        agrees(|address| table.find(address), &blocks, asks)
     }
+    crate::property::holds(property as fn(Vec<(u16, u8, bool)>, Vec<(u16, u8, bool)>) -> bool);
+}
 
-    fn changes_count_at_once_and_after_compaction(
-        before: Vec<(u16, u8, bool)>, changes: Vec<((u16, u8, bool), bool)>,
-        asks: Vec<(u16, u8, bool)>
+#[test]
+fn changes_count_at_once_and_after_compaction() {
+    fn property(
+        before: Vec<(u16, u8, bool)>,
+        changes: Vec<((u16, u8, bool), bool)>,
+        asks: Vec<(u16, u8, bool)>,
     ) -> bool {
         let mut blocks: Blocks = before.iter().copied().enumerate().map(number).collect();
         let table = Table::new(Base::new(blocks.clone()));
@@ -77,7 +80,11 @@
             // Half of the removals are of blocks that are there.
             let there = before.get(index).copied().filter(|_| index % 2 == 0);
             let block = block(there.unwrap_or(key));
-            let change = if sets { Change::Set(site) } else { Change::Remove };
+            let change = if sets {
+                Change::Set(site)
+            } else {
+                Change::Remove
+            };
             match change {
                 Change::Set(site) => blocks.insert(block, site),
                 Change::Remove => blocks.swap_remove(&block),
@@ -85,12 +92,16 @@
             table.change(&[(block, change)]);
         }
         let asks: Vec<_> = asks.into_iter().chain(before).collect();
-        let at_once = agrees(|address| table.find(address), &blocks, &asks);
+        let at_once = agrees(|address| table.find(address), &blocks, asks.clone());
         table.compact();
         let length = table.snapshot().len();
-        let after = agrees(|address| table.find(address), &blocks, &asks);
+        let after = agrees(|address| table.find(address), &blocks, asks);
         at_once && after && length.overlay == 0 && length.base == blocks.len()
     }
+    crate::property::holds(
+        property
+            as fn(Vec<(u16, u8, bool)>, Vec<((u16, u8, bool), bool)>, Vec<(u16, u8, bool)>) -> bool,
+    );
 }
 
 #[test]
@@ -102,9 +113,9 @@
     let without: Blocks = [(outer, Index::new(1))].into();
     let find = |address| table.find(address);
     let inside = [(0x0a00, 0, true)];
-    assert!(agrees(find, &blocks, &inside));
+    assert!(agrees(find, &blocks, inside.to_vec()));
     assert!(
-        !agrees(find, &without, &inside),
+        !agrees(find, &without, inside.to_vec()),
         "a removal that had no effect"
     );
     let any = |_| {
@@ -114,7 +125,7 @@
         })
     };
     assert!(
-        !agrees(any, &blocks, &inside),
+        !agrees(any, &blocks, inside.to_vec()),
         "the first block, not the longest"
     );
 }
--- a/crates/sg-lookup/tests/lookup/main.rs
+++ b/crates/sg-lookup/tests/lookup/main.rs
@@ -2,3 +2,4 @@
 
 mod answers;
 mod blocks;
+mod property;
--- a/crates/sg-steer/tests/steer/main.rs
+++ b/crates/sg-steer/tests/steer/main.rs
@@ -2,6 +2,7 @@
 //! catches a mutation that breaks the promise.
 
 mod balance;
+mod property;
 mod shifts;
 mod targets;
 mod world;
--- a/crates/sg-steer/tests/steer/shifts.rs
+++ b/crates/sg-steer/tests/steer/shifts.rs
@@ -3,15 +3,16 @@
 
 use std::collections::VecDeque;
 
-use quickcheck::{TestResult, quickcheck};
+use quickcheck::TestResult;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use sg_steer::{
-    Engine, Split,
+    End, Engine, Split,
+    report::Phase,
     shift::{Region, goal},
 };
 use sg_types::prelude::*;
 
-use crate::world::{World, ask, engine, healthy, region, service, view};
+use crate::world::{FINE, World, ask, engine, healthy, region, service, view};
 
 const CAP: f64 = 0.1;
 /// Samples, one a second, from the start of a shift interval to its end.
@@ -131,7 +132,7 @@
             use sg_steer::Attempt as _;
             let attempt = ask(&engine, &[], now).expect("a target");
             *counts.entry(attempt.region().clone()).or_default() += 1.0;
-            attempt.end(crate::world::FINE, now);
+            attempt.end(FINE, now);
         }
         let split = Split::new(counts);
         parts.push_back(split.clone());
@@ -219,10 +220,9 @@
     })
 }
 
-quickcheck! {
-    fn no_region_gains_more_than_it_holds_after_a_loss(
-        numbers: Vec<(u8, u8, u8)>, demand: u16
-    ) -> TestResult {
+#[test]
+fn no_region_gains_more_than_it_holds_after_a_loss() {
+    fn property(numbers: Vec<(u8, u8, u8)>, demand: u16) -> TestResult {
         let numbers: Vec<_> = numbers.into_iter().take(6).collect();
         if numbers.iter().all(|(weight, _, _)| *weight == 0) || demand == 0 {
             return TestResult::discard();
@@ -232,15 +232,17 @@
         let goal = goal(&regions, demand, Percent::from_ppm(100_000));
         TestResult::from_bool(!overloads(&goal.split, &regions, demand))
     }
+    crate::property::holds(property as fn(Vec<(u8, u8, u8)>, u16) -> TestResult);
+}
 
-    fn a_step_moves_what_it_may_and_keeps_the_whole(
-        from: Vec<u16>, to: Vec<u16>, most: u32
-    ) -> TestResult {
-        let split = |weights: &[u16]| {
-            let weights = weights.iter().take(6).enumerate();
-            Split::new(weights.map(|(index, weight)| (region(index), f64::from(*weight))))
+#[test]
+fn a_step_moves_what_it_may_and_keeps_the_whole() {
+    fn property(from: Vec<u16>, to: Vec<u16>, most: u32) -> TestResult {
+        let split = |weights: Vec<u16>| {
+            let weights = weights.into_iter().take(6).enumerate();
+            Split::new(weights.map(|(index, weight)| (region(index), f64::from(weight))))
         };
-        let (from, to) = (split(&from), split(&to));
+        let (from, to) = (split(from), split(to));
         if from.is_empty() || to.is_empty() {
             return TestResult::discard();
         }
@@ -249,10 +251,9 @@
         let sum: u32 = next.parts().map(|(_, part)| part.as_ppm()).sum();
         let moved = from.distance(&next);
         let wanted = from.distance(&to).as_ppm().min(most.as_ppm());
-        TestResult::from_bool(
-            sum == 1_000_000 && moved <= most && wanted - moved.as_ppm() <= 6
-        )
+        TestResult::from_bool(sum == 1_000_000 && moved <= most && wanted - moved.as_ppm() <= 6)
     }
+    crate::property::holds(property as fn(Vec<u16>, Vec<u16>, u32) -> TestResult);
 }
 
 #[test]
@@ -264,3 +265,90 @@
     assert!(!overloads(&careful.split, &regions, 80.0));
     assert!(careful.unplaced > 0.3, "{careful:?}");
 }
+
+/// The split of a one-way shift after `seconds` in which the receivers answer by `end`.
+fn shifted_after(seconds: u64, end: sg_steer::End) -> (f64, Phase) {
+    use sg_steer::Attempt as _;
+    let engine = engine(0, 3, 1);
+    engine.configure(&view(1, 4, [100, 0, 0], ""), Instant::START);
+    engine.configure(&view(2, 4, [0, 100, 0], ""), Instant::START);
+    for step in 0..seconds * 20 {
+        let now = Instant::START + Span::from_millis(step * 50);
+        for index in 0..8 {
+            let domain = 2 + index / 4;
+            let name = id::Target::new(format!("t{domain}-{}", index % 4)).expect("a name");
+            engine.observe(&service(), &name, healthy(0), now);
+        }
+        engine.tick(now);
+        let attempts: Vec<_> = (0..4).filter_map(|_| ask(&engine, &[], now).ok()).collect();
+        for attempt in attempts {
+            let receives = *attempt.region() == region(1);
+            attempt.end(if receives { end } else { FINE }, now);
+        }
+    }
+    let now = Instant::START + Span::from_secs(seconds);
+    let part = engine.positions()[0].split.part(&region(1)).as_f64();
+    (part, engine.report(now).services["desk"].phase)
+}
+
+#[test]
+fn the_next_step_waits_until_the_receivers_are_seen_to_do_well() {
+    let slow = End::Answered {
+        latency: Span::from_millis(400),
+        failed: false,
+    };
+    let (well, _) = shifted_after(55, FINE);
+    assert!(well > 0.5, "five steps and more: {well}");
+    let (part, phase) = shifted_after(55, End::Shed);
+    assert!(part <= CAP, "no step while they refuse: {part}");
+    assert_eq!(phase, Phase::WaitingForWarmth);
+    let (part, phase) = shifted_after(55, slow);
+    assert!(
+        part <= CAP,
+        "no step for a while when they are slow: {part}"
+    );
+    assert_eq!(phase, Phase::WaitingForWarmth);
+    assert!(shifted_after(90, slow).0 > CAP, "but not for ever");
+}
+
+/// Bits that instances of region 0 send for over a link to the others in ten seconds of demand
+/// without end.
+fn bits_over_link(entries: u32) -> u64 {
+    use sg_steer::Attempt as _;
+    let mut tree = (*view(1, 20, [0, 100, 0], "")).clone();
+    tree.links.push(sg_tree::view::Link {
+        a: region(0),
+        b: region(1),
+        bandwidth: Bandwidth::from_bits(LINK),
+    });
+    let tree = std::sync::Arc::new(tree);
+    let engines: Vec<_> = (0..4).map(|n| engine(n * 3, 5, entries)).collect();
+    let mut answers = 0;
+    for engine in &engines {
+        engine.configure(&tree, Instant::START);
+        for millis in 0..10_000_u64 {
+            let now = Instant::START + Span::from_millis(millis);
+            if let Ok(attempt) = ask(engine, &[], now) {
+                attempt.end(FINE, now);
+                answers += 1;
+            }
+        }
+    }
+    answers * 16 * 1_024 * 8
+}
+
+/// Bits a second of the link in [`bits_over_link`].
+const LINK: u64 = 20_000_000;
+
+#[test]
+fn instances_together_stay_within_a_link() {
+    // Ten seconds, one second saved up, and rounding of one answer an instance.
+    let most = LINK * 11 + 4 * 16 * 1_024 * 8;
+    let used = bits_over_link(4);
+    assert!(used <= most, "{used}");
+    assert!(used > LINK * 8, "the link is used: {used}");
+    assert!(
+        bits_over_link(1) > most,
+        "the check sees instances that don't share"
+    );
+}
--- a/crates/sg-steer/tests/steer/targets.rs
+++ b/crates/sg-steer/tests/steer/targets.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use quickcheck::{TestResult, quickcheck};
+use quickcheck::TestResult;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use sg_steer::{Attempt, End, Engine, Steer, observation, retry};
 use sg_types::prelude::*;
@@ -283,8 +283,9 @@
     (requests + retries as u64) as f64 / requests as f64
 }
 
-quickcheck! {
-    fn retries_stay_below_their_share(requests: u16, ppm: u32) -> TestResult {
+#[test]
+fn retries_stay_below_their_share() {
+    fn property(requests: u16, ppm: u32) -> TestResult {
         let share = Percent::from_ppm(ppm % 500_000);
         if requests == 0 || share == Percent::ZERO {
             return TestResult::discard();
@@ -296,6 +297,7 @@
         });
         TestResult::from_bool(amount < 1.0 + share.as_f64())
     }
+    crate::property::holds(property as fn(u16, u32) -> TestResult);
 }
 
 #[test]
