--- a/crates/sg-steer/tests/steer/balance.rs
+++ b/crates/sg-steer/tests/steer/balance.rs
@@ -150,3 +150,23 @@
     assert_eq!(report.services["desk"].cause, Some(Cause::Capacity));
     assert!(world.split().part(&region(0)).as_f64() < 0.65);
 }
+
+#[test]
+fn a_move_to_cold_caches_refuses_nothing() {
+    let mut world = World::new(7, 17, LAG, &view(1, 5, [100, 0, 0], ""));
+    world.run(Span::from_secs(30), 100.0);
+    world.cold = 1_500;
+    let tree = view(2, 5, [0, 100, 0], "");
+    let now = world.now;
+    world
+        .engines
+        .iter()
+        .for_each(|engine| engine.configure(&tree, now));
+    world.refused.clear();
+    world.run(Span::from_secs(300), 100.0);
+    let refused: u64 = world.refused.values().sum();
+    println!("seed 17: {refused} refused, {} slow of 210000", world.slow);
+    assert_eq!(refused, 0, "the next step waits for the caches");
+    assert_eq!(world.split().part(&region(1)), Percent::FULL);
+    assert_eq!(world.violations(), 0);
+}
--- a/crates/sg-steer/tests/steer/world.rs
+++ b/crates/sg-steer/tests/steer/world.rs
@@ -9,6 +9,8 @@
 
 pub const STEP: Span = Span::from_millis(10);
 pub const SERVICE_TIME: Span = Span::from_millis(50);
+/// How much longer, in service times, a target with empty caches takes.
+const COLD_COST: f64 = 9.0;
 
 /// A tree of three regions of two failure domains, with `per_domain` targets in each.
 pub fn view(revision: u64, per_domain: usize, split: [u32; 3], settings: &str) -> Arc<View> {
@@ -88,6 +90,7 @@
 pub struct Model {
     pub dead: bool,
     pub in_flight: u32,
+    served: u32,
     history: VecDeque<u32>,
 }
 
@@ -97,10 +100,14 @@
     pub targets: IndexMap<id::Target, Model>,
     pub now: Instant,
     pub probes: bool,
+    /// Requests after which a target's caches are warm.
+    pub cold: u32,
+    /// Answers that took more than twice the usual time.
+    pub slow: u64,
     pub refused: IndexMap<Reason, u64>,
     pub served: IndexMap<id::Region, u64>,
     lag: Span,
-    running: Vec<(Instant, <Engine as Steer>::Attempt)>,
+    running: Vec<(Instant, Span, <Engine as Steer>::Attempt)>,
     rng: SmallRng,
 }
 
@@ -118,6 +125,8 @@
             targets: names.map(|name| (name.clone(), Model::default())).collect(),
             now: Instant::START,
             probes: true,
+            cold: 0,
+            slow: 0,
             refused: IndexMap::new(),
             served: IndexMap::new(),
             lag,
@@ -169,20 +178,28 @@
                 }
                 model.in_flight += 1;
                 *self.served.entry(attempt.region().clone()).or_default() += 1;
-                let time = SERVICE_TIME.mul_f64(self.rng.random_range(0.5..1.5));
-                self.running.push((self.now + time, attempt));
+                let cold = f64::from(self.cold.saturating_sub(model.served));
+                let slower = 1.0 + COLD_COST * cold / f64::from(self.cold.max(1));
+                model.served += 1;
+                let time = SERVICE_TIME.mul_f64(slower * self.rng.random_range(0.5..1.5));
+                self.slow += u64::from(time > SERVICE_TIME.mul_f64(2.0));
+                self.running.push((self.now + time, time, attempt));
             }
         }
     }
 
     fn finish(&mut self) {
         let now = self.now;
-        let (done, rest) = self.running.drain(..).partition(|(at, _)| *at <= now);
+        let (done, rest) = self.running.drain(..).partition(|(at, _, _)| *at <= now);
         self.running = rest;
         let done: Vec<_> = done;
-        for (_, attempt) in done {
+        for (_, latency, attempt) in done {
             self.targets[attempt.target()].in_flight -= 1;
-            attempt.end(FINE, now);
+            let end = End::Answered {
+                latency,
+                failed: false,
+            };
+            attempt.end(end, now);
         }
     }
 
