feat(steer): demand counts what is refused, and half of the free slots is rounded up

An overloaded region serves less than it is asked for, so that the demand seen in load reports was too low and the shift too slow. Demand is now what is in work over the share that is served.

--- a/crates/sg-steer/src/member.rs
+++ b/crates/sg-steer/src/member.rs
@@ -107,7 +107,7 @@
         let part = (slots / entries).max(1);
         let extra = self.load.total(settings.stale, now).map_or(0, |total| {
             let used = self.load.own(settings.stale, now).saturating_sub(part);
-            used + slots.saturating_sub(total) / 2
+            used + slots.saturating_sub(total).div_ceil(2)
         });
         let limit = (part + extra).min(slots);
         let connections = (settings.connections / entries).max(1);
--- a/crates/sg-steer/src/pool.rs
+++ b/crates/sg-steer/src/pool.rs
@@ -279,6 +279,9 @@
         let region = member.region;
         let passed_trial = was_trial && !member.health.is_trial();
         self.regions[region].on_end(end);
+        if end == End::Shed {
+            self.plan.on_loss();
+        }
         if now < backoff {
             self.timers.push(Reverse((backoff, index)));
         }
--- a/crates/sg-steer/src/pool/choose.rs
+++ b/crates/sg-steer/src/pool/choose.rs
@@ -131,30 +131,40 @@
         tried: &[id::Target],
         started: &Result<Start, Reason>,
     ) {
+        let is_new = kind == Kind::New && tried.is_empty();
+        if is_new {
+            self.plan.on_ask();
+        }
         match started {
             Ok(_) => {
                 self.counts.started += 1;
                 if tried.is_empty() {
                     self.retry.deposit(self.settings.retry_budget);
-                    self.plan.on_start();
                 }
                 if kind == Kind::Again {
                     self.regions[region].pay();
+                    self.plan.on_late_start();
                 }
             }
             Err(reason) => {
-                match reason {
-                    Reason::ShiftCapped => self.counts.shift_capped += 1,
-                    Reason::RegionFull => self.counts.region_full += 1,
-                    _ => self.counts.no_target += 1,
-                }
-                if kind == Kind::New && tried.is_empty() {
+                self.count_refusal(*reason);
+                if is_new {
                     self.regions[region].owe();
+                    self.plan.on_loss();
                 }
             }
         }
     }
 
+    fn count_refusal(&mut self, reason: Reason) {
+        let count = match reason {
+            Reason::ShiftCapped => &mut self.counts.shift_capped,
+            Reason::RegionFull => &mut self.counts.region_full,
+            _ => &mut self.counts.no_target,
+        };
+        *count += 1;
+    }
+
     /// Why a region has no target for a request.
     fn why_none(&self, region: usize) -> Reason {
         let this = &self.regions[region];
--- a/crates/sg-steer/src/pool/plan.rs
+++ b/crates/sg-steer/src/pool/plan.rs
@@ -25,6 +25,8 @@
 const DEADBAND_AWAY: Percent = Percent::from_ppm(20_000);
 /// The least step that gives it back.
 const DEADBAND_BACK: Percent = Percent::from_ppm(50_000);
+/// The least part of the demand that is taken to be served.
+const LEAST_SERVED: f64 = 0.25;
 /// The time over which demand is averaged.
 const DEMAND_MEMORY: Span = Span::from_secs(15);
 /// The time over which this instance's rate is averaged.
@@ -45,7 +47,9 @@
     cause: Option<Cause>,
     demand: Slots,
     rate: f64,
-    starts: u32,
+    asked: u32,
+    lost: u32,
+    lost_share: f64,
     measured: Instant,
     planned: Instant,
     /// When the stage of the shift that is on began.
@@ -112,9 +116,19 @@
         self.wheel.draw()
     }
 
-    /// Counts a request.
-    pub(super) fn on_start(&mut self) {
-        self.starts = self.starts.saturating_add(1);
+    /// Counts a new request.
+    pub(super) fn on_ask(&mut self) {
+        self.asked = self.asked.saturating_add(1);
+    }
+
+    /// Counts a request that was refused for want of room, here or by a target.
+    pub(super) fn on_loss(&mut self) {
+        self.lost = self.lost.saturating_add(1);
+    }
+
+    /// Counts a request that was refused at first and has room now.
+    pub(super) fn on_late_start(&mut self) {
+        self.lost = self.lost.saturating_sub(1);
     }
 
     /// Notes that a target answered a probe.
@@ -142,17 +156,24 @@
         }
     }
 
-    fn count_rate(&mut self, elapsed: Span) {
+    fn count_requests(&mut self, elapsed: Span) {
         let seconds = elapsed.as_secs_f64();
-        let now = f64::from(self.starts) / seconds;
+        let asked = f64::from(self.asked);
         let weight = (seconds / RATE_MEMORY.as_secs_f64()).min(1.0);
-        self.rate += (now - self.rate) * weight;
-        self.starts = 0;
+        self.rate += (asked / seconds - self.rate) * weight;
+        if self.asked > 0 {
+            let share = (f64::from(self.lost) / asked).min(1.0);
+            self.lost_share += (share - self.lost_share) * weight;
+        }
+        self.asked = 0;
+        self.lost = 0;
     }
 
+    /// Averages the demand: what is in work, and what would be if nothing were refused.
     fn count_demand(&mut self, busy: Slots, elapsed: Span) {
+        let served = (1.0 - self.lost_share).max(LEAST_SERVED);
         let weight = elapsed.as_secs_f64() / DEMAND_MEMORY.as_secs_f64();
-        self.demand += (busy - self.demand) * weight.min(1.0);
+        self.demand += (busy / served - self.demand) * weight.min(1.0);
     }
 
     /// Keeps the moves of the last interval. Returns whether they are under the cap.
@@ -188,7 +209,7 @@
         self.regions
             .values_mut()
             .for_each(|region| region.forget(now));
-        self.plan.count_rate(elapsed);
+        self.plan.count_requests(elapsed);
         let silence = now.since(self.plan.measured);
         let hold = self.settings.stale.mul_f64(HOLD_SPANS);
         if silence < self.settings.stale {
--- a/crates/sg-steer/tests/steer/balance.rs
+++ b/crates/sg-steer/tests/steer/balance.rs
@@ -82,7 +82,10 @@
         }
         split
     });
-    println!("seed 11: {trace:?}, served {:?}", world.served);
+    println!(
+        "seed 11: {trace:?}, served {:?}, shed {}",
+        world.served, world.shed
+    );
     assert!(trace.turns <= 2, "{trace:?}");
     assert!(
         trace.least < 0.65,
--- a/crates/sg-steer/tests/steer/world.rs
+++ b/crates/sg-steer/tests/steer/world.rs
@@ -104,6 +104,8 @@
     pub cold: u32,
     /// Answers that took more than twice the usual time.
     pub slow: u64,
+    /// Requests that a target refused for load.
+    pub shed: u64,
     pub refused: IndexMap<Reason, u64>,
     pub served: IndexMap<id::Region, u64>,
     lag: Span,
@@ -127,6 +129,7 @@
             probes: true,
             cold: 0,
             slow: 0,
+            shed: 0,
             refused: IndexMap::new(),
             served: IndexMap::new(),
             lag,
@@ -174,6 +177,7 @@
                     return attempt.end(End::ConnectFailed, self.now);
                 }
                 if model.in_flight >= 7 {
+                    self.shed += 1;
                     return attempt.end(End::Shed, self.now);
                 }
                 model.in_flight += 1;
