--- a/crates/sg-fake/src/target/front.rs
+++ b/crates/sg-fake/src/target/front.rs
@@ -10,7 +10,7 @@
 use sg_types::time::Span;
 
 use super::{
-    Answers, End, Header, POISON, POISON_DOWN, Report, Run, Shared, State, record::micros,
+    Answers, Clock, End, Header, POISON, POISON_DOWN, Report, Run, Shared, State, record::micros,
 };
 use crate::reply;
 
@@ -70,6 +70,9 @@
                 Err(error) => error.response(),
             },
             "/_records" => reply::json(&shared.records()),
+            "/_clock" => reply::json(&Clock {
+                now_us: micros(shared.timer.now()),
+            }),
             "/health" => shared.health(),
             "/load" => shared.load(),
             _ => shared.until_closed(request).await,
--- a/crates/sg-fake/src/target/mod.rs
+++ b/crates/sg-fake/src/target/mod.rs
@@ -17,7 +17,7 @@
 pub use self::{
     control::{Answers, Cold, Control},
     front::Answer,
-    record::{End, Header, Records, Run},
+    record::{Clock, End, Header, Records, Run},
 };
 use crate::{
     server::{self, Handle},
@@ -150,9 +150,7 @@
     }
 
     fn records(&self) -> Records {
-        let mut records = self.state.lock().records.clone();
-        records.now_us = record::micros(self.timer.now());
-        records
+        self.state.lock().records.clone()
     }
 
     fn control(self: &Arc<Self>, control: &Control) {
--- a/crates/sg-fake/src/target/record.rs
+++ b/crates/sg-fake/src/target/record.rs
@@ -56,8 +56,6 @@
 pub struct Records {
     /// The target.
     pub target: String,
-    /// Now, in microseconds of the target's clock.
-    pub now_us: u64,
     /// The runs in the order of their beginnings.
     pub runs: Vec<Run>,
     /// Requests that were refused as not run, by cause.
@@ -74,6 +72,13 @@
     pub most_in_flight: u64,
 }
 
+/// The time of a target's clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Clock {
+    /// Now, in microseconds.
+    pub now_us: u64,
+}
+
 /// Microseconds since the clock's start.
 pub(super) fn micros(now: Instant) -> u64 {
     now.as_nanos() / 1_000
--- a/crates/sg-load/src/collect.rs
+++ b/crates/sg-load/src/collect.rs
@@ -2,8 +2,9 @@
 
 use futures_util::future::join_all;
 use reqwest::Client;
+use serde::de::DeserializeOwned;
 use sg_clock::Timer;
-use sg_fake::target::Records;
+use sg_fake::target::{Clock, End, Records};
 use sg_tree::{View, view::Target};
 use sg_types::prelude::*;
 
@@ -18,6 +19,16 @@
 /// How long one answer may take.
 const TIMEOUT: Span = Span::from_secs(5);
 
+/// How often a target is asked for its clock; the quickest answer counts.
+const CLOCK_SAMPLES: usize = 5;
+
+/// One look at a target's clock.
+#[derive(Clone, Copy)]
+struct Sample {
+    took_us: u64,
+    offset_us: i64,
+}
+
 /// What all targets saw, and which of them did not tell.
 #[derive(Debug, Clone, Default)]
 pub struct Outcome {
@@ -51,37 +62,58 @@
 
 async fn ask(timer: &Timer, client: &Client, target: &Target) -> Option<Records> {
     let deadline = timer.now() + PATIENCE;
-    let url = format!("http://{}/_records", target.address);
     while timer.now() < deadline {
-        let before = timer.now();
-        let request = client.get(&url).timeout(TIMEOUT.into());
-        if let Ok(response) = request.send().await {
-            let after = timer.now();
-            if let Ok(records) = response.json::<Records>().await {
-                let middle = (before.as_nanos() + after.as_nanos()) / 2;
-                return Some(align(records, middle / 1_000));
-            }
+        if let Some(offset) = offset_us(timer, client, target).await
+            && let Some(records) = get::<Records>(client, target, "_records").await
+        {
+            return Some(align(records, offset, micros(timer.now())));
         }
         timer.sleep(PAUSE).await;
     }
     None
 }
 
-/// Moves the times of `records` to the clock on which they were read at `now_us`.
-fn align(mut records: Records, now_us: u64) -> Records {
-    let offset = now_us as i64 - records.now_us as i64;
+/// How far this program's clock is ahead of the target's, by the quickest of several questions.
+async fn offset_us(timer: &Timer, client: &Client, target: &Target) -> Option<i64> {
+    let mut best: Option<Sample> = None;
+    for _ in 0..CLOCK_SAMPLES {
+        let before = micros(timer.now());
+        let clock = get::<Clock>(client, target, "_clock").await?;
+        let after = micros(timer.now());
+        let sample = Sample {
+            took_us: after - before,
+            offset_us: ((before + after) / 2) as i64 - clock.now_us as i64,
+        };
+        if best.is_none_or(|best| sample.took_us < best.took_us) {
+            best = Some(sample);
+        }
+    }
+    best.map(|best| best.offset_us)
+}
+
+async fn get<T: DeserializeOwned>(client: &Client, target: &Target, what: &str) -> Option<T> {
+    let url = format!("http://{}/{what}", target.address);
+    let request = client.get(url).timeout(TIMEOUT.into());
+    request.send().await.ok()?.json().await.ok()
+}
+
+fn micros(instant: Instant) -> u64 {
+    instant.as_nanos() / 1_000
+}
+
+/// Moves the times of `records` to the clock that is `offset` ahead; it is `now_us` there.
+fn align(mut records: Records, offset: i64, now_us: u64) -> Records {
     let moved = |time: u64| time.saturating_add_signed(offset);
     for run in &mut records.runs {
         run.start_us = moved(run.start_us);
         run.end_us = match run.end {
-            sg_fake::target::End::Running => now_us,
-            _ => moved(run.end_us),
+            End::Running => now_us,
+            End::Answered | End::Dropped => moved(run.end_us),
         };
     }
     records.leaving_us = records.leaving_us.map(moved);
     for offer in &mut records.leaving_offers_us {
         *offer = moved(*offer);
     }
-    records.now_us = now_us;
     records
 }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -61,10 +61,15 @@
     fleet_start store "$BIN/sg-fake" store --listen "$STORE"
     fleet_start list "$BIN/sg-fake" list --listen "$LIST" --file "$EXAMPLE/list.json" --lag 500ms
     fleet_start targets "$BIN/sg-fake" target --tree "$EXAMPLE/tree.json" --lag 500ms
-    fleet_listens "$STORE"
-    fleet_listens "$LIST"
-    fleet_listens "127.0.0.1:${BASE}501"
-    "$BIN/sg" tree apply "$EXAMPLE/tree.json" --store "$STORE" --author "$USER_NAME" >&2
+    fleet_listens "$STORE" || return 1
+    fleet_listens "$LIST" || return 1
+    fleet_listens "127.0.0.1:${BASE}501" || return 1
+    if ! "$BIN/sg" tree apply "$EXAMPLE/tree.json" --store "$STORE" --author "$USER_NAME" \
+        >"$RUN/sg.log" 2>&1; then
+        echo "the tree was not accepted:" >&2
+        tail -n 3 "$RUN/sg.log" >&2
+        return 1
+    fi
     for ((n = 1; n <= ENTRIES; n++)); do
         fleet_start_entry "entry-$n"
     done
