fix(sg-load): an entry without look-ups is ready when it says so

The demo waited 20 s for look-ups and gave up. Now it takes an answer of 'not found' for a ready entry, and callers fall back on the list that they know.

--- a/crates/sg-load/src/lookup.rs
+++ b/crates/sg-load/src/lookup.rs
@@ -46,17 +46,26 @@
     service: id::Service,
 }
 
-/// The entries of `known` that don't answer a look-up for `service`.
+/// The entries of `known` that don't answer a look-up for `service`. One that has no look-ups at all
+/// is ready when it says so.
 pub async fn unready(client: &Client, known: &[Entry], service: &id::Service) -> Vec<id::Instance> {
     let mut unready = Vec::new();
     for entry in known {
-        if ask_one(client, entry.address, service).await.is_none() {
+        if !is_ready(client, entry.address, service).await {
             unready.push(entry.instance.clone());
         }
     }
     unready
 }
 
+async fn is_ready(client: &Client, address: SocketAddr, service: &id::Service) -> bool {
+    let url = format!("http://{address}/.sg/lookup?service={service}");
+    let Ok(response) = client.get(url).timeout(TIMEOUT.into()).send().await else {
+        return false;
+    };
+    response.status().is_success() || response.status() == http::StatusCode::NOT_FOUND
+}
+
 async fn ask_one(client: &Client, address: SocketAddr, service: &id::Service) -> Option<Answer> {
     let url = format!("http://{address}/.sg/lookup?service={service}");
     let request = client.get(url).timeout(TIMEOUT.into());
