feat(entry): look-ups over HTTP; a stop waits until cached answers have run out

Cause: callers ask the system which entry to use, and an instance that stops must be left out before its cached answers run out. Conclusion: look-ups and the load tool share one form of the answer.

--- a/crates/sg-entry/src/daemon.rs
+++ b/crates/sg-entry/src/daemon.rs
@@ -16,7 +16,7 @@
     Settings, admin,
     evidence::Ring,
     gates::{Accounts, Config, Fresh, Others, Speaker, Steering},
-    serve, stop,
+    lookup, serve, stop,
 };
 
 /// The request path of this instance.
@@ -74,6 +74,8 @@
     pub steer: sg_steer::Engine,
     /// The request path.
     pub path: Path,
+    /// What look-ups are decided by.
+    pub lookup: lookup::Handle,
     /// What was counted under each revision.
     pub evidence: Arc<Ring>,
     /// Whether the instance is about to stop.
@@ -138,9 +140,9 @@
     parts.node.notices.announce(Notice::Stopping {
         instance: parts.settings.instance.clone(),
         incarnation: parts.incarnation,
-        within: cache + grace,
+        within: sg_lookup::SPREAD + cache + grace,
     });
-    parts.timer.sleep(cache).await;
+    parts.timer.sleep(sg_lookup::SPREAD + cache).await;
     parts.path.leave();
     let deadline = parts.timer.now() + grace;
     if parts
@@ -162,7 +164,7 @@
     };
     let callers = Server::new(TcpListener::bind(parts.settings.serve));
     servers.spawn(callers.run_with_graceful_shutdown(
-        serve::endpoint(parts.clone()).boxed(),
+        serve::endpoint(parts.clone()),
         until(closed.clone()),
         Some(CLOSE_GRACE.into()),
     ));
--- a/crates/sg-entry/src/daemon/build.rs
+++ b/crates/sg-entry/src/daemon/build.rs
@@ -46,6 +46,7 @@
     });
     let path = path(&settings, incarnation, &timer, &registry, &node, &steer)?;
     Ok(Parts {
+        lookup: crate::lookup::Handle::default(),
         evidence: Arc::new(Ring::new(settings.instance.clone(), incarnation)),
         settings,
         incarnation,
--- a/crates/sg-entry/src/daemon/tasks.rs
+++ b/crates/sg-entry/src/daemon/tasks.rs
@@ -8,7 +8,7 @@
 use tokio::{sync::broadcast::error::RecvError, task::JoinSet};
 
 use super::{Error, Parts};
-use crate::probe::Prober;
+use crate::{lookup, probe::Prober};
 
 /// How often steering takes stock.
 const STEER_PERIOD: Span = Span::from_millis(250);
@@ -56,7 +56,7 @@
     }
 }
 
-/// Lets steering take stock, and tells it how many instances there are.
+/// Lets steering take stock, and tells it and look-ups which instances there are.
 async fn steer(parts: Parts) {
     let mut ticks = parts.timer.every(STEER_PERIOD);
     loop {
@@ -69,5 +69,8 @@
         let entries = u32::try_from(alive).unwrap_or(u32::MAX).saturating_add(1);
         parts.steer.fleet(entries, now);
         parts.steer.tick(now);
+        if let Some(view) = parts.node.config.view() {
+            parts.lookup.refresh(&view, &lookup::members(&parts, now));
+        }
     }
 }
--- a/crates/sg-entry/src/lib.rs
+++ b/crates/sg-entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod evidence;
 pub mod gates;
 pub mod logs;
+pub mod lookup;
 pub mod options;
 pub mod probe;
 pub mod serve;
--- a/crates/sg-entry/tests/entry/fleet.rs
+++ b/crates/sg-entry/tests/entry/fleet.rs
@@ -106,7 +106,7 @@
         .collect();
     let mut tree = serde_json::json!({
         "fleet": {"slots": ENTRIES, "lookup-cache": "200ms", "drain-grace": "2s"},
-        "regions": {"north": {"domains": {"n1": {}, "n2": {}}},
+        "regions": {"north": {"domains": {"n1": {"blocks": "10.1.0.0/16"}, "n2": {}}},
                     "south": {"domains": {"s1": {}, "s2": {}}}},
         "services": {"desk": {
             "split": {"north": {"weight": "50%"}, "south": {"weight": "50%"}},
@@ -226,6 +226,13 @@
         Reply::of(authorize(self.http.get(url), key)).await
     }
 
+    /// Asks entry `index` which entry a caller at `address` should use.
+    pub async fn lookup(&self, index: usize, address: &str) -> Option<sg_lookup::Answer> {
+        let serve = self.entries[index].settings.serve;
+        let url = format!("http://{serve}/.sg/lookup?service=desk&address={address}");
+        self.http.get(url).send().await.ok()?.json().await.ok()
+    }
+
     /// Posts to entry `index`; `None` if the connection fails.
     pub async fn post(&self, index: usize, key: &str, ticket: Option<&str>) -> Option<Reply> {
         let url = format!("http://{}/book", self.entries[index].settings.serve);
--- a/crates/sg-entry/tests/entry/whole.rs
+++ b/crates/sg-entry/tests/entry/whole.rs
@@ -101,3 +101,30 @@
         assert_eq!(reply.status, 200, "{}: {report}", reply.reason);
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn look_ups_name_near_entries_and_leave_out_one_that_stops() {
+    let mut fleet = Fleet::start(5).await;
+    let first = fleet.lookup(0, "10.1.2.3").await.expect("an answer");
+    assert_eq!(first.domain.as_ref().map(AsRef::as_ref), Some("n1"));
+    let near = first.entries[0].instance.clone();
+    let near = fleet
+        .entries
+        .iter()
+        .position(|entry| entry.settings.instance == near)
+        .expect("an entry of the fleet");
+    assert_eq!(fleet.entries[near].settings.domain.as_str(), "n1");
+    let other = (near + 1) % ENTRIES;
+    let name = fleet.entries[near].settings.instance.clone();
+    let mut leaver = fleet.entries.remove(near);
+    let stop = tokio::spawn(async move { leaver.stop().await.map(|()| leaver) });
+    let asked = other - usize::from(other > near);
+    let left_out = || async {
+        let answer = fleet.lookup(asked, "10.1.2.3").await;
+        answer.is_some_and(|answer| answer.entries.iter().all(|entry| entry.instance != name))
+    };
+    fleet.eventually("look-ups leave it out", left_out).await;
+    // It still serves callers that cached the older answer.
+    assert!(!stop.is_finished(), "it went before cached answers ran out");
+    stop.await.expect("the task ran").expect("a clean end");
+}
--- a/crates/sg-forward/src/metric.rs
+++ b/crates/sg-forward/src/metric.rs
@@ -91,7 +91,7 @@
         })
     }
 
-    fn counters(&self) -> [&IntCounter; 9] {
+    fn counters(&self) -> [&IntCounter; 10] {
         [
             &self.broken_streams,
             &self.ended_streams,
--- a/crates/sg-load/src/lookup.rs
+++ b/crates/sg-load/src/lookup.rs
@@ -23,14 +23,14 @@
 #[derive(Debug, Deserialize)]
 struct Answer {
     entries: Vec<Choice>,
-    cache_ms: u64,
+    cache: Span,
 }
 
 #[derive(Debug, Clone, Deserialize)]
 struct Choice {
     instance: id::Instance,
     address: SocketAddr,
-    weight: f64,
+    weight: Percent,
 }
 
 #[derive(Debug, Clone)]
@@ -127,7 +127,7 @@
         }
         let cached = match self.ask(client, &question.service).await {
             Some(answer) => Cached {
-                until: now + Span::from_millis(answer.cache_ms),
+                until: now + answer.cache,
                 choices: answer.entries,
             },
             None => Cached {
@@ -156,19 +156,19 @@
             .map(|entry| Choice {
                 instance: entry.instance.clone(),
                 address: entry.address,
-                weight: 1.0,
+                weight: Percent::FULL,
             })
             .collect()
     }
 
     fn draw(&self, choices: &[&Choice]) -> Option<Entry> {
-        let total: f64 = choices.iter().map(|choice| choice.weight.max(0.0)).sum();
+        let total: f64 = choices.iter().map(|choice| choice.weight.as_f64()).sum();
         if total <= 0.0 {
             return None;
         }
         let mut point = self.random.lock().random_range(0.0..total);
         let drawn = choices.iter().find(|choice| {
-            point -= choice.weight.max(0.0);
+            point -= choice.weight.as_f64();
             point < 0.0
         });
         let choice = drawn.or(choices.last())?;
