feat(share): fewer and smaller messages between peers

Cause: steady entries sent 563 to 1,941 B/s to each peer in contact, because retries of refused callers counted as demand, lenders that were busy gave away all their spare rate, and grants changed a little at every request. Refusals now count for half of what was admitted at most, a busy lender gives what is wanted and no more, near-equal grants stay as they are, and a request leaves out what the lender knows. The liveness check now counts slots in use, not rates held, which loans in flight lower for a moment.

--- a/crates/sg-share/src/engine/mod.rs
+++ b/crates/sg-share/src/engine/mod.rs
@@ -246,7 +246,7 @@
             Message::Borrow { n, l } => self.on_borrow(from, n, &l, now, actions),
             Message::Lend { n, l } => self.on_lend(from, n, &l, now, actions),
             Message::Nudge { b } => self.on_nudge(from, b, now, actions),
-            Message::Seek => self.on_seek(),
+            Message::Seek => self.on_seek(now),
         }
     }
 
--- a/crates/sg-share/src/engine/moving.rs
+++ b/crates/sg-share/src/engine/moving.rs
@@ -36,6 +36,10 @@
     }
 
     pub(super) fn request_all(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let terms = self.terms();
+        for ledger in self.ledgers.values_mut() {
+            ledger.begin_round(now, terms);
+        }
         let contacts: Vec<_> = self.contacts.keys().cloned().collect();
         for contact in contacts {
             self.request(&contact, now, actions);
--- a/crates/sg-share/src/engine/takeover.rs
+++ b/crates/sg-share/src/engine/takeover.rs
@@ -86,6 +86,16 @@
             && claim.incarnation != self.me.incarnation
     }
 
+    /// The number of slots, or a greater earlier one while some claim goes by it, so that it keeps
+    /// its voters.
+    fn most_slots(&self) -> u32 {
+        let known = self.registry.claims.values();
+        known
+            .filter(|known| !known.claim.released)
+            .map(|known| known.claim.slots)
+            .fold(self.slots, u32::max)
+    }
+
     /// A slot that nobody holds. Those that have one already wait, so that others come first.
     fn free_slot(&self, now: Instant) -> Option<Slot> {
         let patience = if self.tenures.is_empty() {
@@ -97,7 +107,10 @@
             Some(known) => known.claim.released && now.since(known.since) >= patience,
             None => patience == Span::ZERO || now.since(self.started) >= patience,
         };
-        let free: Vec<_> = (0..self.slots).map(Slot::new).filter(is_free).collect();
+        let free: Vec<_> = (0..self.most_slots())
+            .map(Slot::new)
+            .filter(is_free)
+            .collect();
         let place = panel::rank(&self.me.instance, self.options.seed) as usize;
         free.get(place.checked_rem(free.len())?).copied()
     }
@@ -198,8 +211,12 @@
         }));
     }
 
-    pub(super) fn on_seek(&mut self) {
-        let held = |tenure: &&mut Tenure| tenure.is_active() && !tenure.stopping;
+    /// Gives up the highest slot that the asker can use, if this instance holds several.
+    pub(super) fn on_seek(&mut self, now: Instant) {
+        let slots = self.slots;
+        let held = |tenure: &&mut Tenure| {
+            tenure.is_active() && !tenure.stopping && tenure.claim.slot.get() < slots
+        };
         let mut tenures: Vec<_> = self.tenures.iter_mut().filter(held).collect();
         if tenures.len() < 2 {
             return;
@@ -208,5 +225,6 @@
         if let Some(tenure) = tenures.pop() {
             tenure.stopping = true;
         }
+        self.rebase(now);
     }
 }
--- a/crates/sg-share/src/ledger/borrowing.rs
+++ b/crates/sg-share/src/ledger/borrowing.rs
@@ -18,7 +18,13 @@
 const MOST_PAUSE: Span = Span::from_secs(4);
 /// The same while callers wait.
 const URGENT_PAUSE: Span = Span::from_secs(1);
-/// A bucket below this many of the largest takes asks for more burst.
+/// When only tokens are short for a moment, one lender is asked after the other, with this gap.
+const ASK_GAP: Span = Span::from_millis(100);
+/// A reduction by less than one part in this many waits for the next request.
+const SLIGHT: u64 = 4;
+/// The part of a loan's time that is left when it is renewed.
+const RENEW: f64 = 0.3;
+/// A base burst below this many of the largest takes is too small to be used alone.
 const LEAST_TAKES: u64 = 2;
 
 /// What one lender lends here. It stays when empty, to remember when to ask again.
@@ -35,6 +41,8 @@
     pause: Span,
     /// Whether the lender gave less than was wanted.
     dry: bool,
+    /// Whether the part is what the lender granted last, in answer to the last request.
+    whole: bool,
 }
 
 impl Loan {
@@ -47,6 +55,7 @@
             asked: Instant::START,
             pause: FIRST_PAUSE,
             dry: false,
+            whole: false,
         }
     }
 
@@ -64,6 +73,7 @@
         if over {
             self.part = Part::default();
             self.back = 0;
+            self.whole = false;
         }
         over
     }
@@ -99,26 +109,52 @@
         if terms.leaving || !self.demand.is_active(now) {
             return Part::default();
         }
-        let need = self.demand.rate_micros(ROOM);
-        let base = if now < terms.valid_until {
-            self.base
-        } else {
-            Part::default()
-        };
-        let rate = need.saturating_sub(base.rate);
-        let whole = Part::whole(self.budget);
-        let few = self.demand.largest_micros().saturating_mul(LEAST_TAKES);
-        let scarce = self.tokens / NANOS < few;
-        let borrows = !self.borrowed(now, terms).is_empty();
-        if rate == 0 && !scarce && !borrows && !self.demand.is_urgent(now) {
+        let base = self.usable_base(now, terms);
+        let rate = self.short_rate(base);
+        if rate == 0 && !self.is_small(base) && !self.demand.is_pressed(now) {
             return Part::default();
         }
+        let whole = Part::whole(self.budget);
         Part {
             rate: rate.min(whole.rate),
             burst: whole.burst.saturating_sub(base.burst),
         }
     }
 
+    fn usable_base(&self, now: Instant, terms: Terms) -> Part {
+        if now < terms.valid_until {
+            self.base
+        } else {
+            Part::default()
+        }
+    }
+
+    /// How much of the demand, with some room, the base rate leaves out; nothing if it covers the
+    /// bare demand.
+    fn short_rate(&self, base: Part) -> u64 {
+        if self.demand.rate_micros(1.0) <= base.rate {
+            return 0;
+        }
+        self.demand.rate_micros(ROOM).saturating_sub(base.rate)
+    }
+
+    /// Whether the base burst is too small for a few takes.
+    fn is_small(&self, base: Part) -> bool {
+        base.burst < self.demand.largest_micros().saturating_mul(LEAST_TAKES)
+    }
+
+    /// Begins a round of requests to all lenders.
+    pub(crate) fn begin_round(&mut self, now: Instant, terms: Terms) {
+        let base = self.usable_base(now, terms);
+        let lasting = self.short_rate(base) > 0 || self.is_small(base);
+        let is_soon = self.asked != Instant::START && now.since(self.asked) < ASK_GAP;
+        self.asks_left = match (lasting, is_soon) {
+            (true, _) => usize::MAX,
+            (false, true) => 0,
+            (false, false) => 1,
+        };
+    }
+
     /// What to ask `peer` for now, if anything. Whatever is given back is debited here.
     pub(crate) fn ask(
         &mut self,
@@ -140,19 +176,26 @@
         if idle && loan.part.is_empty() && loan.back == 0 {
             return None;
         }
-        let renew = !loan.part.is_empty() && now + half(terms.loan) >= loan.until;
+        let renew = !loan.part.is_empty() && now + terms.loan.mul_f64(RENEW) >= loan.until;
         let due = loan.is_due(urgent, now) && (urgent || loan.part.is_empty() || loan.dry);
+        let due = due && self.asks_left > 0;
         if !(forced || idle || renew || due) {
             return None;
         }
+        if due {
+            self.asks_left -= 1;
+            self.asked = now;
+        }
         loan.slow_down(now);
         if idle {
             self.reduce(place, Part::default(), now, terms);
         }
         let loan = &mut self.loans[place];
+        // Until this request is answered, the lender may have granted something else.
+        let whole = std::mem::take(&mut loan.whole);
         Some(Ask {
             id: id.clone(),
-            keep: loan.part,
+            keep: Some(loan.part).filter(|_| !whole),
             back: std::mem::take(&mut loan.back),
             want,
             urgent: urgent && !idle,
@@ -172,6 +215,7 @@
     fn reduce(&mut self, place: usize, part: Part, now: Instant, terms: Terms) {
         let freed = self.loans[place].part.burst.saturating_sub(part.burst);
         self.loans[place].part = part;
+        self.loans[place].whole = false;
         let cap = self.held(now, terms).burst.saturating_mul(NANOS);
         let over = self.tokens.saturating_sub(cap) / NANOS;
         self.loans[place].back += over.min(freed);
@@ -198,15 +242,15 @@
         let added = grant.part.burst.saturating_sub(old.burst);
         let loan = &mut self.loans[place];
         loan.part = grant.part;
+        loan.whole = true;
         loan.until = until;
-        if !grant.part.fits(old) {
-            loan.pause = FIRST_PAUSE;
-        }
         self.tokens = self.tokens.saturating_add(grant.tokens.min(added) * NANOS);
         self.settle(now, terms);
         let want = self.want(now, terms);
-        self.loans[place].dry = !want.is_empty() && grant.part.rate < want.rate.max(1);
-        !old.fits(grant.part)
+        let short = self.borrowed(now, terms).rate < want.rate;
+        self.loans[place].dry = short && grant.part.rate < want.rate;
+        old.burst - old.burst / SLIGHT > grant.part.burst
+            || old.rate - old.rate / SLIGHT > grant.part.rate
     }
 
     /// Forgets lenders that are gone.
@@ -215,8 +259,3 @@
             .retain(|loan| !loan.part.is_empty() || keep(&loan.from));
     }
 }
-
-/// Half of a span.
-fn half(span: Span) -> Span {
-    span.mul_f64(0.5)
-}
--- a/crates/sg-share/src/ledger/demand.rs
+++ b/crates/sg-share/src/ledger/demand.rs
@@ -7,15 +7,17 @@
 /// How long a refusal counts as a caller that waits.
 const URGENT: Span = Span::from_millis(500);
 /// The weight of the newest tick when demand grows.
-const RISE: f64 = 0.5;
+const RISE: f64 = 0.1;
 /// The weight of the newest tick when demand falls.
-const FALL: f64 = 0.05;
+const FALL: f64 = 0.08;
 
 /// The demand for one budget at one instance.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Demand {
-    /// Units asked for since the last tick.
-    units: u64,
+    /// Units admitted since the last tick.
+    admitted: u64,
+    /// Units refused since the last tick, some of them several times.
+    denied: u64,
     since: Instant,
     /// Units a second, smoothed.
     rate: f64,
@@ -27,13 +29,15 @@
 impl Demand {
     /// Counts a take that was asked for.
     pub(crate) fn ask(&mut self, units: u32, now: Instant) {
-        self.units += u64::from(units);
+        self.admitted += u64::from(units);
         self.largest = self.largest.max(units);
         self.last = Some(now);
     }
 
-    /// Counts a take that was refused.
-    pub(crate) fn refuse(&mut self, now: Instant) {
+    /// Counts a take that was asked for as refused.
+    pub(crate) fn refuse(&mut self, units: u32, now: Instant) {
+        self.admitted -= u64::from(units);
+        self.denied += u64::from(units);
         self.refused = Some(now);
     }
 
@@ -43,10 +47,14 @@
         if span <= 0.0 {
             return;
         }
-        let fresh = self.units as f64 / span;
+        // Callers that were refused come again, so refusals count for half of what was admitted
+        // at most; demand that is met step by step is found all the same.
+        let most = self.admitted / 2 + u64::from(self.largest);
+        let fresh = (self.admitted + self.denied.min(most)) as f64 / span;
         let weight = if fresh > self.rate { RISE } else { FALL };
         self.rate += weight * (fresh - self.rate);
-        self.units = 0;
+        self.admitted = 0;
+        self.denied = 0;
         self.since = now;
         if !self.is_active(now) {
             self.rate = 0.0;
@@ -69,6 +77,11 @@
         self.last.is_some_and(|last| now.since(last) < ACTIVE)
     }
 
+    /// Whether callers were refused lately.
+    pub(crate) fn is_pressed(&self, now: Instant) -> bool {
+        self.refused.is_some_and(|last| now.since(last) < ACTIVE)
+    }
+
     /// Whether a caller was refused moments ago.
     pub(crate) fn is_urgent(&self, now: Instant) -> bool {
         self.refused.is_some_and(|last| now.since(last) < URGENT)
--- a/crates/sg-share/src/ledger/lending.rs
+++ b/crates/sg-share/src/ledger/lending.rs
@@ -23,7 +23,9 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Lent {
     pub(crate) to: Peer,
+    /// The greater of what the borrower uses and what it was granted last.
     pub(crate) part: Part,
+    granted: Part,
     pub(crate) until: Instant,
     want: Part,
     urgent: bool,
@@ -54,7 +56,7 @@
     ) -> Grant {
         self.settle(now, terms);
         let before = self.lent_to(to);
-        let keep = ask.keep.min(before);
+        let keep = ask.keep.unwrap_or_else(|| self.granted_to(to)).min(before);
         self.credit(ask.back, before.burst - keep.burst);
         self.record(to, ask, keep, now, terms);
         let part = self.grant(to, seed, now);
@@ -62,7 +64,7 @@
         let tokens = (self.tokens / NANOS).min(added);
         if terms.fault != Some(Fault::LendTwice) {
             self.tokens -= tokens * NANOS;
-            self.debit(to, part.max(keep));
+            self.debit(to, keep, part);
         }
         self.settle(now, terms);
         Grant {
@@ -79,6 +81,13 @@
             .map_or(Part::default(), |lent| lent.part)
     }
 
+    fn granted_to(&self, to: &Peer) -> Part {
+        self.lent
+            .iter()
+            .find(|lent| lent.to == *to)
+            .map_or(Part::default(), |lent| lent.granted)
+    }
+
     fn credit(&mut self, back: u64, freed: u64) {
         self.tokens = self.tokens.saturating_add(back.min(freed) * NANOS);
     }
@@ -91,15 +100,17 @@
         self.lent.push(Lent {
             to: to.clone(),
             part: keep,
+            granted: keep,
             until: now + terms.drift.outlast(terms.loan),
             want: ask.want,
             urgent: ask.urgent,
         });
     }
 
-    fn debit(&mut self, to: &Peer, part: Part) {
+    fn debit(&mut self, to: &Peer, keep: Part, granted: Part) {
         if let Some(lent) = self.lent.iter_mut().find(|lent| lent.to == *to) {
-            lent.part = part;
+            lent.part = granted.max(keep);
+            lent.granted = granted;
         }
     }
 
@@ -109,7 +120,13 @@
             .iter()
             .filter(|lent| lent.to != *to)
             .fold(Part::default(), |sum, lent| sum.plus(lent.part));
-        self.target(to, seed, now).min(self.base.minus(others))
+        let target = self.target(to, seed, now);
+        let kept = self.lent_to(to);
+        let steady = Part {
+            rate: steady(kept.rate, target.rate),
+            burst: steady(kept.burst, target.burst),
+        };
+        steady.min(self.base.minus(others))
     }
 
     /// What a borrower should hold, by its want and that of the others.
@@ -136,6 +153,9 @@
         if sum == 0 {
             return 0;
         }
+        if sum <= free && own > 0 {
+            return mine;
+        }
         if sum <= free {
             let scaled = u128::from(free) * u128::from(mine) / u128::from(sum);
             return u64::try_from(scaled).unwrap_or(free);
@@ -217,6 +237,12 @@
     }
 }
 
+/// What is lent already if it is about what it should be, so that it doesn't change at every request.
+fn steady(kept: u64, target: u64) -> u64 {
+    let is_near = kept <= target.saturating_add(target / 4) && kept >= target - target / 4;
+    if is_near { kept } else { target }
+}
+
 /// Whether `value` is above `target` by enough of `whole` to act on.
 fn is_above(value: u64, target: u64, whole: u64) -> bool {
     value > target.saturating_add(whole / 8)
--- a/crates/sg-share/src/ledger/mod.rs
+++ b/crates/sg-share/src/ledger/mod.rs
@@ -58,6 +58,10 @@
     lent: Vec<Lent>,
     loans: Vec<Loan>,
     pub(crate) demand: Demand,
+    /// How many more lenders may be asked in this round.
+    asks_left: usize,
+    /// When a lender was last asked only because tokens were short for a moment.
+    asked: Instant,
     /// Whether the budget was removed from the settings; kept until nothing of it is lent.
     pub(crate) retired: bool,
     /// Invariants found violated.
@@ -76,6 +80,8 @@
             lent: Vec::new(),
             loans: Vec::new(),
             demand: Demand::default(),
+            asks_left: 0,
+            asked: Instant::START,
             retired: false,
             violations: 0,
             expired: 0,
@@ -158,7 +164,7 @@
             self.tokens = left;
             return Ok(());
         }
-        self.demand.refuse(now);
+        self.demand.refuse(units, now);
         Err(Exhausted {
             retry_after: self.retry_after(want, now, terms),
             may_borrow: units <= self.budget.burst && self.may_borrow(now),
--- a/crates/sg-share/src/message.rs
+++ b/crates/sg-share/src/message.rs
@@ -92,9 +92,9 @@
     /// The budget.
     #[serde(rename = "i")]
     pub id: budget::Id,
-    /// What the borrower uses of earlier loans from now on.
-    #[serde(rename = "k", default, skip_serializing_if = "is_empty")]
-    pub keep: Part,
+    /// What the borrower uses of earlier loans from now on; all that it was granted if absent.
+    #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
+    pub keep: Option<Part>,
     /// Tokens that it gives back with the part that it stopped to use, in millionths.
     #[serde(rename = "g", default, skip_serializing_if = "is_zero")]
     pub back: u64,
--- a/crates/sg-share/tests/share/main.rs
+++ b/crates/sg-share/tests/share/main.rs
@@ -5,6 +5,7 @@
 mod faults;
 mod random;
 mod settings;
+mod traffic;
 mod world;
 
 use world::budgets;
--- a/crates/sg-share/tests/share/settings.rs
+++ b/crates/sg-share/tests/share/settings.rs
@@ -1,6 +1,6 @@
 //! Rates, bursts and slots that change while shares are out.
 
-use sg_share::engine::Options;
+use sg_share::engine::{Fault, Options};
 
 use crate::{
     budgets,
@@ -67,3 +67,29 @@
         change(&mut world, 50, 20, 7);
     }
 }
+
+/// Only one node has learned that there are fewer slots.
+fn half_informed(fault: Option<Fault>) -> World {
+    let options = Options {
+        fault,
+        ..Options::default()
+    };
+    let mut world = World::new(1, 7, 7, budgets(50, 20), options);
+    world.run(15 * SEC);
+    world.configure(3, budgets(50, 20));
+    let node = (0..7).find(|node| {
+        let clock = world.nodes[*node].clock(world.now);
+        let engine = world.nodes[*node].engine.as_ref();
+        engine.is_some_and(|engine| engine.slots_in_use(clock).any(|slot| slot.get() < 3))
+    });
+    world.inform(node.expect("a holder of a slot that stays"));
+    world.run(30 * SEC);
+    world
+}
+
+#[test]
+fn slots_are_recut_only_when_all_know() {
+    half_informed(None).check.assert();
+    let world = half_informed(Some(Fault::GrowAtOnce));
+    assert!(world.check.broken.is_some());
+}
--- a/crates/sg-share/tests/share/world.rs
+++ b/crates/sg-share/tests/share/world.rs
@@ -489,6 +489,16 @@
         self.nodes.iter().filter_map(held).sum()
     }
 
+    pub fn slots_in_use(&self) -> IndexSet<Slot> {
+        let mut slots = IndexSet::new();
+        for node in &self.nodes {
+            let now = node.clock(self.now);
+            let engine = node.engine.iter();
+            slots.extend(engine.flat_map(|engine| engine.slots_in_use(now)));
+        }
+        slots
+    }
+
     /// Refused of all that asked, since the last call.
     pub fn refusals(&mut self) -> f64 {
         let tally = std::mem::take(&mut self.tally);
