--- a/crates/sg-share/src/ledger/borrowing.rs
+++ b/crates/sg-share/src/ledger/borrowing.rs
@@ -41,6 +41,8 @@
     pause: Span,
     /// Whether the lender gave less than was wanted.
     dry: bool,
+    /// Whether the part is what the lender granted last, in answer to the last request.
+    whole: bool,
 }
 
 impl Loan {
@@ -53,6 +55,7 @@
             asked: Instant::START,
             pause: FIRST_PAUSE,
             dry: false,
+            whole: false,
         }
     }
 
@@ -70,6 +73,7 @@
         if over {
             self.part = Part::default();
             self.back = 0;
+            self.whole = false;
         }
         over
     }
@@ -187,9 +191,11 @@
             self.reduce(place, Part::default(), now, terms);
         }
         let loan = &mut self.loans[place];
+        // Until this request is answered, the lender may have granted something else.
+        let whole = std::mem::take(&mut loan.whole);
         Some(Ask {
             id: id.clone(),
-            keep: loan.part,
+            keep: Some(loan.part).filter(|_| !whole),
             back: std::mem::take(&mut loan.back),
             want,
             urgent: urgent && !idle,
@@ -209,6 +215,7 @@
     fn reduce(&mut self, place: usize, part: Part, now: Instant, terms: Terms) {
         let freed = self.loans[place].part.burst.saturating_sub(part.burst);
         self.loans[place].part = part;
+        self.loans[place].whole = false;
         let cap = self.held(now, terms).burst.saturating_mul(NANOS);
         let over = self.tokens.saturating_sub(cap) / NANOS;
         self.loans[place].back += over.min(freed);
@@ -235,6 +242,7 @@
         let added = grant.part.burst.saturating_sub(old.burst);
         let loan = &mut self.loans[place];
         loan.part = grant.part;
+        loan.whole = true;
         loan.until = until;
         self.tokens = self.tokens.saturating_add(grant.tokens.min(added) * NANOS);
         self.settle(now, terms);
--- a/crates/sg-share/tests/share/random.rs
+++ b/crates/sg-share/tests/share/random.rs
@@ -144,10 +144,12 @@
         .filter_map(|node| node.engine.as_ref())
         .map(|engine| engine.report().counters.violations)
         .sum::<u64>();
-    let rate = settings[&account("a")].rate.as_micros();
-    let held = world.held_rate();
-    if world.options.sole_runs && held < rate * 9 / 10 {
-        return Some(format!("only {held} of {rate} is in use"));
+    let used = world.slots_in_use().len();
+    if world.options.sole_runs && used < world.settings.slots as usize {
+        return Some(format!(
+            "only {used} of {} slots in use",
+            world.settings.slots
+        ));
     }
     if violations > 0 {
         return Some(format!("{violations} violations counted"));
