--- a/crates/sg-peer/src/lib.rs
+++ b/crates/sg-peer/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod frame;
 pub mod fresh;
 pub mod handler;
+mod jitter;
 pub mod list;
 pub mod member;
 pub mod members;
--- a/crates/sg-peer/src/metrics.rs
+++ b/crates/sg-peer/src/metrics.rs
@@ -18,7 +18,7 @@
     pub(crate) rejected: IntCounterVec,
     pub(crate) revision: IntGaugeVec,
     pub(crate) members: IntGaugeVec,
-    pub(crate) notices: IntCounterVec,
+    pub(crate) events: IntCounterVec,
     pub(crate) fresh: IntGauge,
     pub(crate) relay: IntGauge,
     pub(crate) stale_spells: IntCounter,
@@ -61,7 +61,7 @@
             )?,
             revision: gauges("sg_config_revision", "Revisions known here", "state")?,
             members: gauges("sg_members", "Other instances", "status")?,
-            notices: counters("sg_notices_total", "Notices", "event")?,
+            events: counters("sg_peer_events_total", "Notices and conflicts", "event")?,
             fresh: IntGauge::new("sg_fresh", "1 if keyed routes may be served")?,
             relay: IntGauge::new("sg_relay", "1 if this instance watches the store")?,
             stale_spells: IntCounter::new("sg_stale_spells_total", "Times freshness ended")?,
@@ -86,7 +86,7 @@
             &metrics.list_reads,
             &metrics.installed,
             &metrics.rejected,
-            &metrics.notices,
+            &metrics.events,
             &metrics.violations,
         ];
         for counter in counters {
--- a/crates/sg-peer/src/node.rs
+++ b/crates/sg-peer/src/node.rs
@@ -171,6 +171,12 @@
         &self.shared
     }
 
+    /// Breaks the gate of freshness on purpose.
+    #[cfg(feature = "testing")]
+    pub fn mutate_gate(&self, mutation: fresh::Mutation) {
+        self.shared.core.lock().gate().mutate(mutation);
+    }
+
     /// Calls to the store since the start.
     #[must_use]
     pub fn store_calls(&self) -> StoreCalls {
--- a/crates/sg-peer/src/task/follow.rs
+++ b/crates/sg-peer/src/task/follow.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     config::{Origin, Outcome, Rejected},
+    jitter::Jitter,
     metrics::Metrics,
     shared::Shared,
 };
@@ -51,11 +52,18 @@
     loading: Mutex<()>,
     /// The version of the head that was read last.
     position: parking_lot::Mutex<Option<Version>>,
+    jitter: Jitter,
 }
 
 impl<S: Store> Follower<S> {
     pub(crate) fn new(shared: Arc<Shared>, store: S) -> Arc<Self> {
+        let jitter = {
+            let core = shared.core.lock();
+            let me = core.me();
+            Jitter::new(&me.instance, me.incarnation)
+        };
         Arc::new(Self {
+            jitter,
             shared,
             store,
             loading: Mutex::default(),
@@ -99,7 +107,7 @@
         if self.is_relay() {
             return period;
         }
-        period + period.mul_f64(rand::random::<f64>())
+        period + period.mul_f64(self.jitter.fraction())
     }
 
     async fn read_head(self: Arc<Self>) {
@@ -213,7 +221,7 @@
                         // The position may lie before the oldest change that the store keeps.
                         *self.position.lock() = None;
                     }
-                    let wait = WATCH_RETRY.mul_f64(0.5 + rand::random::<f64>() / 2.0);
+                    let wait = WATCH_RETRY.mul_f64(0.5 + self.jitter.fraction() / 2.0);
                     timer.sleep(wait).await;
                 }
             }
--- a/crates/sg-peer/src/task/upkeep.rs
+++ b/crates/sg-peer/src/task/upkeep.rs
@@ -64,14 +64,14 @@
         shared.config.regressions(),
     );
     let events = [
-        ("announced", counts.announced),
-        ("delivered", counts.delivered),
-        ("duplicate", counts.duplicates),
+        ("notice-announced", counts.announced),
+        ("notice-delivered", counts.delivered),
+        ("notice-duplicate", counts.duplicates),
         ("shares-dropped", counts.shares_dropped),
         ("revision-conflict", counts.conflicts),
     ];
     for (event, total) in events {
-        let counter = metrics.notices.with_label_values(&[event]);
+        let counter = metrics.events.with_label_values(&[event]);
         raise(&counter, total);
     }
 }
--- a/crates/sg-peer/tests/peer/gate.rs
+++ b/crates/sg-peer/tests/peer/gate.rs
@@ -74,7 +74,7 @@
 /// run apart by 1%. Returns the first seed that finds one.
 fn search(seeds: u64, mutation: Option<Mutation>) -> Option<u64> {
     (0..seeds).find(|seed| {
-        let mut random = quickcheck_free::Random(*seed);
+        let mut random = random::Random(*seed);
         let slots = 2 + u32::try_from(random.below(7)).expect("small");
         let accepted = 20_000 + random.below(10_000);
         let rate = 0.99 + random.below(21) as f64 / 1_000.0;
@@ -115,7 +115,7 @@
     })
 }
 
-mod quickcheck_free {
+pub mod random {
     //! A small generator, so that a seed replays a run.
 
     pub struct Random(pub u64);
--- a/crates/sg-peer/tests/peer/main.rs
+++ b/crates/sg-peer/tests/peer/main.rs
@@ -7,4 +7,5 @@
 mod loopback;
 mod net;
 mod protocol;
+mod random;
 mod spreading;
--- a/crates/sg-peer/tests/peer/net.rs
+++ b/crates/sg-peer/tests/peer/net.rs
@@ -18,6 +18,7 @@
     groups: IndexMap<SocketAddr, u32>,
     delay: Span,
     lose_answers: bool,
+    lose_trees: bool,
     frames: u64,
     bytes: u64,
 }
@@ -75,6 +76,11 @@
         self.state.lock().lose_answers = lose;
     }
 
+    /// Loses answers that carry a tree, as a path that drops large packets does.
+    pub fn lose_trees(&self, lose: bool) {
+        self.state.lock().lose_trees = lose;
+    }
+
     /// Frames and their bytes, requests and answers together.
     pub fn traffic(&self) -> (u64, u64) {
         let state = self.state.lock();
@@ -124,6 +130,10 @@
     }
 
     async fn tree(&self, to: SocketAddr, part: Part) -> Result<Slice, Error> {
-        self.reach(to).await?.tree(part)
+        let handler = self.reach(to).await?;
+        match self.state.lock().lose_trees {
+            true => Err(Error::Timeout),
+            false => handler.tree(part),
+        }
     }
 }
--- /dev/null
+++ b/crates/sg-peer/tests/peer/random.rs
@@ -0,0 +1,152 @@
+//! Random faults over a whole fleet. A seed replays a run: `SG_SEED=7 cargo test -p sg-peer random`.
+
+use sg_peer::{
+    accept::{Change, Follower},
+    fresh::Mutation,
+};
+use sg_types::prelude::*;
+
+use super::{
+    fleet::{DOWN, Fleet, tree},
+    gate::random::Random,
+};
+
+const COUNT: usize = 5;
+const SEEDS: u64 = 8;
+const ROUNDS: u64 = 40;
+const V: Span = Span::from_secs(5);
+
+/// What a run found.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Broken {
+    /// An instance served keyed routes although a change that it lacks was accepted.
+    FreshBehind,
+    /// A revision went back.
+    Reverted,
+}
+
+struct Run {
+    fleet: Fleet,
+    random: Random,
+    seen: Vec<Revision>,
+    followers: Vec<(Revision, Follower)>,
+}
+
+impl Run {
+    async fn start(seed: u64, mutation: Option<Mutation>) -> Self {
+        let fleet = Fleet::started(COUNT, 2).await;
+        for entry in &fleet.entries {
+            if let Some(mutation) = mutation {
+                entry.handle.mutate_gate(mutation);
+            }
+        }
+        Self {
+            fleet,
+            random: Random(seed),
+            seen: vec![Revision::default(); COUNT],
+            followers: Vec::new(),
+        }
+    }
+
+    /// Changes something: the store for some, the network, or the tree.
+    async fn disturb(&mut self) {
+        let index = usize::try_from(self.random.below(COUNT as u64)).expect("small");
+        match self.random.below(8) {
+            0 => self.fleet.set_store(DOWN, [index]),
+            1 => self.fleet.set_store(DOWN, 0..COUNT),
+            2 => self.fleet.set_store(Default::default(), 0..COUNT),
+            3 => {
+                let group = u32::try_from(self.random.below(2)).expect("small");
+                let address = self.fleet.peers_of(&[index]);
+                self.fleet.net.cut_off(group, address);
+            }
+            4 => self.fleet.net.heal(),
+            5 => self.fleet.net.lose_trees(true),
+            6 => self.fleet.net.lose_trees(false),
+            _ => self.publish().await,
+        }
+    }
+
+    async fn publish(&mut self) {
+        let slots = COUNT as u32;
+        let revision = self.fleet.publish(&tree(slots, None)).await;
+        let change = Change {
+            revision,
+            slots_before: slots,
+            slots,
+            validity: V,
+        };
+        let known = self.fleet.entries.iter();
+        let known = known.map(|entry| entry.identity.instance.clone());
+        self.followers
+            .push((revision, Follower::new(change, known)));
+    }
+
+    fn check(&mut self) -> Result<(), Broken> {
+        let now = self.fleet.timer.now();
+        for index in 0..COUNT {
+            let revision = self.fleet.in_force(index);
+            if revision < self.seen[index] {
+                return Err(Broken::Reverted);
+            }
+            self.seen[index] = revision;
+        }
+        for (revision, follower) in &mut self.followers {
+            for entry in &self.fleet.entries {
+                follower.take(&entry.handle.report(), now);
+            }
+            let accepted = follower.progress(now).is_accepted();
+            let behind = |index: &usize| self.seen[*index] < *revision;
+            if accepted
+                && (0..COUNT)
+                    .filter(behind)
+                    .any(|index| self.fleet.is_fresh(index))
+            {
+                return Err(Broken::FreshBehind);
+            }
+        }
+        Ok(())
+    }
+}
+
+async fn run(seed: u64, mutation: Option<Mutation>) -> Result<(), Broken> {
+    let mut run = Run::start(seed, mutation).await;
+    for _ in 0..ROUNDS {
+        run.disturb().await;
+        let steps = 1 + run.random.below(30);
+        for _ in 0..steps {
+            run.fleet.pass(Span::from_millis(250)).await;
+            run.check()?;
+        }
+    }
+    Ok(())
+}
+
+fn seeds() -> Vec<u64> {
+    match std::env::var("SG_SEED")
+        .ok()
+        .and_then(|seed| seed.parse().ok())
+    {
+        Some(seed) => vec![seed],
+        None => (0..SEEDS).collect(),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn random_faults_revert_nobody_and_leave_nobody_fresh_behind() {
+    for seed in seeds() {
+        println!("seed {seed}");
+        assert_eq!(run(seed, None).await, Ok(()), "SG_SEED={seed}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn random_faults_catch_a_gate_that_counts_any_vote() {
+    for seed in 0..SEEDS {
+        if run(seed, Some(Mutation::AnyRevision)).await == Err(Broken::FreshBehind) {
+            println!("caught by seed {seed}");
+            return;
+        }
+    }
+    panic!("no seed catches it");
+}
