fix(forward): routes are matched by the path that targets see; silent connections retire their pool

Cause: /%72ead and //read matched an open route at / and reached a target that decodes and collapses as /read, which is keyed. Routes are now matched by the decoded path with runs of slashes made one; dot segments and backslashes are refused in any spelling; the path is passed on as it came. Refusing every encoded character was ruled out, since clients encode ~ and spaces.

Also: connections that went silent together cost one request each a progress timeout. Pools are kept by target now, and one silent connection retires its target's pool.

--- /dev/null
+++ b/crates/sg-forward/src/canonical.rs
@@ -0,0 +1,49 @@
+//! The form of a path that routes are matched by.
+//!
+//! Targets decode percent-encoded bytes and collapse slashes. A route must be chosen by what the target
+//! will see, else an open route could lead to a keyed one.
+
+use std::borrow::Cow;
+
+/// The path decoded, with runs of slashes made one; `None` if it has dot segments or backslashes, which
+/// programs read differently.
+#[must_use]
+pub fn path(raw: &str) -> Option<Cow<'_, str>> {
+    if !raw.contains('%') && !raw.contains("//") {
+        return is_plain(raw).then_some(Cow::Borrowed(raw));
+    }
+    let decoded = String::from_utf8_lossy(&decode(raw)).into_owned();
+    if !is_plain(&decoded) {
+        return None;
+    }
+    let mut path = String::with_capacity(decoded.len());
+    for character in decoded.chars() {
+        if character != '/' || !path.ends_with('/') {
+            path.push(character);
+        }
+    }
+    Some(Cow::Owned(path))
+}
+
+/// `text` with its percent-encoded bytes decoded once.
+#[must_use]
+pub fn decode(text: &str) -> Vec<u8> {
+    let mut decoded = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let Some((&byte, after)) = rest.split_first() {
+        let code = (byte == b'%').then(|| hexadecimal(after)).flatten();
+        decoded.push(code.unwrap_or(byte));
+        rest = if code.is_some() { &after[2..] } else { after };
+    }
+    decoded
+}
+
+fn hexadecimal(digits: &[u8]) -> Option<u8> {
+    let digit = |n: usize| char::from(*digits.get(n)?).to_digit(16);
+    u8::try_from(digit(0)? * 16 + digit(1)?).ok()
+}
+
+fn is_plain(path: &str) -> bool {
+    let dots = |segment: &str| matches!(segment, "." | "..");
+    !path.contains('\\') && !path.split('/').any(dots)
+}
--- a/crates/sg-forward/src/check.rs
+++ b/crates/sg-forward/src/check.rs
@@ -6,7 +6,7 @@
 use sg_types::prelude::*;
 
 use crate::{
-    admit,
+    admit, canonical,
     gate::{Freshness, Parts, Tree},
     headers,
     key::{Holder, Presented},
@@ -88,7 +88,8 @@
         return Err(Reason::Malformed);
     }
     let method = line.method.as_str();
-    let terms = Terms::of(view, method, line.uri.path()).ok_or(Reason::NoRoute)?;
+    let path = canonical::path(line.uri.path()).ok_or(Reason::Malformed)?;
+    let terms = Terms::of(view, method, &path).ok_or(Reason::NoRoute)?;
     trace.route(&terms);
     Ok(terms)
 }
--- a/crates/sg-forward/src/key.rs
+++ b/crates/sg-forward/src/key.rs
@@ -5,6 +5,8 @@
 use sg_types::prelude::*;
 use subtle::ConstantTimeEq;
 
+use crate::canonical;
+
 const SCHEME: &str = "bearer ";
 
 /// Texts shorter than this are not searched for in the rest of a request unless they are a key that
@@ -64,7 +66,9 @@
             return false;
         }
         let path = uri.path_and_query().map_or("", |path| path.as_str());
-        self.is_in(path.as_bytes()) || self.is_in(&percent_decoded(path)) || self.leaks_in(headers)
+        self.is_in(path.as_bytes())
+            || (path.contains('%') && self.is_in(&canonical::decode(path)))
+            || self.leaks_in(headers)
     }
 
     /// Whether the key's text stands in a header other than `Authorization`, or in a header's name.
@@ -103,21 +107,3 @@
     let key = key.trim_ascii();
     (scheme.eq_ignore_ascii_case(SCHEME.as_bytes()) && !key.is_empty()).then_some(key)
 }
-
-fn percent_decoded(text: &str) -> Vec<u8> {
-    let mut decoded = Vec::new();
-    let mut rest = text.as_bytes();
-    if !rest.contains(&b'%') {
-        return decoded;
-    }
-    while let Some((&byte, after)) = rest.split_first() {
-        let code = (byte == b'%')
-            .then(|| after.get(..2))
-            .flatten()
-            .and_then(|digits| std::str::from_utf8(digits).ok())
-            .and_then(|digits| u8::from_str_radix(digits, 16).ok());
-        decoded.push(code.unwrap_or(byte));
-        rest = if code.is_some() { &after[2..] } else { after };
-    }
-    decoded
-}
--- a/crates/sg-forward/src/lib.rs
+++ b/crates/sg-forward/src/lib.rs
@@ -13,6 +13,7 @@
 mod answer;
 mod body;
 mod call;
+mod canonical;
 mod check;
 pub mod fair;
 pub mod forward;
--- a/crates/sg-forward/src/run.rs
+++ b/crates/sg-forward/src/run.rs
@@ -254,6 +254,10 @@
             .attempt(&self.call.terms.service, step.as_str());
         self.note_end(step.as_str());
         self.history.push(step);
+        if step == Step::Silent {
+            let clients = &self.shared.clients;
+            clients.forget(attempt.address(), self.call.terms.connect_timeout);
+        }
         if step == Step::Leaving {
             self.announce_leaving(attempt.target());
         }
--- a/crates/sg-forward/src/upstream.rs
+++ b/crates/sg-forward/src/upstream.rs
@@ -1,6 +1,6 @@
 //! Sends one request to one target, once.
 
-use std::net::SocketAddr;
+use std::{hash::Hash, net::SocketAddr};
 
 use bytes::Bytes as Content;
 use http::{HeaderMap, Method};
@@ -11,8 +11,8 @@
 
 use crate::history::Step;
 
-/// Connect timeouts that clients are kept for; a tree has few.
-const MOST_CLIENTS: usize = 32;
+/// Targets and connect timeouts that clients are kept for.
+const MOST_CLIENTS: usize = 16_384;
 /// How long a connection stays in the pool without work, in seconds.
 const IDLE: Span = Span::from_secs(15);
 /// Idle connections kept to one target.
@@ -42,16 +42,12 @@
     pub body: Content,
 }
 
-/// The HTTP clients, one pair for each connect timeout.
+/// The HTTP clients: a pool of connections for each target, and one client without a pool for each
+/// connect timeout.
 #[derive(Debug, Default)]
 pub struct Clients {
-    pairs: RwLock<IndexMap<Span, Pair>>,
-}
-
-#[derive(Debug, Clone)]
-struct Pair {
-    pooled: Client,
-    fresh: Client,
+    pooled: RwLock<IndexMap<(SocketAddr, Span), Client>>,
+    fresh: RwLock<IndexMap<Span, Client>>,
 }
 
 impl Clients {
@@ -68,7 +64,11 @@
         outgoing: &Outgoing,
         deadline: Instant,
     ) -> Result<reqwest::Response, Step> {
-        let client = self.client(connection, connect_timeout)?;
+        let client = match connection {
+            Connection::Pooled => self.pooled(address, connect_timeout),
+            Connection::Fresh => self.fresh(connect_timeout),
+        };
+        let client = client.map_err(|_| Step::ConnectFailed)?;
         let request = outgoing.to(address).ok_or(Step::ConnectFailed)?;
         match timer.until(deadline, client.execute(request)).await {
             Ok(Ok(response)) => Ok(response),
@@ -78,31 +78,39 @@
         }
     }
 
-    fn client(&self, connection: Connection, connect_timeout: Span) -> Result<Client, Step> {
-        let known = self.pairs.read().get(&connect_timeout).cloned();
-        let pair = match known {
-            Some(pair) => pair,
-            None => self.add(connect_timeout).map_err(|_| Step::ConnectFailed)?,
-        };
-        Ok(match connection {
-            Connection::Pooled => pair.pooled,
-            Connection::Fresh => pair.fresh,
-        })
+    /// Uses the pooled connections to `address` no more: one of them went silent, and what silenced
+    /// it may have silenced all.
+    pub fn forget(&self, address: SocketAddr, connect_timeout: Span) {
+        self.pooled.write().swap_remove(&(address, connect_timeout));
     }
 
-    fn add(&self, connect_timeout: Span) -> reqwest::Result<Pair> {
-        let pair = Pair {
-            pooled: client(connect_timeout, MOST_IDLE)?,
-            fresh: client(connect_timeout, 0)?,
-        };
-        let mut pairs = self.pairs.write();
-        if pairs.len() >= MOST_CLIENTS {
-            pairs.clear();
-        }
-        Ok(pairs.entry(connect_timeout).or_insert(pair).clone())
+    fn pooled(&self, address: SocketAddr, connect_timeout: Span) -> reqwest::Result<Client> {
+        let key = (address, connect_timeout);
+        get(&self.pooled, key, || client(connect_timeout, MOST_IDLE))
+    }
+
+    fn fresh(&self, connect_timeout: Span) -> reqwest::Result<Client> {
+        get(&self.fresh, connect_timeout, || client(connect_timeout, 0))
     }
 }
 
+/// The client for `key`, made if there is none.
+fn get<K: Eq + Hash>(
+    clients: &RwLock<IndexMap<K, Client>>,
+    key: K,
+    make: impl FnOnce() -> reqwest::Result<Client>,
+) -> reqwest::Result<Client> {
+    if let Some(client) = clients.read().get(&key) {
+        return Ok(client.clone());
+    }
+    let client = make()?;
+    let mut clients = clients.write();
+    if clients.len() >= MOST_CLIENTS {
+        clients.clear();
+    }
+    Ok(clients.entry(key).or_insert(client).clone())
+}
+
 /// A client that sends each request once: no redirects, proxies, retries or decompression.
 fn client(connect_timeout: Span, idle: usize) -> reqwest::Result<Client> {
     Client::builder()
@@ -133,14 +141,10 @@
     }
 }
 
-/// The URL of a request whose host is not chosen yet; `None` if `path` would not reach the target as
-/// it stands: dot segments and backslashes are read differently by different programs.
+/// The URL of a request whose host is not chosen yet. The path must be one that
+/// [`crate::canonical::path`] takes, so that it reaches the target as it stands.
 #[must_use]
 pub fn url(path: &str) -> Option<Url> {
-    let plain = path.split('?').next().unwrap_or_default();
-    if plain.contains('\\') || plain.split('/').any(is_dots) {
-        return None;
-    }
     let mut text = String::with_capacity(PLACEHOLDER.len() + path.len());
     text.push_str(PLACEHOLDER);
     text.push_str(path);
@@ -148,13 +152,3 @@
 }
 
 const PLACEHOLDER: &str = "http://127.0.0.1:1";
-
-/// Whether a path's segment is one or two dots, plain or percent-encoded.
-fn is_dots(segment: &str) -> bool {
-    const LONGEST: usize = "%2e%2e".len();
-    if segment.is_empty() || segment.len() > LONGEST {
-        return false;
-    }
-    let plain = segment.to_ascii_lowercase().replace("%2e", ".");
-    plain == "." || plain == ".."
-}
--- a/crates/sg-forward/tests/forward/keys.rs
+++ b/crates/sg-forward/tests/forward/keys.rs
@@ -121,6 +121,36 @@
         .expect(Outcome::Ran, Reason::Answered);
 }
 
+#[tokio::test]
+async fn no_spelling_of_a_path_leads_around_a_key() {
+    let (target, world, entry) = set_up().await;
+    let open_root = ("/services/desk/routes/open/path", "/");
+    world.set(view(2, &[open_root]));
+    for path in [
+        "/read/1",
+        "/%72ead/1",
+        "//read/1",
+        "/%2Fread/1",
+        "/%2f%72EAD/1".to_lowercase().as_str(),
+    ] {
+        let answer = raw(entry.address, request("GET", path, &[], "")).await;
+        answer.expect(Outcome::NotRun, Reason::KeyMissing);
+    }
+    for path in [
+        "/x/../read",
+        "/x/%2e./read",
+        "/x%2f..%2fread",
+        "/x/..%5cread",
+    ] {
+        let answer = raw(entry.address, request("GET", path, &[], "")).await;
+        answer.expect(Outcome::NotRun, Reason::Malformed);
+    }
+    assert!(target.seen().is_empty());
+    let open = raw(entry.address, request("GET", "/x%20y//z", &[], "")).await;
+    open.expect(Outcome::Ran, Reason::Answered);
+    assert!(target.seen()[0].starts_with("GET /x%20y//z "), "as it came");
+}
+
 #[tokio::test]
 async fn a_withdrawn_key_stops_working_for_a_connected_caller() {
     let (target, world, entry) = set_up().await;
--- a/crates/sg-forward/tests/forward/retries.rs
+++ b/crates/sg-forward/tests/forward/retries.rs
@@ -1,6 +1,9 @@
 //! Retries: bounded, to another target, on a new connection, within the deadline.
 
-use std::sync::atomic::Ordering;
+use std::{
+    sync::atomic::{AtomicBool, Ordering},
+    time::Duration,
+};
 
 use sg_steer::End;
 use sg_types::prelude::*;
@@ -28,6 +31,42 @@
     }
 }
 
+#[tokio::test]
+async fn one_silent_connection_retires_all_pooled_ones_to_its_target() {
+    const OLD: u32 = 6;
+    let silenced = Arc::new(AtomicBool::new(false));
+    let flag = silenced.clone();
+    let barrier = Duration::from_millis(400);
+    let first = Target::start_by_connection(move |_, _, connection| {
+        let old = connection < OLD;
+        match (old, flag.load(Ordering::SeqCst)) {
+            (true, true) => Act::Silence,
+            (true, false) => Act::Late(
+                barrier,
+                "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi".into(),
+            ),
+            (false, _) => ok("new"),
+        }
+    })
+    .await;
+    let second = Target::start(|_, _| ok("second")).await;
+    let world = World::new(&[first.address, second.address]);
+    let entry = Entry::start("e1", 1, &world).await;
+    let sends = (0..OLD).map(|_| raw(entry.address, read()));
+    futures_util::future::join_all(sends).await;
+    assert_eq!(first.connections(), OLD);
+    silenced.store(true, Ordering::SeqCst);
+    let moved = raw(entry.address, read()).await;
+    assert_eq!(moved.body, "second");
+    for _ in 0..OLD {
+        let next = raw(entry.address, read()).await;
+        assert_eq!(
+            next.body, "new",
+            "no second request meets a silent connection"
+        );
+    }
+}
+
 #[tokio::test]
 async fn a_target_that_says_not_run_is_believed() {
     let shed = "HTTP/1.1 503 Busy\r\nsg-outcome: not-run\r\ncontent-length: 0\r\n\r\n";
--- a/crates/sg-forward/tests/forward/wire.rs
+++ b/crates/sg-forward/tests/forward/wire.rs
@@ -52,6 +52,13 @@
 impl Target {
     /// Listens and answers each request, by its number, with what `act` says.
     pub async fn start(act: impl Fn(&str, usize) -> Act + Send + Sync + 'static) -> Self {
+        Self::start_by_connection(move |text, number, _| act(text, number)).await
+    }
+
+    /// The same, by the number of the connection too.
+    pub async fn start_by_connection(
+        act: impl Fn(&str, usize, u32) -> Act + Send + Sync + 'static,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
         let target = Self {
             address: listener.local_addr().expect("has an address"),
@@ -62,8 +69,8 @@
         let act = Arc::new(act);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                copy.connections.fetch_add(1, Ordering::SeqCst);
-                tokio::spawn(copy.clone().serve(stream, act.clone()));
+                let connection = copy.connections.fetch_add(1, Ordering::SeqCst);
+                tokio::spawn(copy.clone().serve(stream, connection, act.clone()));
             }
         });
         target
@@ -91,14 +98,19 @@
         }
     }
 
-    async fn serve(self, mut stream: TcpStream, act: Arc<impl Fn(&str, usize) -> Act>) {
+    async fn serve(
+        self,
+        mut stream: TcpStream,
+        connection: u32,
+        act: Arc<impl Fn(&str, usize, u32) -> Act>,
+    ) {
         while let Some(request) = read_request(&mut stream).await {
             let number = {
                 let mut seen = self.seen.lock();
                 seen.push(request.clone());
                 seen.len() - 1
             };
-            match act(&request, number) {
+            match act(&request, number, connection) {
                 Act::Answer(text) => write(&mut stream, &text).await,
                 Act::Last(text) => {
                     write(&mut stream, &text).await;
