--- a/crates/sg-steer/src/pool/choose.rs
+++ b/crates/sg-steer/src/pool/choose.rs
@@ -28,6 +28,8 @@
 #[derive(Debug)]
 pub(crate) struct Start {
     pub(crate) place: Arc<Place>,
+    /// Where the target stood when the attempt started; another revision may move it.
+    index: usize,
     pub(crate) in_flight: u32,
     pub(crate) at: Instant,
 }
@@ -52,10 +54,7 @@
     /// Takes in how an attempt ended.
     pub(crate) fn end(&self, start: &Start, end: End, now: Instant) {
         let state = &mut *self.state.lock();
-        let Some((index, _, member)) = state.members.get_full(&start.place.target) else {
-            return;
-        };
-        if Arc::ptr_eq(&member.place, &start.place) {
+        if let Some(index) = state.find(start) {
             state.on_end(index, end, now);
         }
     }
@@ -63,12 +62,25 @@
     /// Requests of this instance in flight on the target of an attempt.
     pub(crate) fn in_flight(&self, start: &Start) -> u32 {
         let state = self.state.lock();
-        let member = state.members.get(&start.place.target);
-        member.map_or(start.in_flight, |member| member.in_flight)
+        let index = state.find(start);
+        index.map_or(start.in_flight, |index| state.members[index].in_flight)
     }
 }
 
 impl State {
+    /// Where the target of an attempt stands now, if it is still the same one.
+    fn find(&self, start: &Start) -> Option<usize> {
+        let is_same = |member: &Member| Arc::ptr_eq(&member.place, &start.place);
+        let at = self.members.get_index(start.index);
+        if at.is_some_and(|(_, member)| is_same(member)) {
+            return Some(start.index);
+        }
+        let moved = self.members.get_full(&start.place.target);
+        moved
+            .filter(|(_, _, member)| is_same(member))
+            .map(|(index, _, _)| index)
+    }
+
     /// The region of a request. A retry stays in the region of the attempt before it.
     fn region(&mut self, kind: Kind, tried: &[id::Target]) -> Result<usize, Reason> {
         let last = tried.last().and_then(|target| self.members.get(target));
@@ -116,6 +128,7 @@
         member.in_flight += 1;
         let start = Start {
             place: Arc::clone(&member.place),
+            index,
             in_flight: member.in_flight,
             at: now,
         };
