fix(steer): drains do not widen the ejection cap, and a target that keeps leaving is asked rarely

The cap counted drained targets, so that two of five targets in use could be ejected at 30% while five others drained. A target whose health endpoint says that it is well while its answers say that it leaves got new work every 10 s, 29 times in five minutes; the wait now doubles and it comes back by one request at a time. Both were found by the tests that come with this.

--- a/crates/sg-steer/src/health.rs
+++ b/crates/sg-steer/src/health.rs
@@ -25,7 +25,8 @@
 const MOST_DOUBLINGS: u32 = 4;
 /// How long after an ejection it no longer counts.
 const FORGIVEN_AFTER: Span = Span::from_secs(300);
-/// How long a target goes on being left out after a sign that it leaves.
+/// How long a target is left out after a sign that it leaves. It doubles when it comes back and
+/// says so again.
 const LEAVING_HOLD: Span = Span::from_secs(10);
 /// The first wait after a refusal for load. It doubles each time.
 const FIRST_BACKOFF: Span = Span::from_millis(100);
@@ -60,6 +61,7 @@
     success: Option<Instant>,
     probe: Option<(Instant, bool)>,
     leaving: Option<Instant>,
+    returns: u32,
     out: Option<Out>,
     outs: u32,
     last_out: Instant,
@@ -95,6 +97,7 @@
         self.losses = 0;
         self.sheds = 0;
         self.trial = false;
+        self.returns = 0;
         self.success = Some(now);
         self.count(0.0);
     }
@@ -121,12 +124,14 @@
             self.on_leaving(now);
             return false;
         }
-        let over = self.leaving.is_some_and(|at| now >= at + LEAVING_HOLD);
-        let back = over && healthy;
-        if back {
+        let hold = doubled(LEAVING_HOLD, self.returns.min(MOST_DOUBLINGS - 1));
+        let is_back = healthy && self.leaving.is_some_and(|at| now >= at + hold);
+        if is_back {
             self.leaving = None;
+            self.returns += 1;
+            self.trial = true;
         }
-        back
+        is_back
     }
 
     /// What should become of the target. `stale` is the age at which a probe no longer counts.
--- a/crates/sg-steer/src/pool.rs
+++ b/crates/sg-steer/src/pool.rs
@@ -156,7 +156,8 @@
     /// Ejects a target, unless too many of its region are ejected.
     fn eject(&mut self, index: usize, why: Why, now: Instant) {
         let region = &self.regions[self.members[index].region];
-        let cap = self.settings.ejection_cap.as_f64() * f64::from(region.members);
+        let in_use = f64::from(region.able + region.ejected);
+        let cap = self.settings.ejection_cap.as_f64() * in_use;
         let fits = f64::from(region.ejected + 1) <= cap;
         // Never the last able one, whatever the cap says.
         let is_last = region.able <= u32::from(self.members[index].is_counted);
--- a/crates/sg-steer/tests/steer/targets.rs
+++ b/crates/sg-steer/tests/steer/targets.rs
@@ -91,6 +91,49 @@
     assert!(starts_on(&engine, &target("t0-1"), secs(30)) > 0);
 }
 
+#[test]
+fn a_target_that_keeps_saying_that_it_leaves_is_asked_ever_more_rarely() {
+    let engine = engine(0, 7, 1);
+    engine.configure(&view(1, 1, [100, 0, 0], ""), secs(0));
+    let leaving = target("t0-0");
+    let mut asked = 0;
+    for second in 0..300 {
+        engine.observe(&service(), &leaving, healthy(0), secs(second));
+        let attempts: Vec<_> = (0..20)
+            .filter_map(|_| ask(&engine, &[], secs(second)).ok())
+            .collect();
+        for attempt in attempts {
+            let is_leaving = *attempt.target() == leaving;
+            asked += u32::from(is_leaving && second > 0);
+            attempt.end(if is_leaving { End::Leaving } else { FINE }, secs(second));
+        }
+    }
+    // After 10, 20, 40 and 80 s, then every 80 s.
+    assert!((1..=5).contains(&asked), "{asked}");
+}
+
+#[test]
+fn targets_that_drain_do_not_widen_the_ejection_cap() {
+    let engine = engine(0, 3, 1);
+    let mut tree = (*view(1, 5, [100, 0, 0], "")).clone();
+    let desk = tree.services.get_mut("desk").expect("the service");
+    for index in 0..5 {
+        desk.targets
+            .get_mut(&target(&format!("t0-{index}")))
+            .expect("a target")
+            .drain = true;
+    }
+    engine.configure(&std::sync::Arc::new(tree), secs(0));
+    for step in 0..400 {
+        let now = Instant::START + Span::from_millis(step * 10);
+        if let Ok(attempt) = ask(&engine, &[], now) {
+            attempt.end(BAD, now);
+        }
+    }
+    let able = engine.report(secs(4)).services["desk"].regions["r0"].able;
+    assert_eq!(able, 4, "one of the five that stay");
+}
+
 /// Ends random attempts badly and returns the most targets of a region that were ejected at once
 /// and the fewest that were able.
 fn storm(seed: u64, settings: &str) -> (u32, u32) {
