--- a/crates/sg-load/src/caller.rs
+++ b/crates/sg-load/src/caller.rs
@@ -19,7 +19,7 @@
 const MOST_ATTEMPTS: usize = 4;
 
 /// How long a caller waits for the answer to one send.
-const SEND_TIMEOUT: Span = Span::from_millis(3_500);
+const SEND_TIMEOUT: Span = Span::from_millis(2_500);
 
 /// How long after its intended time a call is sent again at the latest.
 const RESEND_WINDOW: Span = Span::from_secs(4);
--- a/crates/sg-load/src/measure.rs
+++ b/crates/sg-load/src/measure.rs
@@ -9,7 +9,7 @@
 use crate::{
     check,
     history::{Call, End, History},
-    report::{Latencies, Latency, Outcomes, Report},
+    report::{Latencies, Latency, Outcomes, Report, Way},
 };
 
 /// The longest latency that is told apart, in microseconds.
@@ -41,6 +41,7 @@
         wrongful_refusals: fare::wrongful(history),
         refusals: refusals(history),
         outcomes: outcomes(history),
+        routes: routes(history),
         target_crashes: history.targets.iter().map(|t| t.records.crashes).sum(),
         violations: check::check(history),
     })
@@ -76,17 +77,37 @@
     let mut refusals: IndexMap<Arc<str>, u64> = IndexMap::new();
     let attempts = history.calls.iter().flat_map(|call| &call.attempts);
     for attempt in attempts.filter(|attempt| !attempt.end.is_good()) {
-        let reason = match &attempt.end {
-            End::NotSent => "no-connection",
-            End::Lost => "no-answer",
-            end => end.reason().map_or("no-reason", Reason::as_str),
-        };
-        *refusals.entry(reason.into()).or_default() += 1;
+        *refusals.entry(told(&attempt.end).into()).or_default() += 1;
     }
     refusals.sort_keys();
     refusals
 }
 
+/// What a caller without a good answer was told.
+fn told(end: &End) -> &'static str {
+    match end {
+        End::NotSent => "no-connection",
+        End::Lost => "no-answer",
+        End::Answer { reason, .. } => reason.map_or("no-reason", Reason::as_str),
+    }
+}
+
+fn routes(history: &History) -> IndexMap<id::Route, Way> {
+    let mut routes: IndexMap<id::Route, Way> = IndexMap::new();
+    for call in &history.calls {
+        let way = routes.entry(call.route.clone()).or_default();
+        way.calls += 1;
+        match call.end() {
+            Some(end) if end.is_good() => way.good += 1,
+            end => {
+                let reason = end.map_or("no-entry", told);
+                *way.refusals.entry(reason.into()).or_default() += 1;
+            }
+        }
+    }
+    routes
+}
+
 fn outcomes(history: &History) -> Outcomes {
     let mut outcomes = Outcomes::default();
     for call in &history.calls {
--- a/crates/sg-load/src/measure/capacity.rs
+++ b/crates/sg-load/src/measure/capacity.rs
@@ -81,7 +81,7 @@
 }
 
 fn drained_us(history: &History, seen: &Seen) -> Option<u64> {
-    let by_tree = drained(history, seen).map(|at| at.as_nanos() / 1_000);
+    let by_tree = drained(history, seen).map(|event| event.asked.as_nanos() / 1_000);
     let since = by_tree.or(seen.records.leaving_us)?;
     let ends = seen.records.runs.iter().map(|run| run.end_us);
     Some(ends.max().unwrap_or(since).saturating_sub(since))
--- a/crates/sg-load/src/report.rs
+++ b/crates/sg-load/src/report.rs
@@ -67,6 +67,17 @@
     pub silent: u64,
 }
 
+/// How the calls of one route ended.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct Way {
+    /// How many calls were made.
+    pub calls: u64,
+    /// How many callers have what they asked for.
+    pub good: u64,
+    /// The others, by the last reason that their callers were told.
+    pub refusals: IndexMap<Arc<str>, u64>,
+}
+
 /// The report of one run.
 #[derive(Debug, Clone, Serialize)]
 pub struct Report {
@@ -88,6 +99,8 @@
     pub refusals: IndexMap<Arc<str>, u64>,
     /// Calls by outcome.
     pub outcomes: Outcomes,
+    /// Calls by route.
+    pub routes: IndexMap<id::Route, Way>,
     /// How often targets crashed.
     pub target_crashes: u64,
     /// Promises that were broken.
--- a/crates/sg-load/tests/load/judge.rs
+++ b/crates/sg-load/tests/load/judge.rs
@@ -301,3 +301,21 @@
     assert!((worst.share - 2.0 / 3.0).abs() < 1e-9);
     assert_eq!(report.latency_ms.all.p50.round(), 20.0);
 }
+
+#[test]
+fn of_a_noisy_account_only_what_is_missing_is_wrongful() {
+    // Forty calls in a second; two at once and ten a second, so eleven, are due by then.
+    for (served, missing) in [(11, 0), (8, 3)] {
+        let mut history = empty();
+        for n in 0..40 {
+            // The last ones are served, though the first ones are those inside the rate.
+            let end = match n >= 40 - served {
+                true => answer(Body::Own),
+                false => not_run(Reason::OverRate),
+            };
+            call(&mut history, &format!("1-{n}"), "list", 1_000 + n * 25, end);
+        }
+        let report = measure::measure(&history).expect("measures");
+        assert_eq!(report.wrongful_refusals.count, missing);
+    }
+}
