feat(entry): a starting instance adopts the splits in force before it serves

Cause: an instance that is replaced during a shift began with the tree's split and so moved its traffic at once (the steering crate's test shows the cap broken without adoption).

--- a/crates/sg-entry/src/admin.rs
+++ b/crates/sg-entry/src/admin.rs
@@ -15,7 +15,7 @@
 use prometheus::{Encoder as _, TextEncoder};
 use sg_types::prelude::*;
 
-use crate::daemon::Parts;
+use crate::{daemon::Parts, positions};
 
 /// The endpoint that operators reach.
 pub fn endpoint(parts: Parts) -> impl Endpoint {
@@ -23,6 +23,7 @@
         .at("/metrics", get(metrics))
         .at("/status", get(status))
         .at("/report", get(report))
+        .at(positions::PATH, get(splits))
         .at("/explain/:revision", get(explain))
         .at("/why/:request", get(why))
         .data(parts)
@@ -54,6 +55,15 @@
     Json(state::Report::of(&parts)).into_response()
 }
 
+/// The splits in force, for instances that start.
+#[handler]
+fn splits(parts: Data<&Parts>) -> Response {
+    if !parts.ready.is_ready() {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    Json(parts.steer.positions()).into_response()
+}
+
 #[handler]
 fn explain(parts: Data<&Parts>, revision: Path<String>) -> Response {
     let now = parts.timer.now();
--- a/crates/sg-entry/src/admin/state.rs
+++ b/crates/sg-entry/src/admin/state.rs
@@ -64,7 +64,7 @@
     if *parts.leaving.borrow() {
         return State::Leaving;
     }
-    if parts.node.config.view().is_none() {
+    if !parts.ready.is_ready() {
         return State::Starting;
     }
     if report.node.fresh {
--- a/crates/sg-entry/src/daemon.rs
+++ b/crates/sg-entry/src/daemon.rs
@@ -15,7 +15,7 @@
 use crate::{
     Settings, admin,
     evidence::Ring,
-    gates::{Accounts, Config, Fresh, Others, Speaker, Steering},
+    gates::{Accounts, Config, Fresh, Others, Ready, Speaker, Steering},
     lookup, serve, stop,
 };
 
@@ -74,6 +74,8 @@
     pub steer: sg_steer::Engine,
     /// The request path.
     pub path: Path,
+    /// Whether the instance may serve.
+    pub ready: Ready,
     /// What look-ups are decided by.
     pub lookup: lookup::Handle,
     /// What was counted under each revision.
--- a/crates/sg-entry/src/daemon/build.rs
+++ b/crates/sg-entry/src/daemon/build.rs
@@ -10,11 +10,11 @@
 use sg_types::prelude::*;
 use tokio::sync::watch;
 
-use super::{Error, Node, Parts, Path};
+use super::{Error, Node, Parts};
 use crate::{
     Settings, budgets,
     evidence::Ring,
-    gates::{Accounts, Config, Fresh, Others, Speaker, Steering},
+    gates::{Accounts, Config, Fresh, Others, Ready, Speaker, Steering},
 };
 
 /// How long another instance may take to answer.
@@ -28,6 +28,9 @@
 /// How many instances the fleet is thought to have at first.
 const FIRST_ENTRIES: u32 = 7;
 
+/// What joins the request path to the other parts.
+type Joints = Gates<Config, Accounts, Fresh, Steering, Speaker, Others>;
+
 /// Makes and starts the parts; nothing is served yet.
 pub(super) async fn build(
     settings: Settings,
@@ -44,8 +47,15 @@
         seed: rand::random(),
         entries: FIRST_ENTRIES,
     });
-    let path = path(&settings, incarnation, &timer, &registry, &node, &steer)?;
+    let ready = Ready::default();
+    let gates = gates(&settings, &timer, &node, &steer, &ready);
+    let options = forward::Options {
+        instance: settings.instance.clone(),
+        incarnation,
+    };
+    let path = Forward::new(options, gates, timer.clone(), &registry)?;
     Ok(Parts {
+        ready,
         lookup: crate::lookup::Handle::default(),
         evidence: Arc::new(Ring::new(settings.instance.clone(), incarnation)),
         settings,
@@ -98,16 +108,19 @@
     Ok(sg_peer::Node::start(options, timer.clone(), store, list, rpc).await?)
 }
 
-fn path(
+/// Joins the request path to the other parts.
+fn gates(
     settings: &Settings,
-    incarnation: Incarnation,
     timer: &Timer,
-    registry: &prometheus::Registry,
     node: &Node,
     steer: &sg_steer::Engine,
-) -> Result<Path, Error> {
-    let gates = Gates {
-        tree: Config(node.config.clone()),
+    ready: &Ready,
+) -> Joints {
+    Gates {
+        tree: Config {
+            config: node.config.clone(),
+            ready: ready.clone(),
+        },
         admission: Accounts(node.shares.clone()),
         freshness: Fresh(node.fresh.clone()),
         steer: Steering {
@@ -124,10 +137,5 @@
             members: node.members.clone(),
             timer: timer.clone(),
         },
-    };
-    let options = forward::Options {
-        instance: settings.instance.clone(),
-        incarnation,
-    };
-    Ok(Forward::new(options, gates, timer.clone(), registry)?)
+    }
 }
--- a/crates/sg-entry/src/daemon/tasks.rs
+++ b/crates/sg-entry/src/daemon/tasks.rs
@@ -8,7 +8,7 @@
 use tokio::{sync::broadcast::error::RecvError, task::JoinSet};
 
 use super::{Error, Parts};
-use crate::{lookup, probe::Prober};
+use crate::{lookup, positions, probe::Prober};
 
 /// How often steering takes stock.
 const STEER_PERIOD: Span = Span::from_millis(250);
@@ -34,6 +34,10 @@
             parts.steer.configure(&view, now);
             let counts = parts.path.counts();
             parts.evidence.adopt(view.revision, counts, now);
+            if !parts.ready.is_ready() {
+                positions::adopt(&parts).await;
+                parts.ready.set();
+            }
         }
         if changes.changed().await.is_err() {
             return;
--- a/crates/sg-entry/src/gates.rs
+++ b/crates/sg-entry/src/gates.rs
@@ -1,6 +1,12 @@
 //! Joins the request path to the rest of the instance.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
 
 use sg_clock::Timer;
 use sg_forward::gate::{Admission, Announce, Directory, Freshness, Refusal, Tree};
@@ -13,13 +19,35 @@
 use sg_tree::View;
 use sg_types::prelude::*;
 
+/// Whether the instance may serve: its steering has taken over the splits in force elsewhere.
+#[derive(Debug, Clone, Default)]
+pub struct Ready(Arc<AtomicBool>);
+
+impl Ready {
+    /// Lets the instance serve.
+    pub fn set(&self) {
+        self.0.store(true, Ordering::Release);
+    }
+
+    /// Whether the instance may serve.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
 /// The tree in force.
 #[derive(Debug, Clone)]
-pub struct Config(pub config::Handle);
+pub struct Config {
+    /// The configuration.
+    pub config: config::Handle,
+    /// No tree is in force for requests before the instance may serve.
+    pub ready: Ready,
+}
 
 impl Tree for Config {
     fn view(&self) -> Option<Arc<View>> {
-        self.0.view()
+        self.ready.is_ready().then(|| self.config.view()).flatten()
     }
 }
 
@@ -62,7 +90,22 @@
     type Attempt = <sg_steer::Engine as Steer>::Attempt;
 
     fn start(&self, ask: Ask<'_>) -> Result<Self::Attempt, Reason> {
-        let attempt = self.engine.start(ask)?;
+        self.count(self.engine.start(ask)?, ask)
+    }
+
+    fn start_again(&self, ask: Ask<'_>) -> Result<Self::Attempt, Reason> {
+        self.count(self.engine.start_again(ask)?, ask)
+    }
+
+    fn may_retry(&self, service: &id::Service, now: Instant) -> bool {
+        self.engine.may_retry(service, now)
+    }
+}
+
+impl Steering {
+    /// Counts an attempt against the region's share and the link's. A refused attempt is dropped,
+    /// which cancels it.
+    fn count<T: Attempt>(&self, attempt: T, ask: Ask<'_>) -> Result<T, Reason> {
         let there = attempt.region().clone();
         let capacity = budget::Id::Capacity(ask.service.clone(), there.clone());
         self.take(&capacity, ask.now)?;
@@ -73,12 +116,6 @@
         Ok(attempt)
     }
 
-    fn may_retry(&self, service: &id::Service, now: Instant) -> bool {
-        self.engine.may_retry(service, now)
-    }
-}
-
-impl Steering {
     fn take(&self, budget: &budget::Id, now: Instant) -> Result<(), Reason> {
         self.shares
             .take(budget, 1, now)
--- a/crates/sg-entry/src/lib.rs
+++ b/crates/sg-entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod logs;
 pub mod lookup;
 pub mod options;
+pub mod positions;
 pub mod probe;
 pub mod serve;
 pub mod settings;
--- a/crates/sg-forward/src/run.rs
+++ b/crates/sg-forward/src/run.rs
@@ -100,29 +100,38 @@
     async fn start_or_wait(&mut self) -> Result<AttemptOf<P>, Reason> {
         let timer = self.shared.timer.clone();
         let give_up = self.call.deadline.min(timer.now() + CAPACITY_WAIT);
+        let mut asked = false;
         loop {
-            match self.start() {
+            match self.start(asked) {
                 Err(Reason::RegionFull) if timer.now() + CAPACITY_STEP < give_up => {
                     self.shared.metric.capacity_waits.inc();
                     timer.sleep(CAPACITY_STEP).await;
+                    asked = true;
                 }
                 started => return started,
             }
         }
     }
 
-    /// Starts an attempt, after the last checks before bytes leave.
-    fn start(&mut self) -> Result<AttemptOf<P>, Reason> {
+    /// Starts an attempt, after the last checks before bytes leave. `asked`: steering refused the
+    /// same attempt a moment ago.
+    fn start(&mut self, asked: bool) -> Result<AttemptOf<P>, Reason> {
         let call = &self.call;
         self.shared
             .allows(&call.terms, call.holder.as_ref(), call.deadline)?;
         let now = self.shared.timer.now();
-        let attempt = self.shared.gates.steer().start(Ask {
+        let ask = Ask {
             service: &call.terms.service,
             tried: &self.tried,
             now,
             fingerprint: call.fingerprint,
-        })?;
+        };
+        let steer = self.shared.gates.steer();
+        let attempt = if asked {
+            steer.start_again(ask)?
+        } else {
+            steer.start(ask)?
+        };
         self.check_invariants(attempt.target())?;
         self.tried.push(attempt.target().clone());
         self.attempts.push(journal::Attempt {
