--- a/crates/sg-share/src/engine/claiming.rs
+++ b/crates/sg-share/src/engine/claiming.rs
@@ -42,7 +42,7 @@
     }
 
     pub(super) fn on_claims(&mut self, sent: Instant, claims: &[Standing], now: Instant) {
-        let before = self.registry.claims.len();
+        let before = self.registry.holders().cloned().collect::<IndexSet<_>>();
         self.registry.learn_all(claims, sent, now);
         for standing in claims {
             self.adopt(standing, now);
@@ -52,8 +52,8 @@
         self.confirm_read(sent, claims);
         self.grow(claims);
         self.rebase(now);
-        if self.registry.claims.len() != before || self.contacts.is_empty() {
-            self.reconnect(now);
+        if !self.registry.holders().eq(&before) || self.contacts.is_empty() {
+            self.reconnect();
         }
     }
 
--- a/crates/sg-share/src/engine/mod.rs
+++ b/crates/sg-share/src/engine/mod.rs
@@ -175,10 +175,10 @@
     }
 
     /// Tells which instances there may be. The list may be stale, doubled or incomplete.
-    pub fn peers(&mut self, peers: Vec<Peer>, now: Instant) {
+    pub fn peers(&mut self, peers: Vec<Peer>, _now: Instant) {
         self.members = peers.into_iter().map(|peer| peer.instance).collect();
         self.members.shift_remove(&self.me.instance);
-        self.reconnect(now);
+        self.reconnect();
     }
 
     /// Does periodic work. To be called every [`Options::interval`].
@@ -202,6 +202,7 @@
         let mut actions = Vec::new();
         if std::mem::take(&mut self.pressed) {
             self.request_all(now, &mut actions);
+            self.nudge_all(now, &mut actions);
         }
         actions
     }
@@ -357,10 +358,15 @@
         }
     }
 
-    /// Chooses the peers to ask for share anew.
-    fn reconnect(&mut self, _now: Instant) {
-        let mut members = self.members.clone();
-        members.extend(self.registry.holders().cloned());
+    /// Chooses the peers to ask for share anew: holders of slots, or anyone while none is known.
+    fn reconnect(&mut self) {
+        let holders = self.registry.holders().cloned();
+        let mut members: IndexSet<_> = holders
+            .filter(|holder| *holder != self.me.instance)
+            .collect();
+        if members.is_empty() {
+            members.clone_from(&self.members);
+        }
         let chosen = panel::contacts(&self.me.instance, members, self.options.seed);
         self.contacts.retain(|contact, _| chosen.contains(contact));
         for instance in chosen {
--- a/crates/sg-share/src/engine/moving.rs
+++ b/crates/sg-share/src/engine/moving.rs
@@ -5,13 +5,14 @@
 use super::{Engine, Fault, Peer, Sent};
 use crate::{
     Action, Message, budget,
+    ledger::Lender,
     message::{Ask, Grant},
 };
 
 /// How long an answer is awaited before the next request.
 const PATIENCE: Span = Span::from_secs(1);
 /// The shortest time between nudges to the same peer.
-const NUDGE_GAP: Span = Span::from_millis(100);
+const NUDGE_GAP: Span = Span::from_millis(25);
 
 /// A peer that this instance exchanges share with.
 #[derive(Debug, Default)]
@@ -100,11 +101,14 @@
             return;
         }
         self.orders.insert(from.clone(), n);
-        let seed = self.options.seed;
+        let me = Lender {
+            instance: &self.me.instance,
+            seed: self.options.seed,
+        };
         let mut grants = Vec::new();
         for ask in asks {
             if let Some(ledger) = self.ledgers.get_mut(&ask.id) {
-                grants.push(ledger.lend(from, ask, seed, now, terms));
+                grants.push(ledger.lend(from, ask, &me, now, terms));
             }
         }
         actions.push(Action::Send {
@@ -163,7 +167,7 @@
         self.request(&from.instance, now, actions);
     }
 
-    fn nudge_all(&mut self, now: Instant, actions: &mut Vec<Action>) {
+    pub(super) fn nudge_all(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let ids: Vec<_> = self.ledgers.keys().cloned().collect();
         self.nudge(&ids, None, now, actions);
     }
@@ -179,12 +183,16 @@
         if !self.is_confirmed(now) {
             return;
         }
+        let me = Lender {
+            instance: &self.me.instance,
+            seed: self.options.seed,
+        };
         let mut nudges: IndexMap<id::Instance, Vec<budget::Id>> = IndexMap::new();
         for id in ids {
             let Some(ledger) = self.ledgers.get(id) else {
                 continue;
             };
-            for peer in ledger.nudged(self.options.seed, now) {
+            for peer in ledger.nudged(&me, now) {
                 if Some(&peer) != except {
                     nudges.entry(peer.instance).or_default().push(id.clone());
                 }
--- a/crates/sg-share/src/ledger/borrowing.rs
+++ b/crates/sg-share/src/ledger/borrowing.rs
@@ -12,6 +12,8 @@
 
 /// Room above the demand that a borrower asks for.
 const ROOM: f64 = 1.25;
+/// How long a lender is not asked again while the bucket is too small for a caller that waits.
+const STARVED_PAUSE: Span = Span::from_millis(100);
 /// How long a lender that could not give all is not asked again, at first.
 const FIRST_PAUSE: Span = Span::from_millis(250);
 /// The same after many askings that brought nothing.
@@ -19,9 +21,9 @@
 /// The same while callers wait.
 const URGENT_PAUSE: Span = Span::from_secs(1);
 /// When only tokens are short for a moment, one lender is asked after the other, with this gap.
-const ASK_GAP: Span = Span::from_millis(100);
+const ASK_GAP: Span = Span::from_millis(50);
 /// A reduction by less than one part in this many waits for the next request.
-const SLIGHT: u64 = 4;
+const SLIGHT: u64 = 8;
 /// The part of a loan's time that is left when it is renewed.
 const RENEW: f64 = 0.3;
 /// A base burst below this many of the largest takes is too small to be used alone.
@@ -45,6 +47,17 @@
     whole: bool,
 }
 
+/// How badly share is needed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Need {
+    /// No caller was refused lately.
+    Usual,
+    /// A caller was refused moments ago.
+    Urgent,
+    /// A caller was refused moments ago, and the bucket is too small for it.
+    Starved,
+}
+
 impl Loan {
     fn new(from: Peer) -> Self {
         Self {
@@ -84,8 +97,12 @@
     }
 
     /// Whether asking for more is worth it.
-    fn is_due(&self, urgent: bool, now: Instant) -> bool {
-        let most = if urgent { URGENT_PAUSE } else { MOST_PAUSE };
+    fn is_due(&self, need: Need, now: Instant) -> bool {
+        let most = match need {
+            Need::Starved => STARVED_PAUSE,
+            Need::Urgent => URGENT_PAUSE,
+            Need::Usual => MOST_PAUSE,
+        };
         self.asked == Instant::START || now.since(self.asked) >= self.pause.min(most)
     }
 }
@@ -100,8 +117,11 @@
     }
 
     /// Whether some lender may still have something.
-    pub(super) fn may_borrow(&self, now: Instant) -> bool {
-        self.loans.is_empty() || self.loans.iter().any(|loan| loan.is_due(true, now))
+    pub(super) fn may_borrow(&self, now: Instant, terms: Terms) -> bool {
+        let need = self.need(now, terms);
+        self.loans.is_empty()
+            || need == Need::Starved
+            || self.loans.iter().any(|loan| loan.is_due(need, now))
     }
 
     /// What this instance lacks, beyond its base share.
@@ -110,7 +130,7 @@
             return Part::default();
         }
         let base = self.usable_base(now, terms);
-        let rate = self.short_rate(base);
+        let rate = self.short_rate(base, now, terms);
         if rate == 0 && !self.is_small(base) && !self.demand.is_pressed(now) {
             return Part::default();
         }
@@ -129,15 +149,54 @@
         }
     }
 
-    /// How much of the demand, with some room, the base rate leaves out; nothing if it covers the
-    /// bare demand.
-    fn short_rate(&self, base: Part) -> u64 {
-        if self.demand.rate_micros(1.0) <= base.rate {
+    /// How much of the demand, with some room, the base rate leaves out; nothing while the base
+    /// rate does without.
+    fn short_rate(&self, base: Part, now: Instant, terms: Terms) -> u64 {
+        let does_without = self.demand.rate_micros(1.0) <= base.rate
+            && !self.demand.is_pressed(now)
+            && self.borrowed(now, terms).rate == 0;
+        if does_without {
             return 0;
         }
         self.demand.rate_micros(ROOM).saturating_sub(base.rate)
     }
 
+    /// What one lender is asked for of a rate that is lacking: what it gives already, and its part
+    /// of what is still missing.
+    fn rate_from(&self, place: usize, lacking: u64, now: Instant, terms: Terms) -> u64 {
+        let borrowed = self.borrowed(now, terms).rate;
+        let given = self.loans[place].part.rate;
+        if borrowed >= lacking {
+            let scaled = u128::from(given) * u128::from(lacking) / u128::from(borrowed.max(1));
+            return u64::try_from(scaled).unwrap_or(given);
+        }
+        let open = self.loans.iter().filter(|loan| !loan.dry).count();
+        let parts = if self.loans[place].dry {
+            self.loans.len()
+        } else {
+            open
+        };
+        given + (lacking - borrowed).div_ceil(parts.max(1) as u64)
+    }
+
+    fn need(&self, now: Instant, terms: Terms) -> Need {
+        if !self.demand.is_urgent(now) {
+            return Need::Usual;
+        }
+        if self.held(now, terms).burst < self.demand.largest_micros() {
+            return Need::Starved;
+        }
+        Need::Urgent
+    }
+
+    /// How many lenders a bucket that is too small needs for one take, and one more.
+    fn lenders_for_one(&self, base: Part, now: Instant, terms: Terms) -> usize {
+        let cap = self.held(now, terms).burst;
+        let missing = self.demand.largest_micros().saturating_sub(cap);
+        let each = base.burst.max(1);
+        usize::try_from(missing.div_ceil(each)).map_or(usize::MAX, |lenders| lenders + 1)
+    }
+
     /// Whether the base burst is too small for a few takes.
     fn is_small(&self, base: Part) -> bool {
         base.burst < self.demand.largest_micros().saturating_mul(LEAST_TAKES)
@@ -146,9 +205,14 @@
     /// Begins a round of requests to all lenders.
     pub(crate) fn begin_round(&mut self, now: Instant, terms: Terms) {
         let base = self.usable_base(now, terms);
-        let lasting = self.short_rate(base) > 0 || self.is_small(base);
+        let cap = self.held(now, terms).burst.saturating_mul(NANOS);
+        let runs_out = self.tokens < cap / 2 && self.demand.rate_micros(1.0) > base.rate;
+        let lasting = runs_out || self.is_small(base);
         let is_soon = self.asked != Instant::START && now.since(self.asked) < ASK_GAP;
+        let starved = self.need(now, terms) == Need::Starved;
         self.asks_left = match (lasting, is_soon) {
+            (_, false) if starved => self.lenders_for_one(base, now, terms),
+            (_, true) if starved => 0,
             (true, _) => usize::MAX,
             (false, true) => 0,
             (false, false) => 1,
@@ -166,7 +230,7 @@
     ) -> Option<Ask> {
         self.settle(now, terms);
         let want = self.want(now, terms);
-        let urgent = self.demand.is_urgent(now);
+        let need = self.need(now, terms);
         let place = self.place(peer, !want.is_empty())?;
         let loan = &mut self.loans[place];
         let idle = want.is_empty();
@@ -177,7 +241,8 @@
             return None;
         }
         let renew = !loan.part.is_empty() && now + terms.loan.mul_f64(RENEW) >= loan.until;
-        let due = loan.is_due(urgent, now) && (urgent || loan.part.is_empty() || loan.dry);
+        let due =
+            loan.is_due(need, now) && (need != Need::Usual || loan.part.is_empty() || loan.dry);
         let due = due && self.asks_left > 0;
         if !(forced || idle || renew || due) {
             return None;
@@ -190,6 +255,7 @@
         if idle {
             self.reduce(place, Part::default(), now, terms);
         }
+        let rate = self.rate_from(place, want.rate, now, terms);
         let loan = &mut self.loans[place];
         // Until this request is answered, the lender may have granted something else.
         let whole = std::mem::take(&mut loan.whole);
@@ -197,8 +263,8 @@
             id: id.clone(),
             keep: Some(loan.part).filter(|_| !whole),
             back: std::mem::take(&mut loan.back),
-            want,
-            urgent: urgent && !idle,
+            want: Part { rate, ..want },
+            starved: need == Need::Starved && !idle,
         })
     }
 
@@ -248,7 +314,7 @@
         self.settle(now, terms);
         let want = self.want(now, terms);
         let short = self.borrowed(now, terms).rate < want.rate;
-        self.loans[place].dry = short && grant.part.rate < want.rate;
+        self.loans[place].dry = short && grant.part.rate <= old.rate;
         old.burst - old.burst / SLIGHT > grant.part.burst
             || old.rate - old.rate / SLIGHT > grant.part.rate
     }
--- a/crates/sg-share/src/ledger/demand.rs
+++ b/crates/sg-share/src/ledger/demand.rs
@@ -2,8 +2,12 @@
 
 use sg_types::prelude::*;
 
-/// How long a budget counts as active after the last take.
+/// How long a budget counts as active after the last take, at most.
 const ACTIVE: Span = Span::from_secs(3);
+/// The same for a budget in heavy use, where callers that stay away show at once.
+const LEAST_ACTIVE: Span = Span::from_millis(500);
+/// A budget counts as active for the time in which this many units would have been asked for.
+const MISSED: f64 = 10.0;
 /// How long a refusal counts as a caller that waits.
 const URGENT: Span = Span::from_millis(500);
 /// The weight of the newest tick when demand grows.
@@ -74,7 +78,9 @@
 
     /// Whether callers came lately.
     pub(crate) fn is_active(&self, now: Instant) -> bool {
-        self.last.is_some_and(|last| now.since(last) < ACTIVE)
+        let missed = Span::from_secs(1).mul_f64(MISSED / self.rate.max(f64::EPSILON));
+        let span = missed.clamp(LEAST_ACTIVE, ACTIVE);
+        self.last.is_some_and(|last| now.since(last) < span)
     }
 
     /// Whether callers were refused lately.
--- a/crates/sg-share/src/ledger/lending.rs
+++ b/crates/sg-share/src/ledger/lending.rs
@@ -16,6 +16,8 @@
 
 /// Room above the own demand that a lender keeps.
 const OWN_ROOM: f64 = 1.25;
+/// The part of its burst that a lender with callers of its own keeps: three of four.
+const OWN_BURST: (u64, u64) = (3, 4);
 /// A base burst below this many millionths is too small to cut further; one user gets it whole.
 const LEAST_BURST: u64 = 2 * rate::MICRO;
 
@@ -28,7 +30,27 @@
     granted: Part,
     pub(crate) until: Instant,
     want: Part,
-    urgent: bool,
+    starved: bool,
+}
+
+/// Who lends.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Lender<'a> {
+    pub(crate) instance: &'a id::Instance,
+    pub(crate) seed: u64,
+}
+
+impl Lender<'_> {
+    /// The place of a claimant. Starved ones come first, in an order that all lenders share, so that
+    /// whole units come together. The others come in an order of the lender's own, so that lenders
+    /// favour different ones.
+    fn order(&self, claimant: &id::Instance, starved: bool) -> (bool, u64) {
+        if starved {
+            return (false, panel::rank(claimant, self.seed));
+        }
+        let own_seed = panel::rank(self.instance, self.seed);
+        (true, panel::rank(claimant, own_seed))
+    }
 }
 
 /// One that wants a part of a lender's base share.
@@ -50,7 +72,7 @@
         &mut self,
         to: &Peer,
         ask: &Ask,
-        seed: u64,
+        me: &Lender<'_>,
         now: Instant,
         terms: Terms,
     ) -> Grant {
@@ -59,7 +81,7 @@
         let keep = ask.keep.unwrap_or_else(|| self.granted_to(to)).min(before);
         self.credit(ask.back, before.burst - keep.burst);
         self.record(to, ask, keep, now, terms);
-        let part = self.grant(to, seed, now);
+        let part = self.grant(to, me, now);
         let added = part.burst.saturating_sub(keep.burst);
         let tokens = (self.tokens / NANOS).min(added);
         if terms.fault != Some(Fault::LendTwice) {
@@ -103,7 +125,7 @@
             granted: keep,
             until: now + terms.drift.outlast(terms.loan),
             want: ask.want,
-            urgent: ask.urgent,
+            starved: ask.starved,
         });
     }
 
@@ -114,13 +136,13 @@
         }
     }
 
-    fn grant(&self, to: &Peer, seed: u64, now: Instant) -> Part {
+    fn grant(&self, to: &Peer, me: &Lender<'_>, now: Instant) -> Part {
         let others = self
             .lent
             .iter()
             .filter(|lent| lent.to != *to)
             .fold(Part::default(), |sum, lent| sum.plus(lent.part));
-        let target = self.target(to, seed, now);
+        let target = self.target(to, me, now);
         let kept = self.lent_to(to);
         let steady = Part {
             rate: steady(kept.rate, target.rate),
@@ -129,12 +151,18 @@
         steady.min(self.base.minus(others))
     }
 
-    /// What a borrower should hold, by its want and that of the others.
-    fn target(&self, to: &Peer, seed: u64, now: Instant) -> Part {
-        Part {
-            rate: self.target_rate(to, now),
-            burst: self.target_burst(to, seed, now),
-        }
+    /// What a borrower should hold, by its want and that of the others. Where the burst is too
+    /// small to cut, the rate goes with it, because what is left of it fills no bucket.
+    fn target(&self, to: &Peer, me: &Lender<'_>, now: Instant) -> Part {
+        let burst = self.target_burst(to, me, now);
+        let rate = if self.base.burst < LEAST_BURST {
+            let along =
+                u128::from(self.base.rate) * u128::from(burst) / u128::from(self.base.burst.max(1));
+            u64::try_from(along).unwrap_or(0)
+        } else {
+            self.target_rate(to, now)
+        };
+        Part { rate, burst }
     }
 
     fn target_rate(&self, to: &Peer, now: Instant) -> u64 {
@@ -173,7 +201,7 @@
         }
     }
 
-    fn target_burst(&self, to: &Peer, seed: u64, now: Instant) -> u64 {
+    fn target_burst(&self, to: &Peer, me: &Lender<'_>, now: Instant) -> u64 {
         let own = if self.demand.is_active(now) {
             self.base.burst
         } else {
@@ -183,43 +211,39 @@
             return 0;
         };
         if self.base.burst < LEAST_BURST {
-            return self.whole_burst(mine, own, seed, now);
+            return self.whole_burst(mine, own, me, now);
         }
-        let mut wants: Vec<_> = self.lent.iter().map(|lent| lent.want.burst).collect();
-        wants.push(own);
-        mine.want.burst.min(level(&wants, self.base.burst))
+        let free = self.base.burst - own / OWN_BURST.1 * OWN_BURST.0;
+        let wants: Vec<_> = self.lent.iter().map(|lent| lent.want.burst).collect();
+        mine.want.burst.min(level(&wants, free))
     }
 
-    /// A burst that is too small to cut goes to one after the other: first those whose callers
-    /// wait, then in an order that all lenders share, so that whole units come together.
-    fn whole_burst(&self, mine: &Lent, own: u64, seed: u64, now: Instant) -> u64 {
-        let rank = |lent: &Lent| panel::rank(&lent.to.instance, seed);
-        let mut claimants: Vec<_> = self
-            .lent
-            .iter()
-            .map(|lent| Claimant {
-                order: (!lent.urgent, rank(lent)),
-                want: lent.want.burst,
-            })
-            .collect();
-        claimants.push(Claimant {
-            order: (!self.demand.is_urgent(now), 0),
+    /// A burst that is too small to cut goes to one after the other.
+    fn whole_burst(&self, mine: &Lent, own: u64, me: &Lender<'_>, now: Instant) -> u64 {
+        let order = |lent: &Lent| me.order(&lent.to.instance, lent.starved);
+        let starved = self.demand.is_urgent(now);
+        let own = Claimant {
+            order: me.order(me.instance, starved),
             want: own,
+        };
+        let claimants = self.lent.iter().map(|lent| Claimant {
+            order: order(lent),
+            want: lent.want.burst,
         });
-        let order = (!mine.urgent, rank(mine));
-        let ahead: u64 = claimants
-            .iter()
-            .filter(|claimant| claimant.order < order)
+        let place = order(mine);
+        let ahead = claimants
+            .chain([own])
+            .filter(|claimant| claimant.order < place)
             .map(|claimant| claimant.want)
             .fold(0, u64::saturating_add);
         mine.want.burst.min(self.base.burst.saturating_sub(ahead))
     }
 
     /// Borrowers that should ask again: they hold more than they should, or may have more.
-    pub(crate) fn nudged(&self, seed: u64, now: Instant) -> Vec<Peer> {
+    pub(crate) fn nudged(&self, me: &Lender<'_>, now: Instant) -> Vec<Peer> {
         let free = self.base.minus(self.lent_part(now));
         let is_off = |lent: &&Lent| {
-            let target = self.target(&lent.to, seed, now);
+            let target = self.target(&lent.to, me, now);
             let over = is_above(lent.part.rate, target.rate, self.base.rate)
                 || is_above(lent.part.burst, target.burst, self.base.burst);
             let under = Part {
@@ -239,7 +263,7 @@
 
 /// What is lent already if it is about what it should be, so that it doesn't change at every request.
 fn steady(kept: u64, target: u64) -> u64 {
-    let is_near = kept <= target.saturating_add(target / 4) && kept >= target - target / 4;
+    let is_near = kept <= target.saturating_add(target / 8) && kept >= target - target / 8;
     if is_near { kept } else { target }
 }
 
--- a/crates/sg-share/src/ledger/mod.rs
+++ b/crates/sg-share/src/ledger/mod.rs
@@ -21,7 +21,7 @@
 
 pub(crate) use borrowing::Loan;
 pub(crate) use demand::Demand;
-pub(crate) use lending::Lent;
+pub(crate) use lending::{Lender, Lent};
 
 /// Nano-units in a millionth of a unit.
 const NANOS: u64 = 1_000;
@@ -167,7 +167,7 @@
         self.demand.refuse(units, now);
         Err(Exhausted {
             retry_after: self.retry_after(want, now, terms),
-            may_borrow: units <= self.budget.burst && self.may_borrow(now),
+            may_borrow: units <= self.budget.burst && self.may_borrow(now, terms),
         })
     }
 
--- a/crates/sg-share/src/message.rs
+++ b/crates/sg-share/src/message.rs
@@ -101,9 +101,9 @@
     /// What it would like to hold.
     #[serde(rename = "w", default, skip_serializing_if = "is_empty")]
     pub want: Part,
-    /// Whether callers wait for it.
+    /// Whether a caller waits and the borrower's bucket is too small for it.
     #[serde(rename = "u", default, skip_serializing_if = "std::ops::Not::not")]
-    pub urgent: bool,
+    pub starved: bool,
 }
 
 /// What a borrower may hold of one budget, from its request on.
--- a/crates/sg-share/src/panel.rs
+++ b/crates/sg-share/src/panel.rs
@@ -6,6 +6,8 @@
 
 /// Contacts on each side of a member of the ring.
 const SIDE: usize = 3;
+/// Up to this many others, all of them are contacts.
+const ALL: usize = 7;
 /// Members of a panel of voters, the slot itself among them.
 const VOTERS: u32 = 2 * SIDE as u32 + 1;
 /// Fewer slots than this can't vouch: two would have to agree on the death of one of them.
@@ -53,7 +55,7 @@
     hasher.finish()
 }
 
-/// The instances that `me` asks for share, of all `members`.
+/// The instances that `me` asks for share, of all `members` that may have some.
 pub(crate) fn contacts(
     me: &id::Instance,
     members: IndexSet<id::Instance>,
@@ -62,7 +64,7 @@
     let mut ring: Vec<_> = members.into_iter().filter(|member| member != me).collect();
     ring.push(me.clone());
     ring.sort_by_cached_key(|member| (rank(member, seed), member.clone()));
-    if ring.len() <= 2 * SIDE + 1 {
+    if ring.len() <= ALL + 1 {
         ring.retain(|member| member != me);
         return ring;
     }
--- a/crates/sg-share/tests/share/calm.rs
+++ b/crates/sg-share/tests/share/calm.rs
@@ -39,3 +39,81 @@
     assert!(refused < BEARABLE, "{refused}");
     world.check.assert();
 }
+
+/// A burst that gives no slot a whole unit.
+fn tiny(loads: &[f64], rate: u64, burst: u32, patience: u64) -> f64 {
+    let mut world = World::new(4, 7, 7, budgets(rate, burst), Options::default());
+    world.run(10 * SEC);
+    for (node, per_second) in loads.iter().enumerate() {
+        world.load(node, account("a"), *per_second, patience);
+    }
+    world.run(2 * SEC);
+    world.refusals();
+    world.run(600 * SEC);
+    world.check.assert();
+    world.refusals()
+}
+
+#[test]
+fn a_burst_of_less_than_a_unit_a_slot_is_usable() {
+    let loads = [&[0.0, 5.0][..], &[2.0, 0.0, 2.0], &[1.0; 3], &[0.5; 7]];
+    let refused = loads.map(|loads| tiny(loads, 10, 5, PATIENCE));
+    println!("burst 5, rate 10/s, {loads:?}: {refused:?} refused");
+    assert!(
+        refused.iter().all(|refused| *refused < BEARABLE),
+        "{refused:?}"
+    );
+}
+
+#[test]
+fn share_follows_callers_that_move() {
+    let mut world = skewed(2);
+    for node in [0, 5, 1, 6, 2] {
+        world.loads[0].node = node;
+        world.run(2 * SEC);
+        world.refusals();
+        world.run(20 * SEC);
+        let refused = world.refusals();
+        println!("moved to {node}: {refused:.4} refused");
+        assert!(refused < BEARABLE, "{refused}");
+    }
+    world.check.assert();
+}
+
+#[test]
+fn two_busy_entries_divide_the_budget() {
+    let mut world = World::new(6, 7, 7, budgets(50, 20), Options::default());
+    world.run(10 * SEC);
+    world.load(1, account("a"), 33.0, PATIENCE);
+    world.load(4, account("a"), 7.0, PATIENCE);
+    world.run(2 * SEC);
+    world.refusals();
+    world.run(120 * SEC);
+    let refused = world.refusals();
+    println!("{refused:.4} refused");
+    assert!(refused < BEARABLE, "{refused}");
+    world.check.assert();
+}
+
+#[test]
+fn instances_without_a_slot_borrow() {
+    let mut world = World::new(8, 20, 7, budgets(50, 20), Options::default());
+    world.run(20 * SEC);
+    let node = (0..20).find(|node| {
+        let engine = world.nodes[*node].engine.as_ref();
+        engine.is_some_and(|engine| engine.slot().is_none())
+    });
+    world.load(
+        node.expect("more nodes than slots"),
+        account("a"),
+        40.0,
+        PATIENCE,
+    );
+    world.run(2 * SEC);
+    world.refusals();
+    world.run(60 * SEC);
+    let refused = world.refusals();
+    println!("{refused:.4} refused");
+    assert!(refused < BEARABLE, "{refused}");
+    world.check.assert();
+}
