--- a/crates/sg-store/src/http.rs
+++ b/crates/sg-store/src/http.rs
@@ -5,7 +5,13 @@
 mod watch;
 mod wire;
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
 
 use reqwest::redirect;
 use sg_clock::Timer;
@@ -14,7 +20,7 @@
 /// How the store is reached.
 #[derive(Debug, Clone)]
 pub struct Options {
-    /// The store's addresses, tried in this order.
+    /// The store's addresses. The one that answered last is tried first.
     pub addresses: Vec<SocketAddr>,
     /// How long to wait for a connection.
     pub connect_timeout: Span,
@@ -59,6 +65,8 @@
     http: reqwest::Client,
     options: Options,
     timer: Timer,
+    /// The place of the address that is tried first.
+    first: AtomicUsize,
 }
 
 impl Client {
@@ -83,7 +91,22 @@
                 http,
                 options,
                 timer,
+                first: AtomicUsize::new(0),
             }),
         })
     }
+
+    /// The addresses, the one to try first in front, each with its place.
+    fn addresses(&self) -> impl Iterator<Item = (usize, SocketAddr)> + '_ {
+        let addresses = &self.inner.options.addresses;
+        let first = self.inner.first.load(Ordering::Relaxed);
+        let places = (0..addresses.len()).map(move |step| (first + step) % addresses.len());
+        places.map(|place| (place, addresses[place]))
+    }
+
+    /// Tries another address first from now on.
+    fn pass_over(&self, place: usize) {
+        let next = (place + 1) % self.inner.options.addresses.len();
+        self.inner.first.store(next, Ordering::Relaxed);
+    }
 }
--- a/crates/sg-store/src/http/call.rs
+++ b/crates/sg-store/src/http/call.rs
@@ -33,9 +33,13 @@
         let bytes = serde_json::to_vec(body).map_err(malformed)?;
         let deadline = self.inner.timer.now() + self.inner.options.timeout;
         let mut last = None;
-        for address in &self.inner.options.addresses {
+        for (place, address) in self.addresses() {
             let url = format!("http://{address}{path}");
-            match self.attempt(kind, &url, bytes.clone(), deadline).await {
+            let result = self.attempt(kind, &url, bytes.clone(), deadline).await;
+            if matches!(result, Err(Error::Unreachable { .. } | Error::Lost { .. })) {
+                self.pass_over(place);
+            }
+            match result {
                 Err(error) if may_go_on(kind, &error) => last = Some(error),
                 Err(error) => return Err(error),
                 Ok(answer) => return serde_json::from_slice(&answer).map_err(malformed),
--- a/crates/sg-store/src/http/watch.rs
+++ b/crates/sg-store/src/http/watch.rs
@@ -34,7 +34,7 @@
         let mut last = Error::Unreachable {
             cause: "no address".to_owned(),
         };
-        for address in &self.inner.options.addresses {
+        for (place, address) in self.addresses() {
             let url = format!("http://{address}{WATCH}");
             match self.open(&url, body.clone(), start).await {
                 Ok(response) => {
@@ -45,7 +45,10 @@
                         version: after,
                     }));
                 }
-                Err(error) => last = error,
+                Err(error) => {
+                    self.pass_over(place);
+                    last = error;
+                }
             }
         }
         Err(last)
--- a/crates/sg-store/tests/store/gateway.rs
+++ b/crates/sg-store/tests/store/gateway.rs
@@ -86,6 +86,17 @@
     assert_eq!(tried.expect("written"), Swap::Done(Version::new(9)));
 }
 
+#[tokio::test]
+async fn an_address_that_swallows_calls_is_passed_over_by_the_next_one() {
+    let silent = answerer(vec![Answer::Close]).await;
+    let done = Answer::Give(200, r#"{"header":{"revision":"9"},"succeeded":true}"#);
+    let client = client(vec![silent, answerer(vec![done]).await]);
+    let lost = client.swap("k", Expect::Absent, "v".into(), None).await;
+    assert!(matches!(lost, Err(Error::Lost { .. })), "{lost:?}");
+    let next = client.swap("k", Expect::Absent, "v".into(), None).await;
+    assert_eq!(next.expect("written"), Swap::Done(Version::new(9)));
+}
+
 #[tokio::test]
 async fn a_conflict_brings_what_was_found() {
     let body = r#"{"header":{"revision":"7"},"responses":[{"response_range":{"kvs":
