--- a/crates/sg-forward/src/run.rs
+++ b/crates/sg-forward/src/run.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, StatusCode, header};
 use sg_steer::{Ask, Attempt, End, Steer};
 use sg_types::prelude::*;
 
@@ -21,6 +21,11 @@
     upstream::Connection,
 };
 
+/// How long a request waits in all for share of a region's capacity.
+const CAPACITY_WAIT: Span = Span::from_millis(300);
+/// How long it waits before it asks again.
+const CAPACITY_STEP: Span = Span::from_millis(20);
+
 /// What came of a request.
 #[derive(Debug)]
 pub struct Ran {
@@ -71,7 +76,7 @@
 impl<P: Parts> Work<'_, P> {
     async fn run(&mut self) -> Reply {
         loop {
-            let attempt = match self.start() {
+            let attempt = match self.start_or_wait().await {
                 Ok(attempt) => attempt,
                 Err(reason) => {
                     self.history.refuse(reason);
@@ -91,23 +96,43 @@
         Reply::refusal(outcome, reason)
     }
 
-    /// Starts an attempt, after the last checks before bytes leave.
-    fn start(&mut self) -> Result<AttemptOf<P>, Reason> {
+    /// Starts an attempt; waits a moment for share of a region's capacity to arrive from peers.
+    async fn start_or_wait(&mut self) -> Result<AttemptOf<P>, Reason> {
+        let timer = self.shared.timer.clone();
+        let give_up = self.call.deadline.min(timer.now() + CAPACITY_WAIT);
+        let mut asked = false;
+        loop {
+            match self.start(asked) {
+                Err(Reason::RegionFull) if timer.now() + CAPACITY_STEP < give_up => {
+                    self.shared.metric.capacity_waits.inc();
+                    timer.sleep(CAPACITY_STEP).await;
+                    asked = true;
+                }
+                started => return started,
+            }
+        }
+    }
+
+    /// Starts an attempt, after the last checks before bytes leave. `asked`: steering refused the
+    /// same attempt a moment ago.
+    fn start(&mut self, asked: bool) -> Result<AttemptOf<P>, Reason> {
         let call = &self.call;
         self.shared
             .allows(&call.terms, call.holder.as_ref(), call.deadline)?;
         let now = self.shared.timer.now();
-        let attempt = self.shared.gates.steer().start(Ask {
+        let ask = Ask {
             service: &call.terms.service,
             tried: &self.tried,
             now,
             fingerprint: call.fingerprint,
-        })?;
-        if self.tried.contains(attempt.target()) {
-            self.shared.metric.broken_invariants.inc();
-            debug_assert!(false, "a request went to one target twice");
-            return Err(Reason::NoTarget);
-        }
+        };
+        let steer = self.shared.gates.steer();
+        let attempt = if asked {
+            steer.start_again(ask)?
+        } else {
+            steer.start(ask)?
+        };
+        self.check_invariants(attempt.target())?;
         self.tried.push(attempt.target().clone());
         self.attempts.push(journal::Attempt {
             target: attempt.target().clone(),
@@ -119,6 +144,25 @@
         Ok(attempt)
     }
 
+    /// What must hold before bytes leave.
+    fn check_invariants(&self, target: &id::Target) -> Result<(), Reason> {
+        let again = self.tried.contains(target);
+        let repeated = !self.history.may_go_on(self.call.terms.repeatable);
+        let key = self
+            .call
+            .outgoing
+            .headers
+            .contains_key(header::AUTHORIZATION);
+        if again || repeated || key {
+            self.shared.metric.broken_invariants.inc();
+            debug_assert!(!again, "a request goes to one target twice");
+            debug_assert!(!repeated, "a request that may not be repeated is");
+            debug_assert!(!key, "a target would see a key");
+            return Err(Reason::NoTarget);
+        }
+        Ok(())
+    }
+
     async fn send(&self, address: SocketAddr) -> Result<Good, Step> {
         let call = &self.call;
         let timer = &self.shared.timer;
@@ -239,6 +283,10 @@
             .attempt(&self.call.terms.service, step.as_str());
         self.note_end(step.as_str());
         self.history.push(step);
+        if step == Step::Silent {
+            let clients = &self.shared.clients;
+            clients.forget(attempt.address(), self.call.terms.connect_timeout);
+        }
         if step == Step::Leaving {
             self.announce_leaving(attempt.target());
         }
--- a/crates/sg-load/src/lookup.rs
+++ b/crates/sg-load/src/lookup.rs
@@ -23,14 +23,14 @@
 #[derive(Debug, Deserialize)]
 struct Answer {
     entries: Vec<Choice>,
-    cache_ms: u64,
+    cache: Span,
 }
 
 #[derive(Debug, Clone, Deserialize)]
 struct Choice {
     instance: id::Instance,
     address: SocketAddr,
-    weight: f64,
+    weight: Percent,
 }
 
 #[derive(Debug, Clone)]
@@ -46,17 +46,26 @@
     service: id::Service,
 }
 
-/// The entries of `known` that don't answer a look-up for `service`.
+/// The entries of `known` that don't answer a look-up for `service`. One that has no look-ups at all
+/// is ready when it says so.
 pub async fn unready(client: &Client, known: &[Entry], service: &id::Service) -> Vec<id::Instance> {
     let mut unready = Vec::new();
     for entry in known {
-        if ask_one(client, entry.address, service).await.is_none() {
+        if !is_ready(client, entry.address, service).await {
             unready.push(entry.instance.clone());
         }
     }
     unready
 }
 
+async fn is_ready(client: &Client, address: SocketAddr, service: &id::Service) -> bool {
+    let url = format!("http://{address}/.sg/lookup?service={service}");
+    let Ok(response) = client.get(url).timeout(TIMEOUT.into()).send().await else {
+        return false;
+    };
+    response.status().is_success() || response.status() == http::StatusCode::NOT_FOUND
+}
+
 async fn ask_one(client: &Client, address: SocketAddr, service: &id::Service) -> Option<Answer> {
     let url = format!("http://{address}/.sg/lookup?service={service}");
     let request = client.get(url).timeout(TIMEOUT.into());
@@ -118,7 +127,7 @@
         }
         let cached = match self.ask(client, &question.service).await {
             Some(answer) => Cached {
-                until: now + Span::from_millis(answer.cache_ms),
+                until: now + answer.cache,
                 choices: answer.entries,
             },
             None => Cached {
@@ -147,19 +156,19 @@
             .map(|entry| Choice {
                 instance: entry.instance.clone(),
                 address: entry.address,
-                weight: 1.0,
+                weight: Percent::FULL,
             })
             .collect()
     }
 
     fn draw(&self, choices: &[&Choice]) -> Option<Entry> {
-        let total: f64 = choices.iter().map(|choice| choice.weight.max(0.0)).sum();
+        let total: f64 = choices.iter().map(|choice| choice.weight.as_f64()).sum();
         if total <= 0.0 {
             return None;
         }
         let mut point = self.random.lock().random_range(0.0..total);
         let drawn = choices.iter().find(|choice| {
-            point -= choice.weight.max(0.0);
+            point -= choice.weight.as_f64();
             point < 0.0
         });
         let choice = drawn.or(choices.last())?;
