fix(forward): a refusal reaches a caller that is still sending its body

Cause: the connection was closed with bytes of the refused body unread, which resets it, and the caller lost the refusal and its reason; found by a test whose caller got a broken pipe. The listener now reads up to 1 MiB for up to a second after it has closed its own side. Reading the whole body was ruled out: excess would cost its full size.

Also tests: a key withdrawn between attempts, queued sends of one ticket, the bound of held bodies.

--- a/crates/sg-forward/src/forward.rs
+++ b/crates/sg-forward/src/forward.rs
@@ -90,7 +90,7 @@
     /// callers that left only at their deadline, and refuses large answers of unstated length.
     #[must_use]
     pub fn listener<L: Acceptor>(&self, inner: L) -> Listener<L> {
-        Listener::new(inner, self.shared.links.clone())
+        Listener::new(inner, self.shared.timer.clone(), self.shared.links.clone())
     }
 
     /// Takes no new work from now on. Resends of requests that ran are still answered.
--- a/crates/sg-forward/src/link.rs
+++ b/crates/sg-forward/src/link.rs
@@ -12,7 +12,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
 
 use futures_util::task::AtomicWaker;
@@ -23,12 +23,21 @@
     listener::Acceptor,
     web::{LocalAddr, RemoteAddr},
 };
-use sg_types::prelude::IndexMap;
+use sg_clock::Timer;
+use sg_types::{prelude::IndexMap, time::Span};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     sync::Notify,
 };
 
+/// How much of a refused body is read and dropped, so that its caller can read the refusal: bytes left
+/// unread would reset the connection under it.
+const LINGER_BYTES: usize = 1024 * 1024;
+/// How long that goes on.
+const LINGER: Span = Span::from_secs(1);
+/// How much is read at once.
+const LINGER_PART: usize = 16 * 1024;
+
 /// A caller's connection, as its exchanges see it.
 #[derive(Debug, Default)]
 pub struct Link {
@@ -36,6 +45,8 @@
     gone: AtomicBool,
     left: Notify,
     writer: AtomicWaker,
+    lingered: AtomicBool,
+    reader: AtomicWaker,
 }
 
 impl Link {
@@ -55,6 +66,11 @@
         }
     }
 
+    fn end_linger(&self) {
+        self.lingered.store(true, Ordering::SeqCst);
+        self.reader.wake();
+    }
+
     fn close(&self) {
         self.gone.store(true, Ordering::SeqCst);
         self.left.notify_waiters();
@@ -105,14 +121,19 @@
 #[derive(Debug)]
 pub struct Listener<A> {
     inner: A,
+    timer: Timer,
     links: Links,
 }
 
 impl<A> Listener<A> {
     /// Accepts by `inner` and notes each connection in `links`.
     #[must_use]
-    pub fn new(inner: A, links: Links) -> Self {
-        Self { inner, links }
+    pub fn new(inner: A, timer: Timer, links: Links) -> Self {
+        Self {
+            inner,
+            timer,
+            links,
+        }
     }
 }
 
@@ -132,7 +153,9 @@
         let io = Io {
             inner,
             noted,
+            timer: self.timer.clone(),
             links: self.links.clone(),
+            linger: None,
         };
         Ok((io, local, remote, scheme))
     }
@@ -143,10 +166,35 @@
 pub struct Io<T> {
     inner: T,
     noted: Option<(SocketAddr, Arc<Link>)>,
+    timer: Timer,
     links: Links,
+    linger: Option<usize>,
 }
 
 impl<T> Io<T> {
+    /// Starts the time that reading on may take.
+    fn start_linger(&self) {
+        let Some((_, link)) = &self.noted else {
+            return;
+        };
+        let (link, timer) = (Arc::downgrade(link), self.timer.clone());
+        tokio::spawn(async move {
+            timer.sleep(LINGER).await;
+            if let Some(link) = link.upgrade() {
+                link.end_linger();
+            }
+        });
+    }
+
+    /// Whether no more is read of a connection that is about to close.
+    fn is_linger_over(&self, cx: &Context<'_>) -> bool {
+        let Some(link) = self.link() else {
+            return true;
+        };
+        link.reader.register(cx.waker());
+        link.check().is_err() || link.lingered.load(Ordering::SeqCst)
+    }
+
     fn link(&self) -> Option<&Link> {
         self.noted.as_ref().map(|(_, link)| link.as_ref())
     }
@@ -180,7 +228,7 @@
     }
 }
 
-impl<T: AsyncWrite + Unpin> AsyncWrite for Io<T> {
+impl<T: AsyncRead + AsyncWrite + Unpin> AsyncWrite for Io<T> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -209,7 +257,23 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(cx)
+        let Some(mut left) = self.linger else {
+            ready!(Pin::new(&mut self.inner).poll_shutdown(cx))?;
+            self.linger = Some(LINGER_BYTES);
+            self.start_linger();
+            return self.poll_shutdown(cx);
+        };
+        while left > 0 && !self.is_linger_over(cx) {
+            let mut part = [0; LINGER_PART];
+            let mut part = ReadBuf::new(&mut part);
+            let read = ready!(Pin::new(&mut self.inner).poll_read(cx, &mut part));
+            if read.is_err() || part.filled().is_empty() {
+                break;
+            }
+            left = left.saturating_sub(part.filled().len());
+            self.linger = Some(left);
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/crates/sg-forward/tests/forward/keys.rs
+++ b/crates/sg-forward/tests/forward/keys.rs
@@ -184,6 +184,25 @@
     assert!(answer.contains("sg-outcome: not-run"), "{answer}");
     assert!(answer.contains("sg-reason: key-refused"), "{answer}");
     assert!(target.seen().is_empty());
+    let admitted = world.0.admitted.load(Ordering::SeqCst);
+    assert_eq!(admitted, 0, "nothing is taken from the budget");
+}
+
+#[tokio::test]
+async fn a_key_withdrawn_between_attempts_is_not_retried() {
+    let silent = Target::start(|_, _| Act::Silence).await;
+    let second = Target::start(|_, _| ok("hello")).await;
+    let world = World::new(&[silent.address, second.address]);
+    let entry = Entry::start("e1", 1, &world).await;
+    let text = request("GET", "/read", &[bearer(KEY_A)], "");
+    let asked = tokio::spawn(raw(entry.address, text));
+    while silent.seen().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    world.set(view(2, &[WITHDRAWN]));
+    let answer = asked.await.expect("ends");
+    answer.expect(Outcome::Unknown, Reason::DeadlineRunning);
+    assert!(second.seen().is_empty(), "{:?}", second.seen());
 }
 
 #[tokio::test]
--- a/crates/sg-forward/tests/forward/limits.rs
+++ b/crates/sg-forward/tests/forward/limits.rs
@@ -28,9 +28,10 @@
 /// Sends the start of a request, closes the sending side if told to, and reads the answer.
 async fn part(entry: &Entry, text: &str, close: bool) -> Answer {
     let mut stream = TcpStream::connect(entry.address).await.expect("connects");
-    stream.write_all(text.as_bytes()).await.expect("writes");
+    // A refusal may come, and the connection end, before all is written.
+    let _ = stream.write_all(text.as_bytes()).await;
     if close {
-        stream.shutdown().await.expect("shuts down");
+        let _ = stream.shutdown().await;
     }
     Answer::of(&read_all(&mut stream).await)
 }
@@ -114,6 +115,20 @@
         .expect(Outcome::NotRun, Reason::BodyIncomplete);
 }
 
+#[tokio::test]
+async fn a_refusal_reaches_a_caller_that_is_still_sending() {
+    let (target, world, entry) = set_up().await;
+    world.set(view(3, &[]));
+    world.refuse(Span::from_secs(1), false);
+    let text = request("POST", "/read", &[bearer(KEY_A)], &"x".repeat(900 * 1024));
+    for _ in 0..10 {
+        let answer = part(&entry, &text, false).await;
+        answer.expect(Outcome::NotRun, Reason::OverRate);
+        assert!(answer.is_whole());
+    }
+    assert!(target.seen().is_empty());
+}
+
 #[tokio::test]
 async fn a_request_waits_a_moment_for_share_that_is_on_its_way() {
     let (target, world, entry) = set_up().await;
@@ -199,6 +214,34 @@
     assert!(raw(entry.address, text).await.is_whole());
 }
 
+#[tokio::test]
+async fn bodies_are_held_within_a_bound() {
+    const LARGE: usize = 40 * 1024 * 1024;
+    let target = Target::start(|_, _| Act::Silence).await;
+    let world = World::new(&[target.address]);
+    let limit = ("/services/desk/body-limit", "48MiB");
+    let patient = ("/services/desk/progress-timeout", "20s");
+    world.set(view(
+        2,
+        &[limit, patient, ("/services/desk/body-timeout", "2s")],
+    ));
+    let entry = Entry::start("e1", 1, &world).await;
+    let large = request("POST", "/read", &[bearer(KEY_A)], &"x".repeat(LARGE));
+    let held = tokio::spawn(raw(entry.address, large.clone()));
+    while target.seen().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    // Only the second one's start is sent: enough to be over the bound, and to be read on.
+    let second = part(&entry, &large[..25 * 1024 * 1024], false).await;
+    second.expect(Outcome::NotRun, Reason::Overloaded);
+    held.abort();
+    while entry.forward.in_hand() > 0 {
+        tokio::task::yield_now().await;
+    }
+    let third = part(&entry, &large[..25 * 1024 * 1024], false).await;
+    third.expect(Outcome::NotRun, Reason::BodyIncomplete);
+}
+
 #[tokio::test]
 async fn the_deadline_is_cut_and_passed_on() {
     let (target, _world, entry) = set_up().await;
--- a/crates/sg-forward/tests/forward/once.rs
+++ b/crates/sg-forward/tests/forward/once.rs
@@ -137,6 +137,33 @@
     assert_eq!(target.seen().len(), 1);
 }
 
+#[tokio::test]
+async fn sends_that_waited_in_the_queue_together_share_one_run() {
+    let (target, world, entry) = set_up(|text, _| match text.starts_with("GET") {
+        true => Act::Silence,
+        false => ok("booked"),
+    })
+    .await;
+    let limits = [
+        ("/fleet/concurrency", "1"),
+        ("/services/desk/attempts", "1"),
+    ];
+    world.set(view(2, &limits));
+    let ticket = ticket(&entry, KEY_A).await;
+    let read = request("GET", "/read", &[bearer(KEY_A)], "");
+    let held = tokio::spawn(raw(entry.address, read));
+    while target.seen().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    let sends = (0..4).map(|_| send(&entry, &ticket, "donkey 7"));
+    for answer in futures_util::future::join_all(sends).await {
+        assert_eq!(answer.said().0, "ran");
+        assert_eq!(answer.body, "booked");
+    }
+    held.await.expect("ends");
+    assert_eq!(target.seen().len(), 2, "one read and one booking");
+}
+
 #[tokio::test]
 async fn a_caller_that_goes_away_finds_the_answer_later() {
     let slow = Act::Late(
