--- a/crates/sg-load/tests/load/path.rs
+++ b/crates/sg-load/tests/load/path.rs
@@ -7,6 +7,8 @@
 use sg_fake::{store, target};
 use sg_load::{
     check::Promise,
+    history::{Call, End, History},
+    measure,
     plan::Plan,
     report::Report,
     run::{self, Progress},
@@ -29,6 +31,8 @@
     target: SocketAddr,
     client: reqwest::Client,
     mutation: Mutation,
+    /// The entry that look-ups name.
+    named: Option<SocketAddr>,
 }
 
 impl Endpoint for Through {
@@ -41,7 +45,7 @@
             .map_or("/", |p| p.as_str())
             .to_owned();
         if path.starts_with("/.sg/") {
-            return Ok(Response::builder().status(StatusCode::NOT_FOUND).finish());
+            return Ok(self.look_up());
         }
         let post = request.method() == poem::http::Method::POST;
         if post && request.header("Idempotency-Key").is_none() {
@@ -87,6 +91,17 @@
     }
 }
 
+impl Through {
+    fn look_up(&self) -> Response {
+        let Some(named) = self.named else {
+            return Response::builder().status(StatusCode::NOT_FOUND).finish();
+        };
+        let entry = json!({ "instance": "named", "address": named, "weight": 1.0 });
+        let answer = json!({ "entries": [entry], "cache_ms": 200 });
+        Response::builder().body(answer.to_string())
+    }
+}
+
 struct Quiet;
 
 impl Progress for Quiet {
@@ -114,7 +129,11 @@
     .expect("a target")
 }
 
-async fn start_entry(target: SocketAddr, mutation: Mutation) -> SocketAddr {
+async fn start_entry(
+    target: SocketAddr,
+    mutation: Mutation,
+    named: Option<SocketAddr>,
+) -> SocketAddr {
     let listener = TcpListener::bind(any_port()).await.expect("a port");
     let address = listener.local_addr().expect("bound");
     let acceptor = TcpAcceptor::from_tokio(listener).expect("an acceptor");
@@ -123,6 +142,7 @@
         target,
         client,
         mutation,
+        named,
     };
     tokio::spawn(Server::new_with_acceptor(acceptor).run(Arc::new(through)));
     address
@@ -148,27 +168,39 @@
 }
 
 async fn load(mutation: Mutation) -> Report {
+    let target = start_target().await;
+    let entry = start_entry(target.address(), mutation, None).await;
+    let history = record(&target, &[entry]).await;
+    measure::measure(&history).expect("measures")
+}
+
+/// A second of calls from callers that know `entries`, during an outage of the store.
+async fn record(target: &target::Server, entries: &[SocketAddr]) -> History {
     let store = store::Server::start(store::Options {
         listen: any_port(),
         seed: 1,
     });
     let store = store.await.expect("a store");
-    let target = start_target().await;
-    let entry = start_entry(target.address(), mutation).await;
     let tree = tree_file(target.address());
+    let known = entries.iter().enumerate();
+    let known: Vec<_> = known
+        .map(|(n, address)| json!({ "instance": format!("known-{n}"), "address": address }))
+        .collect();
     let plan: Plan = serde_json::from_value(json!({
         "seed": 3, "duration": "1s", "tree": tree, "store": store.address(),
         "list": "127.0.0.1:1",
-        "entries": [{ "instance": "entry-1", "address": entry }],
+        "entries": known,
         "mix": [{ "route": "list", "weight": 1, "size": 300 },
                 { "route": "book", "weight": 1, "size": 0 }],
         "accounts": [{ "account": "a", "key": "k", "secret": "s3cret", "rate": "100/s" }],
         "faults": [{ "at": "100ms", "do": { "store": { "outage": "refuse" } } }]
     }))
     .expect("a plan");
-    let report = run::run(plan, None, &mut Quiet).await.expect("a report");
+    let history = run::record(plan, None, &mut Quiet)
+        .await
+        .expect("a history");
     let _ = std::fs::remove_file(tree);
-    report
+    history
 }
 
 fn broken(report: &Report) -> Vec<Promise> {
@@ -198,3 +230,32 @@
         assert_eq!(broken(&load(mutation).await), promises, "{mutation:?}");
     }
 }
+
+#[tokio::test]
+async fn callers_use_the_entry_that_look_ups_name() {
+    let target = start_target().await;
+    let named = start_entry(target.address(), Mutation::None, None).await;
+    let known = start_entry(target.address(), Mutation::None, Some(named)).await;
+    let history = record(&target, &[known]).await;
+    let mut attempts = history.calls.iter().flat_map(|call| &call.attempts);
+    assert!(attempts.all(|attempt| attempt.entry.as_str() == "named"));
+    assert!(history.calls.iter().all(Call::is_good));
+}
+
+#[tokio::test]
+async fn callers_go_elsewhere_when_an_entry_is_gone() {
+    let target = start_target().await;
+    let gone = start_target().await.address();
+    let alive = start_entry(target.address(), Mutation::None, None).await;
+    let history = record(&target, &[gone, alive]).await;
+    assert!(history.calls.iter().all(Call::is_good));
+    let mut ends = history
+        .calls
+        .iter()
+        .flat_map(|call| &call.attempts)
+        .map(|a| &a.end);
+    assert!(
+        ends.any(|end| *end == End::NotSent),
+        "some tried the one that is gone"
+    );
+}
