feat(sg-load): planned stops are judged, sheds of targets counted

No scenario stopped an entry as planned. A lost send of a call that did not run is no violation: a connection that is closed while idle can always meet a new request.

--- a/crates/sg-load/src/check/mod.rs
+++ b/crates/sg-load/src/check/mod.rs
@@ -5,6 +5,7 @@
 mod key;
 mod rate;
 mod run;
+mod stop;
 
 pub(crate) use drain::drained;
 use serde::{Deserialize, Serialize};
@@ -37,6 +38,8 @@
     RateAndBurst,
     /// A leaving target gets no new work after a few seconds.
     LeavingTarget,
+    /// Every planned stop is a graceful shutdown.
+    GracefulStop,
     /// Every target told what it saw, so that the others could be judged.
     Evidence,
 }
@@ -113,6 +116,7 @@
     violations.extend(key::check(history, &runs));
     violations.extend(rate::check(history, &runs));
     violations.extend(drain::check(history));
+    violations.extend(stop::check(history, &runs));
     violations
 }
 
--- /dev/null
+++ b/crates/sg-load/src/check/stop.rs
@@ -0,0 +1,59 @@
+//! Whether planned stops of entries were graceful.
+
+use sg_types::prelude::*;
+
+use super::{Promise, Runs, Violation, runs_of};
+use crate::{
+    history::{Attempt, Call, End, Event, History},
+    plan::{Action, Fault},
+};
+
+pub(super) fn check(history: &History, runs: &Runs<'_>) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for event in &history.events {
+        let Some(instance) = stopped(event) else {
+            continue;
+        };
+        if event.done.is_none() {
+            let seen = "it did not end by itself with exit code 0";
+            violations.push(Violation::new(
+                Promise::GracefulStop,
+                instance.as_str(),
+                seen,
+            ));
+        }
+        let calls = history.calls.iter().filter(|call| !call.poison);
+        let lost = calls.filter(|call| lost(call, instance, event, runs));
+        violations.extend(lost.map(|call| {
+            let seen = format!("it ran, and {instance} lost its answer in a planned stop");
+            Violation::new(Promise::GracefulStop, call.id.as_ref(), seen)
+        }));
+    }
+    violations
+}
+
+/// The entry that the event asks to stop.
+fn stopped(event: &Event) -> Option<&id::Instance> {
+    match &event.fault {
+        Fault::Entry { instance, action } if *action == Action::Stop => Some(instance),
+        _ => None,
+    }
+}
+
+/// Whether the call ran through the entry and its answer was lost while the entry stopped.
+fn lost(call: &Call, instance: &id::Instance, event: &Event, runs: &Runs<'_>) -> bool {
+    let end = event.done.unwrap_or(event.asked);
+    let in_stop = |attempt: &&Attempt| {
+        attempt.entry == *instance && attempt.ended >= event.asked && attempt.began <= end
+    };
+    let mut attempts = call.attempts.iter().filter(in_stop);
+    let ran = |attempt: &Attempt| {
+        let within = |start: u64| {
+            start >= super::micros(attempt.began) && start <= super::micros(attempt.ended)
+        };
+        runs_of(runs, call)
+            .iter()
+            .any(|ran| within(ran.run.start_us))
+    };
+    attempts.any(|attempt| attempt.end == End::Lost && ran(attempt))
+}
--- a/crates/sg-load/src/measure.rs
+++ b/crates/sg-load/src/measure.rs
@@ -42,6 +42,7 @@
         refusals: refusals(history),
         outcomes: outcomes(history),
         routes: routes(history),
+        target_sheds: sheds(history),
         target_crashes: history.targets.iter().map(|t| t.records.crashes).sum(),
         violations: check::check(history),
     })
@@ -92,6 +93,13 @@
     }
 }
 
+fn sheds(history: &History) -> u64 {
+    let targets = history.targets.iter();
+    targets
+        .filter_map(|target| target.records.refused.get("shed"))
+        .sum()
+}
+
 fn routes(history: &History) -> IndexMap<id::Route, Way> {
     let mut routes: IndexMap<id::Route, Way> = IndexMap::new();
     for call in &history.calls {
--- a/crates/sg-load/src/report.rs
+++ b/crates/sg-load/src/report.rs
@@ -101,6 +101,8 @@
     pub outcomes: Outcomes,
     /// Calls by route.
     pub routes: IndexMap<id::Route, Way>,
+    /// How often targets refused a request because all their slots were taken.
+    pub target_sheds: u64,
     /// How often targets crashed.
     pub target_crashes: u64,
     /// Promises that were broken.
@@ -144,6 +146,7 @@
             "outcomes            good {}, ran {}, not-run {}, unknown {}, silent {}",
             outcomes.good, outcomes.ran, outcomes.not_run, outcomes.unknown, outcomes.silent
         )?;
+        writeln!(f, "target sheds        {:>8}", self.target_sheds)?;
         if self.target_crashes > 0 {
             writeln!(f, "target crashes      {:>8}", self.target_crashes)?;
         }
--- a/crates/sg-load/tests/load/judge.rs
+++ b/crates/sg-load/tests/load/judge.rs
@@ -6,7 +6,7 @@
     check::{self, Promise},
     history::{Attempt, Body, Call, End, Event, History, Seen},
     measure,
-    plan::{Fault, Plan},
+    plan::{Action, Fault, Plan},
 };
 use sg_tree::{Node, compile};
 use sg_types::prelude::*;
@@ -274,6 +274,34 @@
     assert_eq!(broken(&history), [Promise::LeavingTarget]);
 }
 
+fn stop_event(done: Option<Instant>) -> Event {
+    Event {
+        asked: at(380),
+        done,
+        fault: Fault::Entry {
+            instance: id("entry-1"),
+            action: Action::Stop,
+        },
+    }
+}
+
+#[test]
+fn a_stop_that_is_not_graceful_is_seen() {
+    let mut history = kept();
+    history.events.push(stop_event(Some(at(800))));
+    assert_eq!(broken(&history), []);
+    // The answer to the second call is lost while its entry stops.
+    history.calls[1].attempts[0].end = End::Lost;
+    assert_eq!(broken(&history), [Promise::GracefulStop]);
+    // A call that did not run lost no answer.
+    history.targets[1].records.runs.clear();
+    assert_eq!(broken(&history), []);
+
+    let mut history = kept();
+    history.events.push(stop_event(None));
+    assert_eq!(broken(&history), [Promise::GracefulStop]);
+}
+
 #[test]
 fn missing_evidence_is_seen() {
     let mut history = kept();
