--- a/crates/sg-forward/src/metric.rs
+++ b/crates/sg-forward/src/metric.rs
@@ -20,6 +20,8 @@
     pub callers_gone: IntCounter,
     /// Requests that waited for a permit or for share.
     pub queued: IntCounter,
+    /// Waits for share of a region's capacity.
+    pub capacity_waits: IntCounter,
     /// Bytes of bodies that are held now.
     pub held_bytes: IntGauge,
     /// Requests in hand now.
@@ -30,6 +32,8 @@
     pub relays: IntCounter,
     /// Suspects that this instance told the others.
     pub suspects: IntCounter,
+    /// Notices that were not told because many were told lately.
+    pub notices_withheld: IntCounter,
     /// Quarantines that began here.
     pub quarantines: IntCounter,
     /// Broken invariants. Anything but zero is a fault of the program.
@@ -75,24 +79,28 @@
             ended_streams: counter("ended_streams_total", "Streams ended for their key.")?,
             callers_gone: counter("callers_gone_total", "Callers that left.")?,
             queued: counter("queued_total", "Requests that waited.")?,
+            capacity_waits: counter("capacity_waits_total", "Waits for a region's capacity.")?,
             held_bytes: gauge("held_bytes", "Bytes of bodies held.")?,
             in_hand: gauge("in_hand", "Requests in hand.")?,
             tickets: gauge("tickets", "Tickets remembered.")?,
             relays: counter("relays_total", "Requests passed to their ticket's issuer.")?,
             suspects: counter("suspects_total", "Suspects told to the other instances.")?,
+            notices_withheld: counter("notices_withheld_total", "Notices not told.")?,
             quarantines: counter("quarantines_total", "Quarantines begun.")?,
             broken_invariants: counter("broken_invariants_total", "Faults of the program.")?,
         })
     }
 
-    fn counters(&self) -> [&IntCounter; 8] {
+    fn counters(&self) -> [&IntCounter; 10] {
         [
             &self.broken_streams,
             &self.ended_streams,
             &self.callers_gone,
             &self.queued,
+            &self.capacity_waits,
             &self.relays,
             &self.suspects,
+            &self.notices_withheld,
             &self.quarantines,
             &self.broken_invariants,
         ]
--- a/crates/sg-peer/src/lib.rs
+++ b/crates/sg-peer/src/lib.rs
@@ -5,12 +5,14 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
+pub mod accept;
 pub mod config;
 pub mod contact;
 pub mod core;
 pub mod frame;
 pub mod fresh;
 pub mod handler;
+mod jitter;
 pub mod list;
 pub mod member;
 pub mod members;
