feat(tree): complete the checks of promises; dates as UTC

Cause: a tree could hold two targets on one address, ambiguous routes, times that don't fit each other or a drained region with weight, and nobody was told; history printed seconds since 1970. Conclusion: a module for each group of checks, warnings and errors apart, each shown by a change of one safe tree; a drained region with weight is a warning that names the remedy.

--- a/crates/sg-store/src/head.rs
+++ b/crates/sg-store/src/head.rs
@@ -13,6 +13,11 @@
 pub const KEY: &str = "sg/tree/head";
 /// What the keys of earlier heads start with.
 pub(crate) const HISTORY: &str = "sg/tree/history/";
+const SECS_PER_DAY: u64 = 86_400;
+/// Days from 1 March of year 0 to 1 January 1970.
+const DAYS_TO_1970: u64 = 719_468;
+/// Days in 400 years.
+const DAYS_PER_ERA: u64 = 146_097;
 
 /// A point in calendar time, in milliseconds since the start of 1970 (UTC). For people to read;
 /// nothing is decided by it.
@@ -38,10 +43,37 @@
 
 impl fmt::Display for Date {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "@{}.{:03}", self.0 / 1_000, self.0 % 1_000)
+        let secs = self.0 / 1_000;
+        let (year, month, day) = civil(secs / SECS_PER_DAY);
+        let second = secs % SECS_PER_DAY;
+        let (hour, minute) = (second / 3_600, second / 60 % 60);
+        write!(
+            f,
+            "{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{:02}Z",
+            second % 60
+        )
     }
 }
 
+/// The year, month and day of the Gregorian calendar, `days` after 1 January 1970.
+fn civil(days: u64) -> (u64, u64, u64) {
+    // Years are counted from 1 March of year 0, so that the leap day ends a year.
+    let days = days + DAYS_TO_1970;
+    let era = days / DAYS_PER_ERA;
+    let of_era = days % DAYS_PER_ERA;
+    let year_of_era = (of_era - of_era / 1_460 + of_era / 36_524 - of_era / 146_096) / 365;
+    let of_year = of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+    let shifted = (5 * of_year + 2) / 153;
+    let day = of_year - (153 * shifted + 2) / 5 + 1;
+    let month = if shifted < 10 {
+        shifted + 3
+    } else {
+        shifted - 9
+    };
+    let year = era * 400 + year_of_era + u64::from(month <= 2);
+    (year, month, day)
+}
+
 /// What stands at [`KEY`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Head {
--- a/crates/sg-store/tests/store/main.rs
+++ b/crates/sg-store/tests/store/main.rs
@@ -1,5 +1,6 @@
 //! Shows that the tree of settings survives lost answers, races and broken values in the store.
 
+mod date;
 mod gateway;
 mod publishing;
 
--- a/crates/sg-tree/src/compile/resolve.rs
+++ b/crates/sg-tree/src/compile/resolve.rs
@@ -243,7 +243,7 @@
         Route {
             name,
             path: self.text(scope, &setting::PATH),
-            method: Method::new(method),
+            method: Method::new(&method),
             access,
             repeatable: self.flag(scope, &setting::REPEATABLE),
             deadline: self.value(scope, &setting::DEADLINE),
--- /dev/null
+++ b/crates/sg-tree/src/promise/target.rs
@@ -0,0 +1,34 @@
+//! Targets that stand for the same process.
+
+use std::net::SocketAddr;
+
+use sg_types::prelude::*;
+
+use super::service_path;
+use crate::{Fault, Path, View, setting};
+
+/// The faults of targets that share an address, over all services.
+pub(super) fn check(view: &View) -> Vec<Fault> {
+    let mut seen: IndexMap<SocketAddr, Path> = IndexMap::new();
+    let mut faults = Vec::new();
+    for service in view.services.values() {
+        for (name, target) in &service.targets {
+            let path = service_path(service).join("targets").join(name);
+            match seen.get(&target.address) {
+                Some(first) => faults.push(doubled(&path, first, target.address)),
+                None => {
+                    seen.insert(target.address, path);
+                }
+            }
+        }
+    }
+    faults
+}
+
+fn doubled(path: &Path, first: &Path, address: SocketAddr) -> Fault {
+    Fault::error(
+        path.join(setting::ADDRESS.name),
+        format!("{address} is the address of {first} too: its slots would be counted twice"),
+        "correct the address, or remove one of the two targets",
+    )
+}
--- a/crates/sg-tree/src/view.rs
+++ b/crates/sg-tree/src/view.rs
@@ -147,8 +147,9 @@
 pub struct Method(Option<Arc<str>>);
 
 impl Method {
-    pub(crate) fn new(text: Arc<str>) -> Self {
-        Self((!text.eq_ignore_ascii_case("any")).then_some(text))
+    pub(crate) fn new(text: &str) -> Self {
+        let named = !text.eq_ignore_ascii_case("any");
+        Self(named.then(|| text.to_ascii_uppercase().into()))
     }
 
     /// Whether the route takes `method`.
@@ -158,6 +159,15 @@
             .as_deref()
             .is_none_or(|wanted| wanted.eq_ignore_ascii_case(method))
     }
+
+    /// Whether some method is taken by both.
+    #[must_use]
+    pub fn overlaps(&self, other: &Self) -> bool {
+        match (&self.0, &other.0) {
+            (Some(_), Some(theirs)) => self.accepts(theirs),
+            _ => true,
+        }
+    }
 }
 
 /// A route of a service.
--- a/crates/sg-tree/tests/tree/main.rs
+++ b/crates/sg-tree/tests/tree/main.rs
@@ -1,6 +1,7 @@
 //! Shows inheritance, checks and the text form of the tree of settings.
 
 mod change;
+mod promise;
 mod reference;
 
 use quickcheck::quickcheck;
--- /dev/null
+++ b/crates/sg-tree/tests/tree/promise.rs
@@ -0,0 +1,217 @@
+//! Shows that each check of a promise fires, and that the repaired tree passes it.
+
+use sg_tree::{Fault, Node, compile::compile, fault::Severity, promise};
+use sg_types::prelude::*;
+
+const SAFE: &str = r#"{
+  "deadline": "2s",
+  "regions": { "a": { "domains": { "a1": {}, "a2": {} } },
+               "b": { "domains": { "b1": {}, "b2": {} } } },
+  "links": { "a--b": { "bandwidth": "1Gbit/s" } },
+  "services": { "desk": {
+    "split": { "a": { "weight": "50%" }, "b": { "weight": "50%" } },
+    "routes": { "list": { "path": "/list", "method": "GET" },
+                "book": { "path": "/list", "method": "POST" } },
+    "targets": { "slots": 10,
+      "ta1": { "address": "127.0.0.1:9001", "domain": "a1" },
+      "ta2": { "address": "127.0.0.1:9002", "domain": "a2" },
+      "tb1": { "address": "127.0.0.1:9003", "domain": "b1" },
+      "tb2": { "address": "127.0.0.1:9004", "domain": "b2" } } } },
+  "accounts": { "rate": "50/s", "burst": 20, "x": {}, "y": {} }
+}"#;
+
+fn safe() -> Node {
+    Node::from_json(SAFE).expect("the tree reads")
+}
+
+fn check(tree: &Node) -> Vec<Fault> {
+    let view = compile(tree, Revision::new(1)).expect("compiles").view;
+    promise::check(&view)
+}
+
+/// A change of the safe tree, and the one fault that it is to bring.
+struct Case {
+    set: &'static [(&'static str, &'static str)],
+    severity: Severity,
+    path: &'static str,
+    problem: &'static str,
+}
+
+const fn warning(
+    set: &'static [(&'static str, &'static str)],
+    path: &'static str,
+    problem: &'static str,
+) -> Case {
+    Case {
+        set,
+        severity: Severity::Warning,
+        path,
+        problem,
+    }
+}
+
+const fn error(
+    set: &'static [(&'static str, &'static str)],
+    path: &'static str,
+    problem: &'static str,
+) -> Case {
+    Case {
+        severity: Severity::Error,
+        ..warning(set, path, problem)
+    }
+}
+
+const CASES: &[Case] = &[
+    error(
+        &[("/accounts/rate", "600/s")],
+        "/accounts",
+        "rates add up to 1200/s",
+    ),
+    error(
+        &[("/accounts/x/rate", "900/s")],
+        "/accounts/x/rate",
+        "exceeds what service 'desk' carries",
+    ),
+    error(
+        &[
+            ("/services/desk/split/a/weight", "100%"),
+            ("/services/desk/split/b/weight", "0%"),
+            ("/accounts/rate", "150/s"),
+        ],
+        "/services/desk/split/a",
+        "after losing a failure domain the region carries 200/s",
+    ),
+    warning(
+        &[("/accounts/rate", "190/s")],
+        "/services/desk/split/a",
+        "less than 10% of the capacity is unused",
+    ),
+    warning(
+        &[("/regions/a/drain", "yes")],
+        "/services/desk/split/a",
+        "'shift-capped'",
+    ),
+    warning(
+        &[
+            ("/services/desk/split/a/weight", "100%"),
+            ("/services/desk/split/b/weight", "0%"),
+        ],
+        "/services/desk/split/b",
+        "get no traffic",
+    ),
+    warning(
+        &[("/fleet/drain-grace", "4s")],
+        "/fleet/drain-grace",
+        "shorter than",
+    ),
+    warning(&[("/fleet/validity", "900ms")], "/fleet/validity", "short"),
+    warning(&[("/fleet/validity", "31s")], "/fleet/validity", "long"),
+    warning(
+        &[("/services/desk/retry-budget", "51%")],
+        "/services/desk/retry-budget",
+        "over half",
+    ),
+    warning(
+        &[("/fleet/slots", "21")],
+        "/accounts/x/burst",
+        "one whole request",
+    ),
+    warning(
+        &[("/services/desk/progress-timeout", "3s")],
+        "/services/desk/routes/list/deadline",
+        "progress-timeout",
+    ),
+    error(
+        &[("/services/desk/routes/list/method", "post")],
+        "/services/desk/routes/book",
+        "same path and method",
+    ),
+    warning(
+        &[("/services/desk/routes/list/method", "any")],
+        "/services/desk/routes/book",
+        "any method",
+    ),
+    error(
+        &[("/services/desk/targets/tb2/address", "127.0.0.1:9003")],
+        "/services/desk/targets/tb2/address",
+        "counted twice",
+    ),
+];
+
+#[test]
+fn the_safe_tree_has_no_fault() {
+    assert_eq!(check(&safe()), Vec::new());
+}
+
+#[test]
+fn each_check_fires_on_its_own_change() {
+    for case in CASES {
+        let mut tree = safe();
+        for (path, value) in case.set {
+            tree.set(&path.parse().expect("a path"), value);
+        }
+        let faults = check(&tree);
+        let fires = |fault: &&Fault| {
+            fault.severity == case.severity
+                && fault.path.to_string() == case.path
+                && fault.problem.contains(case.problem)
+                && !fault.remedy.is_empty()
+        };
+        assert!(
+            faults.iter().any(|f| fires(&f)),
+            "{}: {faults:?}",
+            case.path
+        );
+        let errors = faults.iter().filter(|f| f.severity == Severity::Error);
+        let refused = errors.count() > 0;
+        assert_eq!(refused, case.severity == Severity::Error, "{faults:?}");
+    }
+}
+
+#[test]
+fn parts_that_are_missing_are_told() {
+    let cases = [
+        ("/links/a--b", "no link between"),
+        ("/services/desk/routes", "has no route"),
+        ("/services/desk/targets", "has no target"),
+        ("/services/desk/split", "no split is set"),
+    ];
+    for (path, problem) in cases {
+        let mut tree = safe();
+        assert!(tree.remove(&path.parse().expect("a path")), "{path}");
+        // Without targets no rate can be carried; the accounts are not what is shown here.
+        tree.remove(&"/accounts".parse().expect("a path"));
+        let faults = check(&tree);
+        assert!(
+            faults
+                .iter()
+                .any(|f| f.problem.contains(problem) && f.severity == Severity::Warning),
+            "{path}: {faults:?}"
+        );
+    }
+}
+
+#[test]
+fn a_drained_region_without_weight_passes() {
+    let mut tree = safe();
+    let changes = [
+        ("/services/desk/split/a/weight", "0%"),
+        ("/services/desk/split/b/weight", "100%"),
+        ("/regions/a/drain", "yes"),
+    ];
+    for (path, value) in changes {
+        tree.set(&path.parse().expect("a path"), value);
+    }
+    assert_eq!(check(&tree), Vec::new());
+}
+
+#[test]
+fn a_cap_over_the_whole_is_no_value() {
+    for cap in ["shift-cap", "ejection-cap", "retry-budget", "headroom"] {
+        let mut tree = safe();
+        let path = format!("/services/desk/{cap}");
+        tree.set(&path.parse().expect("a path"), "100.1%");
+        let error = compile(&tree, Revision::new(1)).expect_err("is refused");
+        assert_eq!(error.faults[0].path.to_string(), path);
+    }
+}
