fix(entry,tree): all instances spread share contacts by one seed; drop a setting that nothing read

Cause: the share engine's seed must be the same on all instances, and the daemon drew one each; 'share-interval' stood in the tree and had no effect, and 'validity' claimed to govern shares, whose validity is one constant of the fleet. Also: the load tool's test double answers look-ups in the form that entries use. Measured: tests of sg-tree, sg-entry and sg-load pass.

--- a/crates/sg-entry/src/daemon/build.rs
+++ b/crates/sg-entry/src/daemon/build.rs
@@ -89,10 +89,7 @@
             place,
         },
         listen: settings.peer,
-        share: engine::Options {
-            seed: rand::random(),
-            ..engine::Options::default()
-        },
+        share: engine::Options::default(),
         budgets: budgets::of,
         list_period: LIST_PERIOD,
         stop_within: STOP_WITHIN,
--- a/crates/sg-load/tests/load/path.rs
+++ b/crates/sg-load/tests/load/path.rs
@@ -96,8 +96,8 @@
         let Some(named) = self.named else {
             return Response::builder().status(StatusCode::NOT_FOUND).finish();
         };
-        let entry = json!({ "instance": "named", "address": named, "weight": 1.0 });
-        let answer = json!({ "entries": [entry], "cache_ms": 200 });
+        let entry = json!({ "instance": "named", "address": named, "weight": "100%" });
+        let answer = json!({ "entries": [entry], "cache": "200ms" });
         Response::builder().body(answer.to_string())
     }
 }
--- a/crates/sg-tree/src/compile/resolve.rs
+++ b/crates/sg-tree/src/compile/resolve.rs
@@ -113,7 +113,6 @@
         Fleet {
             slots: self.value(scope, &setting::SLOTS),
             validity: self.value(scope, &setting::VALIDITY),
-            share_interval: self.value(scope, &setting::SHARE_INTERVAL),
             relays: self.value(scope, &setting::RELAYS),
             lookup_cache: self.value(scope, &setting::LOOKUP_CACHE),
             ticket_lifetime: self.value(scope, &setting::TICKET_LIFETIME),
--- a/crates/sg-tree/src/setting.rs
+++ b/crates/sg-tree/src/setting.rs
@@ -146,9 +146,7 @@
     SLOTS = "slots", Count, [Fleet, Target], Some("1"),
         "For the fleet: the number of slots that hold a base share of every budget, one an instance. For a target: how many requests it runs at once.";
     VALIDITY = "validity", Span, [Fleet], Some("5s"),
-        "How long an instance uses its shares and its knowledge of keys after they were last confirmed.";
-    SHARE_INTERVAL = "share-interval", Span, [Fleet], Some("250ms"),
-        "How often instances move idle share toward demand.";
+        "How long an instance serves keyed routes after it last knew that no key was withdrawn.";
     RELAYS = "relays", Count, [Fleet], Some("2"),
         "How many instances of a failure domain watch the store and relay changes to the others.";
     LOOKUP_CACHE = "lookup-cache", Span, [Fleet], Some("2s"),
--- a/crates/sg-tree/src/view.rs
+++ b/crates/sg-tree/src/view.rs
@@ -36,10 +36,8 @@
 pub struct Fleet {
     /// How many slots hold a base share.
     pub slots: u32,
-    /// How long a confirmation is good.
+    /// How long the knowledge that no key was withdrawn is good.
     pub validity: Span,
-    /// How often shares move.
-    pub share_interval: Span,
     /// Relays a failure domain.
     pub relays: u32,
     /// How long a look-up's answer may be cached.
