test(forward): the refusal test fails without lingering; absent targets keep their port

Cause: removing the linger left the test green, since the kernel still gave the answer to a caller that ignored its write errors; the caller now sends all first, and the test fails without the linger. One run of the outage test failed beside it: its absent targets gave their ports back, and another test could get them.

--- a/crates/sg-forward/tests/forward/limits.rs
+++ b/crates/sg-forward/tests/forward/limits.rs
@@ -121,8 +121,17 @@
     world.set(view(3, &[]));
     world.refuse(Span::from_secs(1), false);
     let text = request("POST", "/read", &[bearer(KEY_A)], &"x".repeat(900 * 1024));
+    let (first, rest) = text.split_at(100 * 1024);
     for _ in 0..10 {
-        let answer = part(&entry, &text, false).await;
+        let mut stream = TcpStream::connect(entry.address).await.expect("connects");
+        stream.write_all(first.as_bytes()).await.expect("writes");
+        stream.readable().await.expect("the refusal is there");
+        // Many callers read only once they have sent all.
+        for part in rest.as_bytes().chunks(64 * 1024) {
+            stream.write_all(part).await.expect("the entry reads on");
+            tokio::task::yield_now().await;
+        }
+        let answer = Answer::of(&read_all(&mut stream).await);
         answer.expect(Outcome::NotRun, Reason::OverRate);
         assert!(answer.is_whole());
     }
--- a/crates/sg-forward/tests/forward/wire.rs
+++ b/crates/sg-forward/tests/forward/wire.rs
@@ -13,7 +13,7 @@
 use sg_types::prelude::*;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
 };
 
 /// What a target does with a request.
@@ -76,10 +76,13 @@
         target
     }
 
-    /// A target that nothing listens at.
+    /// An address that nothing listens at, and that nothing else is given while the tests run.
     pub async fn absent() -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
-        listener.local_addr().expect("has an address")
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind(([127, 0, 0, 1], 0).into()).expect("binds");
+        let address = socket.local_addr().expect("has an address");
+        std::mem::forget(socket);
+        address
     }
 
     pub fn seen(&self) -> Vec<String> {
