--- a/crates/sg-share/src/engine/takeover.rs
+++ b/crates/sg-share/src/engine/takeover.rs
@@ -14,6 +14,8 @@
 const STAGGER: Span = Span::from_millis(250);
 /// The number of such delays.
 const STAGGERS: u64 = 4;
+/// How long a holder without voters that was never heard is believed to live.
+const UNHEARD: Span = Span::from_secs(30);
 /// How often an instance without a slot asks for one.
 const SEEK_EVERY: Span = Span::from_secs(1);
 
@@ -185,6 +187,7 @@
                 && known.version.is_some()
                 && !self.is_mine(claim)
                 && votes(claim.slots, claim.slot)
+                && (claim.slots >= panel::LEAST_SLOTS || self.was_heard(known, now))
                 && self.registry.is_silent(claim.slot, silence, now)
         };
         let known = self.registry.claims.values().find(lost)?;
@@ -197,6 +200,14 @@
         })
     }
 
+    /// Whether silence says something of a holder without voters: it was heard before, or for long
+    /// not at all.
+    fn was_heard(&self, known: &Known, now: Instant) -> bool {
+        let claim = &known.claim;
+        let heard = self.registry.run(&claim.instance) == Some(claim.incarnation);
+        heard || now.since(known.since) >= UNHEARD
+    }
+
     /// Asks a holder of several slots for one.
     fn seek(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if !self.tenures.is_empty() || now.since(self.sought_at) < SEEK_EVERY {
--- a/crates/sg-share/src/engine/vouching.rs
+++ b/crates/sg-share/src/engine/vouching.rs
@@ -12,6 +12,7 @@
     Action, Message,
     claim::Claim,
     message::Term,
+    panel,
     tenure::{Stage, Tenure},
 };
 
@@ -60,7 +61,7 @@
         self.confirmed_at = Some(now);
         let number = self.next();
         self.remember(Sent { number, at: now });
-        let asked: IndexSet<_> = self
+        let mut asked: IndexSet<_> = self
             .tenures
             .iter()
             .flat_map(Tenure::voters)
@@ -68,6 +69,19 @@
             .filter(|holder| **holder != self.me.instance)
             .cloned()
             .collect();
+        if self
+            .tenures
+            .iter()
+            .any(|t| t.claim.slots < panel::LEAST_SLOTS)
+        {
+            // Without voters, others must hear that this instance lives.
+            let members = self.members.clone();
+            asked.extend(panel::contacts(
+                &self.me.instance,
+                members,
+                self.options.seed,
+            ));
+        }
         let active = self.tenures.iter().filter(|tenure| tenure.is_active());
         let terms: Vec<_> = active.map(Tenure::term).collect();
         actions.extend(asked.into_iter().map(|to| Action::Send {
--- a/crates/sg-share/src/ledger/lending.rs
+++ b/crates/sg-share/src/ledger/lending.rs
@@ -24,6 +24,9 @@
 /// How long a borrower counts as starved after it said so.
 const STARVED: Span = Span::from_millis(120);
 
+/// How long a borrower keeps a burst that is too small to cut, so that it is used between moves.
+const HOLD: Span = Span::from_millis(100);
+
 /// What is lent to one borrower.
 #[derive(Debug, Clone)]
 pub(crate) struct Lent {
@@ -35,9 +38,15 @@
     want: Part,
     /// When it said that its bucket is too small for a caller that waits.
     starved: Option<Instant>,
+    /// Since when it has held something.
+    since: Instant,
 }
 
 impl Lent {
+    fn is_new(&self, now: Instant) -> bool {
+        !self.part.is_empty() && now.since(self.since) < HOLD
+    }
+
     fn is_starved(&self, now: Instant) -> bool {
         self.starved.is_some_and(|at| now.since(at) < STARVED)
     }
@@ -128,6 +137,9 @@
     }
 
     fn record(&mut self, to: &Peer, ask: &Ask, keep: Part, now: Instant, terms: Terms) {
+        let since = self.lent.iter().find(|lent| lent.to == *to);
+        let since = since.filter(|lent| !lent.part.is_empty());
+        let since = since.map_or(now, |lent| lent.since);
         self.lent.retain(|lent| lent.to != *to);
         if ask.want.is_empty() && keep.is_empty() {
             return;
@@ -139,6 +151,7 @@
             until: now + terms.drift.outlast(terms.loan),
             want: ask.want,
             starved: ask.starved.then_some(now),
+            since,
         });
     }
 
@@ -233,10 +246,19 @@
 
     /// A burst that is too small to cut goes to one after the other.
     fn whole_burst(&self, mine: &Lent, own: u64, me: &Lender<'_>, now: Instant) -> u64 {
-        let order = |lent: &Lent| me.order(&lent.to.instance, lent.is_starved(now));
+        let order = |lent: &Lent| {
+            if lent.is_new(now) {
+                return (false, 0);
+            }
+            me.order(&lent.to.instance, lent.is_starved(now))
+        };
         let starved = self.demand.is_urgent(now);
+        let suffices = own >= self.demand.largest_micros();
         let own = Claimant {
-            order: me.order(me.instance, starved),
+            order: match suffices {
+                true => (false, 0),
+                false => me.order(me.instance, starved),
+            },
             want: own,
         };
         let claimants = self.lent.iter().map(|lent| Claimant {
--- a/crates/sg-share/tests/share/faults.rs
+++ b/crates/sg-share/tests/share/faults.rs
@@ -327,3 +327,16 @@
     assert_eq!(slots(&world).len(), 7);
     world.check.assert();
 }
+
+#[test]
+fn few_slots_stay_with_their_holders() {
+    for count in [1, 2] {
+        let mut world = World::new(11, 7, count, budgets(50, 20), Options::default());
+        flood(&mut world);
+        world.run(60 * SEC);
+        assert_eq!(slots(&world).len(), count as usize);
+        let terms = world.store.values().map(|standing| standing.claim.term);
+        assert_eq!(terms.max(), Some(1), "no slot changed hands");
+        world.check.assert();
+    }
+}
