--- a/crates/sg-entry/src/admin/state.rs
+++ b/crates/sg-entry/src/admin/state.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 use sg_peer::member::Status;
-use sg_report::status::{Act, Instance, Split, State};
+use sg_report::status::{Act, Held, Instance, Split, State};
 use sg_types::prelude::*;
 
 use crate::daemon::Parts;
@@ -56,6 +56,7 @@
         in_hand: parts.path.in_hand(),
         alive: u32::try_from(alive).unwrap_or(u32::MAX),
         splits: splits(&report.steering),
+        held: held(&report.steering),
         acts: acts(&report),
     }
 }
@@ -84,12 +85,28 @@
                 wanted: report.wanted,
                 in_force: report.in_force,
                 headroom: Some(report.headroom.as_f64()),
+                in_flight: report.in_flight,
             });
         }
     }
     splits
 }
 
+/// The targets that are not used like the others.
+fn held(steering: &sg_steer::report::Engine) -> Vec<Held> {
+    let mut held = Vec::new();
+    for (service, report) in &steering.services {
+        let out = report.regions.values().flat_map(|region| &region.out);
+        held.extend(out.map(|target| Held {
+            service: service.clone(),
+            target: target.target.clone(),
+            why: text(&target.why),
+            in_flight: target.in_flight,
+        }));
+    }
+    held
+}
+
 /// What the instance does by itself, and why.
 fn acts(report: &Report) -> Vec<Act> {
     let mut acts = Vec::new();
--- a/crates/sg-report/src/explain.rs
+++ b/crates/sg-report/src/explain.rs
@@ -1,14 +1,17 @@
 //! What a revision did: the evidence of each instance, added up and printed.
 
 mod render;
+mod served;
 
 use serde::{Deserialize, Serialize};
-use sg_tree::diff::Difference;
+use sg_tree::{diff::Difference, predict::Prediction};
 use sg_types::prelude::*;
 
+pub use self::served::{Account, Refusal, Served, Worst};
 use crate::{
     Counts,
-    counts::{self, Place},
+    counts::Place,
+    status::{Fleet, Part},
 };
 
 /// Counters over a span of time.
@@ -56,39 +59,50 @@
     pub after: Option<f64>,
 }
 
-/// What a client account got in one window.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
-pub struct Service {
-    /// All requests.
-    pub requests: u64,
-    /// The part that ran.
-    pub goodput: Option<f64>,
-    /// The median latency.
-    pub p50: Option<Span>,
-    /// The latency that one in a hundred exceeds.
-    pub p99: Option<Span>,
-}
-
-/// What a client account got, before and after.
+/// Traffic of a service that went to another region than before.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Account {
-    /// The client account, or `open`.
-    pub account: Arc<str>,
-    /// Before.
-    pub before: Service,
-    /// After.
-    pub after: Service,
+pub struct Shift {
+    /// The service.
+    pub service: id::Service,
+    /// The part of its traffic, in percentage points.
+    pub points: f64,
 }
 
-/// Refusals for one reason, before and after, as a part of all requests.
+/// Unused capacity of a region for a service, worked out from the trees and the rates that were
+/// sold.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Refusal {
-    /// The reason.
-    pub reason: Reason,
-    /// The part before.
+pub struct Headroom {
+    /// The service and the region.
+    #[serde(flatten)]
+    pub place: Place,
+    /// Under the tree before.
     pub before: f64,
-    /// The part after.
+    /// Under the revision's tree.
     pub after: f64,
+    /// What the instances measure now.
+    pub now: Option<f64>,
+}
+
+/// From when to when a revision came into force, and on how many instances.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Spread {
+    /// Instances that gave evidence.
+    pub instances: usize,
+    /// How long ago the first instance had it.
+    pub first: Span,
+    /// How long ago the last instance had it.
+    pub last: Span,
+    /// From the first instance to the last. Instances that started later are left out.
+    pub took: Span,
+}
+
+/// How long was counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Windows {
+    /// While the revision before was in force; zero if no instance saw it.
+    pub before: Span,
+    /// While the revision was in force.
+    pub after: Span,
 }
 
 /// What a revision changed and did, for the whole fleet.
@@ -98,21 +112,31 @@
     pub revision: Revision,
     /// Who made it.
     pub author: Arc<str>,
+    /// When it was accepted, by the author's clock, in UTC.
+    pub accepted: Arc<str>,
     /// What for.
     pub note: Arc<str>,
     /// What changed.
     pub difference: Difference,
     /// Where it came into force.
     pub adopted: Vec<Adoption>,
+    /// From when to when it came into force.
+    pub spread: Option<Spread>,
     /// Instances that gave no evidence: not reached, or replaced since.
     pub silent: Vec<id::Instance>,
-    /// Traffic moved between regions.
+    /// How long the counters before and after it ran, the longest of any instance.
+    pub windows: Windows,
+    /// Traffic moved between regions, by service.
+    pub shifts: Vec<Shift>,
+    /// Traffic of each service in each region.
     pub moves: Vec<Move>,
+    /// Headroom of the regions that the revision changed.
+    pub headroom: Vec<Headroom>,
     /// Each client account.
     pub accounts: Vec<Account>,
-    /// The client account with the least part that ran after the change.
-    pub worst: Option<Arc<str>>,
-    /// Refusals by reason.
+    /// The worst-served client account.
+    pub worst: Worst,
+    /// Refusals by reason, over all client accounts.
     pub refusals: Vec<Refusal>,
 }
 
@@ -123,15 +147,24 @@
     pub revision: Revision,
     /// Who made it.
     pub author: Arc<str>,
+    /// When it was accepted, by the author's clock, in UTC.
+    pub accepted: Arc<str>,
     /// What for.
     pub note: Arc<str>,
     /// What changed.
     pub difference: Difference,
+    /// What the trees predicted of it.
+    pub prediction: Prediction,
 }
 
-/// Adds up the evidence of all instances.
+/// Adds up the evidence of all instances. `fleet` is their state now.
 #[must_use]
-pub fn report(subject: Subject, evidence: &[Evidence], silent: Vec<id::Instance>) -> Report {
+pub fn report(
+    subject: Subject,
+    evidence: &[Evidence],
+    silent: Vec<id::Instance>,
+    fleet: &Fleet,
+) -> Report {
     let mut before = Counts::default();
     let mut after = Counts::default();
     for evidence in evidence {
@@ -140,7 +173,8 @@
         }
         after.add(&evidence.after.counts);
     }
-    let accounts = accounts(&before, &after);
+    let accounts = served::accounts(&before, &after);
+    let moves = moves(&before, &after);
     let adopted = evidence.iter().map(|evidence| Adoption {
         instance: evidence.instance.clone(),
         age: evidence.age,
@@ -148,14 +182,19 @@
     Report {
         revision: subject.revision,
         author: subject.author,
+        accepted: subject.accepted,
         note: subject.note,
         difference: subject.difference,
         adopted: adopted.collect(),
+        spread: spread(evidence),
         silent,
-        moves: moves(&before, &after),
-        worst: worst(&accounts),
+        windows: windows(evidence),
+        shifts: shifts(&moves),
+        moves,
+        headroom: headroom(&subject.prediction, &fleet.parts()),
+        worst: Worst::of(&accounts),
         accounts,
-        refusals: refusals(&before, &after),
+        refusals: served::refusals(&before, &after),
     }
 }
 
@@ -169,51 +208,67 @@
     moves.collect()
 }
 
-fn accounts(before: &Counts, after: &Counts) -> Vec<Account> {
-    let names: IndexSet<&Arc<str>> = before
-        .accounts
-        .keys()
-        .chain(after.accounts.keys())
-        .collect();
-    let accounts = names.into_iter().map(|name| Account {
-        account: name.clone(),
-        before: service(before.accounts.get(name)),
-        after: service(after.accounts.get(name)),
+/// What the regions of each service lost together, which others gained.
+fn shifts(moves: &[Move]) -> Vec<Shift> {
+    let mut lost: IndexMap<&id::Service, f64> = IndexMap::new();
+    for row in moves {
+        if let (Some(before), Some(after)) = (row.before, row.after) {
+            let points = (before - after).max(0.0) * 100.0;
+            *lost.entry(&row.place.service).or_default() += points;
+        }
+    }
+    let shifts = lost.into_iter().map(|(service, points)| Shift {
+        service: service.clone(),
+        points,
     });
-    accounts.collect()
+    shifts.collect()
 }
 
-fn service(account: Option<&counts::Account>) -> Service {
-    let Some(account) = account else {
-        return Service::default();
-    };
-    Service {
-        requests: account.total(),
-        goodput: account.goodput(),
-        p50: account.latency.quantile(0.5),
-        p99: account.latency.quantile(0.99),
-    }
+/// An instance that did not see the revision before took this one at its start.
+fn spread(evidence: &[Evidence]) -> Option<Spread> {
+    let ages = evidence.iter().map(|one| one.age);
+    let changed: Vec<Span> = evidence
+        .iter()
+        .filter(|one| one.before.is_some())
+        .map(|one| one.age)
+        .collect();
+    let last_change = changed.iter().copied().min().unwrap_or_default();
+    let first_change = changed.iter().copied().max().unwrap_or_default();
+    Some(Spread {
+        instances: evidence.len(),
+        first: ages.clone().max()?,
+        last: ages.min()?,
+        took: first_change.saturating_sub(last_change),
+    })
 }
 
-fn worst(accounts: &[Account]) -> Option<Arc<str>> {
-    accounts
-        .iter()
-        .filter_map(|account| account.after.goodput.map(|part| (part, &account.account)))
-        .min_by(|a, b| a.0.total_cmp(&b.0))
-        .map(|(_, name)| name.clone())
+fn windows(evidence: &[Evidence]) -> Windows {
+    let before = evidence.iter().filter_map(|one| one.before.as_ref());
+    Windows {
+        before: before.map(|one| one.span).max().unwrap_or_default(),
+        after: evidence
+            .iter()
+            .map(|one| one.after.span)
+            .max()
+            .unwrap_or_default(),
+    }
 }
 
-fn refusals(before: &Counts, after: &Counts) -> Vec<Refusal> {
-    let (old, new) = (before.refusals(), after.refusals());
-    let reasons: IndexSet<Reason> = old.keys().chain(new.keys()).copied().collect();
-    let part = |refusals: &IndexMap<Reason, u64>, reason, counts: &Counts| {
-        let all: u64 = counts.accounts.values().map(counts::Account::total).sum();
-        refusals.get(reason).copied().unwrap_or_default() as f64 / all.max(1) as f64
+fn headroom(prediction: &Prediction, parts: &[Part]) -> Vec<Headroom> {
+    let now = |region: &sg_tree::predict::Region| {
+        let mut parts = parts.iter();
+        let part =
+            parts.find(|part| part.service == region.service && part.region == region.region);
+        part.and_then(|part| part.headroom)
     };
-    let refusals = reasons.iter().map(|reason| Refusal {
-        reason: *reason,
-        before: part(&old, reason, before),
-        after: part(&new, reason, after),
+    let rows = prediction.regions.iter().map(|region| Headroom {
+        place: Place {
+            service: region.service.clone(),
+            region: region.region.clone(),
+        },
+        before: region.headroom_before,
+        after: region.headroom,
+        now: now(region),
     });
-    refusals.collect()
+    rows.collect()
 }
--- a/crates/sg-report/src/explain/render.rs
+++ b/crates/sg-report/src/explain/render.rs
@@ -2,88 +2,181 @@
 
 use std::fmt::{self, Write as _};
 
-use sg_types::time::Span;
-
-use super::{Account, Move, Refusal, Report};
-
-/// What stands where nothing was counted.
-const NONE: &str = "-";
+use sg_types::prelude::*;
+
+use super::{Account, Headroom, Move, Refusal, Report, Served};
+use crate::table::{self, NONE, fraction, millis};
+
+/// How long what the report was made of lives.
+const LIFETIME: &str = "Instances keep the counters of their latest 64 revisions, in memory only: the evidence of an \
+     instance ends when it stops or is replaced. Instances that were replaced since are left out of \
+     all figures. Print the report while it can be printed.";
+
+/// The columns of traffic.
+const MOVE: [&str; 5] = ["service", "region", "before", "after", "moved"];
+/// The columns of headroom.
+const HEADROOM: [&str; 5] = [
+    "service",
+    "region",
+    "planned before",
+    "planned after",
+    "measured now",
+];
+/// The columns of client accounts.
+const ACCOUNT: [&str; 8] = [
+    "account",
+    "requests",
+    "ran before",
+    "ran after",
+    "p50 before",
+    "p50 after",
+    "p99 before",
+    "p99 after",
+];
+/// The columns of refusals.
+const REFUSAL: [&str; 4] = ["account", "reason", "before", "after"];
+/// Stands for all client accounts together.
+const ALL: &str = "all";
 
 impl Report {
     /// The report in Markdown.
     #[must_use]
     pub fn to_markdown(&self) -> String {
         let mut text = format!("# Revision {}\n\n", self.revision);
-        let _ = writeln!(text, "By {}. {}\n", self.author, self.note);
+        let _ = writeln!(text, "{}\n", self.origin());
         let _ = writeln!(text, "## What changed\n\n```\n{}\n```\n", self.difference);
         let _ = writeln!(text, "## Where it is in force\n\n{}\n", self.places());
-        text.push_str(&section(
-            "Traffic between regions",
-            MOVE,
-            self.moves.iter().map(cells_of_move),
-        ));
-        text.push_str(&section(
-            "Client accounts",
-            ACCOUNT,
-            self.accounts.iter().map(cells_of_account),
-        ));
-        let worst = self.worst.as_deref().unwrap_or(NONE);
-        let _ = writeln!(text, "Worst served after the change: {worst}.\n");
-        text.push_str(&section(
+        let moves = self.moves.iter().map(cells_of_move);
+        text.push_str(&table::section("Traffic between regions", MOVE, moves));
+        let _ = writeln!(text, "{}\n", self.moved());
+        let headroom = self.headroom.iter().map(cells_of_headroom);
+        text.push_str(&table::section("Headroom", HEADROOM, headroom));
+        let accounts = self.accounts.iter().map(cells_of_account);
+        text.push_str(&table::section("Client accounts", ACCOUNT, accounts));
+        let _ = writeln!(text, "{}\n", self.worst_served());
+        text.push_str(&table::section(
             "Refusals",
             REFUSAL,
-            self.refusals.iter().map(cells_of_refusal),
+            self.rows_of_refusals(),
         ));
+        let _ = writeln!(text, "## Evidence\n\n{}\n{LIFETIME}", self.counted());
         text
     }
 
+    fn origin(&self) -> String {
+        let note = match self.note.as_ref() {
+            "" => "no note was given",
+            note => note,
+        };
+        format!("By {}, accepted {}: {note}", self.author, self.accepted)
+    }
+
     fn places(&self) -> String {
-        let mut places: Vec<String> = self
-            .adopted
+        let mut text = String::new();
+        match &self.spread {
+            None => text.push_str("No instance knows the revision."),
+            Some(spread) => {
+                let _ = write!(
+                    text,
+                    "In force on {} of {} instances, on the first {:.1} s ago, on the last {:.1} s \
+                     ago; from the first to the last it took {:.2} s.",
+                    spread.instances,
+                    spread.instances + self.silent.len(),
+                    spread.first.as_secs_f64(),
+                    spread.last.as_secs_f64(),
+                    spread.took.as_secs_f64()
+                );
+            }
+        }
+        for adoption in &self.adopted {
+            let age = adoption.age.as_secs_f64();
+            let _ = write!(text, "\n- {}: {age:.1} s ago", adoption.instance);
+        }
+        for name in &self.silent {
+            let _ = write!(
+                text,
+                "\n- {name} gave no evidence: not reached, or replaced since"
+            );
+        }
+        text
+    }
+
+    fn moved(&self) -> String {
+        let moved = self
+            .shifts
             .iter()
-            .map(|adoption| {
-                format!(
-                    "{} for {:.1} s",
-                    adoption.instance,
-                    adoption.age.as_secs_f64()
-                )
-            })
-            .collect();
-        places.extend(
-            self.silent
-                .iter()
-                .map(|name| format!("{name} gave no evidence")),
-        );
-        places.join(", ")
+            .map(|shift| format!("{}: {:.2} percentage points", shift.service, shift.points));
+        let moved: Vec<String> = moved.collect();
+        if moved.is_empty() {
+            return "Traffic moved between regions: not known.".to_owned();
+        }
+        format!("Traffic moved between regions: {}.", moved.join(", "))
+    }
+
+    fn worst_served(&self) -> String {
+        let text = |name: &Option<Arc<str>>, of: fn(&Account) -> &Served| {
+            let Some(name) = name else {
+                return "nobody sent requests".to_owned();
+            };
+            let account = self.accounts.iter().find(|one| one.account == *name);
+            let ran = account.and_then(|one| of(one).goodput);
+            format!("{name} ({} ran)", fraction(ran))
+        };
+        format!(
+            "Worst served before the change: {}; after: {}.",
+            text(&self.worst.before, |one| &one.before),
+            text(&self.worst.after, |one| &one.after)
+        )
+    }
+
+    fn rows_of_refusals(&self) -> impl Iterator<Item = [String; 4]> + '_ {
+        let each = self.accounts.iter().flat_map(|account| {
+            let rows = account.refusals.iter();
+            rows.map(|row| cells_of_refusal(&account.account, row))
+        });
+        let all = self.refusals.iter().map(|row| cells_of_refusal(ALL, row));
+        all.chain(each)
+    }
+
+    fn counted(&self) -> String {
+        let before = match self.windows.before {
+            Span::ZERO => "no instance saw the revision before".to_owned(),
+            span => format!("up to {:.1} s before", span.as_secs_f64()),
+        };
+        let after = self.windows.after.as_secs_f64();
+        format!("Counted over {before} and up to {after:.1} s while it was in force.")
     }
 }
 
-const MOVE: [&str; 4] = ["service", "region", "before", "after"];
-const ACCOUNT: [&str; 7] = [
-    "account",
-    "ran before",
-    "ran after",
-    "p50 before",
-    "p50 after",
-    "p99 before",
-    "p99 after",
-];
-const REFUSAL: [&str; 3] = ["reason", "before", "after"];
+fn cells_of_move(row: &Move) -> [String; 5] {
+    let points = row.before.zip(row.after);
+    [
+        row.place.service.to_string(),
+        row.place.region.to_string(),
+        fraction(row.before),
+        fraction(row.after),
+        points.map_or(NONE.to_owned(), |(before, after)| {
+            format!("{:+.2} points", (after - before) * 100.0)
+        }),
+    ]
+}
 
-fn cells_of_move(row: &Move) -> [String; 4] {
+fn cells_of_headroom(row: &Headroom) -> [String; 5] {
     [
         row.place.service.to_string(),
         row.place.region.to_string(),
-        percent(row.before),
-        percent(row.after),
+        fraction(Some(row.before)),
+        fraction(Some(row.after)),
+        fraction(row.now),
     ]
 }
 
-fn cells_of_account(row: &Account) -> [String; 7] {
+fn cells_of_account(row: &Account) -> [String; 8] {
     [
         row.account.to_string(),
-        percent(row.before.goodput),
-        percent(row.after.goodput),
+        format!("{} / {}", row.before.requests, row.after.requests),
+        fraction(row.before.goodput),
+        fraction(row.after.goodput),
         millis(row.before.p50),
         millis(row.after.p50),
         millis(row.before.p99),
@@ -91,83 +184,29 @@
     ]
 }
 
-fn cells_of_refusal(row: &Refusal) -> [String; 3] {
+fn cells_of_refusal(account: &str, row: &Refusal) -> [String; 4] {
     [
+        account.to_owned(),
         row.reason.to_string(),
-        percent(Some(row.before)),
-        percent(Some(row.after)),
+        fraction(Some(row.before)),
+        fraction(Some(row.after)),
     ]
 }
 
-fn percent(part: Option<f64>) -> String {
-    part.map_or(NONE.to_owned(), |part| format!("{:.2}%", part * 100.0))
-}
-
-fn millis(span: Option<Span>) -> String {
-    span.map_or(NONE.to_owned(), |span| {
-        format!("{:.1} ms", span.as_secs_f64() * 1e3)
-    })
-}
-
-fn section<const N: usize>(
-    title: &str,
-    header: [&str; N],
-    rows: impl Iterator<Item = [String; N]>,
-) -> String {
-    let mut text = format!(
-        "## {title}\n\n| {} |\n|{}\n",
-        header.join(" | "),
-        "---|".repeat(N)
-    );
-    for row in rows {
-        let _ = writeln!(text, "| {} |", row.join(" | "));
-    }
-    text.push('\n');
-    text
-}
-
-fn table<const N: usize>(
-    f: &mut fmt::Formatter<'_>,
-    header: [&str; N],
-    rows: impl Iterator<Item = [String; N]>,
-) -> fmt::Result {
-    let rows: Vec<[String; N]> = rows.collect();
-    let mut widths = header.map(str::len);
-    for row in &rows {
-        for (width, cell) in widths.iter_mut().zip(row) {
-            *width = (*width).max(cell.len());
-        }
-    }
-    line(f, &header.map(str::to_owned), &widths)?;
-    for row in &rows {
-        line(f, row, &widths)?;
-    }
-    writeln!(f)
-}
-
-fn line(f: &mut fmt::Formatter<'_>, cells: &[String], widths: &[usize]) -> fmt::Result {
-    for (cell, width) in cells.iter().zip(widths) {
-        write!(f, "{cell:<width$}  ")?;
-    }
-    writeln!(f)
-}
-
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(
-            f,
-            "revision {} by {}: {}",
-            self.revision, self.author, self.note
-        )?;
+        writeln!(f, "revision {}\n{}", self.revision, self.origin())?;
         writeln!(f, "{}\n", self.difference)?;
-        writeln!(f, "in force: {}\n", self.places())?;
-        table(f, MOVE, self.moves.iter().map(cells_of_move))?;
-        table(f, ACCOUNT, self.accounts.iter().map(cells_of_account))?;
-        writeln!(
-            f,
-            "worst served after the change: {}\n",
-            self.worst.as_deref().unwrap_or(NONE)
-        )?;
-        table(f, REFUSAL, self.refusals.iter().map(cells_of_refusal))
+        writeln!(f, "{}\n", self.places())?;
+        table::write(f, MOVE, self.moves.iter().map(cells_of_move))?;
+        writeln!(f, "{}\n", self.moved())?;
+        if !self.headroom.is_empty() {
+            table::write(f, HEADROOM, self.headroom.iter().map(cells_of_headroom))?;
+            writeln!(f)?;
+        }
+        table::write(f, ACCOUNT, self.accounts.iter().map(cells_of_account))?;
+        writeln!(f, "{}\n", self.worst_served())?;
+        table::write(f, REFUSAL, self.rows_of_refusals())?;
+        writeln!(f, "\n{}\n{LIFETIME}", self.counted())
     }
 }
--- a/crates/sg-report/src/lib.rs
+++ b/crates/sg-report/src/lib.rs
@@ -6,9 +6,12 @@
 #![deny(missing_docs, rust_2018_idioms)]
 
 pub mod counts;
+pub mod drain;
 pub mod explain;
 pub mod latency;
 pub mod status;
+mod table;
+pub mod why;
 
 pub use counts::Counts;
 pub use latency::Latency;
--- a/crates/sg-report/src/status.rs
+++ b/crates/sg-report/src/status.rs
@@ -1,11 +1,16 @@
 //! The state of one instance, and of the fleet at a glance.
 
+mod render;
+mod summary;
+
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
 use sg_tree::Digest;
 use sg_types::prelude::*;
 
+pub use self::summary::{Part, Range, Summary};
+
 /// Whether an instance takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -33,6 +38,22 @@
     pub in_force: Percent,
     /// Unused capacity as a fraction of the whole, as far as it is known.
     pub headroom: Option<f64>,
+    /// Requests of this instance in flight in the region.
+    #[serde(default)]
+    pub in_flight: u32,
+}
+
+/// A target that an instance does not use like the others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// The service.
+    pub service: id::Service,
+    /// The target.
+    pub target: id::Target,
+    /// Why, as `drain`, `leaving`, `failures` and the like.
+    pub why: Arc<str>,
+    /// Requests of this instance that are still in flight on it.
+    pub in_flight: u32,
 }
 
 /// Something that an instance does by itself.
@@ -79,6 +100,9 @@
     pub alive: u32,
     /// Splits between regions.
     pub splits: Vec<Split>,
+    /// The targets that are not used like the others.
+    #[serde(default)]
+    pub held: Vec<Held>,
     /// What it does by itself, and why.
     pub acts: Vec<Act>,
 }
@@ -103,47 +127,6 @@
     }
 }
 
-impl fmt::Display for Fleet {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(
-            f,
-            "{:<14} {:<12} {:<9} {:>8} {:>6} {:>8} {:>6}",
-            "instance", "domain", "state", "revision", "slot", "in hand", "alive"
-        )?;
-        for instance in &self.instances {
-            let slot = instance.slot.map_or("-".into(), |slot| slot.to_string());
-            writeln!(
-                f,
-                "{:<14} {:<12} {:<9} {:>8} {:>6} {:>8} {:>6}",
-                instance.instance,
-                instance.domain,
-                instance.state,
-                instance.revision,
-                slot,
-                instance.in_hand,
-                instance.alive
-            )?;
-        }
-        for missing in &self.missing {
-            writeln!(f, "{missing:<14} does not answer")?;
-        }
-        for instance in &self.instances {
-            if let Some(fault) = &instance.fault {
-                writeln!(
-                    f,
-                    "{}: a later tree was refused: {fault}",
-                    instance.instance
-                )?;
-            }
-        }
-        for (act, names) in self.acts() {
-            let names = shorten(&names, self.instances.len());
-            writeln!(f, "{} {}: {} ({names})", act.what, act.about, act.why)?;
-        }
-        Ok(())
-    }
-}
-
 impl Fleet {
     /// What instances do by themselves, each with the instances that do it.
     #[must_use]
@@ -157,12 +140,3 @@
         acts
     }
 }
-
-/// Names, or `all` if all instances are meant.
-fn shorten(names: &[&id::Instance], all: usize) -> String {
-    if names.len() == all {
-        return "all".to_owned();
-    }
-    let names: Vec<&str> = names.iter().map(|name| name.as_str()).collect();
-    names.join(", ")
-}
--- a/crates/sg-report/tests/report/main.rs
+++ b/crates/sg-report/tests/report/main.rs
@@ -1,11 +1,16 @@
 //! Shows that reports of instances add up, and that a revision's effect reads off them.
 
+mod fleet;
+mod why;
+
 use quickcheck::quickcheck;
 use sg_report::{
     Counts, Latency,
     counts::Place,
     explain::{self, Evidence, Subject, Window},
+    status::Fleet,
 };
+use sg_tree::predict::Prediction;
 use sg_types::prelude::*;
 
 fn counts(north: u64, south: u64, ran: u64, refused: u64) -> Counts {
@@ -50,19 +55,34 @@
         revision: Revision::new(7),
         author: "ann".into(),
         note: "half to the south".into(),
+        accepted: "2026-12-03T20:40:54Z".into(),
         difference: sg_tree::diff::Difference::default(),
+        prediction: Prediction::default(),
     };
     let silent = vec![id::Instance::new("e3").expect("a name")];
-    let report = explain::report(subject, &all, silent);
+    let report = explain::report(subject, &all, silent, &Fleet::default());
     assert_eq!(report.moves[0].before, Some(1.0));
     assert_eq!(report.moves[0].after, Some(0.5));
     assert_eq!(report.accounts[0].after.goodput, Some(0.9));
-    assert_eq!(report.worst.as_deref(), Some("a"));
+    assert_eq!(report.worst.after.as_deref(), Some("a"));
     let markdown = report.to_markdown();
     assert!(
-        markdown.contains("| desk | south | 0.00% | 50.00% |"),
+        markdown.contains("| desk | south | 0.00% | 50.00% | +50.00 points |"),
+        "{markdown}"
+    );
+    assert!(
+        markdown.contains("desk: 50.00 percentage points"),
         "{markdown}"
     );
+    assert!(
+        markdown.contains("| a | over-rate | 0.00% | 10.00% |"),
+        "{markdown}"
+    );
+    assert!(
+        markdown.contains("a (100.00% ran); after: a (90.00% ran)"),
+        "{markdown}"
+    );
+    assert!(markdown.contains("latest 64 revisions"), "{markdown}");
     assert!(markdown.contains("e3 gave no evidence"), "{markdown}");
     assert!(report.to_string().contains("over-rate"), "{report}");
     let json = serde_json::to_string(&report).expect("writes");
@@ -72,6 +92,34 @@
     );
 }
 
+#[test]
+fn the_spread_leaves_out_instances_that_started_later() {
+    let aged = |name, secs, saw_it| {
+        let mut evidence = evidence(name, Counts::default(), Counts::default());
+        evidence.age = Span::from_secs(secs);
+        evidence.before = evidence.before.filter(|_| saw_it);
+        evidence
+    };
+    let all = [
+        aged("e1", 100, true),
+        aged("e2", 98, true),
+        aged("e3", 5, false),
+    ];
+    let subject = Subject {
+        revision: Revision::new(7),
+        author: "ann".into(),
+        accepted: "2026-12-03T20:40:54Z".into(),
+        note: "".into(),
+        difference: sg_tree::diff::Difference::default(),
+        prediction: Prediction::default(),
+    };
+    let report = explain::report(subject, &all, Vec::new(), &Fleet::default());
+    let spread = report.spread.expect("some evidence");
+    assert_eq!(spread.took, Span::from_secs(2));
+    assert_eq!(spread.first, Span::from_secs(100));
+    assert_eq!(spread.last, Span::from_secs(5));
+}
+
 quickcheck! {
     fn a_quantile_is_right_to_within_a_fifth(micros: u32) -> bool {
         let span = Span::from_micros(u64::from(micros % 30_000_000) + 64);
--- a/crates/sg-tree/src/effective.rs
+++ b/crates/sg-tree/src/effective.rs
@@ -31,15 +31,34 @@
 
 impl fmt::Display for Trace {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} = {} ", self.path, self.value)?;
-        match &self.source {
-            Source::Own => f.write_str("(set here)"),
-            Source::Inherited(path) => write!(f, "(inherited from {path})"),
-            Source::Default => f.write_str("(default)"),
+        write!(f, "{} = {} ({})", self.path, self.value, self.source)
+    }
+}
+
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Own => f.write_str("set here"),
+            Self::Inherited(path) => write!(f, "inherited from {path}"),
+            Self::Default => f.write_str("default"),
         }
     }
 }
 
+/// Traces under each other, their values and sources in columns.
+#[must_use]
+pub fn text(traces: &[Trace]) -> String {
+    let paths: Vec<String> = traces.iter().map(|trace| trace.path.to_string()).collect();
+    let path_width = paths.iter().map(String::len).max().unwrap_or_default();
+    let value_width = traces.iter().map(|trace| trace.value.len()).max();
+    let value_width = value_width.unwrap_or_default();
+    let lines = traces.iter().zip(&paths).map(|(trace, path)| {
+        let (value, source) = (&trace.value, &trace.source);
+        format!("{path:<path_width$}  {value:<value_width$}  ({source})")
+    });
+    lines.collect::<Vec<String>>().join("\n")
+}
+
 /// The value in force of the setting at `path`, a node's path and the setting's name.
 #[must_use]
 pub fn trace(root: &Node, path: &Path) -> Option<Trace> {
--- a/crates/sg-tree/src/predict.rs
+++ b/crates/sg-tree/src/predict.rs
@@ -7,6 +7,9 @@
 
 use crate::{View, capacity, promise, view::Service};
 
+/// The least change of headroom that is told, as a fraction.
+const HEADROOM_STEP: f64 = 0.000_5;
+
 /// What a change does to one service in one region.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Region {
@@ -18,6 +21,8 @@
     pub before: Percent,
     /// The region's part of the traffic after.
     pub after: Percent,
+    /// Unused capacity before the change, as a fraction of the whole; negative if overloaded.
+    pub headroom_before: f64,
     /// Unused capacity after the change, as a fraction of the whole; negative if overloaded.
     pub headroom: f64,
     /// How long the shift takes under the cap.
@@ -56,11 +61,12 @@
         for region in &self.regions {
             writeln!(
                 f,
-                "{} in {}: {} -> {} of the traffic, headroom {:.1}%, takes {}",
+                "{} in {}: {} -> {} of the traffic, headroom {:.1}% -> {:.1}%, takes {}",
                 region.service,
                 region.region,
                 region.before,
                 region.after,
+                region.headroom_before * 100.0,
                 region.headroom * 100.0,
                 region.takes
             )?;
@@ -108,27 +114,43 @@
     for (name, capacity) in capacity::of_service(after, service) {
         let was = old.map_or(Percent::ZERO, |old| promise::weight(before, old, &name));
         let now = promise::weight(after, service, &name);
+        let headroom_after = headroom(after, service, &name, demand);
+        let headroom_before = old.map_or(0.0, |old| {
+            headroom(before, old, &name, promise::demand(before, old))
+        });
         let unchanged = old.is_some_and(|old| {
-            was == now && capacity::of_service(before, old).get(&name) == Some(&capacity)
+            was == now
+                && capacity::of_service(before, old).get(&name) == Some(&capacity)
+                && (headroom_after - headroom_before).abs() < HEADROOM_STEP
         });
         if unchanged {
             continue;
         }
-        let load = demand * now.as_f64();
-        let full = capacity.full.as_f64();
-        let headroom = if full > 0.0 { 1.0 - load / full } else { -1.0 };
         regions.push(Region {
             service: service.name.clone(),
             region: name,
             before: was,
             after: now,
-            headroom: if load == 0.0 { 1.0 } else { headroom },
+            headroom_before,
+            headroom: headroom_after,
             takes: shift_time(service, was, now),
         });
     }
     regions
 }
 
+/// The unused part of what the region carries of `service`, by the rates that were sold.
+fn headroom(view: &View, service: &Service, region: &id::Region, demand: f64) -> f64 {
+    let load = demand * promise::weight(view, service, region).as_f64();
+    let carried = capacity::of_service(view, service);
+    let full = carried.get(region).map_or(0.0, |one| one.full.as_f64());
+    match (load > 0.0, full > 0.0) {
+        (false, _) => 1.0,
+        (true, true) => 1.0 - load / full,
+        (true, false) => -1.0,
+    }
+}
+
 /// How long moving from `was` to `now` takes under the service's cap.
 fn shift_time(service: &Service, was: Percent, now: Percent) -> Span {
     let moved = was.as_ppm().abs_diff(now.as_ppm());
--- /dev/null
+++ b/crates/sg/src/change.rs
@@ -0,0 +1,242 @@
+//! Makes a change of the tree: checks it, publishes it, follows it and says what it did.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use serde::Serialize;
+use sg_report::drain::Progress;
+use sg_store::{
+    change,
+    head::{Date, Head},
+    history,
+    key::Key,
+    load, publish,
+};
+use sg_tree::{Fault, Node, compile, diff, fault::Severity, predict, promise};
+use sg_types::prelude::*;
+
+use crate::{Context, Error, Output, fleet};
+
+/// How long to look for an interrupted change in the store.
+const LOOK: Span = Span::from_secs(2);
+
+/// A change to be made.
+#[derive(Debug)]
+pub struct Plan<'a> {
+    /// The revision that the operator changed.
+    pub base: Revision,
+    /// Its tree.
+    pub before: &'a Node,
+    /// The tree to be accepted.
+    pub after: &'a Node,
+    /// A new key, shown once the change is accepted.
+    pub key: Option<&'a Key>,
+}
+
+impl<'a> Plan<'a> {
+    /// A change of the tree that was loaded.
+    #[must_use]
+    pub fn new(loaded: &'a load::Outcome, after: &'a Node) -> Self {
+        Self {
+            base: loaded.head.revision,
+            before: &loaded.tree,
+            after,
+            key: None,
+        }
+    }
+}
+
+/// What a change did.
+#[derive(Debug, Serialize)]
+pub(crate) struct Change {
+    pub accepted: bool,
+    pub revision: Revision,
+    pub change: change::Id,
+    /// Whether an earlier run with the same id had made it already.
+    pub repeated: bool,
+    pub difference: diff::Difference,
+    pub prediction: predict::Prediction,
+    pub warnings: Vec<Fault>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub in_force: Option<fleet::Force>,
+    /// Shown this once.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub key: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub drain: Option<Progress>,
+}
+
+impl Context {
+    /// Checks, publishes and follows a change.
+    ///
+    /// # Errors
+    /// Faults, races, and those of the store.
+    pub async fn change(&self, plan: Plan<'_>) -> Result<Output, Error> {
+        let change = self.make(plan).await?;
+        Ok(change.output())
+    }
+
+    /// Like [`Context::change`], for commands that add to what is printed.
+    pub(crate) async fn make(&self, plan: Plan<'_>) -> Result<Change, Error> {
+        let revision = plan.base.next();
+        let compiled = compile::compile(plan.after, revision)?;
+        let mut warnings = compiled.warnings;
+        warnings.extend(promise::check(&compiled.view));
+        if warnings.iter().any(|one| one.severity == Severity::Error) {
+            return Err(Error::Faults(warnings));
+        }
+        let old = compile::compile(plan.before, plan.base).map(|outcome| outcome.view);
+        let mut change = Change {
+            accepted: false,
+            revision,
+            change: self.change_id(),
+            repeated: false,
+            difference: diff::diff(plan.before, plan.after),
+            prediction: predict::predict(&old.unwrap_or_default(), &compiled.view),
+            warnings,
+            in_force: None,
+            key: None,
+            drain: None,
+        };
+        if !self.dry_run {
+            let head = self.publish(change.change, &plan).await?;
+            change.accepted = true;
+            change.revision = head.revision;
+            change.key = plan.key.map(ToString::to_string);
+            change.in_force = self.follow(head.revision).await;
+        }
+        Ok(change)
+    }
+
+    /// What became of the change that the operator names by `--change`, if the store knows it.
+    ///
+    /// # Errors
+    /// Those of the store.
+    pub(crate) async fn repeated(&self) -> Result<Option<Output>, Error> {
+        let Some(id) = self.change else {
+            return Ok(None);
+        };
+        let store = self.store()?;
+        let heads = history::list(&store).await?;
+        let Some(head) = heads.into_iter().find(|head| head.change == id) else {
+            return Ok(None);
+        };
+        let change = Change {
+            accepted: true,
+            revision: head.revision,
+            change: id,
+            repeated: true,
+            difference: self.difference_of(&head).await?,
+            prediction: predict::Prediction::default(),
+            warnings: Vec::new(),
+            in_force: self.follow(head.revision).await,
+            key: None,
+            drain: None,
+        };
+        Ok(Some(change.output()))
+    }
+
+    async fn difference_of(&self, head: &Head) -> Result<diff::Difference, Error> {
+        let store = self.store()?;
+        let after = load::tree(&store, head).await?;
+        let earlier = Revision::new(head.revision.get().saturating_sub(1));
+        let before = history::load(&store, earlier).await;
+        let before = before.map_or_else(|_| Node::default(), |before| before.tree);
+        Ok(diff::diff(&before, &after))
+    }
+
+    async fn publish(&self, id: change::Id, plan: &Plan<'_>) -> Result<Head, Error> {
+        let options = publish::Options {
+            base: plan.base,
+            author: self.author.clone(),
+            note: self.note.clone(),
+            change: id,
+            time: now(),
+        };
+        let store = self.store()?;
+        self.interrupt.begin_write();
+        let work = publish::publish(&store, plan.after, options);
+        let outcome = tokio::select! {
+            outcome = work => Some(outcome),
+            () = self.interrupt.raised() => None,
+        };
+        match outcome {
+            Some(Ok(outcome)) => Ok(outcome.head),
+            Some(Err(error)) => {
+                Err(Error::publication(error, plan.before).of_key(plan.key.is_some()))
+            }
+            None => Err(self.interrupted(id, plan).await),
+        }
+    }
+
+    /// What is known of a change whose publication was cut off.
+    async fn interrupted(&self, id: change::Id, plan: &Plan<'_>) -> Error {
+        let revision = plan.base.next();
+        let deadline = self.timer.now() + LOOK;
+        let look = async {
+            history::find(&self.store()?, revision)
+                .await
+                .map_err(Error::from)
+        };
+        let found = self.timer.until(deadline, look).await;
+        match found {
+            Ok(Ok(Some(head))) if head.change == id => Error::Interrupted(format!(
+                "interrupted, but the change was accepted as revision {revision} (change {id}); \
+                 'sg tree revert {}' takes it back",
+                plan.base
+            )),
+            Ok(Ok(Some(head))) => Error::Refused(format!(
+                "interrupted: the change was not made, since {} changed the tree to revision \
+                 {revision} first",
+                head.author
+            )),
+            _ => Error::unknown("interrupted", id).of_key(plan.key.is_some()),
+        }
+    }
+
+    /// Waits until the revision is in force everywhere, if the list of instances is known.
+    async fn follow(&self, revision: Revision) -> Option<fleet::Force> {
+        if !self.knows_fleet() {
+            return None;
+        }
+        let fleet = self.fleet().ok()?;
+        let interrupted = self.interrupt.raised();
+        Some(fleet.follow(revision, self.wait(), interrupted).await)
+    }
+}
+
+impl Change {
+    pub(crate) fn output(&self) -> Output {
+        Output::new(self, text(self))
+    }
+}
+
+fn text(change: &Change) -> String {
+    let mut lines = vec![change.difference.to_string()];
+    if !change.repeated {
+        lines.push(change.prediction.to_string().trim_end().to_owned());
+    }
+    lines.extend(change.warnings.iter().map(ToString::to_string));
+    lines.push(verdict(change));
+    lines.extend(change.in_force.as_ref().map(ToString::to_string));
+    let key = change.key.as_ref();
+    lines.extend(key.map(|key| format!("the key, shown this once: {key}")));
+    lines.extend(change.drain.as_ref().map(ToString::to_string));
+    lines.join("\n")
+}
+
+fn verdict(change: &Change) -> String {
+    let (revision, id) = (change.revision, change.change);
+    match (change.accepted, change.repeated) {
+        (false, _) => "not made (--dry-run)".to_owned(),
+        (true, false) => format!("accepted as revision {revision} (change {id})"),
+        (true, true) => format!(
+            "was accepted before, as revision {revision} (change {id}); nothing was changed now"
+        ),
+    }
+}
+
+/// The time by this machine's calendar clock.
+fn now() -> Date {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    Date::from_unix_millis(since.map_or(0, |since| Span::from(since).as_millis()))
+}
--- a/crates/sg/src/context.rs
+++ b/crates/sg/src/context.rs
@@ -1,24 +1,13 @@
-//! What every command needs: the store, the author, how to print.
+//! What every command needs: the store, the fleet, the author.
 
-use std::{
-    net::SocketAddr,
-    sync::Arc,
-    time::{SystemTime, UNIX_EPOCH},
-};
+use std::{net::SocketAddr, sync::Arc};
 
-use serde::Serialize;
 use sg_clock::Timer;
-use sg_store::{
-    change,
-    head::{Date, Head},
-    http,
-    key::Key,
-    load, publish,
-};
-use sg_tree::{Node, compile, diff, fault::Severity, predict, promise};
+use sg_store::{change, http, load};
+use sg_tree::Node;
 use sg_types::prelude::*;
 
-use crate::{Error, Options, fleet};
+use crate::{Error, Interrupt, Options, fleet};
 
 /// The variable that holds the store's addresses, with commas between them.
 const STORE_VARIABLE: &str = "SG_STORE";
@@ -34,31 +23,14 @@
 pub struct Context {
     /// The timer service.
     pub timer: Timer,
-    /// Whether to print JSON.
-    pub json: bool,
+    pub(crate) interrupt: Interrupt,
+    pub(crate) author: Arc<str>,
+    pub(crate) note: Arc<str>,
+    pub(crate) dry_run: bool,
+    pub(crate) change: Option<change::Id>,
     store: Vec<SocketAddr>,
     instances: Option<SocketAddr>,
-    author: Arc<str>,
-    note: Arc<str>,
-    wait: Span,
-    dry_run: bool,
-    change: Option<change::Id>,
-}
-
-/// What a change did, for printing.
-#[derive(Debug, Serialize)]
-struct Change {
-    accepted: bool,
-    revision: Revision,
-    change: change::Id,
-    difference: diff::Difference,
-    prediction: predict::Prediction,
-    warnings: Vec<sg_tree::Fault>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    in_force: Option<fleet::Force>,
-    /// A new key, shown this once.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    key: Option<String>,
+    wait: Option<Span>,
 }
 
 impl Context {
@@ -66,7 +38,7 @@
     ///
     /// # Errors
     /// [`Error::Usage`] if a variable can't be read.
-    pub fn new(options: &Options) -> Result<Self, Error> {
+    pub fn new(options: &Options, interrupt: Interrupt) -> Result<Self, Error> {
         let mut store = options.store.clone();
         if let (true, Ok(text)) = (store.is_empty(), std::env::var(STORE_VARIABLE)) {
             let parsed: Result<_, _> = text.split(',').map(|part| part.trim().parse()).collect();
@@ -81,12 +53,12 @@
         let author = author.or_else(|| std::env::var(USER_VARIABLE).ok());
         Ok(Self {
             timer: Timer::new(),
-            json: options.json,
+            interrupt,
             store,
             instances,
             author: author.unwrap_or_else(|| "unknown".to_owned()).into(),
             note: options.note.clone().unwrap_or_default().into(),
-            wait: options.wait.unwrap_or(WAIT),
+            wait: options.wait,
             dry_run: options.dry_run,
             change: options.change,
         })
@@ -140,128 +112,32 @@
         }
     }
 
-    /// Checks, publishes and follows a change from `before` to `after`; prints what it did.
-    ///
-    /// # Errors
-    /// Faults, races, and those of the store.
-    pub async fn change(&self, base: Revision, before: &Node, after: &Node) -> Result<(), Error> {
-        self.change_with_key(base, before, after, None).await
-    }
-
-    /// Like [`Context::change`], for a change that gives a new key; shows the key once accepted.
-    ///
-    /// # Errors
-    /// Those of [`Context::change`].
-    pub async fn change_with_key(
-        &self,
-        base: Revision,
-        before: &Node,
-        after: &Node,
-        key: Option<&Key>,
-    ) -> Result<(), Error> {
-        let revision = base.next();
-        let compiled = compile::compile(after, revision)?;
-        let mut warnings = compiled.warnings;
-        warnings.extend(promise::check(&compiled.view));
-        if warnings
-            .iter()
-            .any(|fault| fault.severity == Severity::Error)
-        {
-            return Err(Error::Faults(warnings));
-        }
-        let old = compile::compile(before, base).map(|outcome| outcome.view);
-        let id = self.change.unwrap_or_else(change::Id::random);
-        let mut change = Change {
-            accepted: false,
-            revision,
-            change: id,
-            difference: diff::diff(before, after),
-            prediction: predict::predict(&old.unwrap_or_default(), &compiled.view),
-            warnings,
-            in_force: None,
-            key: None,
-        };
-        if !self.dry_run {
-            let head = self.publish(id, base, before, after).await?;
-            change.accepted = true;
-            change.revision = head.revision;
-            change.key = key.map(ToString::to_string);
-            change.in_force = self.follow(&head).await;
-        }
-        self.print(&change, || text(&change));
-        Ok(())
+    /// Whether the address of the list of instances is known.
+    #[must_use]
+    pub fn knows_fleet(&self) -> bool {
+        self.instances.is_some()
     }
 
-    async fn publish(
-        &self,
-        id: change::Id,
-        base: Revision,
-        before: &Node,
-        after: &Node,
-    ) -> Result<Head, Error> {
-        let options = publish::Options {
-            base,
-            author: self.author.clone(),
-            note: self.note.clone(),
-            change: id,
-            time: now(),
-        };
-        let store = self.store()?;
-        let work = publish::publish(&store, after, options);
-        tokio::select! {
-            outcome = work => outcome
-                .map(|outcome| outcome.head)
-                .map_err(|error| Error::publication(error, before)),
-            _ = tokio::signal::ctrl_c() => Err(Error::Unknown(format!(
-                "interrupted: whether change {id} was accepted is not known; look for it with \
-                 'sg tree history', or repeat the command with --change {id}, which takes effect \
-                 once at most"
-            ))),
-        }
+    /// How long the operator waits.
+    #[must_use]
+    pub fn wait(&self) -> Span {
+        self.wait.unwrap_or(WAIT)
     }
 
-    /// Waits until the change is in force everywhere, if the list of instances is known.
-    async fn follow(&self, head: &Head) -> Option<fleet::Force> {
-        self.instances?;
-        let fleet = self.fleet().ok()?;
-        Some(fleet.follow(head.revision, self.wait).await)
+    /// How long the operator said to wait; `None` if nothing was said.
+    #[must_use]
+    pub fn patience(&self) -> Option<Span> {
+        self.wait
     }
 
-    /// Prints `value` as JSON, or the text that `text` makes.
-    pub fn print<T: Serialize>(&self, value: &T, text: impl FnOnce() -> String) {
-        if self.json {
-            println!("{}", serde_json::to_string(value).unwrap_or_default());
-        } else {
-            println!("{}", text().trim_end());
-        }
+    /// The id of the change that is made.
+    pub(crate) fn change_id(&self) -> change::Id {
+        self.change.unwrap_or_else(change::Id::random)
     }
 }
 
-fn text(change: &Change) -> String {
-    let mut lines = vec![change.difference.to_string()];
-    lines.push(change.prediction.to_string().trim_end().to_owned());
-    lines.extend(change.warnings.iter().map(ToString::to_string));
-    lines.push(match change.accepted {
-        true => format!(
-            "accepted as revision {} (change {})",
-            change.revision, change.change
-        ),
-        false => "not made (--dry-run)".to_owned(),
-    });
-    lines.extend(change.in_force.as_ref().map(ToString::to_string));
-    let key = change.key.as_ref();
-    lines.extend(key.map(|key| format!("the key, shown this once: {key}")));
-    lines.join("\n")
-}
-
 fn variable(name: &str, text: &str) -> Error {
     Error::Usage(format!(
         "{name} is '{text}', which is no address; write it like 127.0.0.1:2379"
     ))
 }
-
-/// The time by this machine's calendar clock.
-fn now() -> Date {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    Date::from_unix_millis(since.map_or(0, |since| Span::from(since).as_millis()))
-}
--- a/crates/sg/src/drain.rs
+++ b/crates/sg/src/drain.rs
@@ -1,10 +1,16 @@
-//! `sg drain`: takes a target, failure domain, region or entry out of service.
+//! `sg drain`: takes a target, failure domain, region or entry out of service, and tells how far
+//! that is.
+
+mod place;
+mod safe;
+mod wait;
 
 use std::str::FromStr;
 
-use sg_tree::{Node, Path, setting};
+use sg_tree::setting;
 
-use crate::{Context, Error, options::Drain};
+use self::place::Place;
+use crate::{Context, Error, Output, Plan, options::Drain};
 
 /// What may be drained.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,53 +42,39 @@
 /// Runs `sg drain`.
 ///
 /// # Errors
-/// See [`Error`]; refused if a region would be left with no headroom.
-pub async fn run(context: &Context, options: &Drain) -> Result<(), Error> {
+/// See [`Error`]; refused if a cap would be broken or a region overloaded while work runs there.
+pub async fn run(context: &Context, options: &Drain) -> Result<Output, Error> {
     let (Some(kind), Some(name)) = (options.kind, &options.name) else {
         return Err(Error::Usage("name a kind and a name".to_owned()));
     };
     let loaded = context.load().await?;
-    let place = place(&loaded.tree, kind, name)?;
+    let place = Place::find(&loaded.tree, kind, name)?;
+    if options.status {
+        let drained = place.drained(&loaded.tree);
+        if !drained {
+            return Err(Error::Refused(format!(
+                "{} is not drained in revision {}; 'sg drain' drains it",
+                place.path, loaded.head.revision
+            )));
+        }
+        let scope = place.scope(&loaded.tree)?;
+        let progress = wait::progress(context, &scope, loaded.head.revision).await?;
+        let text = progress.to_string();
+        return Ok(Output::new(&progress, text));
+    }
     let mut after = loaded.tree.clone();
-    let setting = place.join(setting::DRAIN.name);
+    let setting = place.path.join(setting::DRAIN.name);
     if options.undo {
         after.remove(&setting);
-    } else {
-        after.set(&setting, "yes");
+        return context.change(Plan::new(&loaded, &after)).await;
     }
-    context
-        .change(loaded.head.revision, &loaded.tree, &after)
-        .await
-}
-
-/// The node that the drain stands at.
-fn place(tree: &Node, kind: Kind, name: &str) -> Result<Path, Error> {
-    let root = Path::root();
-    let path = match kind {
-        Kind::Region => Some(root.join("regions").join(name)),
-        // An entry need not stand in the tree before it is drained.
-        Kind::Entry => return Ok(root.join("entries").join(name)),
-        Kind::Domain => domain(tree, name),
-        Kind::Target => name.split_once('/').map(|(service, target)| {
-            root.join("services")
-                .join(service)
-                .join("targets")
-                .join(target)
-        }),
-    };
-    path.filter(|path| tree.at(path).is_some()).ok_or_else(|| {
-        Error::Refused(format!(
-            "'{name}' is not in the tree; 'sg tree get' prints the names, and a target is named \
-             SERVICE/TARGET"
-        ))
-    })
-}
-
-fn domain(tree: &Node, name: &str) -> Option<Path> {
-    let regions = Path::root().join("regions");
-    tree.at(&regions)?
-        .children
-        .keys()
-        .map(|region| regions.join(region).join("domains").join(name))
-        .find(|path| tree.at(path).is_some())
+    after.set(&setting, "yes");
+    safe::check(context, &place, &loaded.tree, &after).await?;
+    let mut change = context.make(Plan::new(&loaded, &after)).await?;
+    if change.accepted && context.knows_fleet() {
+        let scope = place.scope(&after)?;
+        // The change stands, whatever is known of its progress.
+        change.drain = wait::progress(context, &scope, change.revision).await.ok();
+    }
+    Ok(change.output())
 }
--- a/crates/sg/src/error.rs
+++ b/crates/sg/src/error.rs
@@ -1,7 +1,6 @@
 //! Why a command failed, and the exit code that says so.
 
-use std::process::ExitCode;
-
+use serde::Serialize;
 use sg_store::{load, publish};
 use sg_tree::{Fault, diff::Difference};
 
@@ -18,6 +17,22 @@
 /// Whether the change took effect is not known.
 pub const UNKNOWN: u8 = 5;
 
+/// An error as programs read it.
+#[derive(Serialize)]
+struct Report<'a> {
+    error: Body<'a>,
+}
+
+#[derive(Serialize)]
+struct Body<'a> {
+    kind: &'static str,
+    message: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    faults: Option<&'a [Fault]>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    theirs: Option<&'a Difference>,
+}
+
 /// Why a command failed.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -60,21 +75,90 @@
     /// Whether the change took effect is not known.
     #[error("{0}")]
     Unknown(String),
+    /// The operator ended the command; the message says what was done.
+    #[error("{0}")]
+    Interrupted(String),
 }
 
 impl Error {
     /// The exit code that tells usage, refusal and outage apart.
     #[must_use]
-    pub fn code(&self) -> ExitCode {
-        let code = match self {
+    pub const fn code(&self) -> u8 {
+        match self {
             Self::Usage(_) | Self::File { .. } => USAGE,
             Self::Unreadable { .. } | Self::Faults(_) | Self::Race { .. } | Self::Refused(_) => {
                 REFUSED
             }
             Self::Outage(_) => OUTAGE,
             Self::Unknown(_) => UNKNOWN,
+            Self::Interrupted(_) => FAILED,
+        }
+    }
+
+    /// The word for the kind of error, for programs.
+    #[must_use]
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Usage(_) => "usage",
+            Self::File { .. } => "file",
+            Self::Unreadable { .. } => "unreadable",
+            Self::Faults(_) => "faults",
+            Self::Race { .. } => "race",
+            Self::Refused(_) => "refused",
+            Self::Outage(_) => "outage",
+            Self::Unknown(_) => "unknown",
+            Self::Interrupted(_) => "interrupted",
+        }
+    }
+
+    /// The error as one JSON object, with the faults or the other operator's difference.
+    #[must_use]
+    pub fn to_json(&self) -> serde_json::Value {
+        let report = Report {
+            error: Body {
+                kind: self.kind(),
+                message: self.to_string(),
+                faults: match self {
+                    Self::Faults(faults) => Some(faults),
+                    _ => None,
+                },
+                theirs: match self {
+                    Self::Race { theirs, .. } => Some(theirs),
+                    _ => None,
+                },
+            },
         };
-        code.into()
+        serde_json::to_value(report).unwrap_or_default()
+    }
+
+    /// The error of loading an earlier revision.
+    pub(crate) fn revision(error: load::Error, revision: sg_types::revision::Revision) -> Self {
+        match error {
+            load::Error::Absent => Self::Refused(format!(
+                "revision {revision} is not kept or was never accepted; 'sg tree history' prints \
+                 the revisions that are kept"
+            )),
+            error => error.into(),
+        }
+    }
+
+    /// A change of which nobody knows whether it took effect.
+    pub(crate) fn unknown(cause: &str, id: sg_store::change::Id) -> Self {
+        Self::Unknown(format!(
+            "{cause}: whether change {id} was accepted is not known; look for it with 'sg tree \
+             history', or repeat the command with --change {id}, which takes effect once at most"
+        ))
+    }
+
+    /// Says what an unknown outcome means for a new key, if the change was to give one.
+    pub(crate) fn of_key(self, key: bool) -> Self {
+        match self {
+            Self::Unknown(message) if key => Self::Unknown(format!(
+                "{message}. The key itself is gone: if the change was accepted, withdraw the key \
+                 and add another one"
+            )),
+            error => error,
+        }
     }
 }
 
@@ -110,7 +194,7 @@
                 theirs: sg_tree::diff::diff(base, &tree),
             },
             publish::Error::Base { .. } => Self::Refused(message),
-            publish::Error::Unknown { .. } => Self::Unknown(message),
+            publish::Error::Unknown { change, cause } => Self::unknown(&cause.to_string(), change),
             publish::Error::Store(error) => error.into(),
             publish::Error::Load(error) => error.into(),
         }
--- a/crates/sg/src/fleet.rs
+++ b/crates/sg/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Asks the instances of the fleet on their admin addresses.
 
-use std::{fmt, net::SocketAddr};
+use std::{fmt, future::Future, net::SocketAddr, pin::pin};
 
 use futures_util::future::join_all;
 use reqwest::redirect;
@@ -14,7 +14,7 @@
 /// How long one instance may take to answer.
 const PATIENCE: Span = Span::from_secs(2);
 /// How often to ask while a change spreads.
-const POLL: Span = Span::from_millis(100);
+pub(crate) const POLL: Span = Span::from_millis(100);
 /// The list of instances, as the platform publishes it.
 const LIST: &str = "/v1/health/service/sassafrasgauge";
 
@@ -156,8 +156,15 @@
         Ok(fleet)
     }
 
-    /// Waits, for `patience` at most, until `revision` or a later one is in force everywhere.
-    pub async fn follow(&self, revision: Revision, patience: Span) -> Force {
+    /// Waits, for `patience` at most, until `revision` or a later one is in force everywhere or
+    /// `interrupted` ends.
+    pub async fn follow(
+        &self,
+        revision: Revision,
+        patience: Span,
+        interrupted: impl Future<Output = ()>,
+    ) -> Force {
+        let mut interrupted = pin!(interrupted);
         let start = self.timer.now();
         loop {
             let fleet = self.status().await.unwrap_or_default();
@@ -167,7 +174,10 @@
             if complete || took >= patience {
                 return force;
             }
-            self.timer.sleep(POLL).await;
+            tokio::select! {
+                () = self.timer.sleep(POLL) => {}
+                () = &mut interrupted => return force,
+            }
         }
     }
 
--- a/crates/sg/src/key.rs
+++ b/crates/sg/src/key.rs
@@ -2,11 +2,11 @@
 
 use serde::Serialize;
 use sg_store::key;
-use sg_tree::{Node, Path};
+use sg_tree::{Node, Path, setting};
 use sg_types::prelude::*;
 
 use crate::{
-    Context, Error,
+    Context, Error, Output, Plan,
     options::{KeyCommand, KeyList, KeyName},
 };
 
@@ -17,11 +17,17 @@
     withdrawn: bool,
 }
 
+/// The keys of a client account.
+#[derive(Debug, Serialize)]
+struct List<'a> {
+    keys: &'a [Listed],
+}
+
 /// Runs one `sg key` command.
 ///
 /// # Errors
 /// See [`Error`].
-pub async fn run(context: &Context, command: &KeyCommand) -> Result<(), Error> {
+pub async fn run(context: &Context, command: &KeyCommand) -> Result<Output, Error> {
     match command {
         KeyCommand::Add(name) => add(context, name).await,
         KeyCommand::Withdraw(name) => withdraw(context, name).await,
@@ -29,10 +35,10 @@
     }
 }
 
-async fn add(context: &Context, name: &KeyName) -> Result<(), Error> {
-    let path = path(name)?;
+async fn add(context: &Context, name: &KeyName) -> Result<Output, Error> {
+    let (account, path) = place(name)?;
     let loaded = context.load().await?;
-    known(&loaded.tree, name)?;
+    known(&loaded.tree, account)?;
     if loaded.tree.at(&path).is_some() {
         return Err(Error::Refused(format!(
             "{path} exists; choose another name for the new key"
@@ -40,14 +46,16 @@
     }
     let key = key::generate();
     let mut after = loaded.tree.clone();
-    after.set(&path.join("digest"), key.digest().to_string());
-    context
-        .change_with_key(loaded.head.revision, &loaded.tree, &after, Some(&key))
-        .await
+    after.set(&path.join(setting::DIGEST.name), key.digest().to_string());
+    let plan = Plan {
+        key: Some(&key),
+        ..Plan::new(&loaded, &after)
+    };
+    context.change(plan).await
 }
 
-async fn withdraw(context: &Context, name: &KeyName) -> Result<(), Error> {
-    let path = path(name)?;
+async fn withdraw(context: &Context, name: &KeyName) -> Result<Output, Error> {
+    let (_, path) = place(name)?;
     let loaded = context.load().await?;
     if loaded.tree.at(&path).is_none() {
         return Err(Error::Refused(format!(
@@ -55,17 +63,16 @@
         )));
     }
     let mut after = loaded.tree.clone();
-    after.set(&path.join("withdrawn"), "yes");
-    context
-        .change(loaded.head.revision, &loaded.tree, &after)
-        .await
+    after.set(&path.join(setting::WITHDRAWN.name), "yes");
+    context.change(Plan::new(&loaded, &after)).await
 }
 
-async fn list(context: &Context, options: &KeyList) -> Result<(), Error> {
+async fn list(context: &Context, options: &KeyList) -> Result<Output, Error> {
     let Some(account) = &options.account else {
         return Err(Error::Usage("name a client account".to_owned()));
     };
     let loaded = context.load().await?;
+    known(&loaded.tree, account)?;
     let keys = Path::root().join("accounts").join(account).join("keys");
     let listed: Vec<Listed> = loaded
         .tree
@@ -76,15 +83,12 @@
             key: name.clone(),
             withdrawn: node
                 .settings
-                .get("withdrawn")
+                .get(setting::WITHDRAWN.name)
                 .is_some_and(|v| v.as_ref() == "yes"),
         })
         .collect();
-    context.print(&listed, || {
-        let lines: Vec<String> = listed.iter().map(line).collect();
-        lines.join("\n")
-    });
-    Ok(())
+    let lines: Vec<String> = listed.iter().map(line).collect();
+    Ok(Output::new(&List { keys: &listed }, lines.join("\n")))
 }
 
 fn line(listed: &Listed) -> String {
@@ -96,23 +100,16 @@
     format!("{}  {state}", listed.key)
 }
 
-fn path(name: &KeyName) -> Result<Path, Error> {
+/// The client account and the key's node.
+fn place(name: &KeyName) -> Result<(&id::Account, Path), Error> {
     let (Some(account), Some(key)) = (&name.account, &name.key) else {
         return Err(Error::Usage("name a client account and a key".to_owned()));
     };
-    Ok(Path::root()
-        .join("accounts")
-        .join(account)
-        .join("keys")
-        .join(key))
+    let keys = Path::root().join("accounts").join(account).join("keys");
+    Ok((account, keys.join(key)))
 }
 
-fn known(tree: &Node, name: &KeyName) -> Result<(), Error> {
-    let account = name
-        .account
-        .as_ref()
-        .map(id::Account::as_str)
-        .unwrap_or_default();
+fn known(tree: &Node, account: &id::Account) -> Result<(), Error> {
     let path = Path::root().join("accounts").join(account);
     if tree.at(&path).is_some() {
         return Ok(());
--- a/crates/sg/src/main.rs
+++ b/crates/sg/src/main.rs
@@ -3,16 +3,15 @@
 use std::process::ExitCode;
 
 use gumdrop::Options as _;
-use sg::{Options, options};
+use sg::{Error, Interrupt, options};
 
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
-    let options = match options::parse(std::env::args().skip(1)) {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let json = args.iter().any(|arg| arg == "--json");
+    let options = match options::parse(args) {
         Ok(options) => options,
-        Err(message) => {
-            eprintln!("sg: {message}");
-            return sg::USAGE.into();
-        }
+        Err(message) => return fail(json, &Error::Usage(message)),
     };
     if options.version {
         println!("sg {}", env!("CARGO_PKG_VERSION"));
@@ -22,16 +21,26 @@
         println!("{}", options::usage(&options));
         return ExitCode::SUCCESS;
     }
-    match sg::run(&options).await {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => fail(&options, &error),
+    match sg::run(&options, Interrupt::new(control_c())).await {
+        Ok(output) => {
+            println!("{}", output.render(json));
+            ExitCode::SUCCESS
+        }
+        Err(error) => fail(json, &error),
+    }
+}
+
+/// Ends when the operator presses Ctrl-C; never, if the system can't tell.
+async fn control_c() {
+    if tokio::signal::ctrl_c().await.is_err() {
+        std::future::pending::<()>().await;
     }
 }
 
-fn fail(options: &Options, error: &sg::Error) -> ExitCode {
-    if options.json {
-        println!("{}", serde_json::json!({ "error": error.to_string() }));
+fn fail(json: bool, error: &Error) -> ExitCode {
+    if json {
+        println!("{}", error.to_json());
     }
     eprintln!("sg: {error}");
-    error.code()
+    error.code().into()
 }
--- a/crates/sg/src/options.rs
+++ b/crates/sg/src/options.rs
@@ -50,7 +50,7 @@
     /// How long to wait until a change is in force everywhere.
     #[options(
         no_short,
-        help = "how long to wait until a change is in force everywhere",
+        help = "how long to wait until a change is in force everywhere, or a drain is done",
         meta = "SPAN"
     )]
     pub wait: Option<Span>,
@@ -95,6 +95,29 @@
     Why(Why),
 }
 
+impl Command {
+    /// Whether the command changes the tree.
+    pub(crate) fn changes(&self) -> bool {
+        match self {
+            Self::Tree(tree) => matches!(
+                tree.command,
+                Some(
+                    TreeCommand::Set(_)
+                        | TreeCommand::Unset(_)
+                        | TreeCommand::Apply(_)
+                        | TreeCommand::Revert(_)
+                )
+            ),
+            Self::Key(key) => matches!(
+                key.command,
+                Some(KeyCommand::Add(_) | KeyCommand::Withdraw(_))
+            ),
+            Self::Drain(drain) => !drain.status,
+            Self::Status(_) | Self::Explain(_) | Self::Why(_) => false,
+        }
+    }
+}
+
 /// `sg tree`.
 #[derive(Debug, gumdrop::Options)]
 pub struct Tree {
@@ -308,6 +331,11 @@
     /// Put it back into service.
     #[options(help = "put it back into service")]
     pub undo: bool,
+    /// Tell how far the drain is and change nothing.
+    #[options(
+        help = "tell how far the drain is and change nothing; with --wait SPAN, until it is done"
+    )]
+    pub status: bool,
     /// What kind of thing.
     #[options(free, required, help = "target, domain, region or entry")]
     pub kind: Option<crate::drain::Kind>,
--- a/crates/sg/src/status.rs
+++ b/crates/sg/src/status.rs
@@ -1,13 +1,29 @@
 //! `sg status`: the fleet at a glance.
 
-use crate::{Context, Error};
+use serde::Serialize;
+use sg_report::status::{Fleet, Part, Summary};
+
+use crate::{Context, Error, Output};
+
+/// The fleet as programs read it.
+#[derive(Debug, Serialize)]
+struct Report<'a> {
+    summary: Summary,
+    parts: Vec<Part>,
+    #[serde(flatten)]
+    fleet: &'a Fleet,
+}
 
 /// Runs `sg status`.
 ///
 /// # Errors
 /// See [`Error`].
-pub async fn run(context: &Context) -> Result<(), Error> {
+pub async fn run(context: &Context) -> Result<Output, Error> {
     let fleet = context.fleet()?.status().await?;
-    context.print(&fleet, || fleet.to_string());
-    Ok(())
+    let report = Report {
+        summary: fleet.summary(),
+        parts: fleet.parts(),
+        fleet: &fleet,
+    };
+    Ok(Output::new(&report, fleet.to_string()))
 }
--- a/crates/sg/src/tree.rs
+++ b/crates/sg/src/tree.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 
+use serde::Serialize;
 use sg_store::{head::Head, history};
 use sg_tree::{
     Fault, Node, Path, compile, diff,
@@ -12,7 +13,7 @@
 use sg_types::prelude::*;
 
 use crate::{
-    Context, Error,
+    Context, Error, Output, Plan,
     options::{Apply, Check, Diff, Get, Revert, Set, TreeCommand, Unset},
 };
 
@@ -20,44 +21,84 @@
 ///
 /// # Errors
 /// See [`Error`].
-pub async fn run(context: &Context, command: &TreeCommand) -> Result<(), Error> {
+pub async fn run(context: &Context, command: &TreeCommand) -> Result<Output, Error> {
     match command {
         TreeCommand::Get(options) => get(context, options).await,
         TreeCommand::Set(options) => set(context, options).await,
         TreeCommand::Unset(options) => unset(context, options).await,
         TreeCommand::Apply(options) => apply(context, options).await,
         TreeCommand::Diff(options) => difference(context, options).await,
-        TreeCommand::Check(options) => check(context, options),
+        TreeCommand::Check(options) => check(options),
         TreeCommand::History(_) => list(context).await,
         TreeCommand::Revert(options) => revert(context, options).await,
         TreeCommand::Reference(_) => {
-            print!("{}", sg_tree::reference::markdown());
-            Ok(())
+            let markdown = sg_tree::reference::markdown();
+            Ok(Output::new(
+                &Reference {
+                    markdown: &markdown,
+                },
+                &*markdown,
+            ))
         }
     }
 }
 
-async fn get(context: &Context, options: &Get) -> Result<(), Error> {
+/// The settings reference, as programs read it.
+#[derive(Serialize)]
+struct Reference<'a> {
+    markdown: &'a str,
+}
+
+/// One setting.
+#[derive(Serialize)]
+struct Setting<'a> {
+    path: &'a Path,
+    value: &'a str,
+}
+
+/// The values in force.
+#[derive(Serialize)]
+struct Effective {
+    settings: Vec<Trace>,
+}
+
+/// A tree that was checked and has no error.
+#[derive(Serialize)]
+struct Checked {
+    warnings: Vec<Fault>,
+}
+
+/// The revisions that are kept.
+#[derive(Serialize)]
+struct Listed {
+    revisions: Vec<Row>,
+}
+
+/// One revision.
+#[derive(Serialize)]
+struct Row {
+    #[serde(flatten)]
+    head: Head,
+    date: String,
+}
+
+async fn get(context: &Context, options: &Get) -> Result<Output, Error> {
     let tree = match options.revision {
         None => context.load().await?.tree,
-        Some(revision) => history::load(&context.store()?, revision).await?.tree,
+        Some(revision) => earlier(context, revision).await?,
     };
     let path = options.path.clone().unwrap_or_default();
     if options.effective {
-        let traces = traces(&tree, &path)?;
-        context.print(&traces, || {
-            let lines: Vec<String> = traces.iter().map(ToString::to_string).collect();
-            lines.join("\n")
-        });
-        return Ok(());
+        let settings = traces(&tree, &path)?;
+        let text = effective::text(&settings);
+        return Ok(Output::new(&Effective { settings }, text));
     }
     if let Some(value) = tree.setting(&path) {
-        context.print(&value, || value.to_owned());
-        return Ok(());
+        let setting = Setting { path: &path, value };
+        return Ok(Output::new(&setting, value));
     }
     let node = tree.at(&path).ok_or_else(|| missing(&path))?;
-    context.print(node, || node.to_json());
-    Ok(())
+    Ok(Output::new(node, node.to_json()))
 }
 
 /// The values in force at or below a node, or of one setting.
@@ -75,42 +116,50 @@
     ))
 }
 
-async fn set(context: &Context, options: &Set) -> Result<(), Error> {
+async fn set(context: &Context, options: &Set) -> Result<Output, Error> {
     let (Some(path), Some(value)) = (&options.path, &options.value) else {
         return Err(Error::Usage("give a path and a value".to_owned()));
     };
     let (revision, before) = context.load_or_empty().await?;
     let mut after = before.clone();
     after.set(path, value);
-    context.change(revision, &before, &after).await
+    let plan = Plan {
+        base: revision,
+        before: &before,
+        after: &after,
+        key: None,
+    };
+    context.change(plan).await
 }
 
-async fn unset(context: &Context, options: &Unset) -> Result<(), Error> {
+async fn unset(context: &Context, options: &Unset) -> Result<Output, Error> {
     let path = options.path.clone().unwrap_or_default();
     let loaded = context.load().await?;
     let mut after = loaded.tree.clone();
     if !after.remove(&path) {
         return Err(missing(&path));
     }
-    context
-        .change(loaded.head.revision, &loaded.tree, &after)
-        .await
+    context.change(Plan::new(&loaded, &after)).await
 }
 
-async fn apply(context: &Context, options: &Apply) -> Result<(), Error> {
+async fn apply(context: &Context, options: &Apply) -> Result<Output, Error> {
     let after = read(&options.file.clone().unwrap_or_default())?;
     let (revision, before) = context.load_or_empty().await?;
-    context.change(revision, &before, &after).await
+    let plan = Plan {
+        base: revision,
+        before: &before,
+        after: &after,
+        key: None,
+    };
+    context.change(plan).await
 }
 
-async fn revert(context: &Context, options: &Revert) -> Result<(), Error> {
+async fn revert(context: &Context, options: &Revert) -> Result<Output, Error> {
     let revision = options.revision.unwrap_or_default();
     let loaded = context.load().await?;
-    let earlier = history::load(&context.store()?, revision).await?;
-    let after = keep_keys(earlier.tree, &loaded.tree);
-    context
-        .change(loaded.head.revision, &loaded.tree, &after)
-        .await
+    let earlier = earlier(context, revision).await?;
+    let after = keep_keys(earlier, &loaded.tree);
+    context.change(Plan::new(&loaded, &after)).await
 }
 
 /// The earlier tree with the keys of the accepted one, so that no withdrawn key works again.
@@ -133,12 +182,18 @@
     earlier
 }
 
-async fn difference(context: &Context, options: &Diff) -> Result<(), Error> {
+async fn difference(context: &Context, options: &Diff) -> Result<Output, Error> {
     let before = side(context, options.before.as_deref()).await?;
     let after = side(context, options.after.as_deref()).await?;
     let difference = diff::diff(&before, &after);
-    context.print(&difference, || difference.to_string());
-    Ok(())
+    Ok(Output::new(&difference, difference.to_string()))
+}
+
+/// The tree of an earlier revision.
+async fn earlier(context: &Context, revision: Revision) -> Result<Node, Error> {
+    let loaded = history::load(&context.store()?, revision).await;
+    let loaded = loaded.map_err(|error| Error::revision(error, revision))?;
+    Ok(loaded.tree)
 }
 
 /// A revision's number, a file's name, or the accepted revision.
@@ -147,12 +202,12 @@
         return Ok(context.load().await?.tree);
     };
     match text.parse::<Revision>() {
-        Ok(revision) => Ok(history::load(&context.store()?, revision).await?.tree),
+        Ok(revision) => earlier(context, revision).await,
         Err(_) => read(&PathBuf::from(text)),
     }
 }
 
-fn check(context: &Context, options: &Check) -> Result<(), Error> {
+fn check(options: &Check) -> Result<Output, Error> {
     let tree = read(&options.file.clone().unwrap_or_default())?;
     let outcome = compile::compile(&tree, Revision::new(1))?;
     let mut faults = outcome.warnings;
@@ -160,8 +215,8 @@
     if faults.iter().any(|fault| fault.severity == Severity::Error) {
         return Err(Error::Faults(faults));
     }
-    context.print(&faults, || report(&faults));
-    Ok(())
+    let text = report(&faults);
+    Ok(Output::new(&Checked { warnings: faults }, text))
 }
 
 fn report(faults: &[Fault]) -> String {
@@ -170,13 +225,17 @@
     lines.join("\n")
 }
 
-async fn list(context: &Context) -> Result<(), Error> {
+async fn list(context: &Context) -> Result<Output, Error> {
     let heads = history::list(&context.store()?).await?;
-    context.print(&heads, || {
-        let lines: Vec<String> = heads.iter().map(line).collect();
-        lines.join("\n")
+    let lines: Vec<String> = heads.iter().map(line).collect();
+    let rows = heads.into_iter().map(|head| Row {
+        date: head.time.to_string(),
+        head,
     });
-    Ok(())
+    let listed = Listed {
+        revisions: rows.collect(),
+    };
+    Ok(Output::new(&listed, lines.join("\n")))
 }
 
 fn line(head: &Head) -> String {
