--- a/crates/sg-share/src/engine/mod.rs
+++ b/crates/sg-share/src/engine/mod.rs
@@ -25,6 +25,8 @@
 
 /// Runs that were silent for this long are forgotten.
 const FORGET: Span = Span::from_secs(600);
+/// The shortest time between rounds of requests that refused takes call for.
+const POLL_GAP: Span = Span::from_millis(10);
 /// The budget of a ledger that was removed from the settings.
 const NOTHING: Budget = Budget {
     rate: Rate::ZERO,
@@ -81,6 +83,7 @@
     leaving: bool,
     /// Whether a take was refused that a loan may help.
     pressed: bool,
+    polled: Option<Instant>,
     counters: report::Counters,
 }
 
@@ -118,6 +121,7 @@
             sought_at: now,
             leaving: false,
             pressed: false,
+            polled: None,
             counters: report::Counters::default(),
         }
     }
@@ -193,14 +197,18 @@
         self.confirm(now, &mut actions);
         self.move_share(now, &mut actions);
         self.refresh(now);
-        self.check(now);
+        self.ledgers.retain(|_, ledger| !ledger.is_over());
         actions
     }
 
-    /// Does work that refused takes called for. To be called when [`Exhausted::may_borrow`] is set.
+    /// Does work that refused takes called for. To be called when [`Exhausted::may_borrow`] is set;
+    /// calls that come at once are cheap.
     pub fn poll(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
-        if std::mem::take(&mut self.pressed) {
+        let is_soon = self.polled.is_some_and(|last| now.since(last) < POLL_GAP);
+        if self.pressed && !is_soon {
+            self.pressed = false;
+            self.polled = Some(now);
             self.request_all(now, &mut actions);
             self.nudge_all(now, &mut actions);
         }
@@ -348,16 +356,6 @@
         self.valid_until = until;
     }
 
-    /// Asserts what must always hold.
-    fn check(&mut self, now: Instant) {
-        let terms = self.terms();
-        self.ledgers.retain(|_, ledger| !ledger.is_over());
-        for ledger in self.ledgers.values_mut() {
-            ledger.settle(now, terms);
-            ledger.check(now, terms);
-        }
-    }
-
     /// Chooses the peers to ask for share anew: holders of slots, or anyone while none is known.
     fn reconnect(&mut self) {
         let holders = self.registry.holders().cloned();
