--- a/crates/sg-forward/examples/ratio.rs
+++ b/crates/sg-forward/examples/ratio.rs
@@ -195,6 +195,16 @@
     pages.unwrap_or(0) * PAGE
 }
 
+/// Processor time that this process has used.
+fn processor() -> Duration {
+    const TICK: Duration = Duration::from_millis(10);
+    let text = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let after_name = text.rsplit(") ").next().unwrap_or_default();
+    let fields = after_name.split(' ').skip(11).take(2);
+    let ticks: u32 = fields.filter_map(|field| field.parse::<u32>().ok()).sum();
+    TICK * ticks
+}
+
 /// Bytes for each idle connection that had one request, the caller's end included, and the
 /// connections.
 async fn idle_memory(address: SocketAddr) -> (u64, Vec<TcpStream>) {
@@ -261,12 +271,22 @@
     tokio::spawn(Server::new_with_acceptor(acceptor).run(forward));
 
     let (mut bare_took, mut path_took) = (Vec::new(), Vec::new());
+    let (mut bare_used, mut path_used) = (Duration::ZERO, Duration::ZERO);
     turn(path).await;
     turn(bare).await;
     for _ in 0..TURNS {
+        let start = processor();
         bare_took.extend(turn(bare).await);
+        let middle = processor();
         path_took.extend(turn(path).await);
+        bare_used += middle.saturating_sub(start);
+        path_used += processor().saturating_sub(middle);
     }
+    let each = |used: Duration, took: &[Duration]| used / took.len().max(1) as u32;
+    let (bare_each, path_each) = (each(bare_used, &bare_took), each(path_used, &path_took));
+    println!(
+        "processor time a request, both ends included: bare {bare_each:?}, path {path_each:?}"
+    );
     let bare_rate = print("bare pass-through", bare_took);
     let path_rate = print("request path", path_took);
     println!("ratio {:.3}", path_rate / bare_rate);
--- a/crates/sg-forward/src/answer.rs
+++ b/crates/sg-forward/src/answer.rs
@@ -92,7 +92,8 @@
 ) -> Result<Option<Content>, Step> {
     let silent = timer.now() + bounds.progress;
     let until = silent.min(bounds.deadline);
-    match timer.until(until, response.chunk()).await {
+    let part = std::pin::pin!(response.chunk());
+    match timer.until(until, part).await {
         Ok(Ok(part)) => Ok(part),
         Ok(Err(_)) => Err(Step::Cut),
         Err(_) if until == bounds.deadline => Err(Step::Late),
--- a/crates/sg-forward/src/body.rs
+++ b/crates/sg-forward/src/body.rs
@@ -40,7 +40,7 @@
     bounds: Bounds,
     held: &mut Held,
 ) -> Result<Whole, Reason> {
-    let reading = gather(&mut body, bounds.limit, held);
+    let reading = std::pin::pin!(gather(&mut body, bounds.limit, held));
     timer
         .until(bounds.until, reading)
         .await
--- a/crates/sg-forward/src/check.rs
+++ b/crates/sg-forward/src/check.rs
@@ -58,7 +58,7 @@
     line: Line,
     headers: HeaderMap,
     trace: &mut Trace,
-) -> Result<Head, Refused> {
+) -> Result<Box<Head>, Refused> {
     let view = view(shared, trace)?;
     let terms = route(&view, &line, &headers, trace)?;
     let holder = holder(&view, &line, &headers, &terms)?;
@@ -131,7 +131,7 @@
     terms: Terms,
     holder: Option<Holder>,
     arrived: Instant,
-) -> Result<Head, Refused> {
+) -> Result<Box<Head>, Refused> {
     if terms.keyed && !shared.gates.freshness().is_fresh(shared.timer.now()) {
         return Err(Reason::Stale.into());
     }
@@ -146,7 +146,7 @@
     }
     let wanted = headers::number(&headers, &headers::DEADLINE).map(Span::from_millis);
     let allowed = wanted.map_or(terms.deadline, |wanted| wanted.min(terms.deadline));
-    Ok(Head {
+    Ok(Box::new(Head {
         path: path.into(),
         view,
         holder,
@@ -156,5 +156,5 @@
         deadline: arrived + allowed,
         terms,
         relayed: false,
-    })
+    }))
 }
--- a/crates/sg-forward/src/once.rs
+++ b/crates/sg-forward/src/once.rs
@@ -96,7 +96,7 @@
 pub async fn serve<P: Parts>(
     shared: &Arc<Shared<P>>,
     view: &View,
-    call: Call,
+    call: Box<Call>,
     ticket: &Ticket,
     trace: &mut Trace,
 ) -> Reply {
@@ -129,7 +129,7 @@
 /// Runs the request in a task of its own, so that it ends and is recorded whatever its caller does.
 async fn go<P: Parts>(
     shared: &Arc<Shared<P>>,
-    call: Call,
+    call: Box<Call>,
     ticket: &Ticket,
     permit: Permit,
     trace: &mut Trace,
@@ -145,7 +145,7 @@
 
 async fn finish<P: Parts>(
     shared: Arc<Shared<P>>,
-    call: Call,
+    call: Box<Call>,
     ticket: Ticket,
     permit: Permit,
     sender: oneshot::Sender<Ran>,
--- a/crates/sg-forward/src/path.rs
+++ b/crates/sg-forward/src/path.rs
@@ -73,7 +73,7 @@
 
 async fn proceed<P: Parts>(
     shared: &Arc<Shared<P>>,
-    head: Head,
+    head: Box<Head>,
     body: Body,
     link: Option<Arc<Link>>,
     trace: &mut Trace,
@@ -99,11 +99,13 @@
     if let Some(reply) = quarantined(shared, &call) {
         return reply;
     }
+    // The rarer ways are boxed, so that the usual one has a small future.
     match standing {
         Standing::Repeatable => repeatable(shared, &view, call, trace).await,
-        Standing::Mine(ticket) => once::serve(shared, &view, call, &ticket, trace).await,
-        Standing::Started(ticket) => once::serve(shared, &view, call, &ticket, trace).await,
-        Standing::Other(ticket) => relay::pass(shared, call, &relayed, &ticket).await,
+        Standing::Mine(ticket) | Standing::Started(ticket) => {
+            Box::pin(once::serve(shared, &view, call, &ticket, trace)).await
+        }
+        Standing::Other(ticket) => Box::pin(relay::pass(shared, call, &relayed, &ticket)).await,
     }
 }
 
@@ -125,11 +127,11 @@
 /// Reads the body and makes the request ready for a target.
 async fn read<P: Parts>(
     shared: &Shared<P>,
-    head: Head,
+    head: Box<Head>,
     body: Incoming,
     link: Option<Arc<Link>>,
     trace: &Trace,
-) -> Result<Call, Reason> {
+) -> Result<Box<Call>, Reason> {
     let until = shared.timer.now() + head.terms.body_timeout;
     let bounds = body::Bounds {
         limit: head.terms.body_limit,
@@ -142,7 +144,7 @@
     }
     let account = head.holder.as_ref().map(|holder| &holder.account);
     let fingerprint = call::fingerprint(account, &head.method, &head.path, &whole.content);
-    Ok(Call {
+    Ok(Box::new(Call {
         id: trace.request.clone(),
         arrived: trace.arrived,
         deadline: head.deadline,
@@ -152,7 +154,7 @@
         outgoing: call::outgoing(head.method, head.url, head.headers, whole.content),
         held,
         link,
-    })
+    }))
 }
 
 fn leaks_in_trailers(headers: &HeaderMap, trailers: Option<&HeaderMap>) -> bool {
@@ -173,7 +175,7 @@
 async fn repeatable<P: Parts>(
     shared: &Arc<Shared<P>>,
     view: &sg_tree::View,
-    call: Call,
+    call: Box<Call>,
     trace: &mut Trace,
 ) -> Reply {
     let permit = match admit::admit(shared, view, &call).await {
--- a/crates/sg-forward/src/relay.rs
+++ b/crates/sg-forward/src/relay.rs
@@ -41,7 +41,7 @@
 /// Passes the request to the ticket's issuer and its answer back.
 pub async fn pass<P: Parts>(
     shared: &Arc<Shared<P>>,
-    call: Call,
+    call: Box<Call>,
     relayed: &Relayed,
     ticket: &Ticket,
 ) -> Reply {
@@ -138,7 +138,7 @@
 /// The answer of the issuer, passed on; `None` if it is not one of an instance.
 fn back<P: Parts>(
     shared: &Arc<Shared<P>>,
-    call: Call,
+    call: Box<Call>,
     bounds: Bounds,
     answer: Answer,
 ) -> Option<Reply> {
@@ -193,7 +193,7 @@
     outer: &Line,
     mut headers: HeaderMap,
     trace: &mut Trace,
-) -> Result<Head, Refused> {
+) -> Result<Box<Head>, Refused> {
     if outer.method != Method::POST {
         return Err(Reason::NoRoute.into());
     }
--- a/crates/sg-forward/src/run.rs
+++ b/crates/sg-forward/src/run.rs
@@ -39,7 +39,7 @@
 }
 
 /// Sends the request until an answer is good or nothing more may be tried.
-pub async fn run<P: Parts>(shared: &Arc<Shared<P>>, call: Call, permit: Permit) -> Ran {
+pub async fn run<P: Parts>(shared: &Arc<Shared<P>>, call: Box<Call>, permit: Permit) -> Ran {
     let started = shared.timer.now();
     let mut work = Work {
         shared,
@@ -59,7 +59,7 @@
 
 struct Work<'a, P: Parts> {
     shared: &'a Arc<Shared<P>>,
-    call: Call,
+    call: Box<Call>,
     permit: Option<Permit>,
     history: History,
     tried: Vec<id::Target>,
--- a/crates/sg-forward/src/upstream.rs
+++ b/crates/sg-forward/src/upstream.rs
@@ -70,7 +70,8 @@
         };
         let client = client.map_err(|_| Step::ConnectFailed)?;
         let request = outgoing.to(address).ok_or(Step::ConnectFailed)?;
-        match timer.until(deadline, client.execute(request)).await {
+        let answer = std::pin::pin!(client.execute(request));
+        match timer.until(deadline, answer).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(error)) if error.is_connect() => Err(Step::ConnectFailed),
             Ok(Err(_)) => Err(Step::Lost),
