--- a/crates/sg-forward/src/lib.rs
+++ b/crates/sg-forward/src/lib.rs
@@ -15,6 +15,7 @@
 mod call;
 mod canonical;
 mod check;
+mod counts;
 pub mod fair;
 pub mod forward;
 pub mod gate;
--- a/crates/sg-forward/src/run.rs
+++ b/crates/sg-forward/src/run.rs
@@ -21,6 +21,11 @@
     upstream::Connection,
 };
 
+/// How long a request waits in all for share of a region's capacity.
+const CAPACITY_WAIT: Span = Span::from_millis(300);
+/// How long it waits before it asks again.
+const CAPACITY_STEP: Span = Span::from_millis(20);
+
 /// What came of a request.
 #[derive(Debug)]
 pub struct Ran {
@@ -71,7 +76,7 @@
 impl<P: Parts> Work<'_, P> {
     async fn run(&mut self) -> Reply {
         loop {
-            let attempt = match self.start() {
+            let attempt = match self.start_or_wait().await {
                 Ok(attempt) => attempt,
                 Err(reason) => {
                     self.history.refuse(reason);
@@ -91,18 +96,42 @@
         Reply::refusal(outcome, reason)
     }
 
-    /// Starts an attempt, after the last checks before bytes leave.
-    fn start(&mut self) -> Result<AttemptOf<P>, Reason> {
+    /// Starts an attempt; waits a moment for share of a region's capacity to arrive from peers.
+    async fn start_or_wait(&mut self) -> Result<AttemptOf<P>, Reason> {
+        let timer = self.shared.timer.clone();
+        let give_up = self.call.deadline.min(timer.now() + CAPACITY_WAIT);
+        let mut asked = false;
+        loop {
+            match self.start(asked) {
+                Err(Reason::RegionFull) if timer.now() + CAPACITY_STEP < give_up => {
+                    self.shared.metric.capacity_waits.inc();
+                    timer.sleep(CAPACITY_STEP).await;
+                    asked = true;
+                }
+                started => return started,
+            }
+        }
+    }
+
+    /// Starts an attempt, after the last checks before bytes leave. `asked`: steering refused the
+    /// same attempt a moment ago.
+    fn start(&mut self, asked: bool) -> Result<AttemptOf<P>, Reason> {
         let call = &self.call;
         self.shared
             .allows(&call.terms, call.holder.as_ref(), call.deadline)?;
         let now = self.shared.timer.now();
-        let attempt = self.shared.gates.steer().start(Ask {
+        let ask = Ask {
             service: &call.terms.service,
             tried: &self.tried,
             now,
             fingerprint: call.fingerprint,
-        })?;
+        };
+        let steer = self.shared.gates.steer();
+        let attempt = if asked {
+            steer.start_again(ask)?
+        } else {
+            steer.start(ask)?
+        };
         self.check_invariants(attempt.target())?;
         self.tried.push(attempt.target().clone());
         self.attempts.push(journal::Attempt {
