--- a/crates/sg-tree/src/view.rs
+++ b/crates/sg-tree/src/view.rs
@@ -36,10 +36,8 @@
 pub struct Fleet {
     /// How many slots hold a base share.
     pub slots: u32,
-    /// How long a confirmation is good.
+    /// How long the knowledge that no key was withdrawn is good.
     pub validity: Span,
-    /// How often shares move.
-    pub share_interval: Span,
     /// Relays a failure domain.
     pub relays: u32,
     /// How long a look-up's answer may be cached.
@@ -147,8 +145,9 @@
 pub struct Method(Option<Arc<str>>);
 
 impl Method {
-    pub(crate) fn new(text: Arc<str>) -> Self {
-        Self((!text.eq_ignore_ascii_case("any")).then_some(text))
+    pub(crate) fn new(text: &str) -> Self {
+        let named = !text.eq_ignore_ascii_case("any");
+        Self(named.then(|| text.to_ascii_uppercase().into()))
     }
 
     /// Whether the route takes `method`.
@@ -158,6 +157,15 @@
             .as_deref()
             .is_none_or(|wanted| wanted.eq_ignore_ascii_case(method))
     }
+
+    /// Whether some method is taken by both.
+    #[must_use]
+    pub fn overlaps(&self, other: &Self) -> bool {
+        match (&self.0, &other.0) {
+            (Some(_), Some(theirs)) => self.accepts(theirs),
+            _ => true,
+        }
+    }
 }
 
 /// A route of a service.
