fix(scripts): a fleet is up only when all its processes live

A store of another fleet on the same address let the demo go on against it. Now the script looks whether each process that it started still lives and prints the log of one that has ended.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -42,6 +42,18 @@
     fleet_start "$1" "$BIN/sg-entry" --settings "$EXAMPLE/$1.json"
 }
 
+# fleet_alive: fails, with the logs, when a process has ended, for instance for a taken address.
+fleet_alive() {
+    local name
+    for name in "${!PID[@]}"; do
+        if ! kill -0 "${PID[$name]}" 2>/dev/null; then
+            echo "$name has ended; its log is:" >&2
+            tail -n 3 "$RUN/$name.log" >&2
+            return 1
+        fi
+    done
+}
+
 # fleet_listens ADDRESS: waits until something listens there.
 fleet_listens() {
     local tenths
@@ -64,6 +76,7 @@
     fleet_listens "$STORE" || return 1
     fleet_listens "$LIST" || return 1
     fleet_listens "127.0.0.1:${BASE}501" || return 1
+    fleet_alive || return 1
     if ! "$BIN/sg" tree apply "$EXAMPLE/tree.json" --store "$STORE" --author "$USER_NAME" \
         >"$RUN/sg.log" 2>&1; then
         echo "the tree was not accepted:" >&2
@@ -73,6 +86,10 @@
     for ((n = 1; n <= ENTRIES; n++)); do
         fleet_start_entry "entry-$n"
     done
+    for ((n = 1; n <= ENTRIES; n++)); do
+        fleet_listens "127.0.0.1:${BASE}10$n" || return 1
+    done
+    fleet_alive
 }
 
 # fleet_act VERB ARGUMENT...: does what a schedule of faults asks of processes and of the tree.
