feat(sg): drains under what is left; tests of every command against stand-ins

Cause: users have two failure domains a region, so the check for the loss of one refused every planned drain of the other, and while it stood it refused each later change too, the withdrawal of a key included. Ruled out: leaving the check out for sg drain, since the next change of anything would be refused. Conclusion: the loss of a failure domain is judged as if nothing were drained; what is left by drains has to carry the load with the service's headroom unused (error), and a loss on top is a warning. A fault that stood before holds up no change.

--- a/crates/sg-tree/src/capacity.rs
+++ b/crates/sg-tree/src/capacity.rs
@@ -11,6 +11,8 @@
     pub full: Rate,
     /// After the loss of the failure domain that carries most.
     pub degraded: Rate,
+    /// The same, if no target were drained.
+    pub undrained: Rate,
 }
 
 /// The capacity of each region for `service`, in the order of the tree.
@@ -19,11 +21,18 @@
     view.regions
         .iter()
         .map(|(name, region)| {
-            let domains = region
-                .domains
-                .iter()
-                .map(|domain| of_domain(service, domain));
-            (name.clone(), sum(domains))
+            let rates = |drained| {
+                let domains = region.domains.iter();
+                domains.map(move |domain| of_domain(service, domain, drained))
+            };
+            let (full, degraded) = sum(rates(false));
+            let (_, undrained) = sum(rates(true));
+            let capacity = Capacity {
+                full,
+                degraded,
+                undrained,
+            };
+            (name.clone(), capacity)
         })
         .collect()
 }
@@ -49,21 +58,20 @@
     Rate::from_micros(micros)
 }
 
-fn sum(domains: impl Iterator<Item = Rate>) -> Capacity {
+/// The sum of the failure domains' rates, with all and without the greatest.
+fn sum(domains: impl Iterator<Item = Rate>) -> (Rate, Rate) {
     let (full, most) = domains.fold((0, 0), |(sum, most), rate| {
         (sum + rate.as_micros(), most.max(rate.as_micros()))
     });
-    Capacity {
-        full: Rate::from_micros(full),
-        degraded: Rate::from_micros(full - most),
-    }
+    (Rate::from_micros(full), Rate::from_micros(full - most))
 }
 
-fn of_domain(service: &Service, domain: &id::Domain) -> Rate {
+/// What the service's targets in `domain` carry, the drained ones included if `drained`.
+fn of_domain(service: &Service, domain: &id::Domain, drained: bool) -> Rate {
     let slots: u64 = service
         .targets
         .values()
-        .filter(|target| target.domain == *domain && !target.drain)
+        .filter(|target| target.domain == *domain && (drained || !target.drain))
         .map(|target| u64::from(target.slots))
         .sum();
     let time = service.service_time.as_secs_f64().max(1e-6);
--- a/crates/sg-tree/src/promise/region.rs
+++ b/crates/sg-tree/src/promise/region.rs
@@ -82,7 +82,8 @@
     })
 }
 
-/// The region would be left with no headroom after losing a failure domain.
+/// The region would be left with no headroom after losing a failure domain. What is drained is out
+/// for a while only: then the rest has to carry the load, and a loss on top of it is warned of.
 fn overload(
     service: &Service,
     region: &id::Region,
@@ -90,19 +91,41 @@
     load: f64,
 ) -> Option<Fault> {
     let path = service_path(service).join("split").join(region);
-    let degraded = capacity.degraded.as_f64();
-    let usable = degraded * (1.0 - service.headroom.as_f64());
-    if load > degraded {
+    let usable = |rate: Rate| rate.as_f64() * (1.0 - service.headroom.as_f64());
+    let degraded = capacity.degraded;
+    let is_drained = capacity.undrained != degraded;
+    if is_drained && load > usable(capacity.full) {
         return Some(Fault::error(
             path,
             format!(
-                "after losing a failure domain the region carries {}, and {load:.1}/s may come",
-                capacity.degraded
+                "with its drains the region carries {}, less {} headroom, and {load:.1}/s may \
+                 come; after losing a failure domain it carries {degraded}",
+                capacity.full, service.headroom
+            ),
+            "lower the region's weight first, or drain less",
+        ));
+    }
+    if load > capacity.undrained.as_f64() {
+        return Some(Fault::error(
+            path,
+            format!(
+                "after losing a failure domain the region carries {degraded}, and {load:.1}/s may \
+                 come"
             ),
             "lower the region's weight, or add targets in another of its failure domains",
         ));
     }
-    (load > usable).then(|| {
+    if load > degraded.as_f64() {
+        return Some(Fault::warning(
+            path,
+            format!(
+                "while it is drained, losing a failure domain leaves {degraded} of the region, and \
+                 {load:.1}/s may come"
+            ),
+            "lower the region's weight until the drain is undone, or keep the drain short",
+        ));
+    }
+    (load > usable(degraded)).then(|| {
         Fault::warning(
             path,
             format!(
--- a/crates/sg-tree/tests/tree/promise.rs
+++ b/crates/sg-tree/tests/tree/promise.rs
@@ -81,6 +81,19 @@
         "/services/desk/split/a",
         "after losing a failure domain the region carries 200/s",
     ),
+    error(
+        &[
+            ("/regions/a/domains/a1/drain", "yes"),
+            ("/accounts/rate", "190/s"),
+        ],
+        "/services/desk/split/a",
+        "with its drains the region carries 200/s, less 10%",
+    ),
+    warning(
+        &[("/regions/a/domains/a1/drain", "yes")],
+        "/services/desk/split/a",
+        "while it is drained, losing a failure domain leaves 0/s",
+    ),
     warning(
         &[("/accounts/rate", "190/s")],
         "/services/desk/split/a",
--- a/crates/sg/src/change.rs
+++ b/crates/sg/src/change.rs
@@ -79,19 +79,20 @@
     pub(crate) async fn make(&self, plan: Plan<'_>) -> Result<Change, Error> {
         let revision = plan.base.next();
         let compiled = compile::compile(plan.after, revision)?;
+        let old = compile::compile(plan.before, plan.base).map(|outcome| outcome.view);
+        let old = old.unwrap_or_default();
         let mut warnings = compiled.warnings;
         warnings.extend(promise::check(&compiled.view));
-        if warnings.iter().any(|one| one.severity == Severity::Error) {
+        if refused(&warnings, &promise::check(&old)) {
             return Err(Error::Faults(warnings));
         }
-        let old = compile::compile(plan.before, plan.base).map(|outcome| outcome.view);
         let mut change = Change {
             accepted: false,
             revision,
             change: self.change_id(),
             repeated: false,
             difference: diff::diff(plan.before, plan.after),
-            prediction: predict::predict(&old.unwrap_or_default(), &compiled.view),
+            prediction: predict::predict(&old, &compiled.view),
             warnings,
             in_force: None,
             key: None,
@@ -204,6 +205,13 @@
     }
 }
 
+/// Whether there is an error that did not stand before. A standing one must not hold up what has
+/// nothing to do with it, such as the withdrawal of a key.
+fn refused(faults: &[Fault], standing: &[Fault]) -> bool {
+    let mut errors = faults.iter().filter(|one| one.severity == Severity::Error);
+    errors.any(|error| !standing.contains(error))
+}
+
 impl Change {
     pub(crate) fn output(&self) -> Output {
         Output::new(self, text(self))
--- a/crates/sg/tests/sg/main.rs
+++ b/crates/sg/tests/sg/main.rs
@@ -1,4 +1,14 @@
-//! Shows how the command line reads.
+//! Shows how the command line reads, what each command does, and what it says when things fail.
+
+mod admin;
+mod doubt;
+mod drain;
+mod exit;
+mod fleet;
+mod gate;
+mod key;
+mod tree;
+mod world;
 
 use sg::options;
 
