--- a/crates/sg-report/src/explain.rs
+++ b/crates/sg-report/src/explain.rs
@@ -53,6 +53,10 @@
     /// The service and the region.
     #[serde(flatten)]
     pub place: Place,
+    /// Requests before.
+    pub requests_before: u64,
+    /// Requests after.
+    pub requests_after: u64,
     /// The region's part before.
     pub before: Option<f64>,
     /// The region's part after.
@@ -200,8 +204,11 @@
 
 fn moves(before: &Counts, after: &Counts) -> Vec<Move> {
     let places: IndexSet<&Place> = before.traffic.keys().chain(after.traffic.keys()).collect();
+    let requests = |counts: &Counts, place| counts.traffic.get(place).copied().unwrap_or_default();
     let moves = places.into_iter().map(|place| Move {
         place: place.clone(),
+        requests_before: requests(before, place),
+        requests_after: requests(after, place),
         before: before.part(place),
         after: after.part(place),
     });
--- a/crates/sg-report/src/explain/render.rs
+++ b/crates/sg-report/src/explain/render.rs
@@ -13,7 +13,7 @@
      all figures. Print the report while it can be printed.";
 
 /// The columns of traffic.
-const MOVE: [&str; 5] = ["service", "region", "before", "after", "moved"];
+const MOVE: [&str; 6] = ["service", "region", "requests", "before", "after", "moved"];
 /// The columns of headroom.
 const HEADROOM: [&str; 5] = [
     "service",
@@ -148,11 +148,12 @@
     }
 }
 
-fn cells_of_move(row: &Move) -> [String; 5] {
+fn cells_of_move(row: &Move) -> [String; 6] {
     let points = row.before.zip(row.after);
     [
         row.place.service.to_string(),
         row.place.region.to_string(),
+        format!("{} / {}", row.requests_before, row.requests_after),
         fraction(row.before),
         fraction(row.after),
         points.map_or(NONE.to_owned(), |(before, after)| {
--- a/crates/sg-report/src/explain/served.rs
+++ b/crates/sg-report/src/explain/served.rs
@@ -123,7 +123,13 @@
     after: &IndexMap<Reason, u64>,
     all_after: u64,
 ) -> Vec<Refusal> {
-    let reasons: IndexSet<Reason> = before.keys().chain(after.keys()).copied().collect();
+    // A request that only fetches its ticket is no refusal, and no part of the total.
+    let reasons: IndexSet<Reason> = before
+        .keys()
+        .chain(after.keys())
+        .copied()
+        .filter(|reason| *reason != Reason::TicketMissing)
+        .collect();
     let part = |refused: &IndexMap<Reason, u64>, reason, all: u64| {
         refused.get(reason).copied().unwrap_or_default() as f64 / all.max(1) as f64
     };
--- a/crates/sg-report/tests/report/main.rs
+++ b/crates/sg-report/tests/report/main.rs
@@ -25,6 +25,8 @@
     let account = counts.accounts.entry("a".into()).or_default();
     account.ran = ran;
     account.refused.insert(Reason::OverRate, refused);
+    // One for each ticket: no refusal of a request.
+    account.refused.insert(Reason::TicketMissing, 100);
     for _ in 0..ran {
         account.latency.record(Span::from_millis(10));
     }
@@ -67,7 +69,7 @@
     assert_eq!(report.worst.after.as_deref(), Some("a"));
     let markdown = report.to_markdown();
     assert!(
-        markdown.contains("| desk | south | 0.00% | 50.00% | +50.00 points |"),
+        markdown.contains("| desk | south | 0 / 10 | 0.00% | 50.00% | +50.00 points |"),
         "{markdown}"
     );
     assert!(
@@ -84,7 +86,9 @@
     );
     assert!(markdown.contains("latest 64 revisions"), "{markdown}");
     assert!(markdown.contains("e3 gave no evidence"), "{markdown}");
-    assert!(report.to_string().contains("over-rate"), "{report}");
+    let text = report.to_string();
+    assert!(text.contains("over-rate"), "{text}");
+    assert!(!text.contains("ticket-missing"), "{text}");
     let json = serde_json::to_string(&report).expect("writes");
     assert_eq!(
         serde_json::from_str::<explain::Report>(&json).expect("reads"),
--- a/crates/sg/tests/sg/fleet.rs
+++ b/crates/sg/tests/sg/fleet.rs
@@ -91,7 +91,7 @@
     for part in [
         "# Revision 2",
         "~ /services/desk/split/a/weight: 50% -> 40%",
-        "| desk | a | 50.00% | 40.00% | -10.00 points |",
+        "| desk | a | 50 / 40 | 50.00% | 40.00% | -10.00 points |",
         "desk: 10.00 percentage points",
         "| desk | a | 87.50% | 90.00% | 50.00% |",
         "| x | shift-capped | 0.00% | 1.00% |",
