feat(sg): bursts in predictions; a real signal in the middle of a write

Cause: a key that was added printed 'rate 60/s -> 60/s' and a change of a burst printed no burst; only the seam of the interrupt was tested, not the handler of the program. Ruled out: nothing else.

--- a/crates/sg-tree/src/predict.rs
+++ b/crates/sg-tree/src/predict.rs
@@ -38,6 +38,10 @@
     pub before: Option<Rate>,
     /// The rate after; `None` if the account is removed.
     pub after: Option<Rate>,
+    /// The burst before, in requests.
+    pub burst_before: Option<u32>,
+    /// The burst after, in requests.
+    pub burst_after: Option<u32>,
     /// Keys that stop working.
     pub withdrawn: Vec<id::Key>,
     /// Keys that start working.
@@ -72,21 +76,32 @@
             )?;
         }
         for account in &self.accounts {
-            let text = |rate: Option<Rate>| rate.map_or("none".into(), |rate| rate.to_string());
-            writeln!(
-                f,
-                "{}: rate {} -> {}, {} keys added, {} withdrawn",
-                account.account,
-                text(account.before),
-                text(account.after),
-                account.added.len(),
-                account.withdrawn.len()
-            )?;
+            writeln!(f, "{account}")?;
         }
         Ok(())
     }
 }
 
+impl fmt::Display for Account {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:", self.account)?;
+        if self.before != self.after {
+            write!(f, " rate {} -> {},", text(self.before), text(self.after))?;
+        }
+        if self.burst_before != self.burst_after {
+            let (before, after) = (text(self.burst_before), text(self.burst_after));
+            write!(f, " burst {before} -> {after},")?;
+        }
+        let (added, withdrawn) = (self.added.len(), self.withdrawn.len());
+        write!(f, " {added} keys added, {withdrawn} withdrawn")
+    }
+}
+
+/// A value, or that there is none.
+fn text(value: Option<impl fmt::Display>) -> String {
+    value.map_or_else(|| "none".to_owned(), |value| value.to_string())
+}
+
 /// Predicts what changing from `before` to `after` does.
 #[must_use]
 pub fn predict(before: &View, after: &View) -> Prediction {
@@ -174,6 +189,8 @@
         account: name.clone(),
         before: rate(old),
         after: rate(new),
+        burst_before: burst(old),
+        burst_after: burst(new),
         withdrawn,
         added,
     })
--- a/crates/sg/tests/sg/exit.rs
+++ b/crates/sg/tests/sg/exit.rs
@@ -1,8 +1,8 @@
 //! Shows the exit codes and the output of the program itself.
 
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
 
-use crate::world::World;
+use crate::{gate::Mode, world::World};
 
 /// Runs the program with `line` and the store's address.
 async fn program(world: &World, line: &str) -> Output {
@@ -49,8 +49,36 @@
 #[tokio::test]
 async fn a_change_in_doubt_has_a_code_of_its_own() {
     let world = World::start(102).await;
-    world.gate.set(crate::gate::Mode::LoseWrite);
+    world.gate.set(Mode::LoseWrite);
     let output = program(&world, "tree set /deadline 3s").await;
     assert_eq!(output.status.code(), Some(i32::from(sg::UNKNOWN)));
     assert!(output.stdout.is_empty());
 }
+
+#[tokio::test]
+async fn a_signal_in_the_middle_of_a_write_is_answered() {
+    let world = World::start(103).await;
+    for (mode, code, said) in [
+        (Mode::HangBefore, sg::UNKNOWN, "is not known"),
+        (Mode::HangAfter, sg::FAILED, "was accepted as revision 2"),
+    ] {
+        world.gate.set(mode);
+        let child = Command::new(env!("CARGO_BIN_EXE_sg"))
+            .args(["tree", "set", "/deadline", "3s", "--store"])
+            .arg(world.gate.address.to_string())
+            .env_clear()
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("it starts");
+        world.gate.reached().await;
+        world.gate.set(Mode::Pass);
+        let id = child.id().to_string();
+        let kill = Command::new("kill").args(["-INT", &id]).status();
+        assert!(kill.expect("it runs").success());
+        let output = tokio::task::spawn_blocking(|| child.wait_with_output()).await;
+        let output = output.expect("not stopped").expect("it ends");
+        let err = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(i32::from(code)), "{err}");
+        assert!(err.contains(said), "{err}");
+    }
+}
