feat(peer,entry): instances tell their headroom, and look-ups go by it

Cause: look-ups counted all other instances as wholly free, since frames carried no load; an entry near its limit got as many new callers as an idle one. Ruled out: asking on the path of a look-up (a call each), a table of everybody in each frame (5,600 bytes). Before: weights of two near entries were even whatever their load. After (cargo test -p sg-entry a_loaded_entry): with 6 of 10 requests in hand the loaded one is under 0.8 of the other, and even again after the load. A fleet at rest pays no byte.

--- a/crates/sg-entry/src/lookup.rs
+++ b/crates/sg-entry/src/lookup.rs
@@ -72,9 +72,10 @@
 }
 
 /// The instances that may be named: the others that are believed to be alive, and this one unless it
-/// is about to stop or forwards nothing.
+/// is about to stop or forwards nothing. Tells the others the room that this one has.
 #[must_use]
 pub fn members(parts: &Parts, now: Instant) -> Vec<Member> {
+    parts.node.members.set_headroom(headroom(parts));
     let others = parts.node.members.everybody(now);
     let mut members: Vec<Member> = others
         .into_iter()
@@ -85,7 +86,7 @@
             region: member.place.region,
             domain: member.place.domain,
             leaving: member.status == Status::Leaving,
-            headroom: Percent::FULL,
+            headroom: member.headroom,
         })
         .collect();
     if parts.settings.does(Role::Forward) {
--- a/crates/sg-entry/tests/entry/whole.rs
+++ b/crates/sg-entry/tests/entry/whole.rs
@@ -1,5 +1,9 @@
 //! The whole path over loopback: seven entries, the stand-ins and targets.
 
+use sg_fake::target::Control;
+use sg_types::prelude::*;
+use tokio::task::JoinSet;
+
 use crate::fleet::{ENTRIES, Fleet};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -128,3 +132,53 @@
     assert!(!stop.is_finished(), "it went before cached answers ran out");
     stop.await.expect("the task ran").expect("a clean end");
 }
+
+/// How the first entry stands to the other one of its failure domain in look-ups.
+async fn standing(fleet: &Fleet, asked: usize) -> Option<(Percent, Percent)> {
+    let answer = fleet.lookup(asked, "10.1.2.3").await?;
+    let weight = |index: usize| {
+        let name = &fleet.entries[index].settings.instance;
+        let mut entries = answer.entries.iter();
+        let found = entries.find(|entry| entry.instance == *name)?;
+        Some(found.weight)
+    };
+    Some((weight(0)?, weight(4)?))
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_loaded_entry_gets_less_weight_in_look_ups() {
+    let mut fleet = Fleet::start(6).await;
+    let mut tree = fleet.tree();
+    tree.set(&"/fleet/concurrency".parse().expect("a path"), "10");
+    fleet.publish(&tree).await;
+    let slow = Control {
+        service_time: Some(Span::from_millis(300)),
+        ..Control::default()
+    };
+    for target in &fleet.targets {
+        target.control(&slow);
+    }
+    let mut callers = JoinSet::new();
+    for _ in 0..6 {
+        let url = format!("http://{}/list", fleet.entries[0].settings.serve);
+        let http = fleet.http.clone();
+        callers.spawn(async move {
+            loop {
+                let _ = http.get(&url).send().await;
+            }
+        });
+    }
+    for asked in [1, 4] {
+        let less = || async {
+            let standing = standing(&fleet, asked).await;
+            standing.is_some_and(|(loaded, other)| loaded.as_f64() < 0.8 * other.as_f64())
+        };
+        fleet.eventually("others know the load", less).await;
+    }
+    callers.shutdown().await;
+    let even = || async {
+        let standing = standing(&fleet, 1).await;
+        standing.is_some_and(|(one, other)| one.as_f64() > 0.95 * other.as_f64())
+    };
+    fleet.eventually("others know that it ended", even).await;
+}
--- a/crates/sg-peer/src/core.rs
+++ b/crates/sg-peer/src/core.rs
@@ -8,6 +8,7 @@
 use sg_types::prelude::*;
 
 use crate::{
+    Headroom,
     config::Newest,
     contact::{Candidate, Contacts},
     frame::{Confirmation, Place, Refused},
@@ -112,6 +113,7 @@
     waiting: IndexMap<id::Instance, Vec<Message>>,
     nonce: u32,
     leaving: bool,
+    headroom: Headroom,
     counts: Counts,
 }
 
@@ -130,6 +132,7 @@
             waiting: IndexMap::new(),
             nonce: 0,
             leaving: false,
+            headroom: Headroom::FULL,
             counts: Counts::default(),
         }
     }
@@ -237,6 +240,11 @@
         self.leaving = true;
     }
 
+    /// Tells others from the next frame on how much room this instance has.
+    pub const fn set_headroom(&mut self, headroom: Headroom) {
+        self.headroom = headroom;
+    }
+
     /// Whether all contacts that answer were told all notices, and no message waits.
     #[must_use]
     pub fn has_told_all(&self) -> bool {
--- a/crates/sg-peer/src/core/exchange.rs
+++ b/crates/sg-peer/src/core/exchange.rs
@@ -4,7 +4,7 @@
 
 use super::{Core, Effect};
 use crate::{
-    Frame,
+    Frame, Headroom,
     frame::{MAX_SHARES, Refused},
     fresh,
 };
@@ -86,6 +86,7 @@
             hints: self.members.some_hints(to, now),
             place: None,
             leaving: self.leaving,
+            headroom: Some(self.headroom).filter(|free| *free != Headroom::FULL),
         }
     }
 
--- a/crates/sg-peer/src/frame.rs
+++ b/crates/sg-peer/src/frame.rs
@@ -9,7 +9,7 @@
 use sg_tree::Digest;
 use sg_types::prelude::*;
 
-use crate::notice;
+use crate::{Headroom, notice};
 
 /// The most messages between share engines in a frame.
 pub const MAX_SHARES: usize = 64;
@@ -100,6 +100,9 @@
     /// How long ago it was heard from, in milliseconds.
     #[serde(rename = "t")]
     pub age_millis: u64,
+    /// Its headroom, unless all of it is free.
+    #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
+    pub headroom: Option<Headroom>,
 }
 
 /// That no revision after this one was accepted, as of a moment in the past.
@@ -155,6 +158,9 @@
     /// Whether the sender is about to stop.
     #[serde(rename = "l", default, skip_serializing_if = "std::ops::Not::not")]
     pub leaving: bool,
+    /// The sender's headroom, unless all of it is free.
+    #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
+    pub headroom: Option<Headroom>,
 }
 
 /// Why a frame is not taken.
--- a/crates/sg-peer/src/lib.rs
+++ b/crates/sg-peer/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod frame;
 pub mod fresh;
 pub mod handler;
+pub mod headroom;
 mod jitter;
 pub mod list;
 pub mod member;
@@ -26,6 +27,7 @@
 pub mod transport;
 
 pub use frame::Frame;
+pub use headroom::Headroom;
 pub use metrics::Metrics;
 pub use node::{Handle, Node, Options};
 pub use rpc::Rpc;
--- a/crates/sg-peer/src/member.rs
+++ b/crates/sg-peer/src/member.rs
@@ -3,12 +3,14 @@
 use serde::{Deserialize, Serialize};
 use sg_types::prelude::*;
 
-use crate::frame::Place;
+use crate::{Headroom, frame::Place};
 
 /// Unheard for this long, an instance in contact is suspect.
 pub const SUSPECT_AFTER: Span = Span::from_secs(3);
 /// Unheard for this long, an instance that the list doesn't name is gone.
 pub const GONE_AFTER: Span = Span::from_secs(10);
+/// Headroom told longer ago than this is not known any more.
+pub const HEADROOM_FOR: Span = Span::from_secs(40);
 /// Earlier runs that are remembered, so that their late frames are refused.
 const MAX_RETIRED: usize = 4;
 
@@ -70,10 +72,35 @@
     pub in_force: Revision,
     /// The slots that it holds.
     pub slots: Vec<Slot>,
+    /// The part of its limit of concurrent work that is free; all of it if that is not known.
+    pub headroom: Percent,
     /// How long ago it was heard from; `None` if never.
     pub heard: Option<Span>,
 }
 
+/// The headroom that an instance told, by itself or through a hint.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Told {
+    headroom: Headroom,
+    at: Instant,
+}
+
+impl Told {
+    /// Takes what a frame or a hint said; nothing said means that all is free.
+    pub(crate) fn new(headroom: Option<Headroom>, at: Instant) -> Self {
+        let headroom = headroom.unwrap_or_default();
+        Self { headroom, at }
+    }
+
+    /// The headroom, all of it if what was told is old.
+    pub(crate) fn headroom(self, now: Instant) -> Percent {
+        match now.since(self.at) < HEADROOM_FOR {
+            true => self.headroom.into(),
+            false => Percent::FULL,
+        }
+    }
+}
+
 /// What is kept of an instance.
 #[derive(Debug, Clone)]
 pub(crate) struct Record {
@@ -89,6 +116,7 @@
     pub(crate) revision: Revision,
     pub(crate) in_force: Revision,
     pub(crate) slots: Vec<Slot>,
+    pub(crate) told: Told,
 }
 
 impl Record {
@@ -106,6 +134,7 @@
             revision: Revision::default(),
             in_force: Revision::default(),
             slots: Vec::new(),
+            told: Told::default(),
         }
     }
 
@@ -149,6 +178,7 @@
         self.leaving = false;
         self.stops = None;
         self.slots.clear();
+        self.told = Told::default();
         self.revision = Revision::default();
         self.in_force = Revision::default();
     }
--- a/crates/sg-peer/src/members.rs
+++ b/crates/sg-peer/src/members.rs
@@ -6,10 +6,11 @@
 use sg_types::prelude::*;
 
 use crate::{
+    Headroom,
     contact::Candidate,
     frame::{Frame, Hint, MAX_HINTS, Place, Refused},
     list::Listed,
-    member::{GONE_AFTER, Member, Record, Status},
+    member::{GONE_AFTER, Member, Record, Status, Told},
 };
 
 /// The most instances that are known.
@@ -128,7 +129,13 @@
             if old || hint.instance == *me || self.records.contains_key(&hint.instance) {
                 continue;
             }
-            let _ = self.add_unlisted(&hint.instance, hint.place.clone(), now);
+            if self
+                .add_unlisted(&hint.instance, hint.place.clone(), now)
+                .is_some()
+                && let Some(record) = self.records.get_mut(&hint.instance)
+            {
+                record.told = Told::new(hint.headroom, now);
+            }
         }
     }
 
@@ -147,6 +154,8 @@
                     incarnation: record.incarnation?,
                     place: record.place.clone(),
                     age_millis: now.since(record.heard?).as_millis(),
+                    headroom: Some(record.told.headroom(now).into())
+                        .filter(|free| *free != Headroom::FULL),
                 })
             })
             .collect()
@@ -188,6 +197,7 @@
                 revision: record.revision,
                 in_force: record.in_force,
                 slots: record.slots.clone(),
+                headroom: record.told.headroom(now),
                 heard: record.heard.map(|heard| now.since(heard)),
             })
             .collect()
@@ -240,4 +250,5 @@
     record.revision = frame.revision;
     record.in_force = frame.in_force.unwrap_or(frame.revision);
     record.leaving |= frame.leaving;
+    record.told = Told::new(frame.headroom, now);
 }
--- a/crates/sg-peer/src/node.rs
+++ b/crates/sg-peer/src/node.rs
@@ -276,6 +276,11 @@
         (alive && run == Some(incarnation)).then_some(place.entry)
     }
 
+    /// Tells the others how much room this instance has for more work, from the next frame on.
+    pub fn set_headroom(&self, free: Percent) {
+        self.shared.core.lock().set_headroom(free.into());
+    }
+
     /// Whether this instance watches the store for its failure domain.
     #[must_use]
     pub fn is_relay(&self) -> bool {
--- a/crates/sg-peer/tests/peer/protocol.rs
+++ b/crates/sg-peer/tests/peer/protocol.rs
@@ -4,7 +4,7 @@
 
 use quickcheck::quickcheck;
 use sg_peer::{
-    Frame, config,
+    Frame, Headroom, config,
     contact::{self, Candidate},
     core::{Core, Identity},
     frame::{Hint, Place, Refused},
@@ -71,6 +71,30 @@
     assert_eq!(crossed.err(), Some(Refused::Crossed));
 }
 
+/// What another instance believes of the headroom of one that says `text`, `millis` later.
+fn believed(text: &str, millis: u64) -> Percent {
+    let mut value = serde_json::to_value(frame(1, 10)).expect("a frame");
+    value["g"] = serde_json::from_str(text).expect("a value");
+    let frame = serde_json::from_value(value).expect("a frame");
+    let mut core = core(0, 1);
+    core.answer(frame, at(1_000)).expect("taken");
+    core.everybody(at(1_000 + millis))[0].headroom
+}
+
+#[test]
+fn headroom_is_believed_while_it_is_fresh_and_never_above_the_whole() {
+    let part = Percent::from_ppm(70_000);
+    assert_eq!(believed("7", 0), part);
+    assert_eq!(believed("7", 39_000), part);
+    assert_eq!(believed("7", 40_000), Percent::FULL);
+    assert_eq!(believed("null", 0), Percent::FULL);
+    assert_eq!(believed("18446744073709551615", 0), Percent::FULL);
+    let mut sender = core(1, 10);
+    sender.set_headroom(Headroom::from(part));
+    let frame = sender.request(&name(0), at(1_000));
+    assert_eq!(frame.headroom, Some(Headroom::from(part)));
+}
+
 #[test]
 fn a_flood_of_hints_does_not_fill_the_memory() {
     let mut core = core(0, 1);
@@ -82,6 +106,7 @@
                 incarnation: Incarnation::new(1),
                 place: place(),
                 age_millis: 0,
+                headroom: None,
             })
             .collect();
         core.answer(frame, at(1_000)).expect("taken");
