fix(steer,entry): a target whose address refuses its probe is down until a request succeeds

Ruled out: trials of ejected targets (they wait for a probe that works) and retries of requests that may not be repeated (they go on after a connection that was never made). Change: probes tell a refused connection from a failed report; a refusal is no report that may lie, and counts until a request succeeds after it. Check: a_target_that_refuses_its_probe_gets_no_request_until_one_succeeds; the same test shows that a probe that merely fails does not suffice.

--- a/crates/sg-entry/src/probe.rs
+++ b/crates/sg-entry/src/probe.rs
@@ -91,8 +91,9 @@
     }
 
     async fn ask(&self, probe: &Probe) -> observation::Target {
-        let Ok(health) = self.get(probe, "/health").await else {
-            return observation::Target::default();
+        let health = match self.get(probe, "/health").await {
+            Ok(health) => health,
+            Err(error) => return unanswered(&error),
         };
         let load = match self.get(probe, "/load").await {
             Ok(answer) => read(answer).await.unwrap_or_default(),
@@ -100,6 +101,7 @@
         };
         observation::Target {
             healthy: health.status() == StatusCode::OK,
+            refused: false,
             leaving: health.headers().contains_key(LEAVING),
             cold: load.named_metrics.cold.is_some_and(|cold| cold > 0.0),
             in_flight: load.named_metrics.in_flight.map(|count| count as u32),
@@ -114,6 +116,26 @@
     }
 }
 
+/// What a probe without an answer saw.
+fn unanswered(error: &reqwest::Error) -> observation::Target {
+    observation::Target {
+        refused: error.is_connect() && is_refused(error),
+        ..observation::Target::default()
+    }
+}
+
+/// Whether the system's own word at the bottom of the error is that the connection was refused.
+fn is_refused(error: &reqwest::Error) -> bool {
+    let mut cause: Option<&dyn std::error::Error> = Some(error);
+    while let Some(current) = cause {
+        if let Some(system) = current.downcast_ref::<std::io::Error>() {
+            return system.kind() == std::io::ErrorKind::ConnectionRefused;
+        }
+        cause = current.source();
+    }
+    false
+}
+
 async fn read(answer: reqwest::Response) -> Option<Load> {
     let small = answer.content_length().is_some_and(|len| len <= MAX_REPORT);
     if answer.status() != StatusCode::OK || !small {
--- a/crates/sg-steer/src/health.rs
+++ b/crates/sg-steer/src/health.rs
@@ -33,6 +33,17 @@
 /// How many times a back-off doubles.
 const MOST_BACKOFFS: u32 = 5;
 
+/// How a probe ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Probed {
+    /// The target said that it works, or that it leaves.
+    Works,
+    /// It answered that it does not work, or not in time.
+    Fails,
+    /// Its address refused the connection.
+    Refused,
+}
+
 /// What should become of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Verdict {
@@ -59,7 +70,7 @@
     failure_share: f64,
     answers: u32,
     success: Option<Instant>,
-    probe: Option<(Instant, bool)>,
+    probe: Option<(Instant, Probed)>,
     leaving: Option<Instant>,
     returns: u32,
     out: Option<Out>,
@@ -118,14 +129,14 @@
     }
 
     /// Takes in a probe. Returns whether the target came back after it left.
-    pub(crate) fn on_probe(&mut self, healthy: bool, leaving: bool, now: Instant) -> bool {
-        self.probe = Some((now, healthy || leaving));
+    pub(crate) fn on_probe(&mut self, probed: Probed, leaving: bool, now: Instant) -> bool {
+        self.probe = Some((now, probed));
         if leaving {
             self.on_leaving(now);
             return false;
         }
         let hold = doubled(LEAVING_HOLD, self.returns.min(MOST_DOUBLINGS - 1));
-        let is_back = healthy && self.leaving.is_some_and(|at| now >= at + hold);
+        let is_back = probed == Probed::Works && self.leaving.is_some_and(|at| now >= at + hold);
         if is_back {
             self.leaving = None;
             self.returns += 1;
@@ -157,22 +168,30 @@
         }
         let works = self.success.is_some_and(|at| now.since(at) < stale);
         match self.fresh_probe(stale, now) {
-            Some(false) if !works => Verdict::Eject(Why::Probe),
+            Some(Probed::Fails | Probed::Refused) if !works => Verdict::Eject(Why::Probe),
             _ => Verdict::Stay,
         }
     }
 
     fn is_lost(&self, stale: Span, now: Instant) -> bool {
         match self.fresh_probe(stale, now) {
-            Some(true) => false,
-            Some(false) => self.losses >= LOSSES_WITH_PROBE,
+            Some(Probed::Works) => false,
+            Some(Probed::Refused) => !self.succeeded_since_probe(),
+            Some(Probed::Fails) => self.losses >= LOSSES_WITH_PROBE,
             None => self.losses >= LOSSES_ALONE,
         }
     }
 
-    fn fresh_probe(&self, stale: Span, now: Instant) -> Option<bool> {
-        let (at, answered) = self.probe?;
-        (now.since(at) < stale).then_some(answered)
+    fn fresh_probe(&self, stale: Span, now: Instant) -> Option<Probed> {
+        let (at, probed) = self.probe?;
+        (now.since(at) < stale).then_some(probed)
+    }
+
+    /// A refused connection is no report that may lie, but one that is older than a success says
+    /// nothing.
+    fn succeeded_since_probe(&self) -> bool {
+        let probed = self.probe.map(|(at, _)| at);
+        self.success >= probed && self.success.is_some()
     }
 
     /// Takes the target out for a while.
@@ -193,7 +212,7 @@
         let Some(out) = self.out else {
             return false;
         };
-        let probe_works = self.fresh_probe(stale, now) == Some(true);
+        let probe_works = self.fresh_probe(stale, now) == Some(Probed::Works);
         let by_probe = matches!(out.why, Why::Probe | Why::Down) && probe_works;
         if now < out.until && !by_probe {
             return false;
@@ -219,7 +238,7 @@
 
     /// Whether the target is thought to work. One on trial is so only while its probe says so.
     pub(crate) fn works(&self, stale: Span, now: Instant) -> bool {
-        let is_proven = !self.trial || self.fresh_probe(stale, now) == Some(true);
+        let is_proven = !self.trial || self.fresh_probe(stale, now) == Some(Probed::Works);
         self.out.is_none() && is_proven
     }
 
--- a/crates/sg-steer/src/observation.rs
+++ b/crates/sg-steer/src/observation.rs
@@ -4,6 +4,8 @@
 
 use sg_types::prelude::*;
 
+use crate::health::Probed;
+
 /// A target to ask for its health and load.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Probe {
@@ -24,6 +26,8 @@
 pub struct Target {
     /// Whether the health endpoint answered that the target works.
     pub healthy: bool,
+    /// Whether the target's address refused the connection: nothing listens there.
+    pub refused: bool,
     /// Whether the target said that it takes no new work.
     pub leaving: bool,
     /// Whether the target said that its caches are cold.
@@ -35,3 +39,14 @@
     /// The part of the target that it says is in use, from 0 to 1.
     pub utilization: Option<f64>,
 }
+
+impl Target {
+    /// How the probe ended.
+    pub(crate) const fn probed(&self) -> Probed {
+        match self {
+            Self { healthy: true, .. } | Self { leaving: true, .. } => Probed::Works,
+            Self { refused: true, .. } => Probed::Refused,
+            _ => Probed::Fails,
+        }
+    }
+}
--- a/crates/sg-steer/src/pool.rs
+++ b/crates/sg-steer/src/pool.rs
@@ -90,7 +90,7 @@
         member
             .load
             .observe(&seen, slots, member.in_flight, stale, now);
-        let is_back = member.health.on_probe(seen.healthy, seen.leaving, now);
+        let is_back = member.health.on_probe(seen.probed(), seen.leaving, now);
         let turned_cold = seen.cold && member.cold_since.is_none();
         if is_back || turned_cold {
             state.start_slowly(index, now);
--- a/crates/sg-steer/tests/steer/targets.rs
+++ b/crates/sg-steer/tests/steer/targets.rs
@@ -373,3 +373,38 @@
         "the check sees retries without a budget"
     );
 }
+
+/// How many of 2,000 requests start on a target after one success there, then one failed probe.
+fn starts_after_probe(seen: observation::Target, success_after: bool) -> usize {
+    let engine = engine(0, 7, 1);
+    let lost = target("t0-1");
+    engine.configure(&view(1, 4, [34, 33, 33], ""), secs(0));
+    engine.observe(&service(), &lost, healthy(0), secs(0));
+    succeed_on(&engine, &lost, secs(1));
+    engine.observe(&service(), &lost, seen, secs(2));
+    if success_after {
+        succeed_on(&engine, &lost, secs(2));
+    }
+    starts_on(&engine, &lost, secs(2))
+}
+
+/// Lets one request succeed on `target`.
+fn succeed_on(engine: &Engine, target: &id::Target, now: Instant) {
+    for _ in 0..2_000 {
+        match ask(engine, &[], now) {
+            Ok(attempt) if attempt.target() == target => return attempt.end(FINE, now),
+            _ => {}
+        }
+    }
+}
+
+#[test]
+fn a_target_that_refuses_its_probe_gets_no_request_until_one_succeeds() {
+    let refused = observation::Target {
+        refused: true,
+        ..Default::default()
+    };
+    assert_eq!(starts_after_probe(refused, false), 0);
+    // A probe that merely fails may lie, and requests succeeded lately.
+    assert!(starts_after_probe(observation::Target::default(), false) > 0);
+}
