feat(entry): callers' connections go through the request path's own listener

Cause: without it a caller that left was noticed only at its deadline and a cut chunked answer could end cleanly (shown by the request path's tests).

--- a/crates/sg-entry/src/admin.rs
+++ b/crates/sg-entry/src/admin.rs
@@ -8,7 +8,9 @@
 mod state;
 
 use poem::{
-    Endpoint, EndpointExt as _, IntoResponse as _, Response, Route, get, handler,
+    EndpointExt as _, IntoResponse as _, Response, Route,
+    endpoint::BoxEndpoint,
+    get, handler,
     http::StatusCode,
     web::{Data, Json, Path},
 };
@@ -18,7 +20,8 @@
 use crate::{daemon::Parts, positions};
 
 /// The endpoint that operators reach.
-pub fn endpoint(parts: Parts) -> impl Endpoint {
+#[must_use]
+pub fn endpoint(parts: Parts) -> BoxEndpoint<'static> {
     Route::new()
         .at("/metrics", get(metrics))
         .at("/status", get(status))
@@ -27,6 +30,7 @@
         .at("/explain/:revision", get(explain))
         .at("/why/:request", get(why))
         .data(parts)
+        .boxed()
 }
 
 #[handler]
--- a/crates/sg-entry/src/daemon.rs
+++ b/crates/sg-entry/src/daemon.rs
@@ -3,9 +3,13 @@
 mod build;
 mod tasks;
 
-use std::{future::Future, sync::Arc};
+use std::{future::Future, net::SocketAddr, sync::Arc};
 
-use poem::{EndpointExt as _, Server, listener::TcpListener};
+use poem::{
+    Server,
+    endpoint::BoxEndpoint,
+    listener::{Acceptor, Listener as _, TcpAcceptor, TcpListener},
+};
 use sg_clock::Timer;
 use sg_forward::Forward;
 use sg_peer::rpc;
@@ -108,7 +112,7 @@
     let parts = build::build(settings, leaving).await?;
     let mut tasks = tasks::spawn(&parts)?;
     let (close, closed) = watch::channel(false);
-    let mut servers = servers(&parts, &closed);
+    let mut servers = servers(&parts, &closed).await?;
     log::info!(
         "{} takes part as {}",
         parts.settings.instance,
@@ -157,24 +161,42 @@
     }
 }
 
-/// The servers of callers and operators.
-fn servers(parts: &Parts, closed: &watch::Receiver<bool>) -> JoinSet<Result<(), std::io::Error>> {
+/// Binds the addresses of callers and operators and starts to serve them.
+async fn servers(
+    parts: &Parts,
+    closed: &watch::Receiver<bool>,
+) -> std::io::Result<JoinSet<std::io::Result<()>>> {
+    let callers = bind(parts.settings.serve).await?;
+    let operators = bind(parts.settings.admin).await?;
     let mut servers = JoinSet::new();
-    let until = |mut closed: watch::Receiver<bool>| async move {
-        // An error means that the daemon is gone.
-        let _ = closed.wait_for(|closed| *closed).await;
-    };
-    let callers = Server::new(TcpListener::bind(parts.settings.serve));
-    servers.spawn(callers.run_with_graceful_shutdown(
+    servers.spawn(serve_until(
+        parts.path.listener(callers),
         serve::endpoint(parts.clone()),
-        until(closed.clone()),
-        Some(CLOSE_GRACE.into()),
+        closed.clone(),
     ));
-    let operators = Server::new(TcpListener::bind(parts.settings.admin));
-    servers.spawn(operators.run_with_graceful_shutdown(
-        admin::endpoint(parts.clone()).boxed(),
-        until(closed.clone()),
-        Some(CLOSE_GRACE.into()),
+    servers.spawn(serve_until(
+        operators,
+        admin::endpoint(parts.clone()),
+        closed.clone(),
     ));
-    servers
+    Ok(servers)
+}
+
+async fn bind(address: SocketAddr) -> std::io::Result<TcpAcceptor> {
+    TcpListener::bind(address).into_acceptor().await
+}
+
+/// Serves `endpoint` until `closed` says so, then waits a moment for its connections.
+async fn serve_until(
+    acceptor: impl Acceptor + 'static,
+    endpoint: BoxEndpoint<'static>,
+    mut closed: watch::Receiver<bool>,
+) -> std::io::Result<()> {
+    let until = async move {
+        // An error means that the daemon is gone.
+        let _ = closed.wait_for(|closed| *closed).await;
+    };
+    Server::new_with_acceptor(acceptor)
+        .run_with_graceful_shutdown(endpoint, until, Some(CLOSE_GRACE.into()))
+        .await
 }
