feat(share,entry): excess is refused before its body is read

Cause: the request path asks whether an account's share covers a request before it reads the body, and the daemon always said yes. Conclusion: a look takes nothing; only a refusal that ends the request counts as demand.

--- a/crates/sg-entry/src/gates.rs
+++ b/crates/sg-entry/src/gates.rs
@@ -58,10 +58,19 @@
 impl Admission for Accounts {
     fn admit(&self, account: &id::Account, now: Instant) -> Result<(), Refusal> {
         let budget = budget::Id::Account(account.clone());
-        self.0.take(&budget, 1, now).map_err(|exhausted| Refusal {
-            retry_after: exhausted.retry_after,
-            may_wait: exhausted.may_borrow,
-        })
+        self.0.take(&budget, 1, now).map_err(refusal)
+    }
+
+    fn peek(&self, account: &id::Account, now: Instant) -> Result<(), Refusal> {
+        let budget = budget::Id::Account(account.clone());
+        self.0.peek(&budget, 1, now).map_err(refusal)
+    }
+}
+
+fn refusal(exhausted: budget::Exhausted) -> Refusal {
+    Refusal {
+        retry_after: exhausted.retry_after,
+        may_wait: exhausted.may_borrow,
     }
 }
 
--- a/crates/sg-peer/src/node.rs
+++ b/crates/sg-peer/src/node.rs
@@ -242,6 +242,14 @@
         result
     }
 
+    /// Tells whether [`Shares::take`] would refuse now, and takes nothing.
+    ///
+    /// # Errors
+    /// As [`Shares::take`].
+    pub fn peek(&self, id: &budget::Id, units: u32, now: Instant) -> Result<(), budget::Exhausted> {
+        self.shared.engine.lock().peek(id, units, now)
+    }
+
     /// What the engine holds.
     #[must_use]
     pub fn report(&self) -> report::Engine {
--- a/crates/sg-share/src/engine/mod.rs
+++ b/crates/sg-share/src/engine/mod.rs
@@ -309,6 +309,21 @@
         taken
     }
 
+    /// Tells whether [`Engine::take`] would refuse now, and takes nothing. A refusal without hope of
+    /// a loan is counted like one of `take`, since the request ends with it.
+    ///
+    /// # Errors
+    /// [`Exhausted`] if the share held here does not cover the units now.
+    pub fn peek(&mut self, id: &budget::Id, units: u32, now: Instant) -> Result<(), Exhausted> {
+        let terms = self.terms();
+        let ledger = self.ledgers.get_mut(id).filter(|ledger| !ledger.retired);
+        match ledger.map(|ledger| ledger.peek(units, now, terms)) {
+            Some(Ok(())) => Ok(()),
+            Some(Err(exhausted)) if exhausted.may_borrow => Err(exhausted),
+            _ => self.take(id, units, now),
+        }
+    }
+
     fn terms(&self) -> Terms {
         Terms {
             valid_until: self.valid_until,
--- a/crates/sg-share/src/ledger/mod.rs
+++ b/crates/sg-share/src/ledger/mod.rs
@@ -166,10 +166,24 @@
             return Ok(());
         }
         self.demand.refuse(units, now);
-        Err(Exhausted {
+        Err(self.exhausted(units, now, terms))
+    }
+
+    /// Tells whether [`Self::take`] would refuse now; takes and counts nothing.
+    pub(crate) fn peek(&mut self, units: u32, now: Instant, terms: Terms) -> Result<(), Exhausted> {
+        self.settle(now, terms);
+        if self.tokens >= u64::from(units) * rate::MICRO * NANOS {
+            return Ok(());
+        }
+        Err(self.exhausted(units, now, terms))
+    }
+
+    fn exhausted(&self, units: u32, now: Instant, terms: Terms) -> Exhausted {
+        let want = u64::from(units) * rate::MICRO * NANOS;
+        Exhausted {
             retry_after: self.retry_after(want, now, terms),
             may_borrow: units <= self.budget.burst && self.may_borrow(now, terms),
-        })
+        }
     }
 
     fn retry_after(&self, want: u64, now: Instant, terms: Terms) -> Span {
--- a/crates/sg-share/tests/share/main.rs
+++ b/crates/sg-share/tests/share/main.rs
@@ -3,6 +3,7 @@
 mod calm;
 mod check;
 mod faults;
+mod peek;
 mod random;
 mod scene;
 mod settings;
--- /dev/null
+++ b/crates/sg-share/tests/share/peek.rs
@@ -0,0 +1,96 @@
+//! A look at a budget agrees with the take that follows, and takes nothing.
+
+use sg_share::{
+    Action, Engine, Event,
+    action::Standing,
+    budget::{Budget, Id},
+    claim::Claim,
+    engine,
+};
+use sg_types::prelude::*;
+
+fn id() -> Id {
+    Id::Account(id::Account::new("a").expect("a name"))
+}
+
+/// An engine alone with its store.
+struct Alone {
+    engine: Engine,
+    claim: Option<Claim>,
+    now: Instant,
+}
+
+impl Alone {
+    fn new() -> Self {
+        let me = id::Instance::new("e1").expect("a name");
+        let options = engine::Options::default();
+        let mut engine = Engine::new(me, Incarnation::new(1), options, Instant::START);
+        let budget = Budget {
+            rate: Rate::per_second(1),
+            burst: 3,
+        };
+        let budgets = IndexMap::from([(id(), budget)]);
+        engine.configure(Revision::new(1), 1, budgets, Instant::START);
+        Self {
+            engine,
+            claim: None,
+            now: Instant::START,
+        }
+    }
+
+    /// Lets a quarter of a second pass and answers what the engine asks of the store.
+    fn step(&mut self) {
+        self.now += Span::from_millis(250);
+        let mut actions = self.engine.tick(self.now);
+        while let Some(action) = actions.pop() {
+            let event = match action {
+                Action::ReadClaims => Event::Claims {
+                    sent: self.now,
+                    claims: self.claim.iter().map(standing).collect(),
+                },
+                Action::WriteClaim { claim, .. } => {
+                    self.claim = Some(claim.clone());
+                    Event::Written {
+                        sent: self.now,
+                        version: claim.term,
+                        claim,
+                    }
+                }
+                Action::Send { .. } => continue,
+            };
+            actions.extend(self.engine.handle(event, self.now));
+        }
+    }
+}
+
+fn standing(claim: &Claim) -> Standing {
+    Standing {
+        claim: claim.clone(),
+        version: claim.term,
+    }
+}
+
+#[test]
+fn a_look_takes_nothing_and_agrees_with_the_take() {
+    let mut alone = Alone::new();
+    let mut taken = 0;
+    for step in 0..400 {
+        alone.step();
+        let now = alone.now;
+        let engine = &mut alone.engine;
+        let looks: Vec<_> = (0..5).map(|_| engine.peek(&id(), 1, now).is_ok()).collect();
+        let took = engine.take(&id(), 1, now).is_ok();
+        assert!(
+            looks.iter().all(|look| *look == took),
+            "step {step}: {looks:?}, {took}"
+        );
+        taken += u32::from(took);
+    }
+    println!("taken {taken}");
+    assert!(
+        (50..=103).contains(&taken),
+        "about one a second for 100 s, {taken}"
+    );
+    let other = Id::Account(id::Account::new("b").expect("a name"));
+    assert!(alone.engine.peek(&other, 1, alone.now).is_err());
+}
