fix(sg-load,sg-fake): faults reach targets whose connections are silent

A call's own answer now goes out first. That leaves a silent connection in the driver's pool, over which the next fault would be lost, so controls use a new connection each. The new test fails with a pool of connections (run so once) and passes without.

--- a/crates/sg-fake/src/target/front.rs
+++ b/crates/sg-fake/src/target/front.rs
@@ -10,7 +10,8 @@
 use sg_types::time::Span;
 
 use super::{
-    Answers, Clock, End, Header, POISON, POISON_DOWN, Report, Run, Shared, State, record::micros,
+    Answers, Clock, Control, End, Header, POISON, POISON_DOWN, Report, Run, Shared, State,
+    record::micros,
 };
 use crate::reply;
 
@@ -20,6 +21,9 @@
 /// The largest answer that a caller may ask for, in bytes.
 const ANSWER_LIMIT: usize = 16 << 20;
 
+/// How long a call that asks for silence has for its own answer.
+const SILENCE_PAUSE: Span = Span::from_millis(20);
+
 /// How long a truncated answer waits between its half and its end, so that the half is sent.
 const BREAK_PAUSE: Span = Span::from_millis(5);
 
@@ -64,7 +68,7 @@
         let response = match request.uri().path() {
             "/_control" => match reply::read(&mut request).await {
                 Ok(control) => {
-                    shared.control(&control);
+                    shared.control_by_call(&control);
                     reply::json(&control)
                 }
                 Err(error) => error.response(),
@@ -139,6 +143,21 @@
 }
 
 impl Shared {
+    /// Changes the behaviour; lets the answer to the call itself out before a silence.
+    fn control_by_call(self: &Arc<Self>, control: &Control) {
+        self.control(&Control {
+            silence: false,
+            ..control.clone()
+        });
+        if control.silence {
+            let shared = self.clone();
+            tokio::spawn(async move {
+                shared.timer.sleep(SILENCE_PAUSE).await;
+                shared.switch.silence();
+            });
+        }
+    }
+
     /// Works on a request until its caller goes away.
     async fn until_closed(self: &Arc<Self>, request: Request) -> Response {
         let Some(peer) = request.remote_addr().as_socket_addr().copied() else {
--- a/crates/sg-load/src/run.rs
+++ b/crates/sg-load/src/run.rs
@@ -107,7 +107,11 @@
 ) -> Result<History, Error> {
     let timer = Timer::new();
     let view = plan.view()?;
-    let client = Client::builder().no_proxy().build()?;
+    // Stand-ins that go silent would leave later faults on their old connections unheard.
+    let client = Client::builder()
+        .no_proxy()
+        .pool_max_idle_per_host(0)
+        .build()?;
     let driver = Driver::new(
         timer.clone(),
         client.clone(),
--- a/crates/sg-load/tests/load/path.rs
+++ b/crates/sg-load/tests/load/path.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, path::PathBuf, sync::Arc};
 
 use poem::{Endpoint, Request, Response, Server, http::StatusCode, listener::TcpAcceptor};
-use serde_json::json;
+use serde_json::{Value, json};
 use sg_fake::{store, target};
 use sg_load::{
     check::Promise,
@@ -176,6 +176,11 @@
 
 /// A second of calls from callers that know `entries`, during an outage of the store.
 async fn record(target: &target::Server, entries: &[SocketAddr]) -> History {
+    let outage = json!([{ "at": "100ms", "do": { "store": { "outage": "refuse" } } }]);
+    record_with(target, entries, outage).await
+}
+
+async fn record_with(target: &target::Server, entries: &[SocketAddr], faults: Value) -> History {
     let store = store::Server::start(store::Options {
         listen: any_port(),
         seed: 1,
@@ -193,7 +198,7 @@
         "mix": [{ "route": "list", "weight": 1, "size": 300 },
                 { "route": "book", "weight": 1, "size": 0 }],
         "accounts": [{ "account": "a", "key": "k", "secret": "s3cret", "rate": "100/s" }],
-        "faults": [{ "at": "100ms", "do": { "store": { "outage": "refuse" } } }]
+        "faults": faults
     }))
     .expect("a plan");
     let history = run::record(plan, None, &mut Quiet)
@@ -260,3 +265,18 @@
         "some tried the one that is gone"
     );
 }
+
+#[tokio::test]
+async fn a_fault_reaches_a_target_whose_connections_are_silent() {
+    let target = start_target().await;
+    let entry = start_entry(target.address(), Mutation::None, None).await;
+    let fault = |at: &str, control: Value| json!({ "at": at, "do": { "target": { "which": {}, "control": control } } });
+    let faults = json!([
+        fault("900ms", json!({ "silence": true })),
+        fault("950ms", json!({ "silence": true })),
+        fault("990ms", json!({ "leaving": true })),
+    ]);
+    let history = record_with(&target, &[entry], faults).await;
+    assert!(history.events.iter().all(|event| event.done.is_some()));
+    assert!(target.records().leaving_us.is_some());
+}
