--- a/crates/sg-peer/src/node.rs
+++ b/crates/sg-peer/src/node.rs
@@ -242,6 +242,14 @@
         result
     }
 
+    /// Tells whether [`Shares::take`] would refuse now, and takes nothing.
+    ///
+    /// # Errors
+    /// As [`Shares::take`].
+    pub fn peek(&self, id: &budget::Id, units: u32, now: Instant) -> Result<(), budget::Exhausted> {
+        self.shared.engine.lock().peek(id, units, now)
+    }
+
     /// What the engine holds.
     #[must_use]
     pub fn report(&self) -> report::Engine {
@@ -276,6 +284,11 @@
         (alive && run == Some(incarnation)).then_some(place.entry)
     }
 
+    /// Tells the others how much room this instance has for more work, from the next frame on.
+    pub fn set_headroom(&self, free: Percent) {
+        self.shared.core.lock().set_headroom(free.into());
+    }
+
     /// Whether this instance watches the store for its failure domain.
     #[must_use]
     pub fn is_relay(&self) -> bool {
--- a/crates/sg-share/tests/share/main.rs
+++ b/crates/sg-share/tests/share/main.rs
@@ -3,7 +3,9 @@
 mod calm;
 mod check;
 mod faults;
+mod peek;
 mod random;
+mod scene;
 mod settings;
 mod traffic;
 mod world;
