feat(sg): accepted means that nobody serves without the change

Cause: sg called a change accepted once the store had it, and docs promised more: in force everywhere, or a majority has it and the missing instances must have fenced themselves.

sg now asks each instance's /report, feeds sg_peer::accept::Follower, and tells apart: written to the store, accepted, and who is missing and why (silent, older revision, refused tree with faults). Exit code 6 for written and not accepted; 'sg tree status [REVISION]' looks again. An instance that refused the tree counts for the majority but holds up acceptance, since it never fences itself. sg-peer: Follower::expect adds an instance that is listed later.

--- a/crates/sg-peer/src/accept.rs
+++ b/crates/sg-peer/src/accept.rs
@@ -88,6 +88,11 @@
         }
     }
 
+    /// Adds an instance that is to have the change, such as one that was listed later.
+    pub fn expect(&mut self, instance: id::Instance) {
+        self.known.insert(instance);
+    }
+
     /// Takes an instance's own report, which was received at `now`.
     pub fn take(&mut self, report: &report::Node, now: Instant) {
         self.known.insert(report.instance.clone());
--- a/crates/sg/src/change.rs
+++ b/crates/sg/src/change.rs
@@ -3,6 +3,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use serde::Serialize;
+use sg_peer::accept;
 use sg_report::drain::Progress;
 use sg_store::{
     change,
@@ -14,11 +15,18 @@
 use sg_tree::{Fault, Node, compile, diff, fault::Severity, predict, promise};
 use sg_types::prelude::*;
 
-use crate::{Context, Error, Output, fleet};
+use crate::{
+    Context, DONE, Error, Output, PENDING,
+    follow::{self, Acceptance},
+};
 
 /// How long to look for an interrupted change in the store.
 const LOOK: Span = Span::from_secs(2);
 
+/// What is said where nobody was asked whether a change is accepted.
+const UNFOLLOWED: &str = "not known to be accepted, since no instance was asked: give --instances ADDRESS or set \
+     SG_INSTANCES";
+
 /// A change to be made.
 #[derive(Debug)]
 pub struct Plan<'a> {
@@ -26,9 +34,9 @@
     pub base: Revision,
     /// Its tree.
     pub before: &'a Node,
-    /// The tree to be accepted.
+    /// The tree to be written.
     pub after: &'a Node,
-    /// A new key, shown once the change is accepted.
+    /// A new key, shown once the change is written.
     pub key: Option<&'a Key>,
 }
 
@@ -48,6 +56,9 @@
 /// What a change did.
 #[derive(Debug, Serialize)]
 pub(crate) struct Change {
+    /// Whether it stands in the store.
+    pub written: bool,
+    /// Whether it is accepted: in force everywhere, or nobody without it serves keyed routes.
     pub accepted: bool,
     pub revision: Revision,
     pub change: change::Id,
@@ -57,7 +68,7 @@
     pub prediction: predict::Prediction,
     pub warnings: Vec<Fault>,
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub in_force: Option<fleet::Force>,
+    pub acceptance: Option<Acceptance>,
     /// Shown this once.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub key: Option<String>,
@@ -87,6 +98,7 @@
             return Err(Error::Faults(warnings));
         }
         let mut change = Change {
+            written: false,
             accepted: false,
             revision,
             change: self.change_id(),
@@ -94,16 +106,17 @@
             difference: diff::diff(plan.before, plan.after),
             prediction: predict::predict(&old, &compiled.view),
             warnings,
-            in_force: None,
+            acceptance: None,
             key: None,
             drain: None,
         };
         if !self.dry_run {
             let head = self.publish(change.change, &plan).await?;
-            change.accepted = true;
+            change.written = true;
             change.revision = head.revision;
             change.key = plan.key.map(ToString::to_string);
-            change.in_force = self.follow(head.revision).await;
+            let followed = follow::change(head.revision, plan.before, plan.after);
+            change.observe(self.follow(followed).await);
         }
         Ok(change)
     }
@@ -121,28 +134,57 @@
         let Some(head) = heads.into_iter().find(|head| head.change == id) else {
             return Ok(None);
         };
-        let change = Change {
-            accepted: true,
+        let (before, after) = self.trees(&head).await?;
+        let mut change = Change {
+            written: true,
+            accepted: false,
             revision: head.revision,
             change: id,
             repeated: true,
-            difference: self.difference_of(&head).await?,
+            difference: diff::diff(&before, &after),
             prediction: predict::Prediction::default(),
             warnings: Vec::new(),
-            in_force: self.follow(head.revision).await,
+            acceptance: None,
             key: None,
             drain: None,
         };
+        let followed = follow::change(head.revision, &before, &after);
+        change.observe(self.follow(followed).await);
         Ok(Some(change.output()))
     }
 
-    async fn difference_of(&self, head: &Head) -> Result<diff::Difference, Error> {
+    /// The trees before and after a revision. An earlier one that is no longer kept counts as
+    /// empty.
+    async fn trees(&self, head: &Head) -> Result<(Node, Node), Error> {
         let store = self.store()?;
         let after = load::tree(&store, head).await?;
         let earlier = Revision::new(head.revision.get().saturating_sub(1));
         let before = history::load(&store, earlier).await;
         let before = before.map_or_else(|_| Node::default(), |before| before.tree);
-        Ok(diff::diff(&before, &after))
+        Ok((before, after))
+    }
+
+    /// Whether a revision, or else the newest one, is accepted.
+    ///
+    /// # Errors
+    /// Those of the store, and [`Error::Usage`] without the address of the list of instances.
+    pub(crate) async fn acceptance(&self, revision: Option<Revision>) -> Result<Output, Error> {
+        self.fleet()?;
+        let head = match revision {
+            None => self.load().await?.head,
+            Some(revision) => {
+                let loaded = history::load(&self.store()?, revision).await;
+                loaded
+                    .map_err(|error| Error::revision(error, revision))?
+                    .head
+            }
+        };
+        let (before, after) = self.trees(&head).await?;
+        let followed = follow::change(head.revision, &before, &after);
+        let Some(acceptance) = self.follow(followed).await else {
+            return Err(Error::Usage(UNFOLLOWED.to_owned()));
+        };
+        Ok(acceptance.output())
     }
 
     async fn publish(&self, id: change::Id, plan: &Plan<'_>) -> Result<Head, Error> {
@@ -181,8 +223,9 @@
         let found = self.timer.until(deadline, look).await;
         match found {
             Ok(Ok(Some(head))) if head.change == id => Error::Interrupted(format!(
-                "interrupted, but the change was accepted as revision {revision} (change {id}); \
-                 'sg tree revert {}' takes it back",
+                "interrupted, but the change was written as revision {revision} (change {id}); 'sg \
+                 tree status {revision}' tells whether it is accepted, 'sg tree revert {}' \
+                 takes it back",
                 plan.base
             )),
             Ok(Ok(Some(head))) => Error::Refused(format!(
@@ -194,14 +237,14 @@
         }
     }
 
-    /// Waits until the revision is in force everywhere, if the list of instances is known.
-    async fn follow(&self, revision: Revision) -> Option<fleet::Force> {
+    /// Follows a change until it is accepted, if the list of instances is known.
+    async fn follow(&self, change: accept::Change) -> Option<Acceptance> {
         if !self.knows_fleet() {
             return None;
         }
         let fleet = self.fleet().ok()?;
         let interrupted = self.interrupt.raised();
-        Some(fleet.follow(revision, self.wait(), interrupted).await)
+        Some(fleet.follow(change, self.wait(), interrupted).await)
     }
 }
 
@@ -213,8 +256,19 @@
 }
 
 impl Change {
+    /// Notes how far the change was when following it ended.
+    fn observe(&mut self, acceptance: Option<Acceptance>) {
+        self.accepted = acceptance.as_ref().is_some_and(|one| one.accepted);
+        self.acceptance = acceptance;
+    }
+
     pub(crate) fn output(&self) -> Output {
-        Output::new(self, text(self))
+        // Without the list of instances nobody was asked, and the command did what it could.
+        let code = match &self.acceptance {
+            Some(acceptance) if !acceptance.accepted => PENDING,
+            _ => DONE,
+        };
+        Output::new(self, text(self)).with_code(code)
     }
 }
 
@@ -225,7 +279,14 @@
     }
     lines.extend(change.warnings.iter().map(ToString::to_string));
     lines.push(verdict(change));
-    lines.extend(change.in_force.as_ref().map(ToString::to_string));
+    match &change.acceptance {
+        Some(acceptance) => lines.push(acceptance.to_string()),
+        None if change.written => lines.push(format!(
+            "{UNFOLLOWED}, then 'sg tree status {}' tells",
+            change.revision
+        )),
+        None => {}
+    }
     let key = change.key.as_ref();
     lines.extend(key.map(|key| format!("the key, shown this once: {key}")));
     lines.extend(change.drain.as_ref().map(ToString::to_string));
@@ -234,11 +295,11 @@
 
 fn verdict(change: &Change) -> String {
     let (revision, id) = (change.revision, change.change);
-    match (change.accepted, change.repeated) {
+    match (change.written, change.repeated) {
         (false, _) => "not made (--dry-run)".to_owned(),
-        (true, false) => format!("accepted as revision {revision} (change {id})"),
+        (true, false) => format!("written to the store as revision {revision} (change {id})"),
         (true, true) => format!(
-            "was accepted before, as revision {revision} (change {id}); nothing was changed now"
+            "was written before, as revision {revision} (change {id}); nothing was changed now"
         ),
     }
 }
--- a/crates/sg/src/context.rs
+++ b/crates/sg/src/context.rs
@@ -15,7 +15,7 @@
 const INSTANCES_VARIABLE: &str = "SG_INSTANCES";
 /// The variable that holds the author's name where none is given.
 const USER_VARIABLE: &str = "USER";
-/// How long to wait until a change is in force everywhere.
+/// How long to wait until a change is accepted.
 const WAIT: Span = Span::from_secs(10);
 
 /// What every command needs.
--- a/crates/sg/src/drain.rs
+++ b/crates/sg/src/drain.rs
@@ -71,7 +71,7 @@
     after.set(&setting, "yes");
     safe::check(context, &place, &loaded.tree, &after).await?;
     let mut change = context.make(Plan::new(&loaded, &after)).await?;
-    if change.accepted && context.knows_fleet() {
+    if change.written && context.knows_fleet() {
         let scope = place.scope(&after)?;
         // The change stands, whatever is known of its progress.
         change.drain = wait::progress(context, &scope, change.revision).await.ok();
--- a/crates/sg/src/error.rs
+++ b/crates/sg/src/error.rs
@@ -16,6 +16,8 @@
 pub const OUTAGE: u8 = 4;
 /// Whether the change took effect is not known.
 pub const UNKNOWN: u8 = 5;
+/// The change stands in the store and was followed; it is not yet accepted.
+pub const PENDING: u8 = 6;
 
 /// An error as programs read it.
 #[derive(Serialize)]
@@ -145,7 +147,7 @@
     /// A change of which nobody knows whether it took effect.
     pub(crate) fn unknown(cause: &str, id: sg_store::change::Id) -> Self {
         Self::Unknown(format!(
-            "{cause}: whether change {id} was accepted is not known; look for it with 'sg tree \
+            "{cause}: whether change {id} was written is not known; look for it with 'sg tree \
              history', or repeat the command with --change {id}, which takes effect once at most"
         ))
     }
@@ -154,7 +156,7 @@
     pub(crate) fn of_key(self, key: bool) -> Self {
         match self {
             Self::Unknown(message) if key => Self::Unknown(format!(
-                "{message}. The key itself is gone: if the change was accepted, withdraw the key \
+                "{message}. The key itself is gone: if the change was written, withdraw the key \
                  and add another one"
             )),
             error => error,
--- a/crates/sg/src/fleet.rs
+++ b/crates/sg/src/fleet.rs
@@ -1,10 +1,10 @@
 //! Asks the instances of the fleet on their admin addresses.
 
-use std::{fmt, future::Future, net::SocketAddr, pin::pin};
+use std::net::SocketAddr;
 
 use futures_util::future::join_all;
 use reqwest::redirect;
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Deserialize, de::DeserializeOwned};
 use sg_clock::Timer;
 use sg_report::status::{self, Fleet};
 use sg_types::prelude::*;
@@ -27,45 +27,12 @@
     pub admin: SocketAddr,
 }
 
-/// Where a change is in force.
-#[derive(Debug, Clone, Serialize)]
-pub struct Force {
-    /// Instances that have it in force.
-    pub instances: Vec<id::Instance>,
-    /// Instances that don't have it, or don't answer.
-    pub missing: Vec<id::Instance>,
-    /// How long it took until the last one had it, or until waiting ended.
-    pub took: Span,
-}
-
-impl fmt::Display for Force {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let all = self.instances.len() + self.missing.len();
-        let secs = self.took.as_secs_f64();
-        write!(
-            f,
-            "in force on {} of {all} after {secs:.1} s",
-            self.instances.len()
-        )?;
-        if self.missing.is_empty() {
-            return Ok(());
-        }
-        let names: Vec<&str> = self.missing.iter().map(id::Instance::as_str).collect();
-        write!(
-            f,
-            "; missing: {}. A missing instance that still runs serves no keyed route once it can't \
-             confirm the tree",
-            names.join(", ")
-        )
-    }
-}
-
 /// A client of the fleet.
 #[derive(Debug, Clone)]
 pub struct Client {
     http: reqwest::Client,
     list: SocketAddr,
-    timer: Timer,
+    pub(crate) timer: Timer,
 }
 
 #[derive(Deserialize)]
@@ -156,31 +123,6 @@
         Ok(fleet)
     }
 
-    /// Waits, for `patience` at most, until `revision` or a later one is in force everywhere or
-    /// `interrupted` ends.
-    pub async fn follow(
-        &self,
-        revision: Revision,
-        patience: Span,
-        interrupted: impl Future<Output = ()>,
-    ) -> Force {
-        let mut interrupted = pin!(interrupted);
-        let start = self.timer.now();
-        loop {
-            let fleet = self.status().await.unwrap_or_default();
-            let took = self.timer.now().since(start);
-            let force = force(fleet, revision, took);
-            let complete = force.missing.is_empty() && !force.instances.is_empty();
-            if complete || took >= patience {
-                return force;
-            }
-            tokio::select! {
-                () = self.timer.sleep(POLL) => {}
-                () = &mut interrupted => return force,
-            }
-        }
-    }
-
     async fn fetch<T: DeserializeOwned>(
         &self,
         address: SocketAddr,
@@ -199,19 +141,3 @@
         answer.json().await.map_err(|error| error.to_string())
     }
 }
-
-fn force(fleet: Fleet, revision: Revision, took: Span) -> Force {
-    let mut force = Force {
-        instances: Vec::new(),
-        missing: fleet.missing,
-        took,
-    };
-    for status in fleet.instances {
-        if status.revision >= revision {
-            force.instances.push(status.instance);
-        } else {
-            force.missing.push(status.instance);
-        }
-    }
-    force
-}
--- a/crates/sg/src/lib.rs
+++ b/crates/sg/src/lib.rs
@@ -8,6 +8,7 @@
 mod error;
 pub mod explain;
 pub mod fleet;
+pub mod follow;
 mod interrupt;
 pub mod key;
 pub mod options;
@@ -18,7 +19,7 @@
 
 pub use change::Plan;
 pub use context::Context;
-pub use error::{DONE, Error, FAILED, OUTAGE, REFUSED, UNKNOWN, USAGE};
+pub use error::{DONE, Error, FAILED, OUTAGE, PENDING, REFUSED, UNKNOWN, USAGE};
 pub use interrupt::Interrupt;
 pub use options::Options;
 pub use output::Output;
--- a/crates/sg/src/main.rs
+++ b/crates/sg/src/main.rs
@@ -24,7 +24,7 @@
     match sg::run(&options, Interrupt::new(control_c())).await {
         Ok(output) => {
             println!("{}", output.render(json));
-            ExitCode::SUCCESS
+            output.code.into()
         }
         Err(error) => fail(json, &error),
     }
--- a/crates/sg/src/options.rs
+++ b/crates/sg/src/options.rs
@@ -47,10 +47,10 @@
     /// What the change is for.
     #[options(no_short, help = "what the change is for", meta = "TEXT")]
     pub note: Option<String>,
-    /// How long to wait until a change is in force everywhere.
+    /// How long to wait until a change is accepted.
     #[options(
         no_short,
-        help = "how long to wait until a change is in force everywhere, or a drain is done",
+        help = "how long to wait until a change is accepted, or a drain is done",
         meta = "SPAN"
     )]
     pub wait: Option<Span>,
@@ -156,6 +156,9 @@
     /// Make an earlier tree the next revision.
     #[options(help = "make the tree of an earlier revision the next one")]
     Revert(Revert),
+    /// Tell whether a revision is accepted.
+    #[options(help = "tell whether a revision is accepted, and where it is missing")]
+    Status(Acceptance),
     /// Print the settings reference.
     #[options(help = "print the settings reference in Markdown")]
     Reference(Reference),
@@ -169,6 +172,17 @@
     pub help: bool,
 }
 
+/// `sg tree status`.
+#[derive(Debug, gumdrop::Options)]
+pub struct Acceptance {
+    /// Print this help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// The revision.
+    #[options(free, help = "the revision; the newest one if none is given")]
+    pub revision: Option<Revision>,
+}
+
 /// `sg tree get`.
 #[derive(Debug, gumdrop::Options)]
 pub struct Get {
--- a/crates/sg/src/output.rs
+++ b/crates/sg/src/output.rs
@@ -3,6 +3,8 @@
 use serde::Serialize;
 use serde_json::Value;
 
+use crate::DONE;
+
 /// What a command prints.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Output {
@@ -10,6 +12,8 @@
     pub text: String,
     /// For programs: one object.
     pub json: Value,
+    /// The exit code: [`DONE`], or [`PENDING`](crate::PENDING) for a change that is not yet accepted.
+    pub code: u8,
 }
 
 impl Output {
@@ -19,9 +23,16 @@
         Self {
             text: text.into().trim_end().to_owned(),
             json: serde_json::to_value(value).unwrap_or_default(),
+            code: DONE,
         }
     }
 
+    /// The same with another exit code.
+    #[must_use]
+    pub fn with_code(self, code: u8) -> Self {
+        Self { code, ..self }
+    }
+
     /// What is printed.
     #[must_use]
     pub fn render(&self, json: bool) -> String {
--- a/crates/sg/src/tree.rs
+++ b/crates/sg/src/tree.rs
@@ -31,6 +31,7 @@
         TreeCommand::Check(options) => check(options),
         TreeCommand::History(_) => list(context).await,
         TreeCommand::Revert(options) => revert(context, options).await,
+        TreeCommand::Status(options) => context.acceptance(options.revision).await,
         TreeCommand::Reference(_) => {
             let markdown = sg_tree::reference::markdown();
             Ok(Output::new(
--- a/crates/sg/tests/sg/admin.rs
+++ b/crates/sg/tests/sg/admin.rs
@@ -8,6 +8,7 @@
     listener::Listener as _, listener::TcpListener,
 };
 use serde::Serialize;
+use sg_peer::{frame::Place, report::Node};
 use sg_report::status::{Held, Instance, Split, State};
 use sg_types::prelude::*;
 use tokio::task::JoinHandle;
@@ -40,6 +41,18 @@
         }
     }
 
+    /// Answers like an instance in this state.
+    pub fn serves(&self, state: &Instance) {
+        self.answer("/status", state);
+        let slots = state.slot.into_iter().collect();
+        self.tells(&node(state.instance.as_str(), state.revision.get(), slots));
+    }
+
+    /// Answers `/report` with the state of a node.
+    pub fn tells(&self, node: &Node) {
+        self.answer("/report", &Report { node });
+    }
+
     /// Answers `path` with `value`.
     pub fn answer(&self, path: &str, value: &impl Serialize) {
         let text = serde_json::to_string(value).expect("writes");
@@ -67,6 +80,40 @@
     }
 }
 
+/// The part of a report that is read.
+#[derive(Serialize)]
+struct Report<'a> {
+    node: &'a Node,
+}
+
+/// The state of a node that has `revision` in force and holds `slots`.
+pub fn node(name: &str, revision: u64, slots: Vec<Slot>) -> Node {
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
+    Node {
+        instance: id::Instance::new(name).expect("a name"),
+        incarnation: Incarnation::new(1),
+        place: Place {
+            domain: id::Domain::new("a1").expect("a name"),
+            region: id::Region::new("a").expect("a name"),
+            peer: nowhere,
+            entry: nowhere,
+            admin: None,
+        },
+        newest: Revision::new(revision),
+        digest: sg_tree::Digest::default(),
+        in_force: Revision::new(revision),
+        faults: Vec::new(),
+        fresh: true,
+        evidence: None,
+        evidence_age: None,
+        relay: false,
+        slot: slots.first().copied(),
+        slots,
+        contacts: Vec::new(),
+        members: Vec::new(),
+    }
+}
+
 /// The state of an instance that serves `revision`.
 pub fn status(name: &str, revision: u64) -> Instance {
     Instance {
--- a/crates/sg/tests/sg/main.rs
+++ b/crates/sg/tests/sg/main.rs
@@ -5,6 +5,7 @@
 mod drain;
 mod exit;
 mod fleet;
+mod follow;
 mod gate;
 mod key;
 mod tree;
