--- a/crates/sg-report/src/counts.rs
+++ b/crates/sg-report/src/counts.rs
@@ -5,6 +5,9 @@
 
 use crate::Latency;
 
+/// About what an entry of a map takes, beside what its value holds.
+const ENTRY_BYTES: usize = 64;
+
 /// Requests of one client account, or of callers on open routes.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Account {
@@ -62,6 +65,18 @@
         }
     }
 
+    fn is_zero(&self) -> bool {
+        self.ran == 0
+            && self.unknown == 0
+            && self.refused.values().all(|count| *count == 0)
+            && self.latency.count() == 0
+    }
+
+    fn bytes(&self) -> usize {
+        let refused = self.refused.len() * ENTRY_BYTES;
+        ENTRY_BYTES + size_of::<Self>() + refused + self.latency.bytes()
+    }
+
     /// All requests, without those that only fetched a ticket.
     #[must_use]
     pub fn total(&self) -> u64 {
@@ -112,6 +127,22 @@
         }
     }
 
+    /// The same without client accounts and places that have nothing.
+    #[must_use]
+    pub fn without_zeros(mut self) -> Self {
+        self.accounts.retain(|_, account| !account.is_zero());
+        self.traffic.retain(|_, count| *count > 0);
+        self
+    }
+
+    /// About how many bytes of memory it takes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let accounts: usize = self.accounts.values().map(Account::bytes).sum();
+        let places = self.traffic.len() * ENTRY_BYTES;
+        size_of::<Self>() + accounts + places
+    }
+
     /// Refusals by reason, over all client accounts.
     #[must_use]
     pub fn refusals(&self) -> IndexMap<Reason, u64> {
--- a/crates/sg-report/src/explain.rs
+++ b/crates/sg-report/src/explain.rs
@@ -21,6 +21,9 @@
     pub span: Span,
     /// What was counted in it.
     pub counts: Counts,
+    /// How many other changes of revision fell into it.
+    #[serde(default)]
+    pub others: u32,
 }
 
 /// What one instance knows of a revision.
@@ -32,9 +35,10 @@
     pub incarnation: Incarnation,
     /// How long ago the revision came into force here.
     pub age: Span,
-    /// While the revision before was in force; `None` if this run did not see it.
+    /// Before it came into force, while the one before was in force or longer; `None` if this run
+    /// did not see it.
     pub before: Option<Window>,
-    /// While the revision was in force.
+    /// Since it came into force, while it was or longer.
     pub after: Window,
 }
 
@@ -103,10 +107,16 @@
 /// How long was counted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Windows {
-    /// While the revision before was in force; zero if no instance saw it.
+    /// Before the revision came into force; zero if no instance saw it.
     pub before: Span,
-    /// While the revision was in force.
+    /// Since it came into force.
     pub after: Span,
+    /// Other changes of revision in the time before, the most of any instance.
+    #[serde(default)]
+    pub others_before: u32,
+    /// Other changes of revision in the time after, the most of any instance.
+    #[serde(default)]
+    pub others_after: u32,
 }
 
 /// What a revision changed and did, for the whole fleet.
@@ -251,13 +261,14 @@
 
 fn windows(evidence: &[Evidence]) -> Windows {
     let before = evidence.iter().filter_map(|one| one.before.as_ref());
+    let after = evidence.iter().map(|one| &one.after);
+    let span = |one: &Window| one.span;
+    let others = |one: &Window| one.others;
     Windows {
-        before: before.map(|one| one.span).max().unwrap_or_default(),
-        after: evidence
-            .iter()
-            .map(|one| one.after.span)
-            .max()
-            .unwrap_or_default(),
+        before: before.clone().map(span).max().unwrap_or_default(),
+        after: after.clone().map(span).max().unwrap_or_default(),
+        others_before: before.map(others).max().unwrap_or_default(),
+        others_after: after.map(others).max().unwrap_or_default(),
     }
 }
 
--- a/crates/sg-report/src/explain/render.rs
+++ b/crates/sg-report/src/explain/render.rs
@@ -8,8 +8,8 @@
 use crate::table::{self, NONE, fraction, millis};
 
 /// How long what the report was made of lives.
-const LIFETIME: &str = "Instances keep the counters of their latest 64 revisions, in memory only: the evidence of an \
-     instance ends when it stops or is replaced. Instances that were replaced since are left out of \
+const LIFETIME: &str = "Instances keep the counters around their latest changes, in memory only, 64 MiB each: the \
+     evidence of an instance ends when it stops or is replaced. Instances that were replaced since are left out of \
      all figures. Print the report while it can be printed.";
 
 /// The columns of traffic.
@@ -144,7 +144,21 @@
             span => format!("up to {:.1} s before", span.as_secs_f64()),
         };
         let after = self.windows.after.as_secs_f64();
-        format!("Counted over {before} and up to {after:.1} s while it was in force.")
+        let mut text =
+            format!("Counted over {before} and up to {after:.1} s since it came into force.");
+        for (others, side) in [
+            (self.windows.others_before, "before"),
+            (self.windows.others_after, "after"),
+        ] {
+            if others > 0 {
+                let _ = write!(
+                    text,
+                    " Other changes of revision in the time {side}: {others}; the figures {side} \
+                     are theirs too."
+                );
+            }
+        }
+        text
     }
 }
 
--- a/crates/sg-report/src/latency.rs
+++ b/crates/sg-report/src/latency.rs
@@ -42,7 +42,16 @@
     pub fn since(&self, earlier: &Self) -> Self {
         let old = earlier.0.iter().copied().chain(std::iter::repeat(0));
         let counts = self.0.iter().zip(old);
-        Self(counts.map(|(now, old)| now.saturating_sub(old)).collect())
+        let mut counts: Vec<u64> = counts.map(|(now, old)| now.saturating_sub(old)).collect();
+        let len = counts.iter().rposition(|count| *count > 0);
+        counts.truncate(len.map_or(0, |last| last + 1));
+        counts.shrink_to_fit();
+        Self(counts)
+    }
+
+    /// How many bytes the buckets take.
+    pub(crate) fn bytes(&self) -> usize {
+        self.0.capacity() * size_of::<u64>()
     }
 
     /// How many latencies were counted.
--- a/crates/sg/tests/sg/fleet.rs
+++ b/crates/sg/tests/sg/fleet.rs
@@ -65,6 +65,7 @@
     let window = |counts| Window {
         span: Span::from_secs(30),
         counts,
+        others: 0,
     };
     let evidence = Evidence {
         instance: id::Instance::new("e1").expect("a name"),
