perf(entry): look-ups share the parts instead of cloning them for each request

Cause: the route's data cloned all parts of the instance (some thirty counted references) into each request, forwarded ones too, and look-ups took them out again.

--- a/crates/sg-entry/src/lookup.rs
+++ b/crates/sg-entry/src/lookup.rs
@@ -1,17 +1,12 @@
 //! Answers look-ups: which entry a caller should use.
 
-#![expect(
-    clippy::needless_pass_by_value,
-    reason = "extractors are handed over by value"
-)]
-
 use std::{net::IpAddr, sync::Arc};
 
 use arc_swap::ArcSwap;
 use poem::{
-    IntoResponse, Request, Response, handler,
+    IntoResponse, Request, Response,
     http::{StatusCode, header},
-    web::{Data, Json, Query},
+    web::Json,
 };
 use serde::Deserialize;
 use sg_lookup::{Answer, Ask, Member, Table, decide, member::Set};
@@ -134,14 +129,32 @@
 }
 
 /// `GET /.sg/lookup?service=NAME[&account=NAME][&address=IP]`.
-#[handler]
-pub fn lookup(
-    parts: Data<&Parts>,
-    request: &Request,
-    question: poem::Result<Query<Question>>,
-) -> Response {
-    let question = match question {
-        Ok(Query(question)) => question,
+#[derive(Debug, Clone)]
+pub struct Endpoint {
+    parts: Arc<Parts>,
+}
+
+impl Endpoint {
+    /// An endpoint that answers from `parts`, which it shares between requests.
+    #[must_use]
+    pub fn new(parts: Parts) -> Self {
+        Self {
+            parts: Arc::new(parts),
+        }
+    }
+}
+
+impl poem::Endpoint for Endpoint {
+    type Output = Response;
+
+    async fn call(&self, request: Request) -> poem::Result<Response> {
+        Ok(respond(&self.parts, &request))
+    }
+}
+
+fn respond(parts: &Parts, request: &Request) -> Response {
+    let question: Question = match request.params() {
+        Ok(question) => question,
         Err(error) => {
             let text = format!("{error}; ask like {PATH}?service=NAME");
             return text.with_status(StatusCode::BAD_REQUEST).into_response();
