test(sg,entry): settings, trees, lines, admin paths, look-ups and headers tried hard

Cause: input had been tested by chosen cases only.

Found and mended: paths that are no text (/list/%ff, /why/%ff) were refused by the router with a bare 'invalid path params', callers got no Sg-Outcome. Callers' requests now go to look-ups or the request path without a router, so that forwarding types the refusal; /explain and /why say what to do.

Ruled out: calling endpoints without sockets, since the parts can't be made outside the daemon and bytes that are no HTTP would not be tried.

--- a/crates/sg-entry/src/admin.rs
+++ b/crates/sg-entry/src/admin.rs
@@ -7,6 +7,8 @@
 
 mod state;
 
+use std::str::FromStr;
+
 use poem::{
     EndpointExt as _, IntoResponse as _, Response, Route,
     endpoint::BoxEndpoint,
@@ -69,27 +71,36 @@
 }
 
 #[handler]
-fn explain(parts: Data<&Parts>, revision: Path<String>) -> Response {
+fn explain(parts: Data<&Parts>, revision: poem::Result<Path<String>>) -> Response {
+    let Some(revision) = read::<Revision>(revision) else {
+        let text = "that is no revision; ask like /explain/12";
+        return text.with_status(StatusCode::BAD_REQUEST).into_response();
+    };
     let now = parts.timer.now();
     let counts = parts.path.counts();
-    let evidence = revision
-        .parse::<Revision>()
-        .ok()
-        .and_then(|revision| parts.evidence.explain(revision, &counts, now));
-    match evidence {
+    match parts.evidence.explain(revision, &counts, now) {
         Some(evidence) => Json(evidence).into_response(),
-        None => StatusCode::NOT_FOUND.into_response(),
+        None => unknown("this run doesn't know that revision, or no longer; ask other instances"),
     }
 }
 
 #[handler]
-fn why(parts: Data<&Parts>, request: Path<String>) -> Response {
-    let record = request
-        .parse::<id::Request>()
-        .ok()
-        .and_then(|request| parts.path.why(&request));
-    match record {
+fn why(parts: Data<&Parts>, request: poem::Result<Path<String>>) -> Response {
+    let Some(request) = read::<id::Request>(request) else {
+        let text = "that is no request's id; take it from Sg-Request-Id";
+        return text.with_status(StatusCode::BAD_REQUEST).into_response();
+    };
+    match parts.path.why(&request) {
         Some(record) => Json(record).into_response(),
-        None => StatusCode::NOT_FOUND.into_response(),
+        None => unknown("this run doesn't know that request, or no longer; ask other instances"),
     }
 }
+
+/// The value in a path; `None` if it is none, or no text at all.
+fn read<T: FromStr>(part: poem::Result<Path<String>>) -> Option<T> {
+    part.ok()?.parse().ok()
+}
+
+fn unknown(text: &'static str) -> Response {
+    text.with_status(StatusCode::NOT_FOUND).into_response()
+}
--- a/crates/sg-entry/src/serve.rs
+++ b/crates/sg-entry/src/serve.rs
@@ -1,19 +1,45 @@
 //! The endpoint that callers reach: look-ups and requests.
 
-use poem::{EndpointExt as _, Route, endpoint::BoxEndpoint, get};
+use poem::{
+    Endpoint, EndpointExt as _, IntoResponse as _, Request, Response, endpoint::BoxEndpoint, get,
+    http::StatusCode,
+};
 
-use crate::{daemon::Parts, lookup, settings::Role};
+use crate::{
+    daemon::{Parts, Path},
+    lookup,
+    settings::Role,
+};
 
 /// The endpoint that callers reach, by the roles of the instance.
 #[must_use]
 pub fn endpoint(parts: Parts) -> BoxEndpoint<'static> {
-    let mut route = Route::new();
-    // Endpoints hold what they need: data of the route would be cloned for each request.
-    if parts.settings.does(Role::Lookup) {
-        route = route.at(lookup::PATH, get(lookup::Endpoint::new(parts.clone())));
-    }
-    if parts.settings.does(Role::Forward) {
-        route = route.nest_no_strip("/", parts.path);
+    let forwards = parts.settings.does(Role::Forward);
+    let looks_up = parts.settings.does(Role::Lookup);
+    let front = Front {
+        path: forwards.then(|| parts.path.clone()),
+        lookup: looks_up.then(|| get(lookup::Endpoint::new(parts))),
+    };
+    front.boxed()
+}
+
+/// Tells look-ups from requests by the path as it was sent. A router would refuse paths that are no
+/// text by itself, without an outcome.
+struct Front<L> {
+    lookup: Option<L>,
+    path: Option<Path>,
+}
+
+impl<L: Endpoint> Endpoint for Front<L> {
+    type Output = Response;
+
+    async fn call(&self, request: Request) -> poem::Result<Response> {
+        match (&self.lookup, &self.path) {
+            (Some(lookup), _) if request.uri().path() == lookup::PATH => {
+                Ok(lookup.call(request).await?.into_response())
+            }
+            (_, Some(path)) => path.call(request).await,
+            _ => Ok(StatusCode::NOT_FOUND.into()),
+        }
     }
-    route.boxed()
 }
--- a/crates/sg-entry/tests/entry/main.rs
+++ b/crates/sg-entry/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod evidence;
 mod fleet;
+mod input;
 mod whole;
 
 use sg_entry::Settings;
--- a/crates/sg/tests/sg/main.rs
+++ b/crates/sg/tests/sg/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod follow;
 mod gate;
+mod input;
 mod key;
 mod tree;
 mod world;
