chore(entry): the slopes command counts processor time of its thread, not the wall's

Cause: parts were timed by the wall, so other work on the machine showed as their cost (compiling 10,000 accounts and targets: 119 ms in one run, 602 ms in another), and memory of a fleet was counted against what the one before had freed.

--- a/crates/sg-entry/examples/slopes/parts.rs
+++ b/crates/sg-entry/examples/slopes/parts.rs
@@ -18,8 +18,10 @@
 const SIZES: [usize; 3] = [100, 1_000, 10_000];
 const FLEETS: [usize; 3] = [56, 560, 5_600];
 const DOMAINS: usize = 77;
-/// How often each call is timed.
-const COPIES: usize = 4;
+/// Calls between two looks at the clock.
+const BATCH: u32 = 4;
+/// How long each call is repeated, much longer than the kernel's tick.
+const LONG_ENOUGH: time::Duration = time::Duration::from_millis(400);
 
 /// A tree of `size` client accounts and as many targets.
 fn text(size: usize) -> String {
@@ -49,12 +51,17 @@
     tree.to_string()
 }
 
-fn micros<T>(count: usize, mut call: impl FnMut() -> T) -> f64 {
-    let start = time::Instant::now();
-    for _ in 0..count {
-        black_box(call());
+/// Microseconds of processor time of each call.
+fn micros<T>(mut call: impl FnMut() -> T) -> f64 {
+    let (start, before) = (time::Instant::now(), usage::own_micros());
+    let mut count = 0.0;
+    while start.elapsed() < LONG_ENOUGH {
+        for _ in 0..BATCH {
+            black_box(call());
+        }
+        count += f64::from(BATCH);
     }
-    start.elapsed().as_secs_f64() * 1e6 / count as f64
+    (usage::own_micros() - before) / count
 }
 
 fn view(node: &Node) -> Arc<View> {
@@ -69,9 +76,9 @@
         let point = |value| Point { size, value };
         let text = text(count);
         bytes.push(point(text.len() as f64));
-        read.push(point(micros(COPIES, || Node::from_json(&text).is_ok())));
+        read.push(point(micros(|| Node::from_json(&text).is_ok())));
         let node = Node::from_json(&text).expect("reads");
-        compiled.push(point(micros(COPIES, || view(&node))));
+        compiled.push(point(micros(|| view(&node))));
         memory.push(point(usage::bytes_of(|| view(&node))));
         let view = view(&node);
         let engine = sg_steer::Engine::new(sg_steer::engine::Options {
@@ -81,8 +88,8 @@
             entries: 7,
         });
         let now = Instant::START + Span::from_secs(1);
-        configure.push(point(micros(COPIES, || engine.configure(&view, now))));
-        tick.push(point(micros(COPIES, || engine.tick(now))));
+        configure.push(point(micros(|| engine.configure(&view, now))));
+        tick.push(point(micros(|| engine.tick(now))));
     }
     line::print("text of a tree, by accounts and targets", "B", &bytes);
     line::print("reading it", "us", &read);
@@ -137,8 +144,8 @@
         memory.push(point(usage::bytes_of(|| core(count, &listed))));
         let mut core = core(count, &listed);
         let now = Instant::START + Span::from_secs(2);
-        refresh.push(point(micros(COPIES, || core.refresh(now))));
-        lists.push(point(micros(COPIES, || core.list(&listed, now))));
+        refresh.push(point(micros(|| core.refresh(now))));
+        lists.push(point(micros(|| core.list(&listed, now))));
     }
     line::print("memory of the membership, by fleet", "B", &memory);
     line::print("refreshing contacts, once a second", "us", &refresh);
--- a/crates/sg-entry/examples/slopes/usage.rs
+++ b/crates/sg-entry/examples/slopes/usage.rs
@@ -36,6 +36,13 @@
     (resident() - before) / COUNTED as f64
 }
 
+/// Processor time of this thread so far, in microseconds.
+pub fn own_micros() -> f64 {
+    let text = fs::read_to_string("/proc/thread-self/schedstat").expect("the kernel counts time");
+    let nanos = text.split(' ').next().and_then(|nanos| nanos.parse().ok());
+    nanos.map_or(0.0, |nanos: f64| nanos / 1_000.0)
+}
+
 /// Resident memory of this process, in bytes.
 pub fn resident() -> f64 {
     let text = fs::read_to_string("/proc/self/statm").expect("the kernel counts pages");
--- a/crates/sg-entry/examples/slopes/whole.rs
+++ b/crates/sg-entry/examples/slopes/whole.rs
@@ -37,7 +37,11 @@
         one(net, count, &mut points).await;
     }
     line::print("daemon at rest, by fleet", "us/s", &points.rest);
-    line::print("resident, all instances", "B", &points.resident);
+    line::print(
+        "resident, the whole process, by fleet",
+        "B",
+        &points.resident,
+    );
     line::print("frames sent by each, by fleet", "B/s", &points.bytes);
     line::print("calls to the store, by fleet", "calls/s", &points.store);
     line::print("a whole look-up, by fleet", "us", &points.asks);
@@ -46,10 +50,9 @@
 
 async fn one(net: u8, count: usize, points: &mut Points) {
     let size = count as f64;
-    let before = usage::resident();
     let fleet = Fleet::start(net, count).await;
     let point = |value| Point { size, value };
-    points.resident.push(point(usage::resident() - before));
+    points.resident.push(point(usage::resident()));
     let bytes = fleet.counter(BYTES).await;
     let (calls, micros) = (total(&fleet), usage::micros());
     fleet.timer.sleep(REST).await;
