--- a/crates/sg-forward/src/counts.rs
+++ b/crates/sg-forward/src/counts.rs
@@ -27,6 +27,8 @@
                 .insert(account.into(), sg_report::counts::Account::default());
         }
         if let Some(account) = counts.accounts.get_mut(account) {
+            account.attempts += trace.attempts.len() as u64;
+            account.waited.record(trace.waited(now));
             match outcome {
                 Outcome::Ran => {
                     account.ran += 1;
--- a/crates/sg-forward/src/forward.rs
+++ b/crates/sg-forward/src/forward.rs
@@ -13,7 +13,6 @@
     path,
     quarantine::Suspicion,
     reply::Reply,
-    report::Report,
     shared::Shared,
     trace::Trace,
 };
@@ -139,12 +138,6 @@
         self.shared.journal.find(request)
     }
 
-    /// Sums for each service and client account since the start.
-    #[must_use]
-    pub fn report(&self) -> Report {
-        self.shared.ledger.report()
-    }
-
     /// Counters by client account and by place since the start, for explaining.
     #[must_use]
     pub fn counts(&self) -> sg_report::Counts {
@@ -213,9 +206,5 @@
         .metric
         .answer(outcome, reason, trace.account.as_ref());
     shared.tally.add(&trace, outcome, reason, now);
-    if let Some((service, _)) = &trace.place {
-        let entry = trace.entry(outcome, reason, now);
-        shared.ledger.add(service, trace.account.as_ref(), entry);
-    }
     shared.journal.add(trace.into_record(outcome, reason, now));
 }
--- a/crates/sg-forward/src/lib.rs
+++ b/crates/sg-forward/src/lib.rs
@@ -36,7 +36,6 @@
 pub mod register;
 mod relay;
 mod reply;
-pub mod report;
 mod run;
 mod shared;
 mod stop;
--- a/crates/sg-forward/src/trace.rs
+++ b/crates/sg-forward/src/trace.rs
@@ -5,7 +5,6 @@
 use crate::{
     journal::{Attempt, Record},
     key::Holder,
-    report::Entry,
     terms::Terms,
 };
 
@@ -53,24 +52,17 @@
         self.account = holder.map(|holder| holder.account.clone());
     }
 
-    /// What the sums get.
+    /// From arrival to the first attempt, or to `now` if none was made.
     #[must_use]
-    pub fn entry(&self, outcome: Outcome, reason: Reason, now: Instant) -> Entry {
-        let took = now.since(self.arrived);
-        Entry {
-            outcome,
-            reason,
-            attempts: self.attempts.len() as u64,
-            waited: self.waited().unwrap_or(took),
-            took,
-        }
+    pub fn waited(&self, now: Instant) -> Span {
+        self.started.unwrap_or(now).since(self.arrived)
     }
 
     /// What the journal gets.
     #[must_use]
     pub fn into_record(self, outcome: Outcome, reason: Reason, now: Instant) -> Record {
         let took = now.since(self.arrived);
-        let waited = self.waited().unwrap_or(took);
+        let waited = self.waited(now);
         let (service, route) = self.place.unzip();
         Record {
             request: self.request,
@@ -85,8 +77,4 @@
             reason,
         }
     }
-
-    fn waited(&self) -> Option<Span> {
-        self.started.map(|started| started.since(self.arrived))
-    }
 }
--- a/crates/sg-forward/tests/forward/retries.rs
+++ b/crates/sg-forward/tests/forward/retries.rs
@@ -28,6 +28,10 @@
         answer.expect(Outcome::Ran, Reason::Answered);
         assert_eq!((bad.seen().len(), good.seen().len()), (1, 1));
         assert_eq!(world.ends()[0], end);
+        let counts = entry.forward.counts();
+        let account = &counts.accounts["a"];
+        assert_eq!((account.ran, account.attempts), (1, 2));
+        assert_eq!(account.waited.count(), 1);
     }
 }
 
--- a/crates/sg-report/src/counts.rs
+++ b/crates/sg-report/src/counts.rs
@@ -16,6 +16,12 @@
     pub refused: IndexMap<Reason, u64>,
     /// Latencies of requests that ran.
     pub latency: Latency,
+    /// Attempts to send a request to a target, retries included.
+    #[serde(default)]
+    pub attempts: u64,
+    /// Times from a request's arrival to its first attempt, or to its refusal if there was none.
+    #[serde(default)]
+    pub waited: Latency,
 }
 
 /// Requests of one service that ran in one region.
@@ -45,6 +51,8 @@
             *self.refused.entry(*reason).or_default() += count;
         }
         self.latency.add(&other.latency);
+        self.attempts += other.attempts;
+        self.waited.add(&other.waited);
     }
 
     fn since(&self, earlier: &Self) -> Self {
@@ -59,6 +67,8 @@
                 .filter(|(_, count)| *count > 0)
                 .collect(),
             latency: self.latency.since(&earlier.latency),
+            attempts: self.attempts.saturating_sub(earlier.attempts),
+            waited: self.waited.since(&earlier.waited),
         }
     }
 
--- a/crates/sg-report/tests/report/main.rs
+++ b/crates/sg-report/tests/report/main.rs
@@ -124,6 +124,23 @@
     assert_eq!(spread.last, Span::from_secs(5));
 }
 
+#[test]
+fn attempts_and_waits_add_up_over_instances_and_since_a_revision() {
+    let with = |attempts: u64| {
+        let mut counts = counts(0, 0, 0, 0);
+        let account = counts.accounts.entry("a".into()).or_default();
+        account.attempts = attempts;
+        for _ in 0..attempts {
+            account.waited.record(Span::from_millis(3));
+        }
+        counts
+    };
+    let mut sum = with(5).since(&with(2));
+    sum.add(&with(4));
+    let account = &sum.accounts["a"];
+    assert_eq!((account.attempts, account.waited.count()), (7, 7));
+}
+
 quickcheck! {
     fn a_quantile_is_right_to_within_a_fifth(micros: u32) -> bool {
         let span = Span::from_micros(u64::from(micros % 30_000_000) + 64);
