--- a/crates/sg-entry/src/daemon/tasks.rs
+++ b/crates/sg-entry/src/daemon/tasks.rs
@@ -73,6 +73,7 @@
         let entries = u32::try_from(alive).unwrap_or(u32::MAX).saturating_add(1);
         parts.steer.fleet(entries, now);
         parts.steer.tick(now);
+        parts.evidence.tick(|| parts.path.counts(), now);
         if let Some(view) = parts.node.config.view() {
             parts.lookup.refresh(&view, &lookup::members(&parts, now));
         }
--- a/crates/sg-entry/src/lookup.rs
+++ b/crates/sg-entry/src/lookup.rs
@@ -165,7 +165,9 @@
         .as_socket_addr()
         .map(std::net::SocketAddr::ip);
     let Some(address) = question.address.or(caller) else {
-        return StatusCode::BAD_REQUEST.into_response();
+        let text =
+            format!("the caller's address is not known; ask like {PATH}?service=NAME&address=IP");
+        return text.with_status(StatusCode::BAD_REQUEST).into_response();
     };
     let ask = Ask {
         address,
