fix(peer): one relay is asked before evidence runs out, so that reads of the store do not grow

Cause: relays were called at 0.6 of the validity, looked at once a second, while instances read the store themselves from 0.65 on. Sizes to 28 instances hid it.

--- a/crates/sg-peer/src/core/schedule.rs
+++ b/crates/sg-peer/src/core/schedule.rs
@@ -7,11 +7,11 @@
 
 /// In a small fleet, how often each contact is called.
 const SMALL_PERIOD: Span = Span::from_secs(2);
-/// In a large fleet, how soon each relay of the own failure domain is called once the evidence of
-/// freshness is [`LATE`].
-const RELAY_PERIOD: Span = Span::from_millis(500);
-/// The part of the validity after which evidence of freshness is late, so that relays are asked.
-const LATE: f64 = 0.6;
+/// The part of the validity after which evidence of freshness is late, so that a relay is asked. An
+/// instance reads the store itself when 0.65 of the validity have passed.
+const LATE: f64 = 0.55;
+/// How often the contacts are chosen anew.
+const REFRESH: Span = Span::from_secs(1);
 /// In a large fleet, how often each other contact in the own failure domain is called.
 const NEAR_PERIOD: Span = Span::from_secs(24);
 /// In a large fleet, how often each contact in other failure domains is called.
@@ -54,21 +54,18 @@
         let small = candidates.len() <= SMALL_FLEET;
         self.contacts = contact::choose(&me, &candidates, self.local.relays.max(1) as usize);
         let suspects = self.members.suspects(now);
-        let late = self.is_late(now);
         let far = match self.local.own_slots.is_empty() {
             true => FAR_PERIOD,
             false => SPARED_PERIOD,
         };
         let mut wanted: IndexMap<id::Instance, Span> = IndexMap::new();
         for peer in &self.contacts.peers {
-            let relay = self.contacts.relays.contains(peer);
             let place = self.members.place(peer);
             let near = place.is_some_and(|place| place.domain == self.me.place.domain);
-            let period = match (small, relay && late, near) {
-                (true, ..) => SMALL_PERIOD,
-                (false, true, _) => RELAY_PERIOD,
-                (false, false, true) => NEAR_PERIOD,
-                (false, false, false) => far,
+            let period = match (small, near) {
+                (true, _) => SMALL_PERIOD,
+                (false, true) => NEAR_PERIOD,
+                (false, false) => far,
             };
             wanted.insert(peer.clone(), period);
         }
@@ -81,13 +78,28 @@
         for (index, (instance, period)) in wanted.into_iter().enumerate() {
             self.plan(instance, period, index, now);
         }
+        if !small {
+            self.ask_relay(now);
+        }
     }
 
-    /// Whether no exchange of late has brought evidence of freshness.
-    fn is_late(&self, now: Instant) -> bool {
-        let late = self.local.validity.mul_f64(LATE);
+    /// Has a relay called once evidence of freshness is late, if that is before the next refresh.
+    /// Another relay has its turn each time.
+    fn ask_relay(&mut self, now: Instant) {
         let evidence = self.evidence(now);
-        evidence.is_none_or(|evidence| now.since(evidence.at) >= late)
+        let late = self.local.validity.mul_f64(LATE);
+        let at = evidence.map_or(now, |evidence| (evidence.at + late).max(now));
+        if at >= now + REFRESH {
+            return;
+        }
+        let me = &self.me.instance;
+        let others = self.contacts.relays.iter().filter(|relay| *relay != me);
+        let others: Vec<_> = others.cloned().collect();
+        let turn = now.as_nanos() / REFRESH.as_nanos();
+        let relay = others.get(turn as usize % others.len().max(1));
+        if let Some(call) = relay.and_then(|relay| self.calls.get_mut(relay)) {
+            call.next = call.next.min(at);
+        }
     }
 
     fn plan(&mut self, instance: id::Instance, period: Span, index: usize, now: Instant) {
