--- a/crates/sg-entry/examples/slopes/parts.rs
+++ b/crates/sg-entry/examples/slopes/parts.rs
@@ -89,7 +89,13 @@
         });
         let now = Instant::START + Span::from_secs(1);
         configure.push(point(micros(|| engine.configure(&view, now))));
-        tick.push(point(micros(|| engine.tick(now))));
+        // A tick of the same moment has nothing to do.
+        let mut at = now;
+        let next = || {
+            at = at + Span::from_millis(250);
+            engine.tick(at);
+        };
+        tick.push(point(micros(next)));
     }
     line::print("text of a tree, by accounts and targets", "B", &bytes);
     line::print("reading it", "us", &read);
