--- a/crates/sg-entry/examples/slopes/parts.rs
+++ b/crates/sg-entry/examples/slopes/parts.rs
@@ -92,7 +92,7 @@
         // A tick of the same moment has nothing to do.
         let mut at = now;
         let next = || {
-            at = at + Span::from_millis(250);
+            at += Span::from_millis(250);
             engine.tick(at);
         };
         tick.push(point(micros(next)));
