--- a/crates/sg-entry/src/daemon/build.rs
+++ b/crates/sg-entry/src/daemon/build.rs
@@ -89,7 +89,10 @@
             place,
         },
         listen: settings.peer,
-        share: engine::Options::default(),
+        share: engine::Options {
+            sole_runs: settings.sole_runs,
+            ..engine::Options::default()
+        },
         budgets: budgets::of,
         list_period: LIST_PERIOD,
         stop_within: STOP_WITHIN,
--- a/crates/sg-entry/src/settings.rs
+++ b/crates/sg-entry/src/settings.rs
@@ -38,6 +38,11 @@
     /// What the instance does.
     #[serde(default = "all_roles")]
     pub roles: Vec<Role>,
+    /// Whether the platform never lets two runs of one instance name live at once. A new run then
+    /// takes up the slot of the one before without waiting for it to be certain. The same on all
+    /// instances.
+    #[serde(default)]
+    pub sole_runs: bool,
     /// Where log files go; standard error if none is set.
     #[serde(default)]
     pub logs: Option<Arc<str>>,
