perf(entry): the list that look-ups go by is remade only when it changes

Cause: docs/CAPACITY.md counts 10 ms of each second at 5,600 instances for remaking an unchanged list four times a second. Change: the instances of the moment are compared with those the list was made of.

--- a/crates/sg-entry/src/daemon/tasks.rs
+++ b/crates/sg-entry/src/daemon/tasks.rs
@@ -75,7 +75,7 @@
         parts.steer.tick(now);
         parts.evidence.tick(|| parts.path.counts(), now);
         if let Some(view) = parts.node.config.view() {
-            parts.lookup.refresh(&view, &lookup::members(&parts, now));
+            parts.lookup.refresh(&view, lookup::members(&parts, now));
         }
     }
 }
--- a/crates/sg-entry/src/lookup.rs
+++ b/crates/sg-entry/src/lookup.rs
@@ -27,9 +27,18 @@
 pub struct Book {
     view: Option<Arc<View>>,
     table: Arc<Table>,
+    /// What [`Self::members`] was made of.
+    known: Vec<Member>,
     members: Set,
 }
 
+impl Book {
+    fn is_of(&self, view: &View) -> bool {
+        let known = self.view.as_ref();
+        known.is_some_and(|known| known.revision == view.revision)
+    }
+}
+
 /// The book that look-ups read. Clones share it.
 #[derive(Debug, Clone, Default)]
 pub struct Handle {
@@ -37,14 +46,14 @@
 }
 
 impl Handle {
-    /// Takes in the view in force and the instances of the moment.
-    pub fn refresh(&self, view: &Arc<View>, members: &[Member]) {
+    /// Takes in the view in force and the instances of the moment. Does nothing if both are as before.
+    pub fn refresh(&self, view: &Arc<View>, members: Vec<Member>) {
         let old = self.book.load();
-        let same = old
-            .view
-            .as_ref()
-            .is_some_and(|known| known.revision == view.revision);
-        let table = if same {
+        let same_view = old.is_of(view);
+        if same_view && old.known == members {
+            return;
+        }
+        let table = if same_view {
             old.table.clone()
         } else {
             Arc::new(Table::from_view(view))
@@ -52,7 +61,8 @@
         self.book.store(Arc::new(Book {
             view: Some(view.clone()),
             table,
-            members: Set::new(members, view),
+            members: Set::new(&members, view),
+            known: members,
         }));
     }
 
