--- a/crates/sg-entry/tests/entry/whole.rs
+++ b/crates/sg-entry/tests/entry/whole.rs
@@ -182,3 +182,23 @@
     };
     fleet.eventually("others know that it ended", even).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_outage_right_after_the_start_leaves_keyed_routes_served() {
+    let fleet = Fleet::start(8).await;
+    fleet.store.control(sg_fake::store::Control {
+        outage: Some(sg_fake::store::Outage::Hang),
+        ..sg_fake::store::Control::default()
+    });
+    for step in 0..40 {
+        fleet
+            .timer
+            .sleep(sg_types::time::Span::from_millis(250))
+            .await;
+        for index in 0..ENTRIES {
+            let reply = fleet.get(index, "/mine", Some("ann-key")).await;
+            let reply = reply.expect("an answer");
+            assert_eq!(reply.status, 200, "step {step}, {index}: {}", reply.reason);
+        }
+    }
+}
