fix(place): regions take no more of a crowd than may shift

Cause: an account whose homes are in another region sends eight times its usual; its burst runs there at once, and 28 to 30 in 100 of the region's requests change their region in two seconds (SHIFT).

Change: shift::Guard counts where requests run; in a crowd no region takes a request that takes the shift from window to window over a tenth. Not while targets are lost. `target read` names service, domain and slots.

--- a/crates/sg-gateway/src/news.rs
+++ b/crates/sg-gateway/src/news.rs
@@ -47,9 +47,13 @@
             log::info!(revision, version, adopted; "configuration read");
         }
         Fact::Target(target) => {
-            let (id, draining) = (target.id.clone(), target.draining);
-            if parts.core.put_target(*target) || draining {
-                log::info!(target_id:% = id, draining, version; "target read");
+            let target = *target;
+            let draining = target.draining;
+            if parts.core.put_target(target.clone()) || draining {
+                log::info!(
+                    target_id:% = target.id, service:% = target.service, domain:% = target.domain,
+                    slots = target.slots, draining, version; "target read"
+                );
             }
         }
         Fact::TargetGone(target) => lapse(parts, index, target, change.key.clone()),
--- a/crates/sg-place/src/lib.rs
+++ b/crates/sg-place/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`quarantine`] finds requests that targets are lost with.
 //! - [`spread`] keeps the parts of a split at their weights.
 //! - [`retry`] bounds the sends beyond the first.
+//! - [`shift`] bounds how fast the regions' parts of what runs change in a crowd.
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
@@ -19,6 +20,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod retry;
+pub mod shift;
 pub mod spread;
 pub mod target;
 pub mod work;
--- a/crates/sg-place/src/pool.rs
+++ b/crates/sg-place/src/pool.rs
@@ -6,6 +6,7 @@
     Plan, Target, cold,
     hash::Object,
     member::{End, Member, Report, Usual},
+    shift::Guard,
 };
 
 /// Where the choosing instance is, and what reaching others costs.
@@ -47,6 +48,9 @@
 /// The part of a target's slots above which the next one in rank is looked at.
 const FULL: f64 = 0.9;
 
+/// Seconds until a region may take more of the requests, while they shift as fast as they may.
+const GUARD_WAIT: f64 = 0.5;
+
 /// What a request asks of its target.
 #[derive(Debug, Clone, Copy)]
 pub struct Ask<'a> {
@@ -74,6 +78,8 @@
     pub cold_rate: f64,
     /// Seconds that are left for the answer.
     pub left: f64,
+    /// Bounds how fast requests change their region.
+    pub guard: &'a Guard,
     /// The time.
     pub now: Instant,
 }
@@ -91,14 +97,24 @@
     pub longest: f64,
     /// Seconds that the way there and back takes.
     pub trip: f64,
-    /// Whether it is expected to wait there before it runs.
-    pub waits: bool,
+    /// Seconds that it is expected to wait there before it runs.
+    pub wait: f64,
     /// Seconds that the target is expected to work on it.
     pub work: f64,
     /// Whether it is the first in rank.
     pub first: bool,
     /// Whether it is in another region than the plan names.
     pub roams: bool,
+    /// When it was chosen.
+    pub at: Instant,
+}
+
+impl Choice {
+    /// When the target is expected to begin the work.
+    #[must_use]
+    pub fn start(&self) -> Instant {
+        self.at + Span::from_secs(1).mul_f64(self.wait)
+    }
 }
 
 /// Why no target was chosen.
@@ -122,7 +138,7 @@
     member: &'a Member,
     score: f64,
     trip: f64,
-    waits: bool,
+    wait: f64,
     choice: (bool, bool, f64, f64),
 }
 
@@ -198,7 +214,8 @@
         here: &Here,
         closed: &IndexSet<id::Domain>,
     ) -> Result<Choice, Refused> {
-        let planned = self.plan.region(ask.place);
+        let guarded = ask.guard.is_crowded(ask.now) && !self.is_hurt(ask.now);
+        let planned = self.planned(ask, here, guarded);
         let banned = |member: &Member| member.is_banned(ask.now);
         let usable: Vec<&Member> = self
             .members
@@ -213,13 +230,19 @@
                 members.retain(stays);
             }
         }
+        if guarded {
+            members.retain(|member| ask.guard.may_take(&member.target.region, ask.now));
+            if members.is_empty() {
+                return Err(Refused::Full(GUARD_WAIT));
+            }
+        }
         let firsts = firsts(&members, ask.object, ask.now);
         let best = members
             .iter()
             .filter(|member| self.has_cold_room(member, ask, here))
             .map(|member| score(member, ask, here, planned, &firsts, self.crowd))
             .min_by(|a, b| {
-                let late = |scored: &Scored<'_>| scored.waits && scored.choice.2 > ask.left;
+                let late = |scored: &Scored<'_>| scored.wait > 0.0 && scored.choice.2 > ask.left;
                 late(a).cmp(&late(b)).then(a.score.total_cmp(&b.score))
             });
         let Some(best) = best else {
@@ -229,7 +252,7 @@
         let (warm, first, expected, work) = best.choice;
         // A target with a free slot is tried whatever is expected: what was learnt may be out of date, and
         // only an answer tells.
-        if expected > ask.left && best.waits {
+        if expected > ask.left && best.wait > 0.0 {
             return Err(Refused::Full(expected - ask.left));
         }
         Ok(Choice {
@@ -238,13 +261,35 @@
             expected,
             longest: expected - work + ask.cold.max(work),
             trip: best.trip,
-            waits: best.waits,
+            wait: best.wait,
             work,
             first,
             roams,
+            at: ask.now,
         })
     }
 
+    /// The region that the plan names, or another one while too many requests change to that.
+    fn planned<'a>(
+        &'a self,
+        ask: &Ask<'_>,
+        here: &'a Here,
+        guarded: bool,
+    ) -> Option<&'a id::Region> {
+        let planned = self.plan.region(ask.place)?;
+        if !guarded || ask.guard.may_take(planned, ask.now) {
+            return Some(planned);
+        }
+        let parts = self.plan.parts.iter().filter(|part| part.weight > 0.0);
+        let mut others = std::iter::once(&here.region).chain(parts.map(|part| &part.region));
+        others.find(|region| ask.guard.may_take(region, ask.now))
+    }
+
+    /// Whether targets are lost, so that requests have to change at once.
+    fn is_hurt(&self, now: Instant) -> bool {
+        self.members.values().any(|member| member.is_banned(now))
+    }
+
     fn has_cold_room(&self, member: &Member, ask: &Ask<'_>, here: &Here) -> bool {
         if !member.is_cold(ask.now) || ask.cold_rate <= 0.0 {
             return true;
@@ -382,7 +427,7 @@
         member,
         score: expected + full + bias + member.failing(ask.now) * FAILURE_COST * ask.cold,
         trip,
-        waits: queued > 0.0,
+        wait,
         choice: (known, first, expected, work),
     }
 }
--- a/crates/sg-place/tests/place/choice.rs
+++ b/crates/sg-place/tests/place/choice.rs
@@ -37,6 +37,7 @@
         account_homes: &[],
         cold_rate: 17.0,
         left: 1.2,
+        guard: &crate::CALM,
         now,
     }
 }
--- a/crates/sg-place/tests/place/crowd.rs
+++ b/crates/sg-place/tests/place/crowd.rs
@@ -6,6 +6,7 @@
     member::{End, Report},
     plan::{Region, split},
     pool::Ask,
+    shift::Guard,
 };
 use sg_types::prelude::*;
 
@@ -27,10 +28,13 @@
     }
 }
 
-/// The part of the requests that ran at home, for each window.
-fn play(per_second: impl Fn(u64) -> u64, windows: u64) -> Vec<f64> {
+/// The part of the requests that ran at home, for each window. `per_second`: all that come, and how many
+/// in a hundred of them are of an account that may only run in the other region.
+fn play(per_second: impl Fn(u64) -> (u64, u64), windows: u64) -> Vec<f64> {
     let home: id::Region = "west".parse().expect("a name");
+    let bound: [id::Region; 1] = ["east".parse().expect("a name")];
     let mut pool = Pool::default();
+    let mut guard = Guard::default();
     for (name, region) in (0..2)
         .map(|i| (format!("w{i}"), "west"))
         .chain((0..12).map(|i| (format!("e{i}"), "east")))
@@ -54,8 +58,10 @@
             }
         }
         while next <= now * 1_000 {
-            next += 1_000_000 / per_second(now);
+            let (all, of_bound) = per_second(now);
+            next += 1_000_000 / all;
             index += 1;
+            let is_bound = index.wrapping_mul(37) % 100 < of_bound;
             let object = Object::new("route", index.wrapping_mul(2_654_435_761) % 80);
             let ask = Ask {
                 object: Some(object),
@@ -67,16 +73,22 @@
                 typical: 0.3,
                 tried: &[],
                 homes: &[],
-                account_homes: &[],
+                account_homes: if is_bound { &bound } else { &[] },
                 cold_rate: 0.0,
                 left: 1.0,
+                guard: &guard,
                 now: at(now),
             };
             let Ok(choice) = pool.choose(&ask, &here("west"), &IndexSet::new()) else {
+                guard.refuse(at(now));
                 continue;
             };
+            let region = &choice.target.region;
+            guard.note(region, choice.start(), at(now));
             let ends = there.entry(choice.target.id.clone()).or_default();
             if ends.len() >= MOST {
+                guard.take_back(region, choice.start(), at(now));
+                guard.refuse(at(now));
                 continue;
             }
             ends.sort_unstable();
@@ -112,12 +124,23 @@
 
 #[test]
 fn a_steady_load_stays_in_its_regions() {
-    let shares = play(|_| 115, 6);
+    let shares = play(|_| (115, 0), 6);
     assert!(largest_change(&shares) <= CAP, "{shares:?}");
 }
 
 #[test]
 fn a_sudden_crowd_shifts_no_more_than_the_cap() {
-    let shares = play(|now| if now < 3 * WINDOW_MILLIS { 115 } else { 400 }, 6);
+    let crowd = |now| if now < 3 * WINDOW_MILLIS { 115 } else { 400 };
+    let shares = play(|now| (crowd(now), 0), 6);
+    assert!(largest_change(&shares) <= CAP, "{shares:?}");
+}
+
+#[test]
+fn a_crowd_of_an_account_at_home_elsewhere_shifts_no_more_than_the_cap() {
+    let load = |now| match now {
+        now if now < 3 * WINDOW_MILLIS => (80, 30),
+        _ => (250, 75),
+    };
+    let shares = play(load, 6);
     assert!(largest_change(&shares) <= CAP, "{shares:?}");
 }
--- a/crates/sg-place/tests/place/load.rs
+++ b/crates/sg-place/tests/place/load.rs
@@ -132,6 +132,7 @@
             account_homes: &[],
             cold_rate: 0.0,
             left: TIMEOUT_MILLIS as f64 / 1e3,
+            guard: &crate::CALM,
             now: at(now),
         };
         let Ok(choice) = self.pool.choose(&ask, &here("west"), &IndexSet::new()) else {
--- a/crates/sg-place/tests/place/main.rs
+++ b/crates/sg-place/tests/place/main.rs
@@ -6,9 +6,14 @@
 mod load;
 mod plans;
 
-use sg_place::{Target, pool::Here};
+use std::sync::LazyLock;
+
+use sg_place::{Target, pool::Here, shift::Guard};
 use sg_types::prelude::*;
 
+/// Has seen no crowd.
+static CALM: LazyLock<Guard> = LazyLock::new(Guard::default);
+
 fn at(millis: u64) -> Instant {
     Instant::START + Span::from_millis(millis)
 }
--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -114,6 +114,7 @@
         let fate = send::send(core, call, &service, &choice, until, leave).await;
         trace.sent[sent].end = fate.as_str();
         core.metric.attempt(&service, fate.as_str());
+        take_back(core, &choice, &fate);
         let after = fate.as_str();
         match fate {
             Fate::Answered(response) => return Ok(response),
@@ -207,18 +208,39 @@
     service: &id::Service,
     history: &History,
 ) -> Result<Choice, Refusal> {
-    let choice = pick(core, call, service, &history.tried)?;
+    let choice = pick(core, call, service, &history.tried);
     let now = core.timer.now();
     let mut state = core.state.lock();
-    if choice.roams {
+    if choice.as_ref().is_ok_and(|choice| choice.roams) {
         state.roam.spend();
     }
+    let choice = choice.inspect_err(|refused| {
+        if refused.reason == Reason::RegionFull {
+            state.guard.refuse(now);
+        }
+    })?;
+    state.guard.note(&choice.target.region, choice.start(), now);
     state
         .pool(service)
         .begin(&choice.target.id, call.object, now);
     Ok(choice)
 }
 
+/// A request that its target did not run is not counted as run there.
+fn take_back<D: Dialect>(core: &Core<D>, choice: &Choice, fate: &Fate) {
+    if !matches!(fate, Fate::Shed | Fate::Unsent | Fate::Misdirected) {
+        return;
+    }
+    let now = core.timer.now();
+    let mut state = core.state.lock();
+    state
+        .guard
+        .take_back(&choice.target.region, choice.start(), now);
+    if matches!(fate, Fate::Shed) {
+        state.guard.refuse(now);
+    }
+}
+
 /// The target that a send would go to now.
 fn pick<D: Dialect>(
     core: &Core<D>,
@@ -252,6 +274,7 @@
         account_homes: homes.as_deref().unwrap_or(&[]),
         cold_rate: cold_rate * core.options.cold_factor + core.options.cold_slack,
         left,
+        guard: &state.guard,
         now,
     };
     let Some(pool) = state.pools.get(service) else {
--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -131,7 +131,7 @@
                 .quarantine
                 .clear(call.account(), call.fingerprint, now);
             // How long a request waited is a guess, so only those that did not wait tell of the work.
-            if !choice.waits {
+            if choice.wait <= 0.0 {
                 learn(
                     &mut state,
                     call,
--- a/crates/sg-proxy/src/state.rs
+++ b/crates/sg-proxy/src/state.rs
@@ -6,6 +6,7 @@
     quarantine::Table,
     quota::{self, Share},
     retry::{self, Budget},
+    shift::Guard,
     spread::Spread,
     work::Work,
 };
@@ -102,6 +103,8 @@
     pub quarantine: Table,
     /// Sends that may leave the region that the plan names.
     pub roam: Roam,
+    /// Bounds how fast requests change their region in a crowd.
+    pub guard: Guard,
     /// The doubt that a target knows an object, before any answer.
     pub first_doubt: f64,
     /// Demand by service.
@@ -123,6 +126,7 @@
             fleet: 1,
             quarantine: Table::after(LOSSES),
             roam: Roam::default(),
+            guard: Guard::default(),
             demand: IndexMap::new(),
         }
     }
