feat(place): scarce room is left to requests bound to it

Change: after five such refusals within about a second, free requests go to the first in rank of another region if that has a free slot, within the bound on shifts.

--- a/crates/sg-place/src/pool.rs
+++ b/crates/sg-place/src/pool.rs
@@ -48,6 +48,9 @@
 /// The part of a target's slots above which the next one in rank is looked at.
 const FULL: f64 = 0.9;
 
+/// Refused requests that may run nowhere else, of about a second, from which on room is thought scarce:
+/// more than a moment's crowd at the start.
+const SCARCE: f64 = 5.0;
 /// Seconds until a region may take more of the requests, while they shift as fast as they may.
 const GUARD_WAIT: f64 = 0.5;
 
@@ -132,6 +135,26 @@
     members: IndexMap<id::Target, Member>,
     plan: Plan,
     crowd: f64,
+    /// How many requests regions refused lately that may run nowhere else.
+    scarce: IndexMap<id::Region, Decaying>,
+}
+
+/// A count that forgets within a second.
+#[derive(Debug, Clone, Copy, Default)]
+struct Decaying {
+    count: f64,
+    at: Instant,
+}
+
+impl Decaying {
+    fn add(&mut self, more: f64, now: Instant) {
+        self.count = self.get(now) + more;
+        self.at = now;
+    }
+
+    fn get(&self, now: Instant) -> f64 {
+        self.count * (-now.since(self.at).as_secs_f64()).exp()
+    }
 }
 
 struct Scored<'a> {
@@ -224,7 +247,10 @@
             .collect();
         let sound: Vec<&Member> = usable.iter().copied().filter(|m| !banned(m)).collect();
         let mut members = if sound.is_empty() { usable } else { sound };
-        if let Some(region) = planned.filter(|_| !ask.may_roam) {
+        // One that may run anywhere leaves scarce room to those that may not.
+        let free = ask.homes.is_empty() && ask.account_homes.is_empty();
+        let yields = free && planned.is_some_and(|region| self.is_scarce(region, ask.now));
+        if let Some(region) = planned.filter(|_| !ask.may_roam && !yields) {
             let stays = |member: &&Member| member.target.region == *region;
             if members.iter().any(stays) {
                 members.retain(stays);
@@ -250,7 +276,19 @@
             let member = scored.member;
             member.limit.has_room(member.in_flight, ask.now)
         };
-        let Some(best) = scored.iter().min_by(order) else {
+        let elsewhere = |scored: &&Scored<'_>| {
+            let region = &scored.member.target.region;
+            let (known, first, ..) = scored.choice;
+            let ready = known || first || ask.object.is_none();
+            ready && Some(region) != planned && scored.wait <= 0.0 && has_room(scored)
+        };
+        let spare = scored.iter().filter(|scored| yields && elsewhere(scored));
+        let planned_only = scored.iter().filter(|scored| {
+            !yields || ask.may_roam || Some(&scored.member.target.region) == planned
+        });
+        let best = spare.min_by(order);
+        let best = best.or_else(|| planned_only.min_by(order).or(scored.iter().min_by(order)));
+        let Some(best) = best else {
             return Err(Refused::NoTarget);
         };
         // In a crowd a target that would have to warm up serves this request at the cost of others.
@@ -266,7 +304,7 @@
         let Some(best) = best else {
             return Err(Refused::Full(ask.typical));
         };
-        let roams = planned.is_some_and(|region| *region != best.member.target.region);
+        let roams = !yields && planned.is_some_and(|region| *region != best.member.target.region);
         let (warm, first, expected, work) = best.choice;
         // A target with a free slot is tried whatever is expected: what was learnt may be out of date, and
         // only an answer tells.
@@ -303,6 +341,22 @@
         others.find(|region| ask.guard.may_take(region, ask.now))
     }
 
+    /// A request that may run nowhere but in `homes` was refused for want of room.
+    pub fn note_scarce<'a>(
+        &mut self,
+        homes: impl IntoIterator<Item = &'a id::Region>,
+        now: Instant,
+    ) {
+        for home in homes {
+            self.scarce.entry(home.clone()).or_default().add(1.0, now);
+        }
+    }
+
+    fn is_scarce(&self, region: &id::Region, now: Instant) -> bool {
+        let refused = self.scarce.get(region).map_or(0.0, |count| count.get(now));
+        refused >= SCARCE
+    }
+
     /// Whether targets are lost, so that requests have to change at once.
     fn is_hurt(&self, now: Instant) -> bool {
         self.members.values().any(|member| member.is_banned(now))
--- a/crates/sg-place/tests/place/choice.rs
+++ b/crates/sg-place/tests/place/choice.rs
@@ -263,3 +263,45 @@
     }
     assert_eq!(sent, 17);
 }
+
+#[test]
+fn scarce_room_is_left_to_requests_that_may_run_nowhere_else() {
+    let mut pool = pool([target("t0", "west", 9), target("t1", "east", 9)]);
+    let west = || "west".parse::<id::Region>().expect("a name");
+    pool.follow(split(
+        &[region("west", 1.0, 9.0), region("east", 1.0, 9.0)],
+        &west(),
+    ));
+    let named = |choice: Result<id::Target, Refused>| choice.map(|id| id.to_string());
+    let free = |millis| ask(1, at(millis));
+    assert_eq!(named(chosen(&pool, &free(0))), Ok("t0".to_owned()));
+    pool.note_scarce([&west()], at(0));
+    assert_eq!(named(chosen(&pool, &free(10))), Ok("t0".to_owned()));
+    let refuse =
+        |pool: &mut Pool, millis| (0..9).for_each(|_| pool.note_scarce([&west()], at(millis)));
+    refuse(&mut pool, 20);
+    assert_eq!(named(chosen(&pool, &free(500))), Ok("t1".to_owned()));
+    let homes = [west()];
+    let bound = Ask {
+        account_homes: &homes,
+        ..free(500)
+    };
+    assert_eq!(named(chosen(&pool, &bound)), Ok("t0".to_owned()));
+    assert_eq!(named(chosen(&pool, &free(2_000))), Ok("t0".to_owned()));
+    let full = Report {
+        running: 9,
+        waiting: 1,
+        slots: 9,
+    };
+    pool.report(&"t1".parse().expect("a name"), full, at(2_000));
+    refuse(&mut pool, 2_000);
+    assert_eq!(named(chosen(&pool, &free(2_100))), Ok("t0".to_owned()));
+}
+
+fn region(name: &str, demand: f64, slots: f64) -> Region {
+    Region {
+        name: name.parse().expect("a name"),
+        demand,
+        slots,
+    }
+}
--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -217,6 +217,9 @@
     let choice = choice.inspect_err(|refused| {
         if refused.reason == Reason::RegionFull {
             state.guard.refuse(now);
+            let bound = call.account.iter().flat_map(|account| account.homes.iter());
+            let homes = call.route.homes.iter().chain(bound);
+            state.pool(service).note_scarce(homes, now);
         }
     })?;
     state.guard.note(&choice.target.region, choice.start(), now);
