--- a/crates/sg-proxy/src/core.rs
+++ b/crates/sg-proxy/src/core.rs
@@ -425,7 +425,7 @@
             .quarantine
             .note(suspicion, QUARANTINE, now)
         {
-            log::warn!(fingerprint:% = fingerprint; "request quarantined: targets are lost with it");
+            log::warn!(fingerprint:% = fingerprint; "request quarantined");
         }
     }
 
