feat(sg): why reads logs and tells the story across instances

Change: `sg why REQUEST-ID LOG...` (`-` for standard input) puts the lines about a request in order, each with what its instance knew when the request arrived.

--- a/crates/sg/src/lib.rs
+++ b/crates/sg/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod options;
 mod output;
 pub mod status;
+pub mod story;
 pub mod tree;
 pub mod why;
 
--- a/crates/sg/src/options.rs
+++ b/crates/sg/src/options.rs
@@ -389,6 +389,12 @@
     /// The request.
     #[options(free, required, help = "the request's id")]
     pub request: Option<id::Request>,
+    /// Logs to read instead of asking the instances.
+    #[options(
+        free,
+        help = "logs of instances to read instead of asking them; - for standard input"
+    )]
+    pub logs: Vec<PathBuf>,
 }
 
 /// Parses `args`, the program's name left out.
--- a/crates/sg/tests/sg/main.rs
+++ b/crates/sg/tests/sg/main.rs
@@ -9,6 +9,7 @@
 mod gate;
 mod input;
 mod key;
+mod story;
 mod tree;
 mod world;
 
