feat(sg-proxy): log and count what targets state about their rate

The header is read in the adapter; the request path logs when a rate is stated or lifted and counts first sends and retries to such targets. No decision changes.

--- a/crates/sg-place/src/member.rs
+++ b/crates/sg-place/src/member.rs
@@ -2,7 +2,7 @@
 
 use sg_types::prelude::*;
 
-use crate::{Target, cold::Window, hash::Object, limit::Limit};
+use crate::{Target, cold::Window, hash::Object, limit::Limit, rate_limit::RateLimit};
 
 /// Time constant of the decay of the load that a report attributes to other instances, in seconds.
 const REPORT_DECAY_SECONDS: f64 = 1.0;
@@ -107,6 +107,8 @@
     pub recent_sends: Window,
     /// Limit on this instance's requests in flight at the target.
     pub limit: Limit,
+    /// Rate that the target states it takes from the fleet.
+    pub rate_limit: RateLimit,
     /// When the target stops being cold.
     pub cold_until: Instant,
     reported: Option<Observation>,
@@ -130,6 +132,7 @@
             in_flight: 0,
             recent_sends: Window::default(),
             limit: Limit::default(),
+            rate_limit: RateLimit::default(),
             reported: None,
             last_failure_rate: 0.0,
             failure_rate_at: now,
--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -283,9 +283,13 @@
     state
         .shift_limiter
         .record(&choice.target.region, choice.expected_start(), now);
-    state
-        .pool(service)
-        .record_send(&choice.target.id, call.object, now);
+    let pool = state.pool(service);
+    pool.record_send(&choice.target.id, call.object, now);
+    let member = pool.member_mut(&choice.target.id);
+    if member.is_some_and(|member| member.rate_limit.rate().is_some()) {
+        let is_retry = !history.tried.is_empty();
+        core.metrics.record_limited_send(service, is_retry);
+    }
     Ok(choice)
 }
 
--- a/crates/sg-proxy/src/dialect.rs
+++ b/crates/sg-proxy/src/dialect.rs
@@ -61,6 +61,8 @@
     pub verdict: Verdict,
     /// Load reported by the target.
     pub report: Option<LoadReport>,
+    /// Requests per second that the target states it takes from all instances together.
+    pub rate_limit: Option<Rate>,
     /// Time for which the target keeps an idle connection open.
     pub keep_alive_timeout: Option<Span>,
     /// Whether the target closes the connection.
--- a/crates/sg-proxy/src/metrics.rs
+++ b/crates/sg-proxy/src/metrics.rs
@@ -16,6 +16,7 @@
     responses: IntCounterVec,
     attempts: IntCounterVec,
     retries: IntCounterVec,
+    limited_sends: IntCounterVec,
     latency: HistogramVec,
     /// Callers that disconnected before their response.
     pub callers_gone: IntCounter,
@@ -72,6 +73,11 @@
                 "Sends beyond the first.",
                 &["service", "after"],
             )?,
+            limited_sends: counters(
+                "sg_limited_sends_total",
+                "Sends to targets that state a rate limit.",
+                &["service", "kind"],
+            )?,
             latency,
             callers_gone: counter("sg_callers_gone_total", "Callers that left early.")?,
             connections_opened: counter(
@@ -108,6 +114,14 @@
             .inc();
     }
 
+    /// Records a send to a target that states a rate limit.
+    pub fn record_limited_send(&self, service: &id::Service, is_retry: bool) {
+        let kind = if is_retry { "retry" } else { "first" };
+        self.limited_sends
+            .with_label_values(&[service.as_str(), kind])
+            .inc();
+    }
+
     /// Returns the number of responses so far with this outcome and reason.
     #[must_use]
     pub fn responses(&self, outcome: Outcome, reason: Reason) -> u64 {
--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -4,7 +4,7 @@
 use http::{HeaderMap, Request, Response, Uri, Version};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use sg_place::{member::TargetOutcome, pool::Choice};
+use sg_place::{member::TargetOutcome, pool::Choice, rate_limit::Change};
 use sg_types::prelude::*;
 
 use crate::{
@@ -253,7 +253,7 @@
         let round_trips = &mut state.location.round_trips;
         round_trips.record(&choice.target.domain, connect_time.as_secs_f64());
     }
-    receive(core, call, service, choice, response, connection).await
+    receive(core, call, service, choice, now, response, connection).await
 }
 
 fn build_request(call: &Call<'_>, headers: HeaderMap) -> Request<Full<Bytes>> {
@@ -268,12 +268,13 @@
 }
 
 /// Receives the response: completely, or, if the response is larger than [`MAX_BUFFERED_BYTES`], up
-/// to that size and as a stream from there on.
+/// to that size and as a stream from there on. `sent_at` is when the request was sent.
 async fn receive<D: Dialect>(
     core: &Core<D>,
     call: &Call<'_>,
     service: &id::Service,
     choice: &Choice,
+    sent_at: Instant,
     response: Response<Incoming>,
     connection: Connection,
 ) -> SendOutcome {
@@ -290,6 +291,9 @@
         log::info!(request = call.id.as_ref(), target_id:% = choice.target.id, what; "foreign answer");
         return SendOutcome::Lost;
     }
+    if response_info.verdict != Verdict::Misdirected {
+        record_rate_limit(core, service, choice, response_info.rate_limit, sent_at);
+    }
     let mut buffered = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else {
@@ -324,6 +328,34 @@
     }
 }
 
+/// Records the rate that a response states.
+fn record_rate_limit<D>(
+    core: &Core<D>,
+    service: &id::Service,
+    choice: &Choice,
+    stated: Option<Rate>,
+    sent_at: Instant,
+) {
+    let now = core.timer.now();
+    let mut state = core.state.lock();
+    let member = state.pool(service).member_mut(&choice.target.id);
+    let change = member.and_then(|member| member.rate_limit.record(stated, sent_at, now));
+    drop(state);
+    let Some(change) = change.filter(|_| core.log_limiter.admit(now)) else {
+        return;
+    };
+    match change {
+        Change::Stated(rate) => log::info!(
+            target_id:% = choice.target.id, service:% = service, per_second = rate.as_f64();
+            "target rate limit stated"
+        ),
+        Change::Lifted => log::info!(
+            target_id:% = choice.target.id, service:% = service;
+            "target rate limit lifted"
+        ),
+    }
+}
+
 /// Returns the connection to the pool, or closes the connection if the target will close it.
 fn release<D>(core: &Core<D>, connection: Connection, response_info: &ResponseInfo) {
     if response_info.closes_connection {
--- a/crates/sg-proxy/src/trace.rs
+++ b/crates/sg-proxy/src/trace.rs
@@ -23,7 +23,7 @@
 }
 
 impl LogLimiter {
-    fn admit(&self, now: Instant) -> bool {
+    pub(crate) fn admit(&self, now: Instant) -> bool {
         let mut window = self.window.lock();
         if now.since(window.0) >= Span::from_secs(1) {
             *window = (now, 0);
--- a/crates/sg-proxy/tests/proxy/dialect.rs
+++ b/crates/sg-proxy/tests/proxy/dialect.rs
@@ -61,9 +61,11 @@
             waiting: 0,
             slots: 4,
         });
+        let rate_limit = header(&head.headers, "limit").and_then(|text| text.parse().ok());
         ResponseInfo {
             verdict,
             report,
+            rate_limit: rate_limit.map(Rate::per_second),
             keep_alive_timeout: None,
             closes_connection: header(&head.headers, "connection") == Some("close"),
         }
