--- a/crates/sg-place/tests/place/main.rs
+++ b/crates/sg-place/tests/place/main.rs
@@ -7,6 +7,7 @@
 mod overload;
 mod plans;
 mod properties;
+mod rate_limits;
 mod surge;
 
 use std::sync::LazyLock;
--- /dev/null
+++ b/crates/sg-place/tests/place/rate_limits.rs
@@ -0,0 +1,216 @@
+//! Simulates fleets that send to targets of which one states a rate limit.
+
+use std::collections::BTreeMap;
+
+use sg_place::{
+    Pool,
+    hash::Object,
+    member::TargetOutcome,
+    pool::{Location, Query},
+};
+use sg_types::prelude::*;
+
+use crate::{at, location, target};
+
+const FLEETS: [usize; 2] = [7, 30];
+const REGIONS: [&str; 2] = ["east", "west"];
+const TARGETS_PER_REGION: usize = 6;
+const LIMITED: &str = "west-0";
+const OBJECTS: u64 = 60;
+const WORK_MILLIS: u64 = 150;
+const TRIP_MILLIS: u64 = 10;
+/// Interval between two requests of an instance.
+const REQUEST_INTERVAL_MILLIS: u64 = 40;
+/// Window in which requests are counted, and time after a statement from which they are counted.
+const WINDOW_MILLIS: u64 = 4_000;
+/// Time after which an instance that received a statement has to follow it.
+const REACTION_MILLIS: u64 = 500;
+
+/// What the limited target states from a time on, in milliseconds.
+type Schedule<'a> = &'a [(u64, Option<f64>)];
+
+fn stated_at(schedule: Schedule<'_>, millis: u64) -> Option<Rate> {
+    let current = schedule.iter().rev().find(|(from, _)| *from <= millis);
+    let per_second = current.and_then(|(_, rate)| *rate)?;
+    Some(Rate::from_micros((per_second * 1e6) as u64))
+}
+
+/// Response to a request, with the rate that the target states.
+struct Response {
+    instance: usize,
+    target: id::Target,
+    sent_at: u64,
+    stated: Option<Rate>,
+}
+
+struct Fleet {
+    pools: Vec<Pool>,
+    locations: Vec<Location>,
+    /// When each instance first received a statement.
+    told_at: Vec<Option<u64>>,
+    /// Times and senders of the requests that arrived at the limited target.
+    arrivals: Vec<(u64, usize)>,
+    rejected: u32,
+}
+
+impl Fleet {
+    fn new(size: usize) -> Self {
+        let names: Vec<id::Instance> = (0..size)
+            .map(|index| format!("front-{index}").parse().expect("a name"))
+            .collect();
+        let names: Arc<[id::Instance]> = names.into();
+        let mut pool = Pool::default();
+        for region in REGIONS {
+            for index in 0..TARGETS_PER_REGION {
+                pool.upsert_target(target(&format!("{region}-{index}"), region, 6), at(0));
+            }
+        }
+        let location = |index: usize| Location {
+            instance: names[index].clone(),
+            instances: names.clone(),
+            ..location(REGIONS[index % REGIONS.len()])
+        };
+        Self {
+            pools: vec![pool; size],
+            locations: (0..size).map(location).collect(),
+            told_at: vec![None; size],
+            arrivals: Vec::new(),
+            rejected: 0,
+        }
+    }
+
+    /// Sends one request of `instance` and returns its target.
+    fn send(&mut self, instance: usize, number: u64, now: u64) -> Option<id::Target> {
+        let object = Object::new("route", number.wrapping_mul(2_654_435_761) % OBJECTS);
+        let query = Query {
+            object: Some(object),
+            placement_key: object,
+            may_leave_region: false,
+            warm_work_seconds: WORK_MILLIS as f64 / 1e3,
+            cold_work_seconds: WORK_MILLIS as f64 * 2e-3,
+            cold_fraction: 0.1,
+            typical_work_seconds: WORK_MILLIS as f64 / 1e3,
+            tried: &[],
+            home_regions: &[],
+            account_home_regions: &[],
+            cold_rate: 0.0,
+            remaining_seconds: 0.8,
+            shift_limiter: &crate::NO_SURGE,
+            now: at(now),
+        };
+        let pool = &mut self.pools[instance];
+        match pool.choose(&query, &self.locations[instance], &IndexSet::new()) {
+            Ok(choice) => {
+                pool.record_send(&choice.target.id, Some(object), at(now));
+                Some(choice.target.id)
+            }
+            Err(_) => {
+                self.rejected += 1;
+                None
+            }
+        }
+    }
+
+    fn receive(&mut self, response: &Response, now: u64) {
+        let pool = &mut self.pools[response.instance];
+        pool.record_end(
+            &response.target,
+            TargetOutcome::Answered,
+            self.locations.len(),
+            at(now),
+        );
+        let member = pool.member_mut(&response.target).expect("a known target");
+        let sent_at = at(response.sent_at);
+        member.rate_limit.record(response.stated, sent_at, at(now));
+        if response.stated.is_some() {
+            self.told_at[response.instance].get_or_insert(now);
+        }
+    }
+
+    /// Plays the schedule for `millis`.
+    fn run(&mut self, schedule: Schedule<'_>, millis: u64) {
+        let mut responses: BTreeMap<(u64, u64), Response> = BTreeMap::new();
+        let mut number = 0;
+        for now in 0..millis {
+            while let Some(entry) = responses.first_entry().filter(|next| next.key().0 <= now) {
+                let response = entry.remove();
+                self.receive(&response, now);
+            }
+            for instance in 0..self.pools.len() {
+                let offset = instance as u64 * 7;
+                if !(now + offset).is_multiple_of(REQUEST_INTERVAL_MILLIS) {
+                    continue;
+                }
+                number += 1;
+                let Some(target) = self.send(instance, number, now) else {
+                    continue;
+                };
+                let is_limited = target.as_str() == LIMITED;
+                if is_limited {
+                    self.arrivals.push((now + TRIP_MILLIS, instance));
+                }
+                let done = now + TRIP_MILLIS + WORK_MILLIS;
+                let response = Response {
+                    instance,
+                    target,
+                    sent_at: now,
+                    stated: stated_at(schedule, done).filter(|_| is_limited),
+                };
+                responses.insert((done + TRIP_MILLIS, number), response);
+            }
+        }
+    }
+
+    /// Returns the most requests that the limited target received in a window from `from` to `to`, from
+    /// instances that had received a statement.
+    fn most_in_window(&self, from: u64, to: u64) -> usize {
+        let counted = self.arrivals.iter().filter(|(arrived, instance)| {
+            let told_at = self.told_at[*instance];
+            (from..to).contains(arrived)
+                && told_at.is_some_and(|told| told + REACTION_MILLIS <= *arrived)
+        });
+        let times: Vec<u64> = counted.map(|(arrived, _)| *arrived).collect();
+        let counts = times.iter().enumerate().map(|(first, start)| {
+            let inside = times[first..].iter();
+            inside.take_while(|at| **at < start + WINDOW_MILLIS).count()
+        });
+        counts.max().unwrap_or(0)
+    }
+
+    fn arrivals_between(&self, from: u64, to: u64) -> usize {
+        let times = self.arrivals.iter().map(|(arrived, _)| arrived);
+        times.filter(|arrived| (from..to).contains(arrived)).count()
+    }
+}
+
+/// Returns the requests that a target which states `rate` may receive in a window.
+fn allowed(rate: f64) -> usize {
+    (rate * WINDOW_MILLIS as f64 / 1e3 * 1.5 + 5.0) as usize
+}
+
+#[test]
+fn target_that_states_a_rate_gets_no_more_from_the_whole_fleet() {
+    for size in FLEETS {
+        for rate in [0.5, 3.2, 20.0] {
+            let mut fleet = Fleet::new(size);
+            fleet.run(&[(4_000, Some(rate))], 30_000);
+            let most = fleet.most_in_window(4_000 + WINDOW_MILLIS, 30_000);
+            let allowed = allowed(rate);
+            assert!(
+                most <= allowed,
+                "{size} instances, {rate}/s: {most} of {allowed}"
+            );
+        }
+    }
+}
+
+#[test]
+fn target_that_lowers_its_stated_rate_gets_no_more_from_the_whole_fleet() {
+    for size in FLEETS {
+        let mut fleet = Fleet::new(size);
+        fleet.run(&[(4_000, Some(20.0)), (12_000, Some(2.0))], 30_000);
+        let most = fleet.most_in_window(12_000 + WINDOW_MILLIS, 30_000);
+        let allowed = allowed(2.0);
+        assert!(most <= allowed, "{size} instances: {most} of {allowed}");
+    }
+}
