fix(sg-place): divide the rate that a target states over the fleet

Callers didn't notice, but a target in need got as many requests as before: 52 in 4 s where the rate that it stated allows 21.

Cause: no part of the request path knew that a target can state a rate. Of what instances learn from responses, only the bound on cold targets was divided over the fleet.

Change: the first ceil(rate) instances in rank for a target, those of its region first, send to it, each from a token bucket with an equal part of the rate. Beacons carry what targets state, so that instances which don't send learn of a change. Health checks take tokens too. The plan counts the slots that the rate keeps busy.

--- a/crates/sg-gateway/src/daemon.rs
+++ b/crates/sg-gateway/src/daemon.rs
@@ -227,6 +227,7 @@
             region: settings.region.clone(),
             instance: settings.instance.clone(),
             instances: Arc::from([settings.instance.clone()]),
+            instance_regions: IndexMap::new(),
             round_trips: RoundTrips::assumed(
                 SAME_DOMAIN_ROUND_TRIP_SECONDS,
                 SAME_REGION_ROUND_TRIP_SECONDS,
--- a/crates/sg-gateway/src/exchange.rs
+++ b/crates/sg-gateway/src/exchange.rs
@@ -4,10 +4,10 @@
 
 use rand::seq::SliceRandom;
 use sg_mesh::{
-    frame::{Beacon, Frame, Location},
+    frame::{Beacon, Frame, Location, RateStatement},
     relay,
 };
-use sg_place::quota;
+use sg_place::{quota, rate_limit};
 use sg_proxy::{core::Signal, planning::InstanceLoad};
 use sg_store::{Store, version::Era};
 use sg_types::prelude::*;
@@ -85,6 +85,7 @@
                 return;
             }
             let wanted_tokens = beacon.wanted_tokens.clone();
+            adopt_rate_statements(context, &beacon.rate_statements);
             let (incarnation, instance) = (beacon.incarnation, beacon.instance.clone());
             if context.members.lock().record_beacon(*beacon, now) {
                 log::info!(other:% = instance, incarnation = incarnation.get(); "instance heard");
@@ -128,6 +129,34 @@
     }
 }
 
+/// Returns what targets stated to this instance lately about the rates that they take.
+fn rate_statements<D, I, S>(context: &Context<D, I, S>) -> Vec<RateStatement> {
+    let statements = context.core.rate_statements().into_iter();
+    statements
+        .map(|(target, statement)| RateStatement {
+            target,
+            rate: statement.rate,
+            age_ms: statement.age.as_millis(),
+        })
+        .collect()
+}
+
+/// Adopts what another instance announces about the rates that targets take.
+fn adopt_rate_statements<D, I, S>(context: &Context<D, I, S>, announced: &[RateStatement]) {
+    for RateStatement {
+        target,
+        rate,
+        age_ms,
+    } in announced
+    {
+        let statement = rate_limit::Statement {
+            rate: *rate,
+            age: Span::from_millis(*age_ms),
+        };
+        context.core.adopt_rate_statement(target, statement);
+    }
+}
+
 /// Lends tokens that another instance wants and that this instance does not need.
 fn lend_wanted_tokens<D: Protocol, I: Interpreter, S: Store>(
     context: &Context<D, I, S>,
@@ -314,6 +343,7 @@
         bound: bound.collect(),
         wanted_tokens: Vec::new(),
         other_addresses,
+        rate_statements: rate_statements(context),
     };
     let addresses = beacon_addresses(context, now);
     let frame = Frame::Beacon(Box::new(beacon));
@@ -341,7 +371,7 @@
 /// Updates the fleet's members and the traffic plans of the request path.
 fn update_core<D: Protocol, I: Interpreter, S: Store>(context: &Context<D, I, S>, now: Instant) {
     let own = &context.settings.instance;
-    let (names, fleet_size, loads) = {
+    let (names, regions, fleet_size, loads) = {
         let mut members = context.members.lock();
         let loads: Vec<(id::Region, InstanceLoad)> = members
             .alive(now)
@@ -355,8 +385,14 @@
                 (beacon.location.region.clone(), load)
             })
             .collect();
+        let regions = members.alive(now).map(|member| {
+            let beacon = &member.beacon;
+            (beacon.instance.clone(), beacon.location.region.clone())
+        });
+        let regions = regions.collect();
         (
             members.instance_names(own, now),
+            regions,
             members.fleet_size(own, now),
             loads,
         )
@@ -364,7 +400,7 @@
     let budget_fraction = usable_budget_fraction(context, fleet_size, loads.len(), now);
     context
         .core
-        .update_fleet(names, fleet_size, budget_fraction);
+        .update_fleet(names, regions, fleet_size, budget_fraction);
     context.core.update_plans(&context.settings.domains, &loads);
 }
 
--- a/crates/sg-gateway/src/health.rs
+++ b/crates/sg-gateway/src/health.rs
@@ -48,6 +48,7 @@
     address: SocketAddr,
     path: &str,
 ) {
+    let sent_at = context.timer.now();
     let exchange = request_health(context, address, path);
     let result = context
         .timer
@@ -64,6 +65,11 @@
         log::info!(target_id:% = target, address:% = address; "address has another target");
         return;
     }
+    if health.rate_limit.is_some() {
+        context
+            .core
+            .record_rate_limit(&target, health.rate_limit, sent_at);
+    }
     context
         .core
         .record_health_check(&target, health.healthy, health.cold_for, health.load);
--- a/crates/sg-gateway/src/ports.rs
+++ b/crates/sg-gateway/src/ports.rs
@@ -80,6 +80,8 @@
     pub load: Option<LoadReport>,
     /// The time for which the target stays cold, if reported.
     pub cold_for: Option<Span>,
+    /// The requests per second that the target states it takes from all instances together.
+    pub rate_limit: Option<Rate>,
 }
 
 /// The platform's protocol of requests, lookups and health checks.
--- a/crates/sg-mesh/src/frame.rs
+++ b/crates/sg-mesh/src/frame.rs
@@ -24,6 +24,17 @@
     pub mesh_address: SocketAddr,
 }
 
+/// What a target stated in a response about the requests per second that it takes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RateStatement {
+    /// The target.
+    pub target: id::Target,
+    /// The rate for all instances together; `None` if the target states no limit.
+    pub rate: Option<Rate>,
+    /// The time since the response arrived, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// The state that an instance announces several times a second.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Beacon {
@@ -57,6 +68,9 @@
     /// The mesh addresses of some instances whose beacons the sender received lately.
     #[serde(rename = "others")]
     pub other_addresses: Vec<SocketAddr>,
+    /// What targets stated to the sender lately.
+    #[serde(rename = "rates", default, skip_serializing_if = "Vec::is_empty")]
+    pub rate_statements: Vec<RateStatement>,
 }
 
 /// The content of one datagram.
--- a/crates/sg-place/src/lib.rs
+++ b/crates/sg-place/src/lib.rs
@@ -11,7 +11,7 @@
 //! - [`work_estimate`] estimates how long requests of a route take.
 //! - [`quota`] divides a client account's rate into shares that instances lend each other.
 //! - [`quarantine`] detects requests that crash targets.
-//! - [`rate_limit`] follows the rate that a target states it takes.
+//! - [`rate_limit`] bounds the requests per second to targets that state such a limit.
 //! - [`round_robin`] distributes requests over the parts of a traffic split by weight.
 //! - [`retry`] bounds retries.
 //! - [`shift_limit`] bounds how fast the regions' shares of running requests change during a load
--- a/crates/sg-place/src/member.rs
+++ b/crates/sg-place/src/member.rs
@@ -2,7 +2,14 @@
 
 use sg_types::prelude::*;
 
-use crate::{Target, cold::Window, hash::Object, limit::Limit, rate_limit::RateLimit};
+use crate::{
+    Target,
+    cold::Window,
+    hash::Object,
+    limit::Limit,
+    pool::Location,
+    rate_limit::{RateLimit, Share},
+};
 
 /// Time constant of the decay of the load that a report attributes to other instances, in seconds.
 const REPORT_DECAY_SECONDS: f64 = 1.0;
@@ -216,6 +223,14 @@
         own + others * freshness + assumed_others * (1.0 - freshness)
     }
 
+    /// Updates this instance's share of the rate that the target states.
+    pub fn update_rate_share(&mut self, location: &Location, now: Instant) {
+        if let Some(rate) = self.rate_limit.rate() {
+            let share = Share::of(rate, &self.target, location);
+            self.rate_limit.set_share(share, now);
+        }
+    }
+
     /// Decreases the limit because the target is overloaded.
     fn decrease_limit(&mut self, senders: usize, now: Instant) {
         let floor = f64::from(self.slots()) * MIN_LIMIT_PER_SLOT / senders.max(1) as f64;
--- a/crates/sg-place/src/pool.rs
+++ b/crates/sg-place/src/pool.rs
@@ -8,6 +8,7 @@
     cold,
     hash::Object,
     member::{LoadReport, Member, TargetOutcome},
+    rate_limit::{Change, Statement},
     scarcity::Scarcity,
     shift_limit::ShiftLimiter,
     work_estimate::MovingAverage,
@@ -24,11 +25,22 @@
     pub instance: id::Instance,
     /// All instances that send to targets, including this one.
     pub instances: Arc<[id::Instance]>,
+    /// Regions of the other instances, as far as they are known.
+    pub instance_regions: IndexMap<id::Instance, id::Region>,
     /// Round-trip times to targets.
     pub round_trips: RoundTrips,
 }
 
 impl Location {
+    /// Returns the region of `instance`, if it is known.
+    #[must_use]
+    pub fn region_of(&self, instance: &id::Instance) -> Option<&id::Region> {
+        if *instance == self.instance {
+            return Some(&self.region);
+        }
+        self.instance_regions.get(instance)
+    }
+
     /// Returns the round-trip time to `target`, in seconds.
     #[must_use]
     pub fn round_trip_seconds(&self, target: &Target) -> f64 {
@@ -82,6 +94,9 @@
 /// Time after which room is expected while the shift limiter allows no region.
 const SHIFT_RETRY_SECONDS: f64 = 0.5;
 
+/// Time after which room is expected while other instances use the rates that all targets state.
+const RATE_RETRY_SECONDS: f64 = 1.0;
+
 /// A request for which a target is to be chosen.
 #[derive(Debug, Clone, Copy)]
 pub struct Query<'a> {
@@ -171,6 +186,8 @@
     plan: Plan,
     sender_ratio: f64,
     scarcity: Scarcity,
+    /// Average time that the targets work on a request.
+    work: MovingAverage,
 }
 
 impl Pool {
@@ -298,6 +315,7 @@
             .filter(|member| candidate::may_use(member, query, closed))
             .partition(|member| member.is_banned(query.now));
         let mut members = if healthy.is_empty() { banned } else { healthy };
+        retain_within_rate(&mut members, query.now)?;
         if let Some(region) = planned.filter(|_| !query.may_leave_region) {
             let in_planned_region = |member: &&Member| member.target.region == *region;
             if members.iter().any(in_planned_region) {
@@ -372,6 +390,7 @@
         if let Some(member) = self.members.get_mut(id) {
             member.in_flight += 1;
             member.recent_sends.record(now);
+            member.rate_limit.take(now);
             if let Some(object) = object {
                 member.mark_warm(object, now);
             }
@@ -400,7 +419,60 @@
         }
     }
 
-    /// Returns the slots of the usable targets in `domain`, reduced for cold and slow targets.
+    /// Records what a response of the target `id` states about the rate that the target takes; `sent_at` is
+    /// when the request was sent.
+    pub fn record_rate_limit(
+        &mut self,
+        id: &id::Target,
+        stated: Option<Rate>,
+        sent_at: Instant,
+        location: &Location,
+        now: Instant,
+    ) -> Option<Change> {
+        let member = self.members.get_mut(id)?;
+        let change = member.rate_limit.record(stated, sent_at, now)?;
+        member.update_rate_share(location, now);
+        Some(change)
+    }
+
+    /// Adopts what another instance announces about the rate that the target `id` takes.
+    pub fn adopt_statement(
+        &mut self,
+        id: &id::Target,
+        announced: Statement,
+        location: &Location,
+        now: Instant,
+    ) -> Option<Change> {
+        let member = self.members.get_mut(id)?;
+        let change = member.rate_limit.adopt(announced, now)?;
+        member.update_rate_share(location, now);
+        Some(change)
+    }
+
+    /// Returns what targets stated to this instance lately, for the other instances.
+    pub fn statements(&self, now: Instant) -> impl Iterator<Item = (&id::Target, Statement)> {
+        self.members.iter().filter_map(move |(id, member)| {
+            let statement = member.rate_limit.announcement(now)?;
+            Some((id, statement))
+        })
+    }
+
+    /// Updates this instance's shares of the rates that targets state, after the fleet has changed.
+    pub fn update_rate_shares(&mut self, location: &Location, now: Instant) {
+        for member in self.members.values_mut() {
+            if member.rate_limit.lapse(now).is_none() {
+                member.update_rate_share(location, now);
+            }
+        }
+    }
+
+    /// Records how long a target worked on a request.
+    pub fn record_work(&mut self, seconds: f64) {
+        self.work.record_sample(seconds);
+    }
+
+    /// Returns the slots of the usable targets in `domain`, reduced for cold and slow targets and for
+    /// those that state a rate which keeps fewer slots busy.
     #[must_use]
     pub fn slots(&self, domain: &id::Domain, now: Instant) -> f64 {
         let members = self.members.values().filter(|member| {
@@ -409,10 +481,35 @@
         members
             .map(|member| {
                 let cold = if member.is_cold(now) { 0.3 } else { 1.0 };
-                f64::from(member.slots()) * cold / member.slowness(now).max(1.0)
+                let slots = f64::from(member.slots()) * cold / member.slowness(now).max(1.0);
+                slots.min(self.rate_limited_slots(member))
             })
             .sum()
     }
+
+    /// Returns the slots that requests at the rate which `member` states keep busy.
+    fn rate_limited_slots(&self, member: &Member) -> f64 {
+        let rate = member.rate_limit.rate();
+        let slots = rate.zip(self.work.value());
+        slots.map_or(f64::MAX, |(rate, work_seconds)| {
+            rate.as_f64() * work_seconds
+        })
+    }
+}
+
+/// Removes the targets whose stated rate leaves this instance no room for another request.
+fn retain_within_rate(members: &mut Vec<&Member>, now: Instant) -> Result<(), Rejection> {
+    let has_room = |member: &&Member| member.rate_limit.has_room(now);
+    if members.is_empty() || members.iter().any(has_room) {
+        members.retain(has_room);
+        return Ok(());
+    }
+    let waits = members.iter();
+    let waits = waits.filter_map(|member| member.rate_limit.seconds_to_room(now));
+    let wait_seconds = waits.min_by(f64::total_cmp);
+    Err(Rejection::NoRoom(
+        wait_seconds.unwrap_or(RATE_RETRY_SECONDS),
+    ))
 }
 
 /// Returns the best candidate that has room. In an overload, a target where the object is cold is no
--- a/crates/sg-place/tests/place/main.rs
+++ b/crates/sg-place/tests/place/main.rs
@@ -49,6 +49,7 @@
         region: region.parse().expect("a name"),
         instances: Arc::from([instance.clone()]),
         instance,
+        instance_regions: IndexMap::new(),
         round_trips: RoundTrips::assumed(0.001, 0.003, 0.072),
     }
 }
--- a/crates/sg-place/tests/place/properties.rs
+++ b/crates/sg-place/tests/place/properties.rs
@@ -45,6 +45,7 @@
         region: names[0].parse().expect("a name"),
         instances: Arc::from([instance.clone()]),
         instance,
+        instance_regions: IndexMap::new(),
         round_trips: RoundTrips::assumed(domain, region, remote),
     }
 }
--- a/crates/sg-place/tests/place/rate_limits.rs
+++ b/crates/sg-place/tests/place/rate_limits.rs
@@ -2,11 +2,14 @@
 
 use std::collections::BTreeMap;
 
+use quickcheck::quickcheck;
+
 use sg_place::{
-    Pool,
+    Pool, Target,
     hash::Object,
     member::TargetOutcome,
     pool::{Location, Query},
+    rate_limit::{Change, RateLimit, Share, Statement},
 };
 use sg_types::prelude::*;
 
@@ -26,6 +29,9 @@
 /// Time after which an instance that received a statement has to follow it.
 const REACTION_MILLIS: u64 = 500;
 
+/// Interval between two announcements of an instance.
+const ANNOUNCE_INTERVAL_MILLIS: u64 = 800;
+
 /// What the limited target states from a time on, in milliseconds.
 type Schedule<'a> = &'a [(u64, Option<f64>)];
 
@@ -65,7 +71,12 @@
                 pool.upsert_target(target(&format!("{region}-{index}"), region, 6), at(0));
             }
         }
+        let regions = names.iter().zip(REGIONS.iter().cycle());
+        let regions: IndexMap<id::Instance, id::Region> = regions
+            .map(|(name, region)| (name.clone(), region.parse().expect("a name")))
+            .collect();
         let location = |index: usize| Location {
+            instance_regions: regions.clone(),
             instance: names[index].clone(),
             instances: names.clone(),
             ..location(REGIONS[index % REGIONS.len()])
@@ -119,14 +130,33 @@
             self.locations.len(),
             at(now),
         );
-        let member = pool.member_mut(&response.target).expect("a known target");
-        let sent_at = at(response.sent_at);
-        member.rate_limit.record(response.stated, sent_at, at(now));
+        let location = &self.locations[response.instance];
+        pool.record_rate_limit(
+            &response.target,
+            response.stated,
+            at(response.sent_at),
+            location,
+            at(now),
+        );
         if response.stated.is_some() {
             self.told_at[response.instance].get_or_insert(now);
         }
     }
 
+    /// Announces to all other instances what `from` was told.
+    fn announce(&mut self, from: usize, now: u64) {
+        let statements: Vec<(id::Target, Statement)> = self.pools[from]
+            .statements(at(now))
+            .map(|(target, statement)| (target.clone(), statement))
+            .collect();
+        for (pool, location) in self.pools.iter_mut().zip(&self.locations) {
+            for (target, statement) in &statements {
+                pool.adopt_statement(target, *statement, location, at(now));
+            }
+            pool.update_rate_shares(location, at(now));
+        }
+    }
+
     /// Plays the schedule for `millis`.
     fn run(&mut self, schedule: Schedule<'_>, millis: u64) {
         let mut responses: BTreeMap<(u64, u64), Response> = BTreeMap::new();
@@ -137,6 +167,9 @@
                 self.receive(&response, now);
             }
             for instance in 0..self.pools.len() {
+                if (now + instance as u64 * 31).is_multiple_of(ANNOUNCE_INTERVAL_MILLIS) {
+                    self.announce(instance, now);
+                }
                 let offset = instance as u64 * 7;
                 if !(now + offset).is_multiple_of(REQUEST_INTERVAL_MILLIS) {
                     continue;
@@ -183,6 +216,10 @@
     }
 }
 
+fn limited_target() -> Target {
+    target(LIMITED, "west", 6)
+}
+
 /// Returns the requests that a target which states `rate` may receive in a window.
 fn allowed(rate: f64) -> usize {
     (rate * WINDOW_MILLIS as f64 / 1e3 * 1.5 + 5.0) as usize
@@ -214,3 +251,89 @@
         assert!(most <= allowed, "{size} instances: {most} of {allowed}");
     }
 }
+
+#[test]
+fn target_that_lifts_its_limit_gets_its_requests_back() {
+    for size in FLEETS {
+        let mut fleet = Fleet::new(size);
+        fleet.run(&[(8_000, Some(1.5)), (16_000, None)], 30_000);
+        let limited = fleet.arrivals_between(10_000, 16_000);
+        let before = fleet.arrivals_between(2_000, 8_000);
+        let after = fleet.arrivals_between(20_000, 26_000);
+        assert!(limited < before, "{size}: {limited} of {before}");
+        assert!(after * 2 > before, "{size}: {after} after, {before} before");
+    }
+}
+
+#[test]
+fn callers_are_served_elsewhere_while_one_target_is_limited() {
+    for size in FLEETS {
+        let mut fleet = Fleet::new(size);
+        fleet.run(&[(4_000, Some(0.5))], 20_000);
+        assert_eq!(fleet.rejected, 0, "{size} instances");
+    }
+}
+
+#[test]
+fn limited_target_that_nobody_needs_is_free_again_after_a_while() {
+    let mut limit = RateLimit::default();
+    let rate = Rate::per_second(2);
+    let stated = limit.record(Some(rate), at(0), at(100));
+    assert_eq!(stated, Some(Change::Stated(rate)));
+    assert_eq!(limit.lapse(at(20_000)), None);
+    assert_eq!(limit.lapse(at(31_000)), Some(Change::Lifted));
+}
+
+#[test]
+fn response_that_was_overtaken_does_not_lift_a_limit() {
+    let mut limit = RateLimit::default();
+    let rate = Rate::per_second(2);
+    assert!(limit.record(Some(rate), at(0), at(100)).is_some());
+    assert_eq!(limit.record(None, at(50), at(120)), None);
+    assert_eq!(limit.rate(), Some(rate));
+    assert_eq!(limit.record(None, at(130), at(200)), Some(Change::Lifted));
+}
+
+#[test]
+fn announcement_counts_only_if_newer_and_lifts_only_with_a_margin() {
+    let mut limit = RateLimit::default();
+    let announced = |rate, age| Statement {
+        rate,
+        age: Span::from_millis(age),
+    };
+    let rate = Rate::per_second(2);
+    assert!(limit.record(Some(rate), at(0), at(5_000)).is_some());
+    let older = announced(Some(Rate::per_second(9)), 300);
+    assert_eq!(limit.adopt(older, at(5_200)), None);
+    assert_eq!(limit.adopt(announced(None, 0), at(5_900)), None);
+    assert_eq!(
+        limit.adopt(announced(None, 0), at(6_100)),
+        Some(Change::Lifted)
+    );
+}
+
+#[test]
+fn instances_of_the_targets_region_send_first() {
+    let fleet = Fleet::new(30);
+    let rate = Rate::per_second(10);
+    let senders = fleet.locations.iter().filter(|location| {
+        let share = Share::of(rate, &limited_target(), location);
+        share.rate > 0.0
+    });
+    let regions: Vec<&str> = senders.map(|location| location.region.as_str()).collect();
+    assert_eq!(regions, ["west"; 10]);
+}
+
+quickcheck! {
+    fn shares_of_all_instances_add_up_to_the_rate(tenths: u16, size: u8) -> bool {
+        let rate = Rate::from_micros(u64::from(tenths) * 100_000);
+        let fleet = Fleet::new(usize::from(size % 40) + 1);
+        let shares = fleet.locations.iter();
+        let shares: Vec<Share> = shares
+            .map(|location| Share::of(rate, &limited_target(), location))
+            .collect();
+        let total: f64 = shares.iter().map(|share| share.rate).sum();
+        let burst: f64 = shares.iter().map(|share| share.burst).sum();
+        (total - rate.as_f64()).abs() < 1e-6 && burst <= rate.as_f64() + 1.0
+    }
+}
--- a/crates/sg-proxy/src/core.rs
+++ b/crates/sg-proxy/src/core.rs
@@ -233,11 +233,12 @@
         reopened
     }
 
-    /// Updates the instances that send to targets, the size of the fleet, and the fraction of
-    /// fleet-wide budgets that may be used, from 0 to 1.
+    /// Updates the instances that send to targets, the regions of those that are alive, the size of the
+    /// fleet, and the fraction of fleet-wide budgets that may be used, from 0 to 1.
     pub fn update_fleet(
         &self,
         instances: Vec<id::Instance>,
+        instance_regions: IndexMap<id::Instance, id::Region>,
         fleet_size: u32,
         budget_fraction: f64,
     ) {
@@ -245,8 +246,16 @@
         if state.location.instances.as_ref() != instances.as_slice() {
             state.location.instances = instances.into();
         }
+        state.location.instance_regions = instance_regions;
         state.fleet_size = fleet_size.max(1);
         state.budget_fraction = budget_fraction;
+        let now = self.timer.now();
+        let State {
+            pools, location, ..
+        } = &mut *state;
+        for pool in pools.values_mut() {
+            pool.update_rate_shares(location, now);
+        }
     }
 
     /// Returns the other instances that hold a part of the account's quota.
@@ -346,7 +355,8 @@
         let Some(catalog) = self.catalog() else {
             return Vec::new();
         };
-        let state = self.state.lock();
+        let now = self.timer.now();
+        let mut state = self.state.lock();
         let targets = state.pools.iter().flat_map(|(service, pool)| {
             let path = catalog
                 .services
@@ -354,7 +364,7 @@
                 .map(|service| service.health_path.clone());
             let members = pool
                 .members()
-                .filter(|m| m.needs_check() && !m.target.draining);
+                .filter(|m| m.needs_check() && !m.target.draining && m.rate_limit.has_room(now));
             members.filter_map(move |member| {
                 Some((
                     member.target.id.clone(),
@@ -366,6 +376,11 @@
         let mut targets: Vec<_> = targets.collect();
         rand::seq::SliceRandom::shuffle(targets.as_mut_slice(), &mut rand::rng());
         targets.truncate(limit);
+        for (target, ..) in &targets {
+            if let Some(member) = state.member_mut(target) {
+                member.rate_limit.take(now);
+            }
+        }
         targets
     }
 
--- a/crates/sg-proxy/src/lib.rs
+++ b/crates/sg-proxy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod dialect;
 pub mod metrics;
 pub mod planning;
+mod rate_limits;
 mod send;
 mod serve;
 pub mod server;
--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -4,7 +4,7 @@
 use http::{HeaderMap, Request, Response, Uri, Version};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use sg_place::{member::TargetOutcome, pool::Choice, rate_limit::Change};
+use sg_place::{member::TargetOutcome, pool::Choice};
 use sg_types::prelude::*;
 
 use crate::{
@@ -202,7 +202,9 @@
         work.record_highest_ranked(work_seconds);
     }
     work.record(work_seconds, choice.warm || call.object.is_none());
-    if let Some(member) = state.pool(service).member_mut(&choice.target.id) {
+    let pool = state.pool(service);
+    pool.record_work(work_seconds);
+    if let Some(member) = pool.member_mut(&choice.target.id) {
         member.record_speed(work_seconds, expected_seconds, now);
     }
 }
@@ -292,7 +294,7 @@
         return SendOutcome::Lost;
     }
     if response_info.verdict != Verdict::Misdirected {
-        record_rate_limit(core, service, choice, response_info.rate_limit, sent_at);
+        core.record_rate_limit(&choice.target.id, response_info.rate_limit, sent_at);
     }
     let mut buffered = BytesMut::new();
     while let Some(frame) = body.frame().await {
@@ -328,34 +330,6 @@
     }
 }
 
-/// Records the rate that a response states.
-fn record_rate_limit<D>(
-    core: &Core<D>,
-    service: &id::Service,
-    choice: &Choice,
-    stated: Option<Rate>,
-    sent_at: Instant,
-) {
-    let now = core.timer.now();
-    let mut state = core.state.lock();
-    let member = state.pool(service).member_mut(&choice.target.id);
-    let change = member.and_then(|member| member.rate_limit.record(stated, sent_at, now));
-    drop(state);
-    let Some(change) = change.filter(|_| core.log_limiter.admit(now)) else {
-        return;
-    };
-    match change {
-        Change::Stated(rate) => log::info!(
-            target_id:% = choice.target.id, service:% = service, per_second = rate.as_f64();
-            "target rate limit stated"
-        ),
-        Change::Lifted => log::info!(
-            target_id:% = choice.target.id, service:% = service;
-            "target rate limit lifted"
-        ),
-    }
-}
-
 /// Returns the connection to the pool, or closes the connection if the target will close it.
 fn release<D>(core: &Core<D>, connection: Connection, response_info: &ResponseInfo) {
     if response_info.closes_connection {
--- a/crates/sg-proxy/src/state.rs
+++ b/crates/sg-proxy/src/state.rs
@@ -3,6 +3,7 @@
 
 use sg_place::{
     Pool, Target,
+    member::Member,
     pool::Location,
     quarantine::Table,
     quota::{self, TokenShare},
@@ -169,6 +170,12 @@
         self.pools.entry(service.clone()).or_default()
     }
 
+    /// Returns the target called `id`.
+    pub fn member_mut(&mut self, id: &id::Target) -> Option<&mut Member> {
+        let service = self.services.get(id)?;
+        self.pools.get_mut(service)?.member_mut(id)
+    }
+
     /// Adds a target or updates the known one, also if the target has moved to another service.
     /// Ignores a description that a removed target had given before. Returns whether the target is new
     /// to its service.
--- a/crates/sg-proxy/tests/proxy/harness.rs
+++ b/crates/sg-proxy/tests/proxy/harness.rs
@@ -282,6 +282,7 @@
             region: "west".parse().expect("a name"),
             instances: Arc::from([instance.clone()]),
             instance,
+            instance_regions: IndexMap::new(),
             round_trips: RoundTrips::assumed(0.001, 0.003, 0.07),
         };
         let options = Options {
@@ -305,7 +306,7 @@
             options,
             signals,
         ));
-        core.update_fleet(Vec::new(), 1, 1.0);
+        core.update_fleet(Vec::new(), IndexMap::new(), 1, 1.0);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let (phase, phase_receiver) = watch::channel(Phase::Open);
