--- a/crates/sg-place/tests/place/rate_limits.rs
+++ b/crates/sg-place/tests/place/rate_limits.rs
@@ -24,7 +24,9 @@
 const TRIP_MILLIS: u64 = 10;
 /// Interval between two requests of an instance.
 const REQUEST_INTERVAL_MILLIS: u64 = 40;
-/// Window in which requests are counted, and time after a statement from which they are counted.
+/// Requests per second that a target without a limit may receive.
+const UNLIMITED: f64 = 1e6;
+/// Window in which requests are counted.
 const WINDOW_MILLIS: u64 = 4_000;
 /// Time after which an instance that received a statement has to follow it.
 const REACTION_MILLIS: u64 = 500;
@@ -194,20 +196,22 @@
         }
     }
 
-    /// Returns the most requests that the limited target received in a window from `from` to `to`, from
-    /// instances that had received a statement.
-    fn most_in_window(&self, from: u64, to: u64) -> usize {
+    /// Returns the window after `from` in which the limited target received most requests beyond what
+    /// `schedule` allows, as the numbers of requests received and allowed. Counts instances that had
+    /// received a statement.
+    fn worst_window(&self, schedule: Schedule<'_>, from: u64) -> (usize, usize) {
         let counted = self.arrivals.iter().filter(|(arrived, instance)| {
             let told_at = self.told_at[*instance];
-            (from..to).contains(arrived)
-                && told_at.is_some_and(|told| told + REACTION_MILLIS <= *arrived)
+            from <= *arrived && told_at.is_some_and(|told| told + REACTION_MILLIS <= *arrived)
         });
         let times: Vec<u64> = counted.map(|(arrived, _)| *arrived).collect();
-        let counts = times.iter().enumerate().map(|(first, start)| {
+        let windows = times.iter().enumerate().map(|(first, start)| {
             let inside = times[first..].iter();
-            inside.take_while(|at| **at < start + WINDOW_MILLIS).count()
+            let count = inside.take_while(|at| **at < start + WINDOW_MILLIS);
+            (count.count(), allowed(schedule, *start))
         });
-        counts.max().unwrap_or(0)
+        let worst = windows.max_by_key(|(count, allowed)| *count as i64 - *allowed as i64);
+        worst.unwrap_or_default()
     }
 
     fn arrivals_between(&self, from: u64, to: u64) -> usize {
@@ -220,9 +224,11 @@
     target(LIMITED, "west", 6)
 }
 
-/// Returns the requests that a target which states `rate` may receive in a window.
-fn allowed(rate: f64) -> usize {
-    (rate * WINDOW_MILLIS as f64 / 1e3 * 1.5 + 5.0) as usize
+/// Returns the requests that the limited target may receive in the window from `start`.
+fn allowed(schedule: Schedule<'_>, start: u64) -> usize {
+    let millis = start..start + WINDOW_MILLIS;
+    let rates = millis.map(|at| stated_at(schedule, at).map_or(UNLIMITED, Rate::as_f64));
+    (rates.sum::<f64>() / 1e3 * 1.5 + 5.0) as usize
 }
 
 #[test]
@@ -230,12 +236,12 @@
     for size in FLEETS {
         for rate in [0.5, 3.2, 20.0] {
             let mut fleet = Fleet::new(size);
-            fleet.run(&[(4_000, Some(rate))], 30_000);
-            let most = fleet.most_in_window(4_000 + WINDOW_MILLIS, 30_000);
-            let allowed = allowed(rate);
+            let schedule = [(4_000, Some(rate))];
+            fleet.run(&schedule, 30_000);
+            let (count, allowed) = fleet.worst_window(&schedule, 4_000);
             assert!(
-                most <= allowed,
-                "{size} instances, {rate}/s: {most} of {allowed}"
+                count <= allowed,
+                "{size} instances, {rate}/s: {count} of {allowed}"
             );
         }
     }
@@ -245,10 +251,10 @@
 fn target_that_lowers_its_stated_rate_gets_no_more_from_the_whole_fleet() {
     for size in FLEETS {
         let mut fleet = Fleet::new(size);
-        fleet.run(&[(4_000, Some(20.0)), (12_000, Some(2.0))], 30_000);
-        let most = fleet.most_in_window(12_000 + WINDOW_MILLIS, 30_000);
-        let allowed = allowed(2.0);
-        assert!(most <= allowed, "{size} instances: {most} of {allowed}");
+        let schedule = [(4_000, Some(20.0)), (12_000, Some(2.0))];
+        fleet.run(&schedule, 30_000);
+        let (count, allowed) = fleet.worst_window(&schedule, 4_000);
+        assert!(count <= allowed, "{size} instances: {count} of {allowed}");
     }
 }
 
