feat(sg-gateway): a source address for connections to targets

Hosts with several addresses choose it in the settings; the stand-ins use it to tell instances apart, so that a proxy can cut off one instance: silently, by resets, or for new connections only. Not set on the platform; no behaviour changes there.

--- a/crates/sg-gateway/src/daemon.rs
+++ b/crates/sg-gateway/src/daemon.rs
@@ -235,6 +235,7 @@
             ),
         },
         max_idle_connections: budget.idle_targets,
+        source: settings.source,
     }
 }
 
--- a/crates/sg-gateway/src/settings.rs
+++ b/crates/sg-gateway/src/settings.rs
@@ -67,6 +67,10 @@
     pub seeds: Vec<SocketAddr>,
     /// The address of the platform's store.
     pub store: SocketAddr,
+    /// The address that connections to targets and other instances come from; the system's choice if
+    /// missing.
+    #[serde(default)]
+    pub source: Option<std::net::IpAddr>,
     /// Whether the whole system starts for the first time, so that targets find all objects cold.
     #[serde(default)]
     pub first_start: bool,
--- a/crates/sg-proxy/src/connections.rs
+++ b/crates/sg-proxy/src/connections.rs
@@ -3,7 +3,11 @@
 //! A connection carries one request at a time. Dropping a request before its response is complete
 //! closes the connection, so that the target can stop the work.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -69,12 +73,21 @@
     timeout: Span,
 }
 
+/// Options of a connection pool.
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    /// Maximum number of idle connections to all targets together.
+    pub max_idle: usize,
+    /// Address that connections come from; the system's choice if `None`.
+    pub source: Option<IpAddr>,
+}
+
 /// Pool of connections to all targets.
 #[derive(Debug)]
 pub struct ConnectionPool {
     timer: Timer,
     idle: Mutex<Idle>,
-    max_idle: usize,
+    options: Options,
     opened: prometheus::IntCounter,
 }
 
@@ -170,14 +183,13 @@
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool that keeps at most `max_idle` idle connections to all targets together.
-    /// `opened` counts the connections that are opened.
+    /// Creates an empty pool. `opened` counts the connections that are opened.
     #[must_use]
-    pub fn new(timer: Timer, max_idle: usize, opened: prometheus::IntCounter) -> Self {
+    pub fn new(timer: Timer, options: Options, opened: prometheus::IntCounter) -> Self {
         Self {
             timer,
             idle: Mutex::default(),
-            max_idle,
+            options,
             opened,
         }
     }
@@ -233,7 +245,7 @@
         if pool.by_address[&connection.address].len() > MAX_IDLE_PER_TARGET {
             pool.close_oldest(connection.address);
         }
-        if pool.count > self.max_idle
+        if pool.count > self.options.max_idle
             && let Some(address) = pool.most_kept()
         {
             pool.close_oldest(address);
@@ -281,6 +293,9 @@
         let connect = async {
             let socket = TcpSocket::new_v4()?;
             configure_socket(&SockRef::from(&socket))?;
+            if let Some(source) = self.options.source {
+                socket.bind(SocketAddr::new(source, 0))?;
+            }
             socket.connect(address).await
         };
         let stream = self.timer.until(deadline, connect).await;
--- a/crates/sg-proxy/src/core.rs
+++ b/crates/sg-proxy/src/core.rs
@@ -1,7 +1,7 @@
 //! State of the request path, and the interface through which the rest of the instance updates it.
 
 use std::{
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::atomic::{AtomicBool, Ordering},
 };
 
@@ -13,7 +13,12 @@
 use sg_types::prelude::*;
 use tokio::sync::{Notify, mpsc, watch};
 
-use crate::{connections::ConnectionPool, metrics::Metrics, state::State, trace::LogLimiter};
+use crate::{
+    connections::{self, ConnectionPool},
+    metrics::Metrics,
+    state::State,
+    trace::LogLimiter,
+};
 
 /// Maximum time that a request waits for a token from another instance, about two round trips to
 /// another region.
@@ -38,6 +43,8 @@
     pub location: Location,
     /// Maximum number of idle connections to all targets together.
     pub max_idle_connections: usize,
+    /// Address that connections to targets come from; the system's choice if `None`.
+    pub source: Option<IpAddr>,
 }
 
 /// State and services that all requests share.
@@ -92,7 +99,10 @@
             dialect,
             connections: ConnectionPool::new(
                 timer.clone(),
-                options.max_idle_connections,
+                connections::Options {
+                    max_idle: options.max_idle_connections,
+                    source: options.source,
+                },
                 metrics.connections_opened.clone(),
             ),
             timer,
--- a/crates/sg-proxy/tests/proxy/harness.rs
+++ b/crates/sg-proxy/tests/proxy/harness.rs
@@ -296,6 +296,7 @@
             initial_cold_fraction: 1.0,
             location,
             max_idle_connections: 64,
+            source: None,
         };
         let metrics = Metrics::register(&prometheus::Registry::new()).expect("counters");
         let (signals, _) = mpsc::unbounded_channel();
