feat(sg-place): tell when an instance has lost its paths to all targets

Widespread failures now start a round of health checks, and two log events tell the result. Requests are handled as before.

--- a/crates/sg-gateway/src/health.rs
+++ b/crates/sg-gateway/src/health.rs
@@ -8,6 +8,7 @@
 use sg_proxy::connections::ReusePolicy;
 use sg_store::Store;
 use sg_types::prelude::*;
+use tokio::task::JoinSet;
 
 use crate::{Interpreter, Protocol, daemon::Context, ports::HealthReport};
 
@@ -32,6 +33,7 @@
             tokio::spawn(async move { check(&context, target, address, &path).await })
         });
         let checks: Vec<_> = checks.collect();
+        check_reach(&context).await;
         for check in checks {
             if let Err(error) = check.await {
                 log::warn!(error:% = error; "health check broke off");
@@ -40,6 +42,32 @@
     }
 }
 
+/// Finds out whether this instance still reaches any target, if it may have lost its paths to all of them.
+/// Any response counts, also one that says that the target is unhealthy.
+async fn check_reach<D: Protocol, I: Interpreter, S: Store>(context: &Arc<Context<D, I, S>>) {
+    let targets = context.core.reach_checks();
+    if targets.is_empty() {
+        return;
+    }
+    let mut checks = JoinSet::new();
+    for (_, address, path) in targets {
+        let context = context.clone();
+        checks.spawn(async move {
+            let deadline = context.timer.now() + CHECK_TIMEOUT;
+            let exchange = request_health(&context, address, &path);
+            matches!(context.timer.until(deadline, exchange).await, Ok(Some(_)))
+        });
+    }
+    let mut is_reached = false;
+    while let Some(check) = checks.join_next().await {
+        is_reached |= matches!(check, Ok(true));
+        if is_reached {
+            break;
+        }
+    }
+    context.core.record_reach_round(is_reached);
+}
+
 /// Checks one target and records the result. Ignores a response that does not arrive in time or comes
 /// from another target.
 async fn check<D: Protocol, I: Interpreter, S: Store>(
@@ -57,6 +85,7 @@
     let Ok(Some(health)) = result else {
         return;
     };
+    context.core.record_reached();
     let is_expected_target = health
         .target
         .as_ref()
--- a/crates/sg-place/src/lib.rs
+++ b/crates/sg-place/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`quota`] divides a client account's rate into shares that instances lend each other.
 //! - [`quarantine`] detects requests that crash targets.
 //! - [`rate_limit`] bounds the requests per second to targets that state such a limit.
+//! - [`reach`] tells whether an instance has lost its paths to all targets.
 //! - [`round_robin`] distributes requests over the parts of a traffic split by weight.
 //! - [`retry`] bounds retries.
 //! - [`shift_limit`] bounds how fast the regions' shares of running requests change during a load
@@ -31,6 +32,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod rate_limit;
+pub mod reach;
 pub mod retry;
 pub mod round_robin;
 mod scarcity;
--- a/crates/sg-place/tests/place/main.rs
+++ b/crates/sg-place/tests/place/main.rs
@@ -8,6 +8,7 @@
 mod plans;
 mod properties;
 mod rate_limits;
+mod reach;
 mod surge;
 
 use std::sync::LazyLock;
--- a/crates/sg-proxy/src/connections.rs
+++ b/crates/sg-proxy/src/connections.rs
@@ -47,8 +47,13 @@
     #[error("could not send the request to the target: {0}")]
     NotSent(io::Error),
     /// Bytes of the request may have reached the target.
-    #[error("connection to the target lost before the response: {0}")]
-    Lost(hyper::Error),
+    #[error("connection to the target lost before the response: {cause}")]
+    Lost {
+        /// Error of the connection.
+        cause: hyper::Error,
+        /// Whether the connection was opened for the request.
+        is_new: bool,
+    },
 }
 
 /// Limits which idle connections a request may use.
@@ -209,7 +214,12 @@
             match connection.try_send(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err((_, Some(unsent))) => request = unsent,
-                Err((error, None)) => return Err(SendError::Lost(error)),
+                Err((cause, None)) => {
+                    return Err(SendError::Lost {
+                        cause,
+                        is_new: false,
+                    });
+                }
             }
         }
         let mut connection = self
@@ -219,7 +229,10 @@
         match connection.try_send(request).await {
             Ok(response) => Ok((response, connection)),
             Err((error, Some(_))) => Err(SendError::NotSent(io::Error::other(error))),
-            Err((error, None)) => Err(SendError::Lost(error)),
+            Err((cause, None)) => Err(SendError::Lost {
+                cause,
+                is_new: true,
+            }),
         }
     }
 
--- a/crates/sg-proxy/src/lib.rs
+++ b/crates/sg-proxy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod metrics;
 pub mod planning;
 mod rate_limits;
+mod reach;
 mod send;
 mod serve;
 pub mod server;
--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -167,6 +167,10 @@
             drop(state);
             core.connections.close_idle(choice.target.address);
         }
+        SendOutcome::TimedOut | SendOutcome::Abandoned => {
+            drop(state);
+            core.record_unanswered(&choice.target, false);
+        }
         _ => {}
     }
 }
@@ -243,19 +247,28 @@
         Ok(sent) => sent,
         Err(SendError::NotSent(error)) => {
             log::debug!(target_id:% = choice.target.id, error:% = error; "target not reached");
+            core.record_unanswered(&choice.target, true);
             return SendOutcome::Unsent;
         }
-        Err(SendError::Lost(error)) => {
-            log::debug!(target_id:% = choice.target.id, error:% = error; "connection lost");
+        Err(SendError::Lost { cause, is_new }) => {
+            log::debug!(target_id:% = choice.target.id, error:% = cause; "connection lost");
+            core.record_unanswered(&choice.target, is_new);
             return SendOutcome::Lost;
         }
     };
-    if let Some(connect_time) = connection.connect_time() {
-        let mut state = core.state.lock();
+    record_contact(core, choice, &connection);
+    receive(core, call, service, choice, now, response, connection).await
+}
+
+/// Records that the target responded.
+fn record_contact<D>(core: &Core<D>, choice: &Choice, connection: &Connection) {
+    let connect_time = connection.connect_time();
+    let mut state = core.state.lock();
+    state.reach.record_response(connect_time.is_some());
+    if let Some(connect_time) = connect_time {
         let round_trips = &mut state.location.round_trips;
         round_trips.record(&choice.target.domain, connect_time.as_secs_f64());
     }
-    receive(core, call, service, choice, now, response, connection).await
 }
 
 fn build_request(call: &Call<'_>, headers: HeaderMap) -> Request<Full<Bytes>> {
--- a/crates/sg-proxy/src/state.rs
+++ b/crates/sg-proxy/src/state.rs
@@ -7,6 +7,7 @@
     pool::Location,
     quarantine::Table,
     quota::{self, TokenShare},
+    reach::Reach,
     retry::{self, Budget},
     round_robin::WeightedRoundRobin,
     shift_limit::ShiftLimiter,
@@ -129,6 +130,8 @@
     pub fleet_size: u32,
     /// Requests that are suspected of crashing targets, or quarantined.
     pub quarantine: Table,
+    /// Paths to targets.
+    pub reach: Reach,
     /// Limiter of the requests that leave the planned region.
     pub off_plan: OffPlanLimiter,
     /// Limiter of how fast requests shift between regions during a load surge.
@@ -158,6 +161,7 @@
             budget_fraction: 0.0,
             fleet_size: 1,
             quarantine: Table::after(QUARANTINE_LOSSES),
+            reach: Reach::default(),
             off_plan: OffPlanLimiter::default(),
             shift_limiter: ShiftLimiter::default(),
             is_plan_measured: false,
