--- a/crates/sg-gateway/src/exchange.rs
+++ b/crates/sg-gateway/src/exchange.rs
@@ -4,11 +4,15 @@
 
 use rand::seq::SliceRandom;
 use sg_mesh::{
+    Members,
     frame::{Beacon, Frame, Location, RateStatement},
     relay,
 };
-use sg_place::{quota, rate_limit};
-use sg_proxy::{core::Signal, planning::InstanceLoad};
+use sg_place::{quota, rate_limit, relay::Peer};
+use sg_proxy::{
+    core::{self, Signal},
+    planning::InstanceLoad,
+};
 use sg_store::{Store, version::Era};
 use sg_types::prelude::*;
 use tokio::{sync::mpsc, task::JoinSet};
@@ -86,6 +90,9 @@
             }
             let wanted_tokens = beacon.wanted_tokens.clone();
             adopt_rate_statements(context, &beacon.rate_statements);
+            if beacon.cut_off {
+                context.core.forget_losses(&beacon.instance);
+            }
             let (incarnation, instance) = (beacon.incarnation, beacon.instance.clone());
             if context.members.lock().record_beacon(*beacon, now) {
                 log::info!(other:% = instance, incarnation = incarnation.get(); "instance heard");
@@ -125,7 +132,7 @@
                 send_loan(context, incarnation, from, account, tokens);
             }
         }
-        Frame::Notice { notice, .. } => context.core.handle_notice(&notice),
+        Frame::Notice { from, notice } => context.core.handle_notice(from, &notice),
     }
 }
 
@@ -221,7 +228,8 @@
                 }
                 let load = context.core.load();
                 send_wanted(&context, &load.wanted_tokens, tick.now);
-                let state = (context.is_ready(), context.core.is_draining());
+                let core = &context.core;
+                let state = (context.is_ready(), core.is_draining(), core.is_cut_off());
                 let is_due = tick.now.since(last_beacon) >= beacon_interval(&context, tick.now);
                 if is_due || last_state != Some(state) {
                     last_beacon = tick.now;
@@ -334,6 +342,7 @@
         },
         ready: context.is_ready(),
         leaving: context.core.is_draining(),
+        cut_off: context.core.is_cut_off(),
         eras: eras.map(|position| position.era().get()).collect(),
         positions: positions
             .iter()
@@ -371,7 +380,7 @@
 /// Updates the fleet's members and the traffic plans of the request path.
 fn update_core<D: Protocol, I: Interpreter, S: Store>(context: &Context<D, I, S>, now: Instant) {
     let own = &context.settings.instance;
-    let (names, regions, fleet_size, loads) = {
+    let (mut fleet, loads) = {
         let mut members = context.members.lock();
         let loads: Vec<(id::Region, InstanceLoad)> = members
             .alive(now)
@@ -389,21 +398,32 @@
             let beacon = &member.beacon;
             (beacon.instance.clone(), beacon.location.region.clone())
         });
-        let regions = regions.collect();
-        (
-            members.instance_names(own, now),
-            regions,
-            members.fleet_size(own, now),
-            loads,
-        )
+        let fleet = core::Fleet {
+            instances: members.instance_names(own, now),
+            instance_regions: regions.collect(),
+            peers: peers(&members, now),
+            size: members.fleet_size(own, now),
+            budget_fraction: 0.0,
+        };
+        (fleet, loads)
     };
-    let budget_fraction = usable_budget_fraction(context, fleet_size, loads.len(), now);
-    context
-        .core
-        .update_fleet(names, regions, fleet_size, budget_fraction);
+    fleet.budget_fraction = usable_budget_fraction(context, fleet.size, loads.len(), now);
+    context.core.update_fleet(fleet);
     context.core.update_plans(&context.settings.domains, &loads);
 }
 
+/// Returns the live instances that accept requests and reach targets.
+fn peers(members: &Members, now: Instant) -> Vec<Peer> {
+    let alive = members.alive(now).map(|member| &member.beacon);
+    let usable = alive.filter(|beacon| beacon.ready && !beacon.leaving && !beacon.cut_off);
+    let peers = usable.map(|beacon| Peer {
+        instance: beacon.instance.clone(),
+        region: beacon.location.region.clone(),
+        address: beacon.location.caller_address,
+    });
+    peers.collect()
+}
+
 /// Returns the fraction of fleet-wide budgets that may be divided among the known instances.
 fn usable_budget_fraction<D, I, S>(
     context: &Context<D, I, S>,
--- a/crates/sg-gateway/src/lookup.rs
+++ b/crates/sg-gateway/src/lookup.rs
@@ -12,32 +12,36 @@
     pub domain: id::Domain,
     pub region: id::Region,
     pub address: SocketAddr,
+    /// Whether the instance has lost its paths to all targets and passes requests on.
+    pub cut_off: bool,
 }
 
 /// Returns the addresses of all candidates in the caller's failure domain, or else in the caller's
-/// region, or else all addresses.
+/// region, or else all addresses. Leaves out candidates that are cut off from targets, if the caller's
+/// region has others.
 pub(crate) fn choose_addresses(
     request: &LookupRequest,
     candidates: &[Candidate],
 ) -> Vec<SocketAddr> {
-    let same_domain: Vec<SocketAddr> = candidates
+    let is_in_region = |candidate: &Candidate| request.region.as_ref() == Some(&candidate.region);
+    let has_connected = candidates
         .iter()
-        .filter(|candidate| request.domain.as_ref() == Some(&candidate.domain))
-        .map(|candidate| candidate.address)
+        .any(|candidate| is_in_region(candidate) && !candidate.cut_off);
+    let usable: Vec<&Candidate> = candidates
+        .iter()
+        .filter(|candidate| !(candidate.cut_off && has_connected))
         .collect();
+    let addresses = |is_wanted: &dyn Fn(&Candidate) -> bool| -> Vec<SocketAddr> {
+        let wanted = usable.iter().filter(|candidate| is_wanted(candidate));
+        wanted.map(|candidate| candidate.address).collect()
+    };
+    let same_domain = addresses(&|candidate| request.domain.as_ref() == Some(&candidate.domain));
     if !same_domain.is_empty() {
         return same_domain;
     }
-    let same_region: Vec<SocketAddr> = candidates
-        .iter()
-        .filter(|candidate| request.region.as_ref() == Some(&candidate.region))
-        .map(|candidate| candidate.address)
-        .collect();
+    let same_region = addresses(&is_in_region);
     if !same_region.is_empty() {
         return same_region;
     }
-    candidates
-        .iter()
-        .map(|candidate| candidate.address)
-        .collect()
+    addresses(&|_| true)
 }
--- a/crates/sg-gateway/src/servers.rs
+++ b/crates/sg-gateway/src/servers.rs
@@ -139,6 +139,7 @@
             domain: member.beacon.location.domain.clone(),
             region: member.beacon.location.region.clone(),
             address: member.beacon.location.caller_address,
+            cut_off: member.beacon.cut_off,
         })
         .collect();
     drop(members);
@@ -147,6 +148,7 @@
             domain: context.settings.domain.clone(),
             region: context.settings.region.clone(),
             address: context.settings.serve,
+            cut_off: context.core.is_cut_off(),
         });
     }
     candidates
--- a/crates/sg-mesh/src/frame.rs
+++ b/crates/sg-mesh/src/frame.rs
@@ -49,6 +49,9 @@
     pub ready: bool,
     /// Whether the sender is about to stop.
     pub leaving: bool,
+    /// Whether the sender has lost its paths to all targets and passes requests on.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub cut_off: bool,
     /// The store version up to which the sender knows each followed prefix, in the fixed order of the
     /// followed prefixes.
     pub positions: Vec<u64>,
--- a/crates/sg-mesh/tests/mesh/members.rs
+++ b/crates/sg-mesh/tests/mesh/members.rs
@@ -28,6 +28,7 @@
         demand: vec![("portal".parse().expect("a name"), 1.5)],
         bound: Vec::new(),
         wanted_tokens: Vec::new(),
+        cut_off: false,
         rate_statements: Vec::new(),
         other_addresses: Vec::new(),
     }
--- a/crates/sg-place/src/lib.rs
+++ b/crates/sg-place/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`quarantine`] detects requests that crash targets.
 //! - [`rate_limit`] bounds the requests per second to targets that state such a limit.
 //! - [`reach`] tells whether an instance has lost its paths to all targets.
+//! - [`relay`] chooses the instances to which an instance without a path to targets passes requests.
 //! - [`round_robin`] distributes requests over the parts of a traffic split by weight.
 //! - [`retry`] bounds retries.
 //! - [`shift_limit`] bounds how fast the regions' shares of running requests change during a load
@@ -33,6 +34,7 @@
 pub mod quota;
 pub mod rate_limit;
 pub mod reach;
+pub mod relay;
 pub mod retry;
 pub mod round_robin;
 mod scarcity;
--- a/crates/sg-place/src/member.rs
+++ b/crates/sg-place/src/member.rs
@@ -125,6 +125,8 @@
     speed_samples: Vec<(Instant, f64)>,
     consecutive_bans: u32,
     banned_until: Instant,
+    /// When the ban began, if failures of sends are the only reason for the required check.
+    banned_at: Option<Instant>,
     check_required: bool,
     warm_objects: Vec<(Object, Instant)>,
 }
@@ -146,6 +148,7 @@
             speed_samples: Vec::new(),
             consecutive_bans: 0,
             banned_until: Instant::START,
+            banned_at: None,
             check_required: false,
             warm_objects: Vec::new(),
         }
@@ -257,6 +260,7 @@
     /// Excludes the target until a health check succeeds, because it may have restarted unnoticed.
     pub fn require_check(&mut self) {
         self.check_required = true;
+        self.banned_at = None;
     }
 
     /// Records the result of a health check. `cold_for` is the time that the target says it stays
@@ -359,6 +363,21 @@
         self.banned_until = now + length.min(MAX_BAN);
         self.consecutive_bans += 1;
         self.check_required = true;
+        self.banned_at = Some(now);
+    }
+
+    /// Forgets the failures since `since`, because this instance and not the target caused them.
+    pub fn forget_failures(&mut self, since: Instant, now: Instant) {
+        if self.banned_at.is_some_and(|at| at >= since) {
+            self.banned_at = None;
+            self.banned_until = now;
+            self.consecutive_bans = 0;
+            self.check_required = false;
+        }
+        if self.failure_rate_at >= since {
+            self.last_failure_rate = 0.0;
+            self.limit = Limit::default();
+        }
     }
 
     /// Records the measured and the expected time of a response.
--- a/crates/sg-place/src/pool.rs
+++ b/crates/sg-place/src/pool.rs
@@ -235,6 +235,12 @@
             .for_each(Member::require_check);
     }
 
+    /// Forgets the failures of all targets since `since`, because this instance caused them.
+    pub fn forget_failures(&mut self, since: Instant, now: Instant) {
+        let members = self.members.values_mut();
+        members.for_each(|member| member.forget_failures(since, now));
+    }
+
     /// Replaces the plan.
     pub fn set_plan(&mut self, plan: Plan) {
         self.plan = plan;
--- a/crates/sg-place/src/quarantine.rs
+++ b/crates/sg-place/src/quarantine.rs
@@ -48,6 +48,8 @@
 #[derive(Debug)]
 struct Loss {
     target: id::Target,
+    /// The instance that told of the loss; `None` for this instance.
+    reporter: Option<id::Instance>,
     at: Instant,
     weight: f64,
 }
@@ -72,6 +74,45 @@
     /// Records the loss of a target. Returns whether this loss began a quarantine of the request.
     /// `length` is the full length of a quarantine, and also the time for which a loss counts.
     pub fn note(&mut self, suspicion: Suspicion, length: Span, now: Instant) -> bool {
+        self.record(suspicion, None, length, now)
+    }
+
+    /// Records the loss of a target that the instance `reporter` told of, like [`note`](Self::note).
+    pub fn note_reported(
+        &mut self,
+        suspicion: Suspicion,
+        reporter: id::Instance,
+        length: Span,
+        now: Instant,
+    ) -> bool {
+        self.record(suspicion, Some(reporter), length, now)
+    }
+
+    /// Forgets the losses since `since` that `reporter` told of, or this instance's own if it is `None`,
+    /// because the reporter had lost its paths to all targets. Lifts quarantines that are left without
+    /// evidence.
+    pub fn forget_losses(&mut self, reporter: Option<&id::Instance>, since: Instant) {
+        for suspects in self.accounts.values_mut() {
+            for suspect in suspects.values_mut() {
+                suspect
+                    .losses
+                    .retain(|loss| loss.at < since || loss.reporter.as_ref() != reporter);
+                if suspect.losses.len() < self.targets {
+                    suspect.quarantined_until = None;
+                }
+            }
+            suspects.retain(|_, suspect| !suspect.losses.is_empty());
+        }
+        self.accounts.retain(|_, suspects| !suspects.is_empty());
+    }
+
+    fn record(
+        &mut self,
+        suspicion: Suspicion,
+        reporter: Option<id::Instance>,
+        length: Span,
+        now: Instant,
+    ) -> bool {
         let targets = self.targets;
         let suspects = self.suspects(suspicion.account);
         if suspects.len() >= MAX_SUSPECTS_PER_ACCOUNT
@@ -82,7 +123,13 @@
         let suspect = suspects.entry(suspicion.fingerprint).or_default();
         suspect.expire(length, now);
         let was_quarantined = suspect.quarantined_until.is_some();
-        suspect.record_loss(suspicion.target, suspicion.in_flight, targets, now);
+        let loss = Loss {
+            target: suspicion.target,
+            reporter,
+            at: now,
+            weight: 1.0 / f64::from(suspicion.in_flight.max(1)),
+        };
+        suspect.record_loss(loss, targets);
         if suspect.losses.len() < targets || suspect.is_quarantined(now) {
             return false;
         }
@@ -172,14 +219,9 @@
         }
     }
 
-    fn record_loss(&mut self, target: id::Target, in_flight: u32, targets: usize, now: Instant) {
-        let weight = 1.0 / f64::from(in_flight.max(1));
-        self.losses.retain(|loss| loss.target != target);
-        self.losses.push(Loss {
-            target,
-            at: now,
-            weight,
-        });
+    fn record_loss(&mut self, loss: Loss, targets: usize) {
+        self.losses.retain(|known| known.target != loss.target);
+        self.losses.push(loss);
         if self.losses.len() > targets {
             self.losses.remove(0);
         }
--- a/crates/sg-place/src/reach.rs
+++ b/crates/sg-place/src/reach.rs
@@ -27,6 +27,12 @@
         self.by_target.insert(target.clone(), (domain.clone(), now));
     }
 
+    /// Returns the time of the first recent failure.
+    fn first(&self, now: Instant) -> Option<Instant> {
+        let times = self.by_target.values().map(|(_, at)| *at);
+        times.filter(|at| now.since(*at) < FAILURE_LIFETIME).min()
+    }
+
     /// Returns whether the failures concern as many targets and domains as raise the suspicion, out of
     /// `targets` and `domains` that exist.
     fn are_widespread(&self, targets: usize, domains: usize, now: Instant) -> bool {
@@ -84,16 +90,20 @@
         self.cut_off_since.is_some()
     }
 
-    /// Records a round of health checks that no target responded to. Returns whether the instance was not
-    /// known to be cut off.
-    pub fn record_failed_round(&mut self, now: Instant) -> bool {
-        let was_cut_off = self.is_cut_off();
-        self.cut_off_since.get_or_insert(now);
-        !was_cut_off
+    /// Records a round of health checks that no target responded to. Returns the time of the first failure
+    /// if the instance was not known to be cut off.
+    pub fn record_failed_round(&mut self, now: Instant) -> Option<Instant> {
+        if self.is_cut_off() {
+            return None;
+        }
+        let first = [&self.unreached, &self.unanswered];
+        let first = first.into_iter().filter_map(|failures| failures.first(now));
+        self.cut_off_since = Some(first.min().unwrap_or(now));
+        self.cut_off_since
     }
 
     /// Records that a target responded to a health check on a new connection. Returns since when the
-    /// instance was cut off, if it was.
+    /// instance was cut off, if it was: the time of the first failure.
     pub fn record_reached(&mut self) -> Option<Instant> {
         self.record_response(true);
         self.cut_off_since.take()
--- a/crates/sg-place/tests/place/reach.rs
+++ b/crates/sg-place/tests/place/reach.rs
@@ -1,9 +1,14 @@
 //! When failures at targets mean that the instance itself is cut off.
 
-use sg_place::reach::Reach;
+use sg_place::{
+    member::Member,
+    quarantine::{Suspicion, Table},
+    reach::Reach,
+    relay::{self, Peer},
+};
 use sg_types::prelude::*;
 
-use crate::at;
+use crate::{at, location, target};
 
 const TARGETS: usize = 12;
 const DOMAINS: usize = 4;
@@ -86,10 +91,109 @@
 #[test]
 fn failed_round_confirms_and_any_response_to_a_check_ends_the_cut() {
     let mut reach = Reach::default();
-    assert!(reach.record_failed_round(at(500)));
-    assert!(!reach.record_failed_round(at(1_000)));
+    assert_eq!(reach.record_failed_round(at(500)), Some(at(500)));
+    assert_eq!(reach.record_failed_round(at(1_000)), None);
     assert!(reach.is_cut_off() && needs_check(&reach, 60_000));
     assert_eq!(reach.record_reached(), Some(at(500)));
     assert_eq!(reach.record_reached(), None);
     assert!(!needs_check(&reach, 60_000));
 }
+
+#[test]
+fn cut_counts_from_its_first_failure() {
+    let mut reach = Reach::default();
+    fail(&mut reach, [0, 1, 2], 200);
+    assert_eq!(reach.record_failed_round(at(1_000)), Some(at(200)));
+    assert_eq!(reach.record_reached(), Some(at(200)));
+}
+
+#[test]
+fn targets_are_used_at_once_after_a_cut_unless_they_failed_before() {
+    let mut members: Vec<Member> = (0..3)
+        .map(|number| Member::new(target(&format!("t{number}"), "west", 4), at(0)))
+        .collect();
+    members[0].ban(at(500));
+    members[1].ban(at(5_200));
+    members[2].ban(at(5_200));
+    // The domain of this target was closed and opened again during the cut.
+    members[2].require_check();
+    for member in &mut members {
+        member.forget_failures(at(5_000), at(9_000));
+    }
+    let needs_check: Vec<bool> = members.iter().map(Member::needs_check).collect();
+    assert_eq!(needs_check, [true, false, true]);
+    assert!(!members[1].is_banned(at(9_000)));
+}
+
+fn peer(name: &str, region: &str) -> Peer {
+    Peer {
+        instance: name.parse().expect("a name"),
+        region: region.parse().expect("a name"),
+        address: "127.0.0.1:80".parse().expect("an address"),
+    }
+}
+
+/// Returns the names of the peers that an instance in `west` may pass a request to.
+fn candidates(homes: &[&str], account_homes: &[&str], tried: &[&str]) -> Vec<String> {
+    let regions = |names: &[&str]| -> Vec<id::Region> {
+        let names = names.iter();
+        names.map(|name| name.parse().expect("a name")).collect()
+    };
+    let tried = tried.iter().map(|name| name.parse().expect("a name"));
+    let tried: Vec<id::Instance> = tried.collect();
+    let query = relay::Query {
+        home_regions: &regions(homes),
+        account_home_regions: &regions(account_homes),
+        tried: &tried,
+    };
+    let peers = [
+        peer("w1", "west"),
+        peer("w2", "west"),
+        peer("e1", "east"),
+        peer("n1", "north"),
+    ];
+    let found = relay::candidates(&peers, &location("west"), &query);
+    let names = found.iter();
+    names.map(|peer| peer.instance.to_string()).collect()
+}
+
+#[test]
+fn requests_are_passed_on_within_the_region_and_never_outside_their_homes() {
+    assert_eq!(candidates(&[], &[], &[]), ["w1", "w2"]);
+    assert_eq!(candidates(&[], &[], &["w1"]), ["w2"]);
+    assert_eq!(candidates(&[], &[], &["w1", "w2"]), ["e1", "n1"]);
+    assert_eq!(candidates(&["east"], &[], &[]), ["e1"]);
+    assert_eq!(
+        candidates(&["east", "west"], &["north", "east"], &[]),
+        ["e1"]
+    );
+    assert!(candidates(&["east"], &["north"], &[]).is_empty());
+}
+
+fn suspicion(target: usize) -> Suspicion {
+    Suspicion {
+        account: None,
+        fingerprint: Fingerprint::new(7),
+        target: names(target).0,
+        in_flight: 1,
+    }
+}
+
+#[test]
+fn losses_that_instances_cut_off_told_of_quarantine_nothing() {
+    let mut table = Table::after(3);
+    let fingerprint = Fingerprint::new(7);
+    let length = Span::from_secs(60);
+    let cut_off: id::Instance = "front-1".parse().expect("a name");
+    let other: id::Instance = "front-2".parse().expect("a name");
+    table.note_reported(suspicion(0), cut_off.clone(), length, at(1_000));
+    table.note_reported(suspicion(1), cut_off.clone(), length, at(1_100));
+    assert!(table.note_reported(suspicion(2), other, length, at(1_200)));
+    assert!(table.check(None, fingerprint, at(1_300)).is_some());
+    table.forget_losses(Some(&cut_off), at(1_050));
+    assert_eq!(table.check(None, fingerprint, at(1_300)), None);
+    // The losses before the cut and those of others still count.
+    assert!(table.note(suspicion(4), length, at(1_400)));
+    table.forget_losses(None, at(1_000));
+    assert_eq!(table.check(None, fingerprint, at(1_500)), None);
+}
--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -169,7 +169,7 @@
                 history.may_have_run = true;
             }
         }
-        if matches!(outcome_label, "lost") {
+        if matches!(outcome_label, "lost") && !core.is_cut_off() {
             report_suspect(core, call, &service, &choice);
         }
         if let Err(reason) = check_retry(core, call, &service, &history, outcome_label) {
@@ -433,7 +433,7 @@
     if history.may_have_run && !call.route.idempotent {
         return Err(Reason::ConnectionLost);
     }
-    if history.connect_failures > MAX_CONNECT_FAILURES {
+    if history.connect_failures > MAX_CONNECT_FAILURES || core.is_cut_off() {
         return Err(Reason::ConnectFailed);
     }
     if history.sends >= call.route.max_targets {
--- a/crates/sg-proxy/src/core.rs
+++ b/crates/sg-proxy/src/core.rs
@@ -9,7 +9,9 @@
 use parking_lot::Mutex;
 use sg_catalog::Catalog;
 use sg_clock::Timer;
-use sg_place::{Target, member::LoadReport, pool::Location, quarantine::Suspicion, quota, retry};
+use sg_place::{
+    Target, member::LoadReport, pool::Location, quarantine::Suspicion, quota, relay::Peer, retry,
+};
 use sg_types::prelude::*;
 use tokio::sync::{Notify, mpsc, watch};
 
@@ -27,6 +29,8 @@
 const MAX_HOLDERS_ASKED: u32 = 2;
 /// Length of the quarantine of a request that crashes targets, as long as its caller may retry.
 const QUARANTINE_DURATION: Span = Span::from_secs(60);
+/// Maximum time from the loss of the paths to all targets until other instances know of it.
+const CUT_DETECTION_TIME: Span = Span::from_secs(5);
 /// Fleet-wide limits and the location of the instance, as deployed.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -47,6 +51,21 @@
     pub source: Option<IpAddr>,
 }
 
+/// The fleet as this instance knows it.
+#[derive(Debug, Clone, Default)]
+pub struct Fleet {
+    /// Instances that send to targets, including this one.
+    pub instances: Vec<id::Instance>,
+    /// Regions of the other instances that are alive.
+    pub instance_regions: IndexMap<id::Instance, id::Region>,
+    /// Other instances that accept requests and reach targets.
+    pub peers: Vec<Peer>,
+    /// Number of instances.
+    pub size: u32,
+    /// Fraction of fleet-wide budgets that may be used, from 0 to 1.
+    pub budget_fraction: f64,
+}
+
 /// State and services that all requests share.
 #[derive(Debug)]
 pub struct Core<D> {
@@ -243,22 +262,16 @@
         reopened
     }
 
-    /// Updates the instances that send to targets, the regions of those that are alive, the size of the
-    /// fleet, and the fraction of fleet-wide budgets that may be used, from 0 to 1.
-    pub fn update_fleet(
-        &self,
-        instances: Vec<id::Instance>,
-        instance_regions: IndexMap<id::Instance, id::Region>,
-        fleet_size: u32,
-        budget_fraction: f64,
-    ) {
+    /// Updates what is known of the other instances.
+    pub fn update_fleet(&self, fleet: Fleet) {
         let mut state = self.state.lock();
-        if state.location.instances.as_ref() != instances.as_slice() {
-            state.location.instances = instances.into();
+        if state.location.instances.as_ref() != fleet.instances.as_slice() {
+            state.location.instances = fleet.instances.into();
         }
-        state.location.instance_regions = instance_regions;
-        state.fleet_size = fleet_size.max(1);
-        state.budget_fraction = budget_fraction;
+        state.location.instance_regions = fleet.instance_regions;
+        state.peers = fleet.peers;
+        state.fleet_size = fleet.size.max(1);
+        state.budget_fraction = fleet.budget_fraction;
         let now = self.timer.now();
         let State {
             pools, location, ..
@@ -415,8 +428,8 @@
         }
     }
 
-    /// Handles a notice from another instance.
-    pub fn handle_notice(&self, notice: &Notice) {
+    /// Handles a notice of the instance `from`.
+    pub fn handle_notice(&self, from: id::Instance, notice: &Notice) {
         let Notice::Suspect {
             account,
             fingerprint,
@@ -427,23 +440,33 @@
         else {
             return;
         };
-        self.record_suspicion(Suspicion {
+        let suspicion = Suspicion {
             account: account.clone(),
             fingerprint: *fingerprint,
             target: target.clone(),
             in_flight: *in_flight,
-        });
+        };
+        let now = self.timer.now();
+        let mut state = self.state.lock();
+        let table = &mut state.quarantine;
+        if table.note_reported(suspicion, from, QUARANTINE_DURATION, now) {
+            log::warn!(fingerprint:% = fingerprint; "request quarantined");
+        }
+    }
+
+    /// Forgets what `from` told of lost targets lately, because it has lost its paths to all targets.
+    pub fn forget_losses(&self, from: &id::Instance) {
+        let since = self.timer.now() - CUT_DETECTION_TIME;
+        let mut state = self.state.lock();
+        state.quarantine.forget_losses(Some(from), since);
     }
 
     pub(crate) fn record_suspicion(&self, suspicion: Suspicion) {
         let now = self.timer.now();
         let fingerprint = suspicion.fingerprint;
-        if self
-            .state
-            .lock()
-            .quarantine
-            .note(suspicion, QUARANTINE_DURATION, now)
-        {
+        let mut state = self.state.lock();
+        let table = &mut state.quarantine;
+        if table.note(suspicion, QUARANTINE_DURATION, now) {
             log::warn!(fingerprint:% = fingerprint; "request quarantined");
         }
     }
--- a/crates/sg-proxy/src/dialect.rs
+++ b/crates/sg-proxy/src/dialect.rs
@@ -20,6 +20,8 @@
     pub deadline: Option<Span>,
     /// Name of the object that the request is about.
     pub object: Option<&'a str>,
+    /// Whether another instance passed the request on.
+    pub is_relayed: bool,
 }
 
 /// Error for a request head that can't be parsed.
@@ -95,6 +97,17 @@
     /// Parses the head of a response to the request `id`.
     fn parse_response(&self, head: &response::Parts, id: &str) -> ResponseInfo;
 
+    /// Returns the headers of a request that is passed on to another instance, which may use `remaining`:
+    /// like those of the caller, with a mark that [`RequestInfo::is_relayed`] reports.
+    fn relayed_headers(&self, headers: &HeaderMap, remaining: Span) -> HeaderMap;
+
+    /// Returns what the response of another instance says of the request `id`; `None` if the response can't
+    /// belong to this request.
+    fn relayed_outcome(&self, head: &response::Parts, id: &str) -> Option<Outcome>;
+
+    /// Returns whether the sender of the response closes the connection.
+    fn closes_connection(&self, head: &response::Parts) -> bool;
+
     /// Removes hop-by-hop headers from a response.
     fn strip_hop_by_hop_headers(&self, headers: &mut HeaderMap);
 
--- a/crates/sg-proxy/src/lib.rs
+++ b/crates/sg-proxy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod planning;
 mod rate_limits;
 mod reach;
+mod relay;
 mod send;
 mod serve;
 pub mod server;
--- a/crates/sg-proxy/src/metrics.rs
+++ b/crates/sg-proxy/src/metrics.rs
@@ -17,6 +17,7 @@
     attempts: IntCounterVec,
     retries: IntCounterVec,
     limited_sends: IntCounterVec,
+    relays: IntCounterVec,
     latency: HistogramVec,
     /// Callers that disconnected before their response.
     pub callers_gone: IntCounter,
@@ -78,6 +79,11 @@
                 "Sends to targets that state a rate limit.",
                 &["service", "kind"],
             )?,
+            relays: counters(
+                "sg_relays_total",
+                "Requests passed on to other instances.",
+                &["end"],
+            )?,
             latency,
             callers_gone: counter("sg_callers_gone_total", "Callers that left early.")?,
             connections_opened: counter(
@@ -114,6 +120,11 @@
             .inc();
     }
 
+    /// Records an attempt to pass a request on; `end` is the label of its outcome.
+    pub fn record_relay(&self, end: &str) {
+        self.relays.with_label_values(&[end]).inc();
+    }
+
     /// Records a send to a target that states a rate limit.
     pub fn record_limited_send(&self, service: &id::Service, is_retry: bool) {
         let kind = if is_retry { "retry" } else { "first" };
--- a/crates/sg-proxy/src/reach.rs
+++ b/crates/sg-proxy/src/reach.rs
@@ -81,17 +81,26 @@
             return;
         }
         let now = self.timer.now();
-        if self.state.lock().reach.record_failed_round(now) {
-            log::warn!("cut off from all targets");
-        }
+        let mut state = self.state.lock();
+        let Some(since) = state.reach.record_failed_round(now) else {
+            return;
+        };
+        state.quarantine.forget_losses(None, since);
+        drop(state);
+        log::warn!("cut off from all targets");
     }
 
     /// Records that a target responded on a new connection.
     pub fn record_reached(&self) {
         let now = self.timer.now();
-        let Some(since) = self.state.lock().reach.record_reached() else {
+        let mut state = self.state.lock();
+        let Some(since) = state.reach.record_reached() else {
             return;
         };
+        for pool in state.pools.values_mut() {
+            pool.forget_failures(since, now);
+        }
+        drop(state);
         log::info!(after_ms = now.since(since).as_millis(); "targets reached again");
     }
 }
--- /dev/null
+++ b/crates/sg-proxy/src/relay.rs
@@ -0,0 +1,166 @@
+//! Passes requests on to another instance while this one is cut off from all targets.
+//!
+//! The other instance handles the request like any other: it checks the key, takes a token of the account
+//! and chooses a target. A request is passed on once; an instance that gets it this way and is cut off
+//! itself rejects it.
+
+use bytes::Bytes;
+use http::{Response, request};
+use rand::seq::IndexedRandom;
+use sg_catalog::{Account, Route};
+use sg_place::relay::{self, Peer};
+use sg_types::prelude::*;
+
+use crate::{
+    Body, Core, Dialect,
+    connections::SendError,
+    dialect::{Refusal, RequestInfo},
+    send::{self, CONNECT_TIMEOUT},
+    trace::{RelayRecord, Trace},
+};
+
+/// Maximum number of instances that a request is passed to, as long as none of them can have handled it.
+const MAX_PEERS: usize = 3;
+/// Time after which a caller is asked to retry if no instance can take the request.
+const NO_PEER_RETRY_AFTER: Span = Span::from_millis(500);
+
+/// A request that is passed on.
+pub(crate) struct Relayed<'a> {
+    head: &'a request::Parts,
+    id: &'a str,
+    content: Bytes,
+    is_idempotent: bool,
+    home_regions: &'a [id::Region],
+    account_home_regions: &'a [id::Region],
+    /// Whether another instance has passed the request to this one.
+    was_relayed: bool,
+    /// Time by which this instance has to respond.
+    deadline: Instant,
+}
+
+impl<'a> Relayed<'a> {
+    pub fn new(
+        head: &'a request::Parts,
+        request_info: &RequestInfo<'a>,
+        route: &'a Route,
+        account: Option<&'a Account>,
+        content: Bytes,
+        deadline: Instant,
+    ) -> Self {
+        Self {
+            head,
+            id: request_info.id,
+            content,
+            is_idempotent: route.idempotent,
+            home_regions: &route.home_regions,
+            account_home_regions: account.map_or(&[], |account| &account.home_regions),
+            was_relayed: request_info.is_relayed,
+            deadline,
+        }
+    }
+
+    /// Returns whether the request may be passed to one more instance.
+    fn may_continue(&self, tried: usize, now: Instant) -> bool {
+        !self.was_relayed && tried < MAX_PEERS && now < self.deadline
+    }
+}
+
+/// Why a request that was passed on got no response.
+enum Failure {
+    /// No byte of the request was sent.
+    NotSent,
+    /// The connection was lost, or the response belongs to another request.
+    Lost,
+}
+
+/// Passes the request on and returns the response of the other instance.
+pub(crate) async fn run<D: Dialect>(
+    core: &Core<D>,
+    relayed: &Relayed<'_>,
+    trace: &mut Trace,
+) -> Result<Response<Body>, Refusal> {
+    let mut tried = Vec::new();
+    while relayed.may_continue(tried.len(), core.timer.now()) {
+        let Some(peer) = choose_peer(core, relayed, &tried) else {
+            break;
+        };
+        tried.push(peer.instance.clone());
+        trace.relays.push(RelayRecord::open(peer.instance.clone()));
+        let exchange = exchange(core, relayed, &peer);
+        let result = core.timer.until(relayed.deadline, exchange).await;
+        let outcome = match &result {
+            Ok(Ok(_)) => "answered",
+            Ok(Err(Failure::NotSent)) => "unsent",
+            Ok(Err(Failure::Lost)) => "lost",
+            Err(_) => "late",
+        };
+        trace.end_relay(outcome);
+        core.metrics.record_relay(outcome);
+        match result {
+            Ok(Ok((response, outcome))) => {
+                trace.relayed_outcome = Some(outcome);
+                return Ok(response);
+            }
+            Ok(Err(Failure::NotSent)) => {}
+            Ok(Err(Failure::Lost)) => {
+                return Err(Refusal::may_have_run(Reason::ConnectionLost));
+            }
+            Err(_) => return Err(Refusal::may_have_run(Reason::DeadlineRunning)),
+        }
+    }
+    Err(Refusal::not_run(Reason::ConnectFailed).with_retry_after(NO_PEER_RETRY_AFTER))
+}
+
+/// Draws an instance that may take the request.
+fn choose_peer<D>(core: &Core<D>, relayed: &Relayed<'_>, tried: &[id::Instance]) -> Option<Peer> {
+    let query = relay::Query {
+        home_regions: relayed.home_regions,
+        account_home_regions: relayed.account_home_regions,
+        tried,
+    };
+    let state = core.state.lock();
+    let candidates = relay::candidates(&state.peers, &state.location, &query);
+    candidates.choose(&mut rand::rng()).copied().cloned()
+}
+
+/// Sends the request to `peer`, and returns its response and what that says of the request.
+async fn exchange<D: Dialect>(
+    core: &Core<D>,
+    relayed: &Relayed<'_>,
+    peer: &Peer,
+) -> Result<(Response<Body>, Outcome), Failure> {
+    let remaining = relayed.deadline.since(core.timer.now());
+    let headers = core
+        .dialect
+        .relayed_headers(&relayed.head.headers, remaining);
+    let request = send::build_request(relayed.head, relayed.content.clone(), headers);
+    let reuse = send::reuse_policy(relayed.is_idempotent);
+    let sent = core
+        .connections
+        .send(peer.address, request, reuse, CONNECT_TIMEOUT)
+        .await;
+    let (response, connection) = match sent {
+        Ok(sent) => sent,
+        Err(SendError::NotSent(error)) => {
+            log::debug!(other:% = peer.instance, error:% = error; "instance not reached");
+            return Err(Failure::NotSent);
+        }
+        Err(SendError::Lost { cause, .. }) => {
+            log::debug!(other:% = peer.instance, error:% = cause; "connection lost");
+            return Err(Failure::Lost);
+        }
+    };
+    let (mut head, body) = response.into_parts();
+    let Some(outcome) = core.dialect.relayed_outcome(&head, relayed.id) else {
+        return Err(Failure::Lost);
+    };
+    let received = send::receive_body(body).await;
+    let received = received.map_err(|error| {
+        log::debug!(other:% = peer.instance, error:% = error; "connection lost");
+        Failure::Lost
+    })?;
+    let closes_connection = core.dialect.closes_connection(&head);
+    core.dialect.strip_hop_by_hop_headers(&mut head.headers);
+    let body = send::finish_body(core, received, connection, closes_connection, None);
+    Ok((Response::from_parts(head, body), outcome))
+}
--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -1,7 +1,7 @@
 //! Sends a request to one target.
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, Request, Response, Uri, Version};
+use http::{HeaderMap, Request, Response, Uri, Version, request};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use sg_place::{member::TargetOutcome, pool::Choice};
@@ -12,12 +12,12 @@
     attempt::{self, Call},
     body::Streamed,
     connections::{Connection, ReusePolicy, SendError},
-    dialect::{ForwardInfo, ResponseInfo, Verdict},
+    dialect::{ForwardInfo, Verdict},
     state::State,
 };
 
 /// Timeout for opening a connection, several times the longest latency between regions.
-const CONNECT_TIMEOUT: Span = Span::from_millis(300);
+pub(crate) const CONNECT_TIMEOUT: Span = Span::from_millis(300);
 /// Maximum idle time of a connection that is reused for a request that must not be repeated. The
 /// target can't have closed the connection for idleness after so short a time.
 const NON_IDEMPOTENT_MAX_IDLE: Span = Span::from_millis(1_500);
@@ -231,14 +231,8 @@
     let headers = core
         .dialect
         .forwarded_headers(&call.head.headers, &forward_info);
-    let request = build_request(call, headers);
-    let reuse = if call.route.idempotent {
-        ReusePolicy::ANY
-    } else {
-        ReusePolicy {
-            max_idle: NON_IDEMPOTENT_MAX_IDLE,
-        }
-    };
+    let request = build_request(call.head, call.content.clone(), headers);
+    let reuse = reuse_policy(call.route.idempotent);
     let sent = core
         .connections
         .send(choice.target.address, request, reuse, CONNECT_TIMEOUT)
@@ -271,17 +265,83 @@
     }
 }
 
-fn build_request(call: &Call<'_>, headers: HeaderMap) -> Request<Full<Bytes>> {
-    let path = call.head.uri.path_and_query().cloned();
+/// Returns the limit on idle connections for a request.
+pub(crate) const fn reuse_policy(is_idempotent: bool) -> ReusePolicy {
+    if is_idempotent {
+        return ReusePolicy::ANY;
+    }
+    ReusePolicy {
+        max_idle: NON_IDEMPOTENT_MAX_IDLE,
+    }
+}
+
+/// Returns a copy of the caller's request with other headers.
+pub(crate) fn build_request(
+    head: &request::Parts,
+    content: Bytes,
+    headers: HeaderMap,
+) -> Request<Full<Bytes>> {
+    let path = head.uri.path_and_query().cloned();
     let uri = path.map_or_else(Uri::default, Uri::from);
-    let mut request = Request::new(Full::new(call.content.clone()));
-    *request.method_mut() = call.head.method.clone();
+    let mut request = Request::new(Full::new(content));
+    *request.method_mut() = head.method.clone();
     *request.uri_mut() = uri;
     *request.version_mut() = Version::HTTP_11;
     *request.headers_mut() = headers;
     request
 }
 
+/// Body of a response, as far as it was received before it is forwarded.
+pub(crate) struct ReceivedBody {
+    data: Bytes,
+    /// Rest of a body that is larger than [`MAX_BUFFERED_BYTES`].
+    remainder: Option<Incoming>,
+}
+
+/// Receives a body: completely, or, if it is larger than [`MAX_BUFFERED_BYTES`], up to that size.
+pub(crate) async fn receive_body(mut body: Incoming) -> Result<ReceivedBody, hyper::Error> {
+    let mut buffered = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            buffered.extend_from_slice(&data);
+        }
+        if buffered.len() > MAX_BUFFERED_BYTES {
+            return Ok(ReceivedBody {
+                data: buffered.freeze(),
+                remainder: Some(body),
+            });
+        }
+    }
+    Ok(ReceivedBody {
+        data: buffered.freeze(),
+        remainder: None,
+    })
+}
+
+/// Returns the body for the caller. The connection goes with a body that is still arriving; otherwise the
+/// connection returns to the pool, or closes if the other side will close it.
+pub(crate) fn finish_body<D>(
+    core: &Core<D>,
+    received: ReceivedBody,
+    connection: Connection,
+    closes_connection: bool,
+    keep_alive_timeout: Option<Span>,
+) -> Body {
+    if let Some(remainder) = received.remainder {
+        return Body::Streamed(Box::new(Streamed {
+            received: Some(received.data),
+            remainder,
+            connection: Some(connection),
+        }));
+    }
+    if closes_connection {
+        connection.close();
+    } else {
+        core.connections.put_back(connection, keep_alive_timeout);
+    }
+    Body::buffered(received.data)
+}
+
 /// Receives the response: completely, or, if the response is larger than [`MAX_BUFFERED_BYTES`], up
 /// to that size and as a stream from there on. `sent_at` is when the request was sent.
 async fn receive<D: Dialect>(
@@ -293,7 +353,7 @@
     response: Response<Incoming>,
     connection: Connection,
 ) -> SendOutcome {
-    let (mut head, mut body) = response.into_parts();
+    let (mut head, body) = response.into_parts();
     let response_info = core.dialect.parse_response(&head, &call.id);
     if let Some(report) = response_info.report {
         let now = core.timer.now();
@@ -309,29 +369,17 @@
     if response_info.verdict != Verdict::Misdirected {
         core.record_rate_limit(&choice.target.id, response_info.rate_limit, sent_at);
     }
-    let mut buffered = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else {
-            return SendOutcome::Lost;
-        };
-        if let Ok(data) = frame.into_data() {
-            buffered.extend_from_slice(&data);
-        }
-        if buffered.len() > MAX_BUFFERED_BYTES {
-            break;
-        }
-    }
-    core.dialect.strip_hop_by_hop_headers(&mut head.headers);
-    let body = if buffered.len() > MAX_BUFFERED_BYTES {
-        Body::Streamed(Box::new(Streamed {
-            received: Some(buffered.freeze()),
-            remainder: body,
-            connection: Some(connection),
-        }))
-    } else {
-        release(core, connection, &response_info);
-        Body::buffered(buffered.freeze())
+    let Ok(received) = receive_body(body).await else {
+        return SendOutcome::Lost;
     };
+    core.dialect.strip_hop_by_hop_headers(&mut head.headers);
+    let body = finish_body(
+        core,
+        received,
+        connection,
+        response_info.closes_connection,
+        response_info.keep_alive_timeout,
+    );
     match response_info.verdict {
         Verdict::Response { failed: false } => {
             SendOutcome::Answered(Response::from_parts(head, body))
@@ -342,13 +390,3 @@
         Verdict::Mismatched(_) => SendOutcome::Lost,
     }
 }
-
-/// Returns the connection to the pool, or closes the connection if the target will close it.
-fn release<D>(core: &Core<D>, connection: Connection, response_info: &ResponseInfo) {
-    if response_info.closes_connection {
-        connection.close();
-    } else {
-        core.connections
-            .put_back(connection, response_info.keep_alive_timeout);
-    }
-}
--- a/crates/sg-proxy/src/serve.rs
+++ b/crates/sg-proxy/src/serve.rs
@@ -15,6 +15,7 @@
     attempt::{self, Call},
     core,
     dialect::{Refusal, RequestInfo},
+    relay::{self, Relayed},
     server,
     trace::{QuotaSnapshot, Trace},
 };
@@ -56,7 +57,8 @@
     };
     let mut response = match result {
         Ok(response) => {
-            trace.finish(Outcome::Ran, Reason::Answered, response.status().as_u16());
+            let outcome = trace.relayed_outcome.unwrap_or(Outcome::Ran);
+            trace.finish(outcome, Reason::Answered, response.status().as_u16());
             response
         }
         Err(refusal) => {
@@ -94,6 +96,11 @@
         }
     }
 
+    /// Returns whether no target could be reached, so that another instance may still serve the request.
+    fn is_unreached(&self) -> bool {
+        self.outcome == Outcome::NotRun && self.reason == Reason::ConnectFailed
+    }
+
     /// Asks the caller to retry after about `span`.
     #[must_use]
     pub fn with_retry_after(mut self, span: Span) -> Self {
@@ -157,9 +164,14 @@
     trace.objective = route.latency_objective;
     let account = authenticate(&catalog, &route, &request_info)?;
     trace.account = account.as_ref().map(|account| account.name.clone());
-    // Dropped at the end of the function, or earlier if the caller disconnects or the instance stops.
-    let token = QuotaToken::take(core, account.clone(), trace).await?;
     let deadline = deadline(&route, &request_info, trace.arrived);
+    if core.is_cut_off() {
+        let content = read_body(core, &catalog, body, deadline).await?;
+        let account = account.as_deref();
+        let relayed = Relayed::new(head, &request_info, &route, account, content, deadline);
+        return relay::run(core, &relayed, trace).await;
+    }
+    let token = QuotaToken::take(core, account.clone(), trace).await?;
     let content = read_body(core, &catalog, body, deadline).await?;
     trace.object = object(&route, &request_info).map_or(0, |o| o.score(0u8));
     let call = Call {
@@ -176,7 +188,15 @@
         route,
         catalog,
     };
-    attempt::run(core, &call, trace).await
+    let result = attempt::run(core, &call, trace).await;
+    if !result.as_ref().is_err_and(Refusal::is_unreached) {
+        return result;
+    }
+    // The other instance takes a token itself.
+    drop(token);
+    let (account, content) = (call.account.as_deref(), call.content.clone());
+    let relayed = Relayed::new(head, &request_info, &call.route, account, content, deadline);
+    relay::run(core, &relayed, trace).await
 }
 
 /// Returns the client account of the request, or `None` if the route is open or the catalog has no
--- a/crates/sg-proxy/src/state.rs
+++ b/crates/sg-proxy/src/state.rs
@@ -8,6 +8,7 @@
     quarantine::Table,
     quota::{self, TokenShare},
     reach::Reach,
+    relay::Peer,
     retry::{self, Budget},
     round_robin::WeightedRoundRobin,
     shift_limit::ShiftLimiter,
@@ -130,6 +131,8 @@
     pub fleet_size: u32,
     /// Requests that are suspected of crashing targets, or quarantined.
     pub quarantine: Table,
+    /// Other instances that accept requests and reach targets.
+    pub peers: Vec<Peer>,
     /// Paths to targets.
     pub reach: Reach,
     /// Limiter of the requests that leave the planned region.
@@ -161,6 +164,7 @@
             budget_fraction: 0.0,
             fleet_size: 1,
             quarantine: Table::after(QUARANTINE_LOSSES),
+            peers: Vec::new(),
             reach: Reach::default(),
             off_plan: OffPlanLimiter::default(),
             shift_limiter: ShiftLimiter::default(),
--- a/crates/sg-proxy/src/trace.rs
+++ b/crates/sg-proxy/src/trace.rs
@@ -72,6 +72,31 @@
     }
 }
 
+/// One attempt to pass the request on to another instance.
+#[derive(Debug, Clone)]
+pub struct RelayRecord {
+    /// The other instance.
+    instance: id::Instance,
+    /// Label of the outcome, [`SendRecord::OPEN`] before the end.
+    outcome: &'static str,
+}
+
+impl RelayRecord {
+    /// Creates a record of an attempt that has not ended.
+    pub fn open(instance: id::Instance) -> Self {
+        Self {
+            instance,
+            outcome: SendRecord::OPEN,
+        }
+    }
+}
+
+impl std::fmt::Display for RelayRecord {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}:{}", self.instance, self.outcome)
+    }
+}
+
 /// Record of one request.
 #[derive(Debug)]
 pub struct Trace {
@@ -91,6 +116,10 @@
     pub object: u64,
     /// Sends in order.
     pub sends: Vec<SendRecord>,
+    /// Attempts to pass the request on, in order.
+    pub relays: Vec<RelayRecord>,
+    /// What the response of another instance says of the request.
+    pub relayed_outcome: Option<Outcome>,
     /// State of the account's quota if the quota refused the request.
     pub quota: Option<QuotaSnapshot>,
     timer: Timer,
@@ -133,6 +162,8 @@
             objective: Span::ZERO,
             object: 0,
             sends: Vec::new(),
+            relays: Vec::new(),
+            relayed_outcome: None,
             quota: None,
             timer,
             finished: false,
@@ -144,7 +175,15 @@
     /// Returns whether a target may have run the request.
     #[must_use]
     pub fn may_have_run(&self) -> bool {
-        self.sends.iter().any(SendRecord::may_have_run)
+        let is_relayed = |relay: &RelayRecord| relay.outcome != SendOutcome::Unsent.as_str();
+        self.sends.iter().any(SendRecord::may_have_run) || self.relays.iter().any(is_relayed)
+    }
+
+    /// Records how the last attempt to pass the request on ended.
+    pub fn end_relay(&mut self, outcome: &'static str) {
+        if let Some(relay) = self.relays.last_mut() {
+            relay.outcome = outcome;
+        }
     }
 
     /// Records the response to the caller.
@@ -171,6 +210,7 @@
             return;
         }
         let sends: Vec<String> = self.sends.iter().map(SendRecord::to_string).collect();
+        let relays: Vec<String> = self.relays.iter().map(RelayRecord::to_string).collect();
         log::info!(
             request = self.id.as_ref(),
             route = self.route.as_ref().map_or("", id::Route::as_str),
@@ -182,6 +222,7 @@
             took_ms = elapsed.as_millis(),
             object = self.object,
             sent = sends.join(" ").as_str(),
+            relayed = relays.join(" ").as_str(),
             quota = self.quota.map_or_else(String::new, |quota| quota.to_string()).as_str();
             "answered"
         );
--- a/crates/sg-proxy/tests/proxy/dialect.rs
+++ b/crates/sg-proxy/tests/proxy/dialect.rs
@@ -26,6 +26,7 @@
                 .and_then(|text| text.parse().ok())
                 .map(Span::from_millis),
             object: header(&head.headers, "object"),
+            is_relayed: head.headers.contains_key("relayed"),
         })
     }
 
@@ -67,16 +68,44 @@
             report,
             rate_limit: rate_limit.map(Rate::per_second),
             keep_alive_timeout: None,
-            closes_connection: header(&head.headers, "connection") == Some("close"),
+            closes_connection: self.closes_connection(head),
         }
     }
 
+    fn relayed_headers(&self, headers: &HeaderMap, remaining: Span) -> HeaderMap {
+        let mut headers = headers.clone();
+        for name in ["connection", "content-length", "transfer-encoding"] {
+            headers.remove(name);
+        }
+        headers.insert("relayed", HeaderValue::from_static("1"));
+        headers.insert("deadline", HeaderValue::from(remaining.as_millis()));
+        headers
+    }
+
+    fn relayed_outcome(&self, head: &response::Parts, id: &str) -> Option<Outcome> {
+        if header(&head.headers, "id") != Some(id) {
+            return None;
+        }
+        Some(match head.status {
+            StatusCode::OK => Outcome::Ran,
+            StatusCode::SERVICE_UNAVAILABLE => Outcome::NotRun,
+            _ => Outcome::Unknown,
+        })
+    }
+
+    fn closes_connection(&self, head: &response::Parts) -> bool {
+        header(&head.headers, "connection") == Some("close")
+    }
+
     fn strip_hop_by_hop_headers(&self, headers: &mut HeaderMap) {
         headers.remove("connection");
     }
 
-    fn refusal_response(&self, refusal: &Refusal, _: Option<&str>) -> Response<Bytes> {
+    fn refusal_response(&self, refusal: &Refusal, id: Option<&str>) -> Response<Bytes> {
         let mut response = Response::new(Bytes::new());
+        if let Some(id) = id.and_then(|id| HeaderValue::from_str(id).ok()) {
+            response.headers_mut().insert("id", id);
+        }
         *response.status_mut() = match (refusal.outcome, refusal.reason) {
             (Outcome::Unknown, Reason::DeadlineRunning) => StatusCode::GATEWAY_TIMEOUT,
             (Outcome::Unknown, _) => StatusCode::BAD_GATEWAY,
--- a/crates/sg-proxy/tests/proxy/harness.rs
+++ b/crates/sg-proxy/tests/proxy/harness.rs
@@ -16,11 +16,12 @@
 use sg_place::{
     Target,
     pool::{Location, RoundTrips},
+    relay::Peer,
     retry,
 };
 use sg_proxy::{
     Core,
-    core::Options,
+    core::{Fleet, Options},
     metrics::Metrics,
     server::{self, Phase},
 };
@@ -307,7 +308,11 @@
             options,
             signals,
         ));
-        core.update_fleet(Vec::new(), IndexMap::new(), 1, 1.0);
+        core.update_fleet(Fleet {
+            size: 1,
+            budget_fraction: 1.0,
+            ..Fleet::default()
+        });
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let (phase, phase_receiver) = watch::channel(Phase::Open);
@@ -335,6 +340,21 @@
         }
     }
 
+    /// Makes the instances at `addresses` the peers to which requests may be passed.
+    pub fn set_peers(&self, addresses: &[SocketAddr]) {
+        let peers = addresses.iter().map(|address| Peer {
+            instance: format!("peer-{}", address.port()).parse().expect("a name"),
+            region: "west".parse().expect("a name"),
+            address: *address,
+        });
+        self.core.update_fleet(Fleet {
+            peers: peers.collect(),
+            size: 1,
+            budget_fraction: 1.0,
+            ..Fleet::default()
+        });
+    }
+
     /// Starts to drain; requests that are in flight after `span` are answered by the instance.
     pub fn drain_for(&self, span: Span) {
         let core = &self.core;
--- a/crates/sg-proxy/tests/proxy/main.rs
+++ b/crates/sg-proxy/tests/proxy/main.rs
@@ -5,4 +5,5 @@
 mod endings;
 mod harness;
 mod limits;
+mod relays;
 mod responses;
--- /dev/null
+++ b/crates/sg-proxy/tests/proxy/relays.rs
@@ -0,0 +1,246 @@
+//! Requests that an instance without a path to its targets passes on to another instance.
+
+use std::{
+    net::SocketAddr,
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
+
+use socket2::{Domain, Socket, Type};
+use tokio::{io::AsyncWriteExt, time::sleep};
+
+use crate::harness::{Instance, KEY, OK, ScriptedTarget, Step, get, header, post, status, target};
+
+/// Returns an address that refuses connections.
+async fn refusing_address() -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+/// Address at which connection attempts get no answer, because its queue of connections is full.
+struct HangingAddress {
+    address: SocketAddr,
+    _listener: Socket,
+    _queued: Vec<Socket>,
+}
+
+impl HangingAddress {
+    fn new() -> Self {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        listener.bind(&any.into()).expect("a port");
+        listener.listen(0).expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        let address = address.as_socket().expect("an address");
+        let queued = (0..4).map(|_| {
+            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+            socket.set_nonblocking(true).expect("a socket");
+            // The connection is in progress; the first ones fill the queue.
+            let _ = socket.connect(&address.into());
+            socket
+        });
+        Self {
+            address,
+            _queued: queued.collect(),
+            _listener: listener,
+        }
+    }
+}
+
+/// Starts an instance that is known to be cut off, with hanging targets.
+async fn cut_off_instance(hanging: &[HangingAddress]) -> Instance {
+    let instance = Instance::start(&[]).await;
+    for (index, hanging) in hanging.iter().enumerate() {
+        let target = target(&format!("t{index}"), hanging.address);
+        instance.core.upsert_target(target);
+    }
+    instance.core.record_reach_round(false);
+    instance
+}
+
+fn hanging_targets() -> Vec<HangingAddress> {
+    (0..3).map(|_| HangingAddress::new()).collect()
+}
+
+#[tokio::test]
+async fn request_that_no_target_accepts_is_passed_on_before_a_cut_is_confirmed() {
+    let working = ScriptedTarget::start(vec![Step::Respond(OK)]).await;
+    let peer = Instance::start(&[&working]).await;
+    let instance = Instance::start(&[]).await;
+    for index in 0..6 {
+        let target = target(&format!("t{index}"), refusing_address().await);
+        instance.core.upsert_target(target);
+    }
+    instance.set_peers(&[peer.address]);
+    let response = instance.send(&post("/once/x", "a1", "body")).await;
+    assert_eq!(status(&response), 200);
+    assert_eq!(header(&response, "id").as_deref(), Some("a1"));
+    assert_eq!(working.count(), 1);
+}
+
+#[tokio::test]
+async fn instance_cut_off_passes_requests_on_at_once() {
+    let working = ScriptedTarget::start(vec![Step::Respond(OK)]).await;
+    let peer = Instance::start(&[&working]).await;
+    let hanging = hanging_targets();
+    let instance = cut_off_instance(&hanging).await;
+    instance.set_peers(&[peer.address]);
+    for (index, path) in ["/safe/x", "/once/x"].into_iter().enumerate() {
+        let started = Instant::now();
+        let id = format!("a{index}");
+        let response = instance.send(&post(path, &id, "body")).await;
+        assert_eq!(status(&response), 200, "{path}");
+        let elapsed = started.elapsed();
+        assert!(elapsed < Duration::from_millis(200), "{path}: {elapsed:?}");
+    }
+    let requests = working.requests.lock().clone();
+    assert!(requests.iter().all(|request| request.ends_with("body")));
+    let remaining = header(&requests[0], "deadline").expect("a deadline");
+    let remaining: u64 = remaining.parse().expect("digits");
+    assert!((800..=1_000).contains(&remaining), "{remaining}");
+}
+
+#[tokio::test]
+async fn other_instance_checks_the_key_and_takes_the_token() {
+    let working = ScriptedTarget::start(vec![Step::Respond(OK)]).await;
+    let peer = Instance::start(&[&working]).await;
+    let hanging = hanging_targets();
+    let instance = cut_off_instance(&hanging).await;
+    instance.set_peers(&[peer.address]);
+    assert!(peer.core.load().wanted_tokens.is_empty());
+    sleep(Duration::from_millis(500)).await;
+    let mut statuses = Vec::new();
+    for index in 0..8 {
+        let request = post("/keyed/x", &format!("a{index}"), "body");
+        let request = request.replace("host: h", &format!("host: h\r\nkey: {KEY}"));
+        statuses.push(status(&instance.send(&request).await));
+    }
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    let refused = statuses.iter().filter(|status| **status == 429).count();
+    assert!(served >= 1 && refused >= 4, "{statuses:?}");
+    assert_eq!(working.count(), served);
+    let requests = working.requests.lock().clone();
+    assert!(requests.iter().all(|request| !request.contains(KEY)));
+}
+
+#[tokio::test]
+async fn instances_that_are_all_cut_off_reject_at_once_and_pass_nothing_in_circles() {
+    let hanging = hanging_targets();
+    let first = cut_off_instance(&hanging).await;
+    let second = cut_off_instance(&hanging).await;
+    first.set_peers(&[second.address]);
+    second.set_peers(&[first.address]);
+    let started = Instant::now();
+    let response = first.send(&post("/once/x", "a1", "body")).await;
+    assert_eq!(status(&response), 503);
+    assert!(header(&response, "retry-after").is_some());
+    assert!(started.elapsed() < Duration::from_millis(300));
+    let alone = cut_off_instance(&hanging).await;
+    let response = alone.send(&get("/safe/x", "a2")).await;
+    assert_eq!(status(&response), 503);
+}
+
+#[tokio::test]
+async fn request_that_another_instance_may_have_run_goes_to_no_third_one() {
+    let closing = ScriptedTarget::start(vec![Step::RespondAndClose("")]).await;
+    let other = ScriptedTarget::start(vec![Step::RespondAndClose("")]).await;
+    let hanging = hanging_targets();
+    let instance = cut_off_instance(&hanging).await;
+    instance.set_peers(&[closing.address, other.address]);
+    let response = instance.send(&post("/once/x", "a1", "body")).await;
+    assert_eq!(status(&response), 502);
+    assert_eq!(closing.count() + other.count(), 1);
+}
+
+#[tokio::test]
+async fn response_to_another_request_is_not_passed_back() {
+    let wrong = "HTTP/1.1 200 OK\r\nid: other\r\ncontent-length: 4\r\n\r\nfine";
+    let peer = ScriptedTarget::start(vec![Step::Respond(wrong)]).await;
+    let hanging = hanging_targets();
+    let instance = cut_off_instance(&hanging).await;
+    instance.set_peers(&[peer.address]);
+    let response = instance.send(&post("/once/x", "a1", "body")).await;
+    assert_eq!(status(&response), 502);
+}
+
+#[tokio::test]
+async fn truncated_response_of_another_instance_is_not_passed_back() {
+    let short = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-length: 40\r\n\r\nfine";
+    let peer = ScriptedTarget::start(vec![Step::RespondAndClose(short)]).await;
+    let hanging = hanging_targets();
+    let instance = cut_off_instance(&hanging).await;
+    instance.set_peers(&[peer.address]);
+    let response = instance.send(&post("/once/x", "a1", "body")).await;
+    assert_eq!(status(&response), 502);
+}
+
+#[tokio::test]
+async fn instance_that_can_not_be_reached_is_replaced_by_the_next() {
+    let working = ScriptedTarget::start(vec![Step::Respond(OK)]).await;
+    let peer = Instance::start(&[&working]).await;
+    let hanging = hanging_targets();
+    let instance = cut_off_instance(&hanging).await;
+    let gone = [refusing_address().await, refusing_address().await];
+    instance.set_peers(&[gone[0], gone[1], peer.address]);
+    for index in 0..6 {
+        let response = instance
+            .send(&post("/once/x", &format!("a{index}"), "b"))
+            .await;
+        assert_eq!(status(&response), 200);
+    }
+}
+
+#[tokio::test]
+async fn caller_that_leaves_ends_the_request_at_the_other_instance() {
+    let peer = ScriptedTarget::start(vec![Step::Silent]).await;
+    let hanging = hanging_targets();
+    let instance = cut_off_instance(&hanging).await;
+    instance.set_peers(&[peer.address]);
+    let mut stream = instance.connect().await;
+    let request = post("/once/x", "a1", "body");
+    stream.write_all(request.as_bytes()).await.expect("a write");
+    while peer.count() == 0 {
+        sleep(Duration::from_millis(10)).await;
+    }
+    drop(stream);
+    let started = Instant::now();
+    while peer.aborted.load(Ordering::SeqCst) == 0 {
+        assert!(started.elapsed() < Duration::from_millis(500));
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[tokio::test]
+async fn silent_instance_times_out_at_the_deadline_without_a_promise() {
+    let peer = ScriptedTarget::start(vec![Step::Silent]).await;
+    let hanging = hanging_targets();
+    let instance = cut_off_instance(&hanging).await;
+    instance.set_peers(&[peer.address]);
+    let response = instance.send(&post("/once/x", "a1", "body")).await;
+    assert_eq!(status(&response), 504);
+}
+
+#[tokio::test]
+async fn targets_are_used_again_once_one_responds() {
+    let working = ScriptedTarget::start(vec![Step::Respond(OK)]).await;
+    let instance = Instance::start(&[&working]).await;
+    instance.core.record_reach_round(false);
+    assert_eq!(status(&instance.send(&get("/safe/x", "a1")).await), 503);
+    instance.core.record_reached();
+    assert_eq!(status(&instance.send(&get("/safe/x", "a2")).await), 200);
+}
+
+#[tokio::test]
+async fn connection_attempts_without_an_answer_raise_the_suspicion_of_a_cut() {
+    let hanging = hanging_targets();
+    let instance = Instance::start(&[]).await;
+    for (index, hanging) in hanging.iter().enumerate() {
+        let target = target(&format!("t{index}"), hanging.address);
+        instance.core.upsert_target(target);
+    }
+    assert!(instance.core.reach_checks().is_empty());
+    let response = instance.send(&post("/once/x", "a1", "body")).await;
+    assert_eq!(status(&response), 503);
+    assert_eq!(instance.core.reach_checks().len(), 1);
+}
