--- a/crates/sg-gateway/src/daemon.rs
+++ b/crates/sg-gateway/src/daemon.rs
@@ -11,7 +11,7 @@
     relay,
 };
 use sg_place::{
-    pool::{Location, RoundTrips},
+    location::{Location, RoundTrips},
     retry,
 };
 use sg_proxy::{
--- a/crates/sg-place/src/candidate.rs
+++ b/crates/sg-place/src/candidate.rs
@@ -6,8 +6,9 @@
 
 use crate::{
     hash::Object,
+    location::Location,
     member::{Baseline, Member},
-    pool::{Location, Query},
+    pool::Query,
 };
 
 /// Score penalty of a target in another domain than this instance, because traffic between domains
--- a/crates/sg-place/src/lib.rs
+++ b/crates/sg-place/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`plan`] splits a region's requests over the regions that have room.
 //! - [`pool`] holds the observations of a service's targets and chooses a target for a request.
 //! - [`member`] holds the observations of one target.
+//! - [`location`] describes where an instance is, and its round-trip times to targets.
 //! - [`limit`] bounds the requests that one instance keeps in flight at one target.
 //! - [`cold`] bounds the requests that a cold target receives from the fleet.
 //! - [`work_estimate`] estimates how long requests of a route take.
@@ -27,6 +28,7 @@
 pub mod cold;
 pub mod hash;
 pub mod limit;
+pub mod location;
 pub mod member;
 pub mod plan;
 pub mod pool;
--- a/crates/sg-place/src/member.rs
+++ b/crates/sg-place/src/member.rs
@@ -7,7 +7,7 @@
     cold::Window,
     hash::Object,
     limit::Limit,
-    pool::Location,
+    location::Location,
     rate_limit::{RateLimit, Share},
 };
 
--- a/crates/sg-place/src/rate_limit.rs
+++ b/crates/sg-place/src/rate_limit.rs
@@ -13,7 +13,7 @@
 
 use sg_types::prelude::*;
 
-use crate::{Target, hash::Object, pool::Location};
+use crate::{Target, hash::Object, location::Location};
 
 /// Time for which an instance announces a statement that it received.
 const ANNOUNCE_TIME: Span = Span::from_secs(10);
--- a/crates/sg-place/src/relay.rs
+++ b/crates/sg-place/src/relay.rs
@@ -2,7 +2,7 @@
 
 use sg_types::prelude::*;
 
-use crate::pool::Location;
+use crate::location::Location;
 
 /// Another instance that accepts requests and reaches targets.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/sg-place/tests/place/main.rs
+++ b/crates/sg-place/tests/place/main.rs
@@ -15,7 +15,7 @@
 
 use sg_place::{
     Target,
-    pool::{Location, RoundTrips},
+    location::{Location, RoundTrips},
     shift_limit::ShiftLimiter,
 };
 use sg_types::prelude::*;
--- a/crates/sg-place/tests/place/properties.rs
+++ b/crates/sg-place/tests/place/properties.rs
@@ -4,9 +4,10 @@
 use sg_place::{
     Pool, Target,
     hash::Object,
+    location::{Location, RoundTrips},
     member::LoadReport,
     plan::{RegionLoad, plan_for},
-    pool::{Location, Query, RoundTrips},
+    pool::Query,
 };
 use sg_types::prelude::*;
 
--- a/crates/sg-place/tests/place/rate_limits.rs
+++ b/crates/sg-place/tests/place/rate_limits.rs
@@ -7,8 +7,9 @@
 use sg_place::{
     Pool, Target,
     hash::Object,
+    location::Location,
     member::TargetOutcome,
-    pool::{Location, Query},
+    pool::Query,
     rate_limit::{Change, RateLimit, Share, Statement},
 };
 use sg_types::prelude::*;
--- a/crates/sg-proxy/src/core.rs
+++ b/crates/sg-proxy/src/core.rs
@@ -10,7 +10,8 @@
 use sg_catalog::Catalog;
 use sg_clock::Timer;
 use sg_place::{
-    Target, member::LoadReport, pool::Location, quarantine::Suspicion, quota, relay::Peer, retry,
+    Target, location::Location, member::LoadReport, quarantine::Suspicion, quota, relay::Peer,
+    retry,
 };
 use sg_types::prelude::*;
 use tokio::sync::{Notify, mpsc, watch};
--- a/crates/sg-proxy/src/rate_limits.rs
+++ b/crates/sg-proxy/src/rate_limits.rs
@@ -3,7 +3,7 @@
 use sg_place::rate_limit::{Change, Statement};
 use sg_types::prelude::*;
 
-use crate::{Core, state::State};
+use crate::Core;
 
 /// Maximum number of statements that are announced at once.
 const MAX_ANNOUNCED: usize = 64;
@@ -13,15 +13,10 @@
     pub fn record_rate_limit(&self, target: &id::Target, stated: Option<Rate>, sent_at: Instant) {
         let now = self.timer.now();
         let mut state = self.state.lock();
-        let State {
-            services,
-            pools,
-            location,
-            ..
-        } = &mut *state;
-        let pool = services.get(target).and_then(|name| pools.get_mut(name));
-        let change =
-            pool.and_then(|pool| pool.record_rate_limit(target, stated, sent_at, location, now));
+        let pool = state.pool_of(target);
+        let change = pool.and_then(|(pool, location)| {
+            pool.record_rate_limit(target, stated, sent_at, location, now)
+        });
         drop(state);
         self.log_rate_change(target, change, "response", now);
     }
@@ -46,14 +41,9 @@
     pub fn adopt_rate_statement(&self, target: &id::Target, announced: Statement) {
         let now = self.timer.now();
         let mut state = self.state.lock();
-        let State {
-            services,
-            pools,
-            location,
-            ..
-        } = &mut *state;
-        let pool = services.get(target).and_then(|name| pools.get_mut(name));
-        let change = pool.and_then(|pool| pool.adopt_statement(target, announced, location, now));
+        let pool = state.pool_of(target);
+        let change = pool
+            .and_then(|(pool, location)| pool.adopt_statement(target, announced, location, now));
         drop(state);
         self.log_rate_change(target, change, "instance", now);
     }
--- a/crates/sg-proxy/src/state.rs
+++ b/crates/sg-proxy/src/state.rs
@@ -3,8 +3,8 @@
 
 use sg_place::{
     Pool, Target,
+    location::Location,
     member::Member,
-    pool::Location,
     quarantine::Table,
     quota::{self, TokenShare},
     reach::Reach,
@@ -178,10 +178,15 @@
         self.pools.entry(service.clone()).or_default()
     }
 
+    /// Returns the pool that holds the target called `id`, with the location of this instance.
+    pub fn pool_of(&mut self, id: &id::Target) -> Option<(&mut Pool, &Location)> {
+        let pool = self.pools.get_mut(self.services.get(id)?)?;
+        Some((pool, &self.location))
+    }
+
     /// Returns the target called `id`.
     pub fn member_mut(&mut self, id: &id::Target) -> Option<&mut Member> {
-        let service = self.services.get(id)?;
-        self.pools.get_mut(service)?.member_mut(id)
+        self.pool_of(id)?.0.member_mut(id)
     }
 
     /// Adds a target or updates the known one, also if the target has moved to another service.
--- a/crates/sg-proxy/tests/proxy/harness.rs
+++ b/crates/sg-proxy/tests/proxy/harness.rs
@@ -15,7 +15,7 @@
 use sg_clock::Timer;
 use sg_place::{
     Target,
-    pool::{Location, RoundTrips},
+    location::{Location, RoundTrips},
     relay::Peer,
     retry,
 };
