--- a/crates/sg-gateway/src/exchange.rs
+++ b/crates/sg-gateway/src/exchange.rs
@@ -3,12 +3,8 @@
 use std::{net::SocketAddr, sync::atomic::Ordering};
 
 use rand::seq::SliceRandom;
-use sg_mesh::{
-    Members,
-    frame::{Beacon, Frame, Location, RateStatement},
-    relay,
-};
-use sg_place::{quota, rate_limit, relay::Peer};
+use sg_mesh::{Members, frame::Frame, relay};
+use sg_place::{quota, relay::Peer};
 use sg_proxy::{
     core::{self, Signal},
     planning::InstanceLoad,
@@ -18,19 +14,10 @@
 use tokio::{sync::mpsc, task::JoinSet};
 
 use crate::{
-    Interpreter, Protocol,
+    Interpreter, Protocol, beacon,
     daemon::{Context, INSTANCE_INDEX, OPERATOR_INDEX, TARGET_INDEX, WATCH_TIMEOUTS},
-    registry,
 };
 
-/// The least interval between two beacons of an instance.
-const BEACON_INTERVAL: Span = Span::from_millis(400);
-/// The number of instances from which the interval grows with the fleet, because a beacon goes to every
-/// instance.
-const BEACON_FLEET: f64 = 10.0;
-/// The largest factor by which the interval grows. Several beacons still fit into the time after which a
-/// silent instance counts as gone.
-const MAX_BEACON_FACTOR: f64 = 2.0;
 /// The interval at which the demand for loans, the traffic plans and the fleet size are updated.
 const TICK_INTERVAL: Span = Span::from_millis(200);
 /// The number of ticks between two sweeps of idle connections to targets.
@@ -57,9 +44,6 @@
 const MAX_RETAINED_WAIT: Span = Span::from_millis(400);
 /// The largest number of instances that a starting instance asks for what they retain.
 const MAX_ASKED_FOR_RETAINED: usize = 8;
-/// The time without a beacon after which an instance is removed from the members.
-const MEMBER_RETENTION: Span = Span::from_secs(60);
-
 /// Receives frames from other instances and handles them.
 pub(crate) async fn receive_frames<D: Protocol, I: Interpreter, S: Store>(
     context: Arc<Context<D, I, S>>,
@@ -89,10 +73,7 @@
                 return;
             }
             let wanted_tokens = beacon.wanted_tokens.clone();
-            adopt_rate_statements(context, &beacon.rate_statements);
-            if beacon.cut_off {
-                context.core.forget_losses(&beacon.instance);
-            }
+            beacon::apply_to_core(context, &beacon);
             let (incarnation, instance) = (beacon.incarnation, beacon.instance.clone());
             if context.members.lock().record_beacon(*beacon, now) {
                 log::info!(other:% = instance, incarnation = incarnation.get(); "instance heard");
@@ -136,34 +117,6 @@
     }
 }
 
-/// Returns what targets stated to this instance lately about the rates that they take.
-fn rate_statements<D, I, S>(context: &Context<D, I, S>) -> Vec<RateStatement> {
-    let statements = context.core.rate_statements().into_iter();
-    statements
-        .map(|(target, statement)| RateStatement {
-            target,
-            rate: statement.rate,
-            age_ms: statement.age.as_millis(),
-        })
-        .collect()
-}
-
-/// Adopts what another instance announces about the rates that targets take.
-fn adopt_rate_statements<D, I, S>(context: &Context<D, I, S>, announced: &[RateStatement]) {
-    for RateStatement {
-        target,
-        rate,
-        age_ms,
-    } in announced
-    {
-        let statement = rate_limit::Statement {
-            rate: *rate,
-            age: Span::from_millis(*age_ms),
-        };
-        context.core.adopt_rate_statement(target, statement);
-    }
-}
-
 /// Lends tokens that another instance wants and that this instance does not need.
 fn lend_wanted_tokens<D: Protocol, I: Interpreter, S: Store>(
     context: &Context<D, I, S>,
@@ -217,7 +170,7 @@
             // The sender lives as long as the replica in the context.
             Ok(()) = era.changed() => {
                 let load = context.core.load();
-                send_beacon(&context, load, context.timer.now());
+                beacon::send(&context, load, context.timer.now());
             }
             tick = ticks.tick() => {
                 context.core.metrics.lateness.observe(tick.late.as_secs_f64());
@@ -230,11 +183,11 @@
                 send_wanted(&context, &load.wanted_tokens, tick.now);
                 let core = &context.core;
                 let state = (context.is_ready(), core.is_draining(), core.is_cut_off());
-                let is_due = tick.now.since(last_beacon) >= beacon_interval(&context, tick.now);
+                let is_due = tick.now.since(last_beacon) >= beacon::interval(&context, tick.now);
                 if is_due || last_state != Some(state) {
                     last_beacon = tick.now;
                     last_state = Some(state);
-                    send_beacon(&context, load, tick.now);
+                    beacon::send(&context, load, tick.now);
                 }
             }
             Some(signal) = signals.recv() => send_signal(&context, signal),
@@ -242,12 +195,6 @@
     }
 }
 
-/// Returns the interval between two beacons in the current fleet.
-fn beacon_interval<D, I, S>(context: &Context<D, I, S>, now: Instant) -> Span {
-    let others = context.members.lock().alive(now).count() as f64;
-    BEACON_INTERVAL.mul_f64((others / BEACON_FLEET).clamp(1.0, MAX_BEACON_FACTOR))
-}
-
 /// Sends a notice to all live instances, or a request for a loan to the holder that may lend.
 fn send_signal<D: Protocol, I: Interpreter, S: Store>(context: &Context<D, I, S>, signal: Signal) {
     let (frame, to) = match signal {
@@ -311,72 +258,6 @@
     }
 }
 
-/// Rounds a number of slots to hundredths.
-fn round_slots(slots: f64) -> f64 {
-    (slots * 100.0).round() / 100.0
-}
-
-/// Sends this instance's beacon to the other instances.
-fn send_beacon<D: Protocol, I: Interpreter, S: Store>(
-    context: &Context<D, I, S>,
-    load: InstanceLoad,
-    now: Instant,
-) {
-    let other_addresses = context.members.lock().other_addresses(now);
-    let positions = context.replica.positions();
-    let has_eras = context.replica.era() > Era::default();
-    let eras = positions.iter().filter(|_| has_eras);
-    let demand = load.demand.into_iter();
-    let demand = demand.map(|(service, slots)| (service, round_slots(slots)));
-    let bound = load.bound.into_iter();
-    let bound = bound.map(|(service, region, slots)| (service, region, round_slots(slots)));
-    let bound = bound.filter(|(.., slots)| *slots > 0.0);
-    let beacon = Beacon {
-        instance: context.settings.instance.clone(),
-        incarnation: context.incarnation,
-        location: Location {
-            domain: context.settings.domain.clone(),
-            region: context.settings.region.clone(),
-            caller_address: context.settings.serve,
-            mesh_address: context.settings.mesh_address(),
-        },
-        ready: context.is_ready(),
-        leaving: context.core.is_draining(),
-        cut_off: context.core.is_cut_off(),
-        eras: eras.map(|position| position.era().get()).collect(),
-        positions: positions
-            .iter()
-            .map(|position| position.revision())
-            .collect(),
-        demand: demand.collect(),
-        bound: bound.collect(),
-        wanted_tokens: Vec::new(),
-        other_addresses,
-        rate_statements: rate_statements(context),
-    };
-    let addresses = beacon_addresses(context, now);
-    let frame = Frame::Beacon(Box::new(beacon));
-    context.gossip.send(&frame, addresses);
-}
-
-/// Returns the addresses that beacons are sent to: live instances, the instances that their beacons
-/// name, seeds and registered instances. Removes members that were silent for too long.
-fn beacon_addresses<D, I, S>(context: &Context<D, I, S>, now: Instant) -> IndexSet<SocketAddr> {
-    let mut addresses = IndexSet::new();
-    let mut members = context.members.lock();
-    members.remove_silent(MEMBER_RETENTION, now);
-    for member in members.alive(now) {
-        addresses.insert(member.beacon.location.mesh_address);
-        addresses.extend(member.beacon.other_addresses.iter().copied());
-    }
-    drop(members);
-    addresses.extend(context.settings.seed_mesh_addresses());
-    let registered = registry::registered_instances(context).into_iter();
-    addresses.extend(registered.map(|(_, mesh)| mesh));
-    addresses.swap_remove(&context.settings.mesh_address());
-    addresses
-}
-
 /// Updates the fleet's members and the traffic plans of the request path.
 fn update_core<D: Protocol, I: Interpreter, S: Store>(context: &Context<D, I, S>, now: Instant) {
     let own = &context.settings.instance;
@@ -462,7 +343,7 @@
     while !replica.is_initialized(INSTANCE_INDEX) && context.timer.now() < deadline {
         context.timer.sleep(START_POLL_INTERVAL).await;
     }
-    let mut others = beacon_addresses(context, context.timer.now());
+    let mut others = beacon::addresses(context, context.timer.now());
     others.truncate(MAX_ASKED_FOR_RETAINED);
     let mut fetches = JoinSet::new();
     for address in others {
--- a/crates/sg-gateway/src/lib.rs
+++ b/crates/sg-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
+mod beacon;
 pub mod budget;
 pub mod daemon;
 mod exchange;
