fix(sg-proxy): a rejection without a rate lifts no limit

A target that sheds a request may answer before it adds its usual headers; such a response was taken for the end of the limit, and the instance sent freely until the next full response. rejection_without_a_rate_lifts_nothing failed before. Adds tests of limits through the request path.

--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -366,7 +366,13 @@
         log::info!(request = call.id.as_ref(), target_id:% = choice.target.id, what; "foreign answer");
         return SendOutcome::Lost;
     }
-    if response_info.verdict != Verdict::Misdirected {
+    // A target that has no capacity rejects requests before it adds its usual headers.
+    let states_rate = match response_info.verdict {
+        Verdict::Response { .. } => true,
+        Verdict::Shed => response_info.rate_limit.is_some(),
+        Verdict::Misdirected | Verdict::Mismatched(_) => false,
+    };
+    if states_rate {
         core.record_rate_limit(&choice.target.id, response_info.rate_limit, sent_at);
     }
     let Ok(received) = receive_body(body).await else {
--- a/crates/sg-proxy/tests/proxy/main.rs
+++ b/crates/sg-proxy/tests/proxy/main.rs
@@ -5,5 +5,6 @@
 mod endings;
 mod harness;
 mod limits;
+mod rate_limits;
 mod relays;
 mod responses;
--- /dev/null
+++ b/crates/sg-proxy/tests/proxy/rate_limits.rs
@@ -0,0 +1,96 @@
+//! Targets that state how many requests per second they take from all instances together.
+
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::harness::{Instance, OK, ScriptedTarget, Step, get, header, status, target};
+
+const LIMITED: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nlimit: 2\r\ncontent-length: 4\r\n\r\nfine";
+const SHED: &str = "HTTP/1.1 503 No\r\nid: {id}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+
+async fn statuses(instance: &Instance, count: usize, interval: Duration) -> Vec<u16> {
+    let mut statuses = Vec::new();
+    for index in 0..count {
+        let response = instance.send(&get("/safe/x", &format!("a{index}"))).await;
+        statuses.push(status(&response));
+        sleep(interval).await;
+    }
+    statuses
+}
+
+#[tokio::test]
+async fn limited_target_gets_its_rate_and_the_others_the_rest() {
+    let limited = ScriptedTarget::start(vec![Step::Respond(LIMITED)]).await;
+    let free = ScriptedTarget::start(vec![Step::Respond(OK)]).await;
+    let instance = Instance::start(&[&limited, &free]).await;
+    instance.send(&get("/safe/x", "first")).await;
+    let statuses = statuses(&instance, 40, Duration::from_millis(50)).await;
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    // The first response, 2 requests a second for about 2 s, and a burst of 2.
+    assert!((3..=8).contains(&limited.count()), "{}", limited.count());
+}
+
+#[tokio::test]
+async fn requests_beyond_the_rate_of_the_only_target_are_rejected_at_once() {
+    let limited = ScriptedTarget::start(vec![Step::Respond(LIMITED)]).await;
+    let instance = Instance::start(&[&limited]).await;
+    assert_eq!(status(&instance.send(&get("/safe/x", "first")).await), 200);
+    let response = instance.send(&get("/safe/x", "a1")).await;
+    assert_eq!(status(&response), 503);
+    assert!(header(&response, "retry-after").is_some());
+    assert_eq!(limited.count(), 1);
+}
+
+#[tokio::test]
+async fn response_without_a_rate_lifts_the_limit() {
+    let steps = vec![Step::Respond(LIMITED), Step::Respond(OK)];
+    let limited = ScriptedTarget::start(steps).await;
+    let instance = Instance::start(&[&limited]).await;
+    assert_eq!(status(&instance.send(&get("/safe/x", "first")).await), 200);
+    sleep(Duration::from_millis(600)).await;
+    assert_eq!(status(&instance.send(&get("/safe/x", "second")).await), 200);
+    let statuses = statuses(&instance, 10, Duration::ZERO).await;
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+}
+
+#[tokio::test]
+async fn rejection_without_a_rate_lifts_nothing() {
+    let steps = vec![
+        Step::Respond(LIMITED),
+        Step::Respond(SHED),
+        Step::Respond(OK),
+    ];
+    let limited = ScriptedTarget::start(steps).await;
+    let instance = Instance::start(&[&limited]).await;
+    assert_eq!(status(&instance.send(&get("/safe/x", "first")).await), 200);
+    sleep(Duration::from_millis(600)).await;
+    assert_eq!(status(&instance.send(&get("/safe/x", "shed")).await), 503);
+    assert_eq!(status(&instance.send(&get("/safe/x", "third")).await), 503);
+    assert_eq!(limited.count(), 2);
+}
+
+#[tokio::test]
+async fn health_checks_count_against_the_rate() {
+    let limited = ScriptedTarget::start(vec![Step::Respond(LIMITED)]).await;
+    let instance = Instance::start(&[&limited]).await;
+    assert_eq!(status(&instance.send(&get("/safe/x", "first")).await), 200);
+    let domain: sg_types::prelude::id::Domain = "west-a".parse().expect("a name");
+    instance.core.set_domain_closed(domain.clone(), true);
+    instance.core.set_domain_closed(domain, false);
+    assert!(instance.core.targets_to_check(8).is_empty());
+    sleep(Duration::from_millis(600)).await;
+    assert_eq!(instance.core.targets_to_check(8).len(), 1);
+    assert!(instance.core.targets_to_check(8).is_empty());
+}
+
+#[tokio::test]
+async fn target_that_restarts_is_not_limited() {
+    let limited = ScriptedTarget::start(vec![Step::Respond(LIMITED), Step::Respond(OK)]).await;
+    let instance = Instance::start(&[&limited]).await;
+    assert_eq!(status(&instance.send(&get("/safe/x", "first")).await), 200);
+    let mut restarted = target("t0", limited.address);
+    restarted.started_at_millis = 2;
+    instance.core.upsert_target(restarted);
+    assert_eq!(status(&instance.send(&get("/safe/x", "second")).await), 200);
+}
