--- a/crates/sg-place/src/rate_limit.rs
+++ b/crates/sg-place/src/rate_limit.rs
@@ -123,7 +123,7 @@
         self.replace(announced.rate, now - announced.age, now)
     }
 
-    /// Lifts a limit of which no instance has heard for [`LIFETIME`].
+    /// Lifts a limit of which no instance has heard for a while.
     pub fn lapse(&mut self, now: Instant) -> Option<Change> {
         if self.stated.is_none() || now.since(self.stated_at) < LIFETIME {
             return None;
@@ -131,7 +131,7 @@
         self.replace(None, now, now)
     }
 
-    /// Returns the statement that this instance received last, for [`ANNOUNCE_TIME`].
+    /// Returns the statement that this instance received last, unless it is too old to be announced.
     #[must_use]
     pub fn announcement(&self, now: Instant) -> Option<Statement> {
         let (rate, at) = self.received?;
