--- a/crates/sg-gateway/src/budget.rs
+++ b/crates/sg-gateway/src/budget.rs
@@ -2,6 +2,8 @@
 
 use nix::sys::resource::{Resource, getrlimit};
 
+use sg_types::prelude::*;
+
 use crate::settings::Limits;
 
 /// Descriptors for files, which the system may reserve.
@@ -19,6 +21,10 @@
 const CONNECTION_BYTES: u64 = 24 << 10;
 /// Fraction of the memory for connections of callers.
 const CALLER_MEMORY_FRACTION: f64 = 0.25;
+/// Fraction of the memory for responses of targets that are being received.
+const RECEIVED_MEMORY_FRACTION: f64 = 0.125;
+/// Memory for responses that are being received, if the settings don't limit the memory.
+const DEFAULT_RECEIVED: Bytes = Bytes::new(64 << 20);
 /// The least number of connections of any kind, so that the instance works at all.
 const MIN_CONNECTIONS: u64 = 16;
 
@@ -33,6 +39,8 @@
     pub idle_targets: usize,
     /// Open connections to each of the other addresses.
     pub auxiliary: usize,
+    /// Memory for responses of targets that are being received.
+    pub received: Bytes,
 }
 
 impl Budget {
@@ -65,6 +73,10 @@
             callers: connections(callers.min(by_memory)),
             idle_targets: connections((remaining * IDLE_TARGET_FRACTION) as u64),
             auxiliary: connections(auxiliary),
+            received: limits.memory_mb.map_or(DEFAULT_RECEIVED, |megabytes| {
+                let bytes = (megabytes << 20) as f64 * RECEIVED_MEMORY_FRACTION;
+                Bytes::new(bytes as u64)
+            }),
         }
     }
 }
--- a/crates/sg-gateway/src/daemon.rs
+++ b/crates/sg-gateway/src/daemon.rs
@@ -235,6 +235,7 @@
             ),
         },
         max_idle_connections: budget.idle_targets,
+        max_received: budget.received,
         source: settings.source,
     }
 }
--- a/crates/sg-gateway/src/exchange.rs
+++ b/crates/sg-gateway/src/exchange.rs
@@ -3,8 +3,12 @@
 use std::{net::SocketAddr, sync::atomic::Ordering};
 
 use rand::seq::SliceRandom;
-use sg_mesh::{Members, frame::Frame, relay};
-use sg_place::{quota, relay::Peer};
+use sg_mesh::{
+    Members,
+    frame::{Departure, Frame},
+    relay,
+};
+use sg_place::{departure::Run, quota, relay::Peer};
 use sg_proxy::{
     core::{self, Signal},
     planning::InstanceLoad,
@@ -113,6 +117,14 @@
                 send_loan(context, incarnation, from, account, tokens);
             }
         }
+        Frame::Departures { runs, .. } => {
+            for run in runs {
+                context.core.adopt_departure(&Run {
+                    target: run.target,
+                    started_at_millis: run.started_at_millis,
+                });
+            }
+        }
         Frame::Notice { from, notice } => context.core.handle_notice(from, &notice),
     }
 }
@@ -181,6 +193,7 @@
                 }
                 let load = context.core.load();
                 send_wanted(&context, &load.wanted_tokens, tick.now);
+                send_departures(&context, tick.now);
                 let core = &context.core;
                 let state = (context.is_ready(), core.is_draining(), core.is_cut_off());
                 let is_due = tick.now.since(last_beacon) >= beacon::interval(&context, tick.now);
@@ -222,6 +235,32 @@
     context.gossip.send(&frame, addresses);
 }
 
+/// Announces targets that told this instance that they are leaving.
+fn send_departures<D: Protocol, I: Interpreter, S: Store>(
+    context: &Context<D, I, S>,
+    now: Instant,
+) {
+    let runs = context.core.take_departures().into_iter();
+    let runs = runs.map(|run| Departure {
+        target: run.target,
+        started_at_millis: run.started_at_millis,
+    });
+    let runs: Vec<_> = runs.collect();
+    if runs.is_empty() {
+        return;
+    }
+    let from = context.settings.instance.clone();
+    let members = context.members.lock();
+    let addresses = members
+        .alive(now)
+        .map(|member| member.beacon.location.mesh_address);
+    let addresses: Vec<_> = addresses.collect();
+    drop(members);
+    context
+        .gossip
+        .send(&Frame::Departures { from, runs }, addresses);
+}
+
 /// Asks random holders of the accounts' budgets for the tokens that this instance wants, in one frame a
 /// holder.
 fn send_wanted<D: Protocol, I: Interpreter, S: Store>(
--- a/crates/sg-gateway/src/health.rs
+++ b/crates/sg-gateway/src/health.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use http::{Request, Uri};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
+use sg_place::Target;
 use sg_proxy::connections::ReusePolicy;
 use sg_store::Store;
 use sg_types::prelude::*;
@@ -19,6 +20,8 @@
 const CHECK_TIMEOUT: Span = Span::from_millis(800);
 /// The time limit for connecting to a target.
 const CONNECT_TIMEOUT: Span = Span::from_millis(300);
+/// The largest body of a response to a health check. A longer one may have no end.
+const MAX_BODY_BYTES: usize = 16 << 10;
 /// The largest number of targets checked in one round.
 const MAX_CHECKS: usize = 8;
 
@@ -28,9 +31,9 @@
     loop {
         ticks.tick().await;
         let unverified = context.core.targets_to_check(MAX_CHECKS);
-        let checks = unverified.into_iter().map(|(target, address, path)| {
+        let checks = unverified.into_iter().map(|(target, path)| {
             let context = context.clone();
-            tokio::spawn(async move { check(&context, target, address, &path).await })
+            tokio::spawn(async move { check(&context, &target, &path).await })
         });
         let checks: Vec<_> = checks.collect();
         check_reach(&context).await;
@@ -72,12 +75,11 @@
 /// from another target.
 async fn check<D: Protocol, I: Interpreter, S: Store>(
     context: &Context<D, I, S>,
-    target: id::Target,
-    address: SocketAddr,
+    target: &Target,
     path: &str,
 ) {
     let sent_at = context.timer.now();
-    let exchange = request_health(context, address, path);
+    let exchange = request_health(context, target.address, path);
     let result = context
         .timer
         .until(context.timer.now() + CHECK_TIMEOUT, exchange)
@@ -89,19 +91,20 @@
     let is_expected_target = health
         .target
         .as_ref()
-        .is_none_or(|responding| *responding == target);
+        .is_none_or(|responding| *responding == target.id);
     if !is_expected_target {
-        log::info!(target_id:% = target, address:% = address; "address has another target");
+        log::info!(target_id:% = target.id, address:% = target.address; "address has another target");
         return;
     }
-    if health.rate_limit.is_some() {
+    let report = health.self_report;
+    if report.rate_limit.is_some() {
         context
             .core
-            .record_rate_limit(&target, health.rate_limit, sent_at);
+            .record_rate_limit(&target.id, report.rate_limit, sent_at);
     }
     context
         .core
-        .record_health_check(&target, health.healthy, health.cold_for, health.load);
+        .record_health_check(target, health.healthy, health.cold_for, &report);
 }
 
 /// Sends one health check; `None` if the target can't be reached or does not respond.
@@ -124,11 +127,12 @@
                 max_idle: Span::ZERO,
             },
             CONNECT_TIMEOUT,
+            || true,
         )
         .await
         .ok()?;
     let (head, body) = response.into_parts();
-    body.collect().await.ok()?;
+    Limited::new(body, MAX_BODY_BYTES).collect().await.ok()?;
     connections.put_back(exchange, None);
     Some(context.core.dialect.parse_health_check(&head))
 }
--- a/crates/sg-gateway/src/ports.rs
+++ b/crates/sg-gateway/src/ports.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Response, request, response};
 use sg_catalog::Catalog;
-use sg_place::{Target, member::LoadReport};
+use sg_place::{Target, self_report::SelfReport};
 use sg_proxy::{Dialect, dialect::Malformed};
 use sg_types::prelude::*;
 
@@ -76,12 +76,10 @@
     pub healthy: bool,
     /// The target that responded, if the response names it.
     pub target: Option<id::Target>,
-    /// The target's load, if reported.
-    pub load: Option<LoadReport>,
     /// The time for which the target stays cold, if reported.
     pub cold_for: Option<Span>,
-    /// The requests per second that the target states it takes from all instances together.
-    pub rate_limit: Option<Rate>,
+    /// What the target says of itself.
+    pub self_report: SelfReport,
 }
 
 /// The platform's protocol of requests, lookups and health checks.
--- a/crates/sg-mesh/src/frame.rs
+++ b/crates/sg-mesh/src/frame.rs
@@ -35,6 +35,16 @@
     pub age_ms: u64,
 }
 
+/// A run of a target that is leaving.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departure {
+    /// The target.
+    pub target: id::Target,
+    /// The start time of the target's process, in milliseconds since the epoch by its own clock.
+    #[serde(rename = "born")]
+    pub started_at_millis: u64,
+}
+
 /// The state that an instance announces several times a second.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Beacon {
@@ -114,6 +124,14 @@
         /// The tokens that the sender wants to borrow, by client account.
         tokens: Vec<(id::Account, u32)>,
     },
+    /// Runs of targets that told the sender that they are leaving. Instances of earlier releases skip this
+    /// frame.
+    Departures {
+        /// The sender.
+        from: id::Instance,
+        /// The runs.
+        runs: Vec<Departure>,
+    },
     /// A notice that all instances have to receive at once.
     Notice {
         /// The sender.
--- a/crates/sg-place/src/candidate.rs
+++ b/crates/sg-place/src/candidate.rs
@@ -82,13 +82,13 @@
     }
 }
 
-/// Returns whether the request may run at `member`, leaving bans, plan and load aside.
+/// Returns whether the request may run at `member`, leaving bans, pauses, plan and load aside.
 pub fn may_use(member: &Member, query: &Query<'_>, closed: &IndexSet<id::Domain>) -> bool {
     let target = &member.target;
     let allowed_by = |home_regions: &[id::Region]| {
         home_regions.is_empty() || home_regions.contains(&target.region)
     };
-    !target.draining
+    member.is_staying()
         && !closed.contains(&target.domain)
         && allowed_by(query.home_regions)
         && allowed_by(query.account_home_regions)
--- a/crates/sg-place/src/lib.rs
+++ b/crates/sg-place/src/lib.rs
@@ -7,6 +7,9 @@
 //! - [`pool`] holds the observations of a service's targets and chooses a target for a request.
 //! - [`member`] holds the observations of one target.
 //! - [`location`] describes where an instance is, and its round-trip times to targets.
+//! - [`self_report`] holds what a target says of itself in a response.
+//! - [`departure`] remembers which runs of targets are leaving.
+//! - [`pause`] keeps requests away from a target that asked to come back later.
 //! - [`limit`] bounds the requests that one instance keeps in flight at one target.
 //! - [`cold`] bounds the requests that a cold target receives from the fleet.
 //! - [`work_estimate`] estimates how long requests of a route take.
@@ -26,10 +29,12 @@
 
 mod candidate;
 pub mod cold;
+pub mod departure;
 pub mod hash;
 pub mod limit;
 pub mod location;
 pub mod member;
+pub mod pause;
 pub mod plan;
 pub mod pool;
 pub mod quarantine;
@@ -40,6 +45,7 @@
 pub mod retry;
 pub mod round_robin;
 mod scarcity;
+pub mod self_report;
 pub mod shift_limit;
 pub mod target;
 pub mod work_estimate;
--- a/crates/sg-place/src/member.rs
+++ b/crates/sg-place/src/member.rs
@@ -8,6 +8,7 @@
     hash::Object,
     limit::Limit,
     location::Location,
+    pause::Pause,
     rate_limit::{RateLimit, Share},
 };
 
@@ -116,6 +117,10 @@
     pub limit: Limit,
     /// Rate that the target states it takes from the fleet.
     pub rate_limit: RateLimit,
+    /// Pause that the target asked this instance for.
+    pub pause: Pause,
+    /// Whether this run of the target is leaving, as its responses say.
+    pub is_leaving: bool,
     /// When the target stops being cold.
     pub cold_until: Instant,
     reported: Option<Observation>,
@@ -142,6 +147,8 @@
             recent_sends: Window::default(),
             limit: Limit::default(),
             rate_limit: RateLimit::default(),
+            pause: Pause::default(),
+            is_leaving: false,
             reported: None,
             last_failure_rate: 0.0,
             failure_rate_at: now,
@@ -193,6 +200,13 @@
         }
     }
 
+    /// Returns whether the target takes new requests at all: it says neither in the store nor in its
+    /// responses that it leaves.
+    #[must_use]
+    pub fn is_staying(&self) -> bool {
+        !self.target.draining && !self.is_leaving
+    }
+
     /// Returns whether the target is cold.
     #[must_use]
     pub fn is_cold(&self, now: Instant) -> bool {
@@ -329,6 +343,10 @@
         self.last_failure_rate =
             self.failure_rate(now) * (1.0 - FAILURE_SMOOTHING) + failed * FAILURE_SMOOTHING;
         self.failure_rate_at = now;
+        self.pause.record_end(matches!(
+            outcome,
+            TargetOutcome::Answered | TargetOutcome::Failed
+        ));
         match outcome {
             TargetOutcome::Answered => {
                 self.consecutive_bans = 0;
--- a/crates/sg-place/src/pool.rs
+++ b/crates/sg-place/src/pool.rs
@@ -101,6 +101,8 @@
     NoTarget,
     /// No target can respond in time; room is expected after this time in seconds.
     NoRoom(f64),
+    /// All targets asked for a pause; the first one ends after this time in seconds.
+    Paused(f64),
 }
 
 /// The targets of one service.
@@ -241,8 +243,14 @@
         limits_shift: bool,
     ) -> Result<Vec<&Member>, Rejection> {
         let members = self.members.values();
-        let (banned, healthy): (Vec<&Member>, Vec<&Member>) = members
-            .filter(|member| candidate::may_use(member, query, closed))
+        let usable = members.filter(|member| candidate::may_use(member, query, closed));
+        let (admitting, paused): (Vec<&Member>, Vec<&Member>) =
+            usable.partition(|member| member.pause.admits(query.now));
+        if admitting.is_empty() && !paused.is_empty() {
+            return Err(Rejection::Paused(first_pause_end(&paused, query.now)));
+        }
+        let (banned, healthy): (Vec<&Member>, Vec<&Member>) = admitting
+            .into_iter()
             .partition(|member| member.is_banned(query.now));
         let mut members = if healthy.is_empty() { banned } else { healthy };
         retain_within_rate(&mut members, query.now)?;
@@ -320,6 +328,7 @@
         if let Some(member) = self.members.get_mut(id) {
             member.in_flight += 1;
             member.recent_sends.record(now);
+            member.pause.record_send(now);
             member.rate_limit.take(now);
             if let Some(object) = object {
                 member.mark_warm(object, now);
@@ -406,7 +415,10 @@
     #[must_use]
     pub fn slots(&self, domain: &id::Domain, now: Instant) -> f64 {
         let members = self.members.values().filter(|member| {
-            member.target.domain == *domain && !member.target.draining && !member.is_banned(now)
+            member.target.domain == *domain
+                && member.is_staying()
+                && !member.pause.is_active(now)
+                && !member.is_banned(now)
         });
         members
             .map(|member| {
@@ -427,6 +439,12 @@
     }
 }
 
+/// Returns the time until the first of the pauses of `members` ends, in seconds.
+fn first_pause_end(members: &[&Member], now: Instant) -> f64 {
+    let remaining = members.iter().map(|member| member.pause.remaining(now));
+    remaining.min().unwrap_or_default().as_secs_f64()
+}
+
 /// Removes the targets whose stated rate leaves this instance no room for another request.
 fn retain_within_rate(members: &mut Vec<&Member>, now: Instant) -> Result<(), Rejection> {
     let has_room = |member: &&Member| member.rate_limit.has_room(now);
--- a/crates/sg-place/tests/place/main.rs
+++ b/crates/sg-place/tests/place/main.rs
@@ -9,6 +9,7 @@
 mod properties;
 mod rate_limits;
 mod reach;
+mod self_reports;
 mod surge;
 
 use std::sync::LazyLock;
--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -162,7 +162,7 @@
                 history.may_have_run = true;
                 history.failure = Some(response);
             }
-            SendOutcome::Unsent => history.connect_failures += 1,
+            SendOutcome::Unsent | SendOutcome::Withdrawn => history.connect_failures += 1,
             SendOutcome::Shed | SendOutcome::Misdirected => history.sends += 1,
             SendOutcome::Lost | SendOutcome::TimedOut | SendOutcome::Abandoned => {
                 history.sends += 1;
@@ -197,6 +197,10 @@
             };
             return Err(Refusal::may_have_run(reason));
         }
+        // The caller was told when the first target is back.
+        if refusal.reason == Reason::TargetsPaused {
+            return Err(refusal);
+        }
         refusal.retry_after = None;
         let wait = match refusal.reason {
             // Other instances can serve the request at once.
@@ -356,6 +360,8 @@
         Rejection::NoTarget => Refusal::not_run(Reason::NoTarget),
         Rejection::NoRoom(excess_seconds) => Refusal::not_run(Reason::RegionFull)
             .with_retry_after(Span::from_secs(1).mul_f64(excess_seconds)),
+        Rejection::Paused(seconds) => Refusal::not_run(Reason::TargetsPaused)
+            .with_retry_from(Span::from_secs(1).mul_f64(seconds)),
     })
 }
 
@@ -484,5 +490,6 @@
         SendOutcome::Shed => TargetOutcome::Shed,
         SendOutcome::Unsent | SendOutcome::Misdirected | SendOutcome::Lost => TargetOutcome::Lost,
         SendOutcome::TimedOut | SendOutcome::Abandoned => TargetOutcome::Late,
+        SendOutcome::Withdrawn => TargetOutcome::Unknown,
     }
 }
--- a/crates/sg-proxy/src/body.rs
+++ b/crates/sg-proxy/src/body.rs
@@ -2,6 +2,7 @@
 
 use std::{
     pin::Pin,
+    sync::atomic::{AtomicBool, AtomicUsize, Ordering},
     task::{Context, Poll},
 };
 
@@ -9,9 +10,58 @@
 use http_body::{Frame, SizeHint};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use sg_clock::Timer;
+use sg_types::prelude::*;
+use tokio::sync::oneshot;
 
 use crate::connections::Connection;
 
+/// Maximum size of a body that is streamed and whose response does not declare a length. Such a body may
+/// have no end.
+const MAX_UNDECLARED_BYTES: u64 = 64 << 20;
+
+/// Error of a body that ends early. The caller's connection is closed, so that the response does not look
+/// complete.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The target's connection failed.
+    #[error("the target broke the response off ({0})")]
+    Broken(#[from] hyper::Error),
+    /// The body was not complete at the request's deadline.
+    #[error(
+        "the response was not complete at the deadline; raise the route's timeout if it is legitimate"
+    )]
+    Late,
+    /// The body is longer than a body without a declared length may be.
+    #[error(
+        "the response is longer than {MAX_UNDECLARED_BYTES} bytes and declares no length; let the target declare one"
+    )]
+    TooLong,
+}
+
+/// Why a streamed response was cut off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cut {
+    /// The deadline passed while more of the body was due from the target.
+    LateTarget,
+    /// The deadline passed while the caller did not read what had arrived.
+    SlowCaller,
+    /// The body has no declared length and is too long.
+    TooLong,
+}
+
+impl Cut {
+    /// Returns the label in metrics and log lines.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::LateTarget => "late-target",
+            Self::SlowCaller => "slow-caller",
+            Self::TooLong => "too-long",
+        }
+    }
+}
+
 /// Body of a response to a caller.
 #[derive(Debug)]
 pub enum Body {
@@ -21,15 +71,109 @@
     Streamed(Box<Streamed>),
 }
 
+/// State of a stream that its watch reads.
+#[derive(Debug, Default)]
+struct Progress {
+    is_late: AtomicBool,
+    /// Whether the next bytes are due from the target.
+    awaits_target: AtomicBool,
+}
+
 /// Large response body that is forwarded while it arrives.
 #[derive(Debug)]
 pub struct Streamed {
     /// Data that was received before forwarding began.
-    pub received: Option<Bytes>,
-    /// Remainder of the body.
-    pub remainder: Incoming,
+    received: Option<Bytes>,
+    remainder: Incoming,
     /// Connection to the target, which is closed if the caller disconnects.
-    pub connection: Option<Connection>,
+    connection: Option<Connection>,
+    /// Bytes that may still arrive, if the response declares no length.
+    undeclared_left: Option<u64>,
+    progress: Arc<Progress>,
+    /// Tells the watch that the body is too long. Dropping the sender ends the watch.
+    too_long: Option<oneshot::Sender<()>>,
+}
+
+impl Streamed {
+    /// Creates the rest of a body of which `received` has arrived, and cuts the body off at `deadline`.
+    /// `on_cut` is called if that happens, or if the body is too long.
+    pub(crate) fn new(
+        received: Bytes,
+        remainder: Incoming,
+        connection: Connection,
+        timer: Timer,
+        deadline: Instant,
+        on_cut: impl FnOnce(Cut) + Send + 'static,
+    ) -> Self {
+        let progress = Arc::new(Progress::default());
+        let (too_long, too_long_receiver) = oneshot::channel();
+        let target_task = connection.abort_handle();
+        let watched = progress.clone();
+        tokio::spawn(async move {
+            let cut = match timer.until(deadline, too_long_receiver).await {
+                Ok(Ok(())) => Cut::TooLong,
+                // The body is complete, or the caller is gone.
+                Ok(Err(_)) => return,
+                Err(_) if watched.awaits_target.load(Ordering::Relaxed) => Cut::LateTarget,
+                Err(_) => Cut::SlowCaller,
+            };
+            watched.is_late.store(true, Ordering::Relaxed);
+            target_task.abort();
+            on_cut(cut);
+        });
+        let is_declared = http_body::Body::size_hint(&remainder).exact().is_some();
+        Self {
+            undeclared_left: (!is_declared)
+                .then(|| MAX_UNDECLARED_BYTES.saturating_sub(received.len() as u64)),
+            received: Some(received),
+            remainder,
+            connection: Some(connection),
+            progress,
+            too_long: Some(too_long),
+        }
+    }
+
+    fn poll_remainder(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        let frame = http_body::Body::poll_frame(Pin::new(&mut self.remainder), cx);
+        self.progress
+            .awaits_target
+            .store(frame.is_pending(), Ordering::Relaxed);
+        // A connection that was closed at the deadline looks like the end of the body.
+        if frame.is_ready() && self.progress.is_late.load(Ordering::Relaxed) {
+            return Poll::Ready(Some(Err(Error::Late)));
+        }
+        match frame {
+            Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(self.count(frame))),
+            Poll::Ready(None) => {
+                self.too_long = None;
+                if let Some(connection) = self.connection.take() {
+                    connection.close();
+                }
+                Poll::Ready(None)
+            }
+            other => other.map_err(Error::from),
+        }
+    }
+
+    /// Counts the bytes of `frame` if the body declares no length.
+    fn count(&mut self, frame: Frame<Bytes>) -> Result<Frame<Bytes>, Error> {
+        let length = frame.data_ref().map_or(0, |data| data.len() as u64);
+        let Some(left) = &mut self.undeclared_left else {
+            return Ok(frame);
+        };
+        if length <= *left {
+            *left -= length;
+            return Ok(frame);
+        }
+        if let Some(too_long) = self.too_long.take() {
+            // The watch is gone if the deadline has passed.
+            let _ = too_long.send(());
+        }
+        Err(Error::TooLong)
+    }
 }
 
 impl Body {
@@ -42,28 +186,20 @@
 
 impl http_body::Body for Body {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = Error;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         match self.get_mut() {
             Self::Buffered(buffered) => Pin::new(buffered)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
-            Self::Streamed(streamed) => {
-                if let Some(received) = streamed.received.take() {
-                    return Poll::Ready(Some(Ok(Frame::data(received))));
-                }
-                let frame = Pin::new(&mut streamed.remainder).poll_frame(cx);
-                if let Poll::Ready(None) = frame
-                    && let Some(connection) = streamed.connection.take()
-                {
-                    connection.close();
-                }
-                frame
-            }
+            Self::Streamed(streamed) => match streamed.received.take() {
+                Some(received) => Poll::Ready(Some(Ok(Frame::data(received)))),
+                None => streamed.poll_remainder(cx),
+            },
         }
     }
 
@@ -90,3 +226,49 @@
         }
     }
 }
+
+/// Memory for the responses that are being received, shared by all requests.
+#[derive(Debug)]
+pub(crate) struct ReceiveBudget {
+    used: AtomicUsize,
+    limit: usize,
+}
+
+impl ReceiveBudget {
+    pub fn new(limit: usize) -> Self {
+        Self {
+            used: AtomicUsize::new(0),
+            limit,
+        }
+    }
+
+    /// Starts a reservation of no bytes.
+    pub fn reserve(&self) -> Reservation<'_> {
+        Reservation {
+            budget: self,
+            bytes: 0,
+        }
+    }
+}
+
+/// Part of a [`ReceiveBudget`], which is released on drop.
+#[derive(Debug)]
+pub(crate) struct Reservation<'a> {
+    budget: &'a ReceiveBudget,
+    bytes: usize,
+}
+
+impl Reservation<'_> {
+    /// Reserves `bytes` more. Returns whether the budget allows them; they count in either case, because
+    /// they have arrived.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        self.bytes += bytes;
+        self.budget.used.fetch_add(bytes, Ordering::Relaxed) + bytes <= self.budget.limit
+    }
+}
+
+impl Drop for Reservation<'_> {
+    fn drop(&mut self) {
+        self.budget.used.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
--- a/crates/sg-proxy/src/connections.rs
+++ b/crates/sg-proxy/src/connections.rs
@@ -37,6 +37,8 @@
 /// Fraction of a target's stated idle timeout that is used. The rest covers the transit time to the
 /// target.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.7;
+/// Maximum size of the head of a response. A longer one, which may have no end, closes the connection.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections kept per target.
 const MAX_IDLE_PER_TARGET: usize = 8;
 
@@ -46,6 +48,9 @@
     /// No byte of the request can have reached the target.
     #[error("could not send the request to the target: {0}")]
     NotSent(io::Error),
+    /// The request may no longer be sent to the target; no byte of it was sent.
+    #[error("the target takes no more requests")]
+    Withdrawn,
     /// Bytes of the request may have reached the target.
     #[error("connection to the target lost before the response: {cause}")]
     Lost {
@@ -185,6 +190,11 @@
     pub fn close(self) {
         drop(self);
     }
+
+    /// Returns a handle that closes the connection.
+    pub(crate) fn abort_handle(&self) -> AbortHandle {
+        self.task.clone()
+    }
 }
 
 impl ConnectionPool {
@@ -199,16 +209,18 @@
         }
     }
 
-    /// Sends `request` to `address` and waits for the head of the response.
+    /// Sends `request` to `address` and waits for the head of the response. `may_send` is asked again once
+    /// a new connection is open, because that takes a while.
     ///
     /// # Errors
-    /// Returns [`SendError::NotSent`] only if no byte of the request was sent.
+    /// Returns [`SendError::NotSent`] and [`SendError::Withdrawn`] only if no byte of the request was sent.
     pub async fn send(
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
         reuse: ReusePolicy,
         connect_timeout: Span,
+        may_send: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         while let Some(mut connection) = self.take_idle(address, reuse) {
             match connection.try_send(request).await {
@@ -226,6 +238,9 @@
             .open(address, connect_timeout)
             .await
             .map_err(SendError::NotSent)?;
+        if !may_send() {
+            return Err(SendError::Withdrawn);
+        }
         match connection.try_send(request).await {
             Ok(response) => Ok((response, connection)),
             Err((error, Some(_))) => Err(SendError::NotSent(io::Error::other(error))),
@@ -315,7 +330,10 @@
         let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         let connect_time = self.timer.now().since(started);
         self.opened.inc();
-        let handshake = Builder::new().handshake(TokioIo::new(stream)).await;
+        let handshake = Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
--- a/crates/sg-proxy/src/core.rs
+++ b/crates/sg-proxy/src/core.rs
@@ -1,7 +1,7 @@
 //! State of the request path, and the interface through which the rest of the instance updates it.
 
 use std::{
-    net::{IpAddr, SocketAddr},
+    net::IpAddr,
     sync::atomic::{AtomicBool, Ordering},
 };
 
@@ -10,13 +10,14 @@
 use sg_catalog::Catalog;
 use sg_clock::Timer;
 use sg_place::{
-    Target, location::Location, member::LoadReport, quarantine::Suspicion, quota, relay::Peer,
-    retry,
+    Target, location::Location, quarantine::Suspicion, quota, relay::Peer, retry,
+    self_report::SelfReport,
 };
 use sg_types::prelude::*;
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::{
+    body::ReceiveBudget,
     connections::{self, ConnectionPool},
     metrics::Metrics,
     state::State,
@@ -48,6 +49,9 @@
     pub location: Location,
     /// Maximum number of idle connections to all targets together.
     pub max_idle_connections: usize,
+    /// Memory for responses that are being received. Beyond it, responses are forwarded while they
+    /// arrive.
+    pub max_received: Bytes,
     /// Address that connections to targets come from; the system's choice if `None`.
     pub source: Option<IpAddr>,
 }
@@ -79,6 +83,7 @@
     /// Connections to targets.
     pub connections: ConnectionPool,
     pub(crate) options: Options,
+    pub(crate) receive_budget: ReceiveBudget,
     pub(crate) state: Mutex<State>,
     pub(crate) log_limiter: Arc<LogLimiter>,
     catalog: ArcSwapOption<Catalog>,
@@ -131,6 +136,7 @@
                 options.location.clone(),
                 options.initial_cold_fraction,
             )),
+            receive_budget: ReceiveBudget::new(options.max_received.as_len()),
             options,
             log_limiter: Arc::default(),
             catalog: ArcSwapOption::empty(),
@@ -373,9 +379,9 @@
     }
 
     /// Returns at most `limit` targets, in random order, that must pass a health check before they
-    /// are used, each with its address and the path to request.
+    /// are used, each with the path to request.
     #[must_use]
-    pub fn targets_to_check(&self, limit: usize) -> Vec<(id::Target, SocketAddr, Arc<str>)> {
+    pub fn targets_to_check(&self, limit: usize) -> Vec<(Target, Arc<str>)> {
         let Some(catalog) = self.catalog() else {
             return Vec::new();
         };
@@ -388,45 +394,36 @@
                 .map(|service| service.health_path.clone());
             let members = pool
                 .members()
-                .filter(|m| m.needs_check() && !m.target.draining && m.rate_limit.has_room(now));
-            members.filter_map(move |member| {
-                Some((
-                    member.target.id.clone(),
-                    member.target.address,
-                    path.clone()?,
-                ))
-            })
+                .filter(|member| member.needs_check() && member.is_staying())
+                .filter(|member| member.rate_limit.has_room(now) && member.pause.admits(now));
+            members.filter_map(move |member| Some((member.target.clone(), path.clone()?)))
         });
         let mut targets: Vec<_> = targets.collect();
         rand::seq::SliceRandom::shuffle(targets.as_mut_slice(), &mut rand::rng());
         targets.truncate(limit);
         for (target, ..) in &targets {
-            if let Some(member) = state.member_mut(target) {
+            if let Some(member) = state.member_mut(&target.id) {
                 member.rate_limit.take(now);
+                member.pause.record_send(now);
             }
         }
         targets
     }
 
-    /// Records the result of a health check of `target`.
+    /// Records the result of a health check of `target`, and what the target says of itself.
     pub fn record_health_check(
         &self,
-        target: &id::Target,
+        target: &Target,
         healthy: bool,
         cold_for: Option<Span>,
-        report: Option<LoadReport>,
+        report: &SelfReport,
     ) {
         let now = self.timer.now();
-        let mut state = self.state.lock();
-        let Some(service) = state.services.get(target).cloned() else {
-            return;
-        };
-        if let Some(member) = state.pool(&service).member_mut(target) {
+        if let Some(member) = self.state.lock().member_mut(&target.id) {
+            member.pause.record_end(healthy);
             member.record_health_check(healthy, cold_for, now);
-            if let Some(report) = report {
-                member.record_report(report, now);
-            }
         }
+        self.record_self_report(target, report);
     }
 
     /// Handles a notice of the instance `from`.
--- a/crates/sg-proxy/src/dialect.rs
+++ b/crates/sg-proxy/src/dialect.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Response, request, response};
 use sg_catalog::KeyDigest;
-use sg_place::member::LoadReport;
+use sg_place::self_report::SelfReport;
 use sg_types::prelude::*;
 
 /// Properties of a request, as read from its head.
@@ -61,10 +61,8 @@
 pub struct ResponseInfo {
     /// Meaning of the response.
     pub verdict: Verdict,
-    /// Load reported by the target.
-    pub report: Option<LoadReport>,
-    /// Requests per second that the target states it takes from all instances together.
-    pub rate_limit: Option<Rate>,
+    /// What the target says of itself; empty if the response is not from the target.
+    pub self_report: SelfReport,
     /// Time for which the target keeps an idle connection open.
     pub keep_alive_timeout: Option<Span>,
     /// Whether the target closes the connection.
--- a/crates/sg-proxy/src/lib.rs
+++ b/crates/sg-proxy/src/lib.rs
@@ -18,6 +18,7 @@
 mod rate_limits;
 mod reach;
 mod relay;
+mod self_reports;
 mod send;
 mod serve;
 pub mod server;
--- a/crates/sg-proxy/src/metrics.rs
+++ b/crates/sg-proxy/src/metrics.rs
@@ -18,7 +18,11 @@
     retries: IntCounterVec,
     limited_sends: IntCounterVec,
     relays: IntCounterVec,
+    departures: IntCounterVec,
+    cut_responses: IntCounterVec,
     latency: HistogramVec,
+    /// Pauses that targets asked for.
+    pub target_pauses: IntCounter,
     /// Callers that disconnected before their response.
     pub callers_gone: IntCounter,
     /// Connections opened to targets.
@@ -84,6 +88,17 @@
                 "Requests passed on to other instances.",
                 &["end"],
             )?,
+            departures: counters(
+                "sg_target_departures_total",
+                "Targets that say that they are leaving, by who told of it.",
+                &["source"],
+            )?,
+            cut_responses: counters(
+                "sg_responses_cut_total",
+                "Responses without an end that were cut off.",
+                &["cause"],
+            )?,
+            target_pauses: counter("sg_target_pauses_total", "Pauses that targets asked for.")?,
             latency,
             callers_gone: counter("sg_callers_gone_total", "Callers that left early.")?,
             connections_opened: counter(
@@ -125,6 +140,16 @@
         self.relays.with_label_values(&[end]).inc();
     }
 
+    /// Records a target that says that it is leaving; `source` is the label of who told of it.
+    pub fn record_departure(&self, source: &str) {
+        self.departures.with_label_values(&[source]).inc();
+    }
+
+    /// Records a response that was cut off; `cause` is the label of the cause.
+    pub fn record_cut_response(&self, cause: &str) {
+        self.cut_responses.with_label_values(&[cause]).inc();
+    }
+
     /// Records a send to a target that states a rate limit.
     pub fn record_limited_send(&self, service: &id::Service, is_retry: bool) {
         let kind = if is_retry { "retry" } else { "first" };
--- a/crates/sg-proxy/src/reach.rs
+++ b/crates/sg-proxy/src/reach.rs
@@ -13,11 +13,12 @@
 
 impl State {
     /// Returns the targets that may be sent to, by failure domain.
-    fn targets_by_domain(&self) -> IndexMap<&id::Domain, Vec<&Target>> {
+    fn targets_by_domain(&self, now: Instant) -> IndexMap<&id::Domain, Vec<&Target>> {
         let mut by_domain: IndexMap<&id::Domain, Vec<&Target>> = IndexMap::new();
-        let targets = self.pools.values().flat_map(sg_place::Pool::members);
-        for target in targets.map(|member| &member.target) {
-            if !target.draining && !self.closed_domains.contains(&target.domain) {
+        let members = self.pools.values().flat_map(sg_place::Pool::members);
+        let usable = members.filter(|m| m.is_staying() && !m.pause.is_active(now));
+        for target in usable.map(|member| &member.target) {
+            if !self.closed_domains.contains(&target.domain) {
                 by_domain.entry(&target.domain).or_default().push(target);
             }
         }
@@ -56,7 +57,7 @@
         };
         let now = self.timer.now();
         let state = self.state.lock();
-        let by_domain = state.targets_by_domain();
+        let by_domain = state.targets_by_domain(now);
         let targets = by_domain.values().map(Vec::len).sum();
         if !state.reach.needs_check(targets, by_domain.len(), now) {
             return Vec::new();
--- a/crates/sg-proxy/src/relay.rs
+++ b/crates/sg-proxy/src/relay.rs
@@ -13,9 +13,10 @@
 
 use crate::{
     Body, Core, Dialect,
+    body::Cut,
     connections::SendError,
     dialect::{Refusal, RequestInfo},
-    send::{self, CONNECT_TIMEOUT},
+    send::{self, CONNECT_TIMEOUT, ReceivedFrom},
     trace::{RelayRecord, Trace},
 };
 
@@ -137,11 +138,11 @@
     let reuse = send::reuse_policy(relayed.is_idempotent);
     let sent = core
         .connections
-        .send(peer.address, request, reuse, CONNECT_TIMEOUT)
+        .send(peer.address, request, reuse, CONNECT_TIMEOUT, || true)
         .await;
     let (response, connection) = match sent {
         Ok(sent) => sent,
-        Err(SendError::NotSent(error)) => {
+        Err(error @ (SendError::NotSent(_) | SendError::Withdrawn)) => {
             log::debug!(other:% = peer.instance, error:% = error; "instance not reached");
             return Err(Failure::NotSent);
         }
@@ -154,13 +155,20 @@
     let Some(outcome) = core.dialect.relayed_outcome(&head, relayed.id) else {
         return Err(Failure::Lost);
     };
-    let received = send::receive_body(body).await;
+    let received = send::receive_body(core, body).await;
     let received = received.map_err(|error| {
         log::debug!(other:% = peer.instance, error:% = error; "connection lost");
         Failure::Lost
     })?;
     let closes_connection = core.dialect.closes_connection(&head);
     core.dialect.strip_hop_by_hop_headers(&mut head.headers);
-    let body = send::finish_body(core, received, connection, closes_connection, None);
+    let from = ReceivedFrom {
+        connection,
+        closes: closes_connection,
+        keep_alive_timeout: None,
+    };
+    let metrics = core.metrics.clone();
+    let on_cut = move |cut: Cut| metrics.record_cut_response(cut.as_str());
+    let body = send::finish_body(core, received, from, relayed.deadline, on_cut);
     Ok((Response::from_parts(head, body), outcome))
 }
--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -4,13 +4,13 @@
 use http::{HeaderMap, Request, Response, Uri, Version, request};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use sg_place::{member::TargetOutcome, pool::Choice};
+use sg_place::{Target, member::TargetOutcome, pool::Choice};
 use sg_types::prelude::*;
 
 use crate::{
     Body, Core, Dialect,
     attempt::{self, Call},
-    body::Streamed,
+    body::{Cut, Streamed},
     connections::{Connection, ReusePolicy, SendError},
     dialect::{ForwardInfo, Verdict},
     state::State,
@@ -33,6 +33,8 @@
     Failed(Response<Body>),
     /// No byte of the request was sent.
     Unsent,
+    /// The target takes no more requests since it was chosen; no byte of the request was sent.
+    Withdrawn,
     /// The target refused the request for lack of capacity; the request did not run.
     Shed,
     /// Another target has the address; the request did not run.
@@ -52,7 +54,10 @@
     /// Returns whether the outcome proves that the target did not run the request.
     #[must_use]
     pub const fn is_not_run(&self) -> bool {
-        matches!(self, Self::Unsent | Self::Shed | Self::Misdirected)
+        matches!(
+            self,
+            Self::Unsent | Self::Withdrawn | Self::Shed | Self::Misdirected
+        )
     }
 
     /// Returns the label in metrics and log lines.
@@ -62,6 +67,7 @@
             Self::Answered(_) => "answered",
             Self::Failed(_) => "failed",
             Self::Unsent => "unsent",
+            Self::Withdrawn => "withdrawn",
             Self::Shed => "shed",
             Self::Misdirected => "misdirected",
             Self::Lost => "lost",
@@ -108,7 +114,7 @@
         outcome: TargetOutcome::Unknown,
     };
     let started = core.timer.now();
-    let mut exchange = std::pin::pin!(exchange(core, call, service, choice, started));
+    let mut exchange = std::pin::pin!(exchange(core, call, choice, started));
     let outcome = match core.timer.until(until, exchange.as_mut()).await {
         Ok(outcome) => outcome,
         Err(_) if until < call.deadline && may_abandon() => SendOutcome::Abandoned,
@@ -214,9 +220,8 @@
 }
 
 async fn exchange<D: Dialect>(
-    core: &Core<D>,
+    core: &Arc<Core<D>>,
     call: &Call<'_>,
-    service: &id::Service,
     choice: &Choice,
     now: Instant,
 ) -> SendOutcome {
@@ -235,7 +240,13 @@
     let reuse = reuse_policy(call.route.idempotent);
     let sent = core
         .connections
-        .send(choice.target.address, request, reuse, CONNECT_TIMEOUT)
+        .send(
+            choice.target.address,
+            request,
+            reuse,
+            CONNECT_TIMEOUT,
+            || core.may_send(&choice.target),
+        )
         .await;
     let (response, connection) = match sent {
         Ok(sent) => sent,
@@ -244,6 +255,7 @@
             core.record_unanswered(&choice.target, true);
             return SendOutcome::Unsent;
         }
+        Err(SendError::Withdrawn) => return SendOutcome::Withdrawn,
         Err(SendError::Lost { cause, is_new }) => {
             log::debug!(target_id:% = choice.target.id, error:% = cause; "connection lost");
             core.record_unanswered(&choice.target, is_new);
@@ -251,7 +263,7 @@
         }
     };
     record_contact(core, choice, &connection);
-    receive(core, call, service, choice, now, response, connection).await
+    receive(core, call, choice, now, response, connection).await
 }
 
 /// Records that the target responded.
@@ -298,14 +310,20 @@
     remainder: Option<Incoming>,
 }
 
-/// Receives a body: completely, or, if it is larger than [`MAX_BUFFERED_BYTES`], up to that size.
-pub(crate) async fn receive_body(mut body: Incoming) -> Result<ReceivedBody, hyper::Error> {
+/// Receives a body: completely, or, if it is larger than [`MAX_BUFFERED_BYTES`] or the memory for
+/// responses is used up, a first part.
+pub(crate) async fn receive_body<D>(
+    core: &Core<D>,
+    mut body: Incoming,
+) -> Result<ReceivedBody, hyper::Error> {
     let mut buffered = BytesMut::new();
+    let mut reservation = core.receive_budget.reserve();
     while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame?.into_data() {
-            buffered.extend_from_slice(&data);
-        }
-        if buffered.len() > MAX_BUFFERED_BYTES {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        buffered.extend_from_slice(&data);
+        if !reservation.grow(data.len()) || buffered.len() > MAX_BUFFERED_BYTES {
             return Ok(ReceivedBody {
                 data: buffered.freeze(),
                 remainder: Some(body),
@@ -318,36 +336,63 @@
     })
 }
 
-/// Returns the body for the caller. The connection goes with a body that is still arriving; otherwise the
-/// connection returns to the pool, or closes if the other side will close it.
+/// Connection that a response came on, and what the response says of it.
+pub(crate) struct ReceivedFrom {
+    pub connection: Connection,
+    /// Whether the other side closes the connection.
+    pub closes: bool,
+    /// Time for which the other side keeps the idle connection open.
+    pub keep_alive_timeout: Option<Span>,
+}
+
+/// Returns the body for the caller. The connection goes with a body that is still arriving, which is cut off
+/// at `deadline`; otherwise the connection returns to the pool, or closes if the other side will close it.
 pub(crate) fn finish_body<D>(
     core: &Core<D>,
     received: ReceivedBody,
-    connection: Connection,
-    closes_connection: bool,
-    keep_alive_timeout: Option<Span>,
+    from: ReceivedFrom,
+    deadline: Instant,
+    on_cut: impl FnOnce(Cut) + Send + 'static,
 ) -> Body {
+    let connection = from.connection;
     if let Some(remainder) = received.remainder {
-        return Body::Streamed(Box::new(Streamed {
-            received: Some(received.data),
-            remainder,
-            connection: Some(connection),
-        }));
+        let timer = core.timer.clone();
+        let data = received.data;
+        let streamed = Streamed::new(data, remainder, connection, timer, deadline, on_cut);
+        return Body::Streamed(Box::new(streamed));
     }
-    if closes_connection {
+    if from.closes {
         connection.close();
     } else {
-        core.connections.put_back(connection, keep_alive_timeout);
+        core.connections
+            .put_back(connection, from.keep_alive_timeout);
     }
     Body::buffered(received.data)
 }
 
+/// Records that a response of `target` was cut off. Only a target that sent too much, or too late, is held
+/// responsible.
+fn record_cut<D>(core: &Core<D>, target: &Target, cut: Cut) {
+    let now = core.timer.now();
+    core.metrics.record_cut_response(cut.as_str());
+    if core.log_limiter.admit(now) {
+        log::info!(target_id:% = target.id, cause = cut.as_str(); "response cut off");
+    }
+    if cut == Cut::SlowCaller {
+        return;
+    }
+    let mut state = core.state.lock();
+    let senders = state.location.instances.len();
+    if let Some(member) = state.member_mut(&target.id) {
+        member.record_outcome(TargetOutcome::Lost, senders, now);
+    }
+}
+
 /// Receives the response: completely, or, if the response is larger than [`MAX_BUFFERED_BYTES`], up
 /// to that size and as a stream from there on. `sent_at` is when the request was sent.
 async fn receive<D: Dialect>(
-    core: &Core<D>,
+    core: &Arc<Core<D>>,
     call: &Call<'_>,
-    service: &id::Service,
     choice: &Choice,
     sent_at: Instant,
     response: Response<Incoming>,
@@ -355,13 +400,8 @@
 ) -> SendOutcome {
     let (mut head, body) = response.into_parts();
     let response_info = core.dialect.parse_response(&head, &call.id);
-    if let Some(report) = response_info.report {
-        let now = core.timer.now();
-        let mut state = core.state.lock();
-        state
-            .pool(service)
-            .record_report(&choice.target.id, report, now);
-    }
+    let self_report = response_info.self_report;
+    core.record_self_report(&choice.target, &self_report);
     if let Verdict::Mismatched(what) = response_info.verdict {
         log::info!(request = call.id.as_ref(), target_id:% = choice.target.id, what; "foreign answer");
         return SendOutcome::Lost;
@@ -369,23 +409,24 @@
     // A target that has no capacity rejects requests before it adds its usual headers.
     let states_rate = match response_info.verdict {
         Verdict::Response { .. } => true,
-        Verdict::Shed => response_info.rate_limit.is_some(),
+        Verdict::Shed => self_report.rate_limit.is_some(),
         Verdict::Misdirected | Verdict::Mismatched(_) => false,
     };
     if states_rate {
-        core.record_rate_limit(&choice.target.id, response_info.rate_limit, sent_at);
+        core.record_rate_limit(&choice.target.id, self_report.rate_limit, sent_at);
     }
-    let Ok(received) = receive_body(body).await else {
+    let Ok(received) = receive_body(core, body).await else {
         return SendOutcome::Lost;
     };
     core.dialect.strip_hop_by_hop_headers(&mut head.headers);
-    let body = finish_body(
-        core,
-        received,
+    let from = ReceivedFrom {
         connection,
-        response_info.closes_connection,
-        response_info.keep_alive_timeout,
-    );
+        closes: response_info.closes_connection,
+        keep_alive_timeout: response_info.keep_alive_timeout,
+    };
+    let (cutting, target) = (core.clone(), choice.target.clone());
+    let on_cut = move |cut| record_cut(&cutting, &target, cut);
+    let body = finish_body(core, received, from, call.deadline, on_cut);
     match response_info.verdict {
         Verdict::Response { failed: false } => {
             SendOutcome::Answered(Response::from_parts(head, body))
--- a/crates/sg-proxy/src/serve.rs
+++ b/crates/sg-proxy/src/serve.rs
@@ -36,6 +36,8 @@
 /// Range of the factor by which retry times are multiplied, so that refused callers do not retry
 /// all at once.
 const RETRY_AFTER_JITTER: std::ops::Range<f64> = 0.7..1.3;
+/// Largest part of a wait by which callers that may not return sooner are spread.
+const RETURN_SPREAD: f64 = 0.25;
 
 /// Handles one request and returns the response to the caller.
 pub async fn serve<D: Dialect>(core: &Arc<Core<D>>, request: Request<Incoming>) -> Response<Body> {
@@ -109,6 +111,15 @@
         self.retry_after = Some(span.mul_f64(jitter));
         self
     }
+
+    /// Asks the caller to retry no sooner than after `span`, because a retry before that is refused as
+    /// well. Callers are spread over some time after that.
+    #[must_use]
+    pub fn with_retry_from(mut self, span: Span) -> Self {
+        let span = span.max(RETRY_AFTER_BOUNDS.0);
+        self.retry_after = Some(span.mul_f64(1.0 + rand::random::<f64>() * RETURN_SPREAD));
+        self
+    }
 }
 
 /// Returns the refusal of a request whose connection exceeds the limit on callers' connections.
--- a/crates/sg-proxy/src/state.rs
+++ b/crates/sg-proxy/src/state.rs
@@ -3,6 +3,7 @@
 
 use sg_place::{
     Pool, Target,
+    departure::{Departures, Run},
     location::Location,
     member::Member,
     quarantine::Table,
@@ -115,6 +116,8 @@
     pub services: IndexMap<id::Target, id::Service>,
     /// Start time and sequence of the last description of each removed target, oldest removal first.
     departed: IndexMap<id::Target, (u64, u64)>,
+    /// Runs of targets that say that they are leaving.
+    pub departures: Departures,
     /// Failure domains that accept no requests.
     pub closed_domains: IndexSet<id::Domain>,
     /// Location of this instance.
@@ -155,6 +158,7 @@
             pools: IndexMap::new(),
             services: IndexMap::new(),
             departed: IndexMap::new(),
+            departures: Departures::default(),
             closed_domains: IndexSet::new(),
             location,
             initial_cold_fraction,
@@ -208,8 +212,13 @@
         if let Some(previous) = previous.filter(|previous| *previous != target.service) {
             self.pool(&previous).remove_target(&target.id);
         }
-        let service = target.service.clone();
-        self.pool(&service).upsert_target(target, now)
+        let (service, id) = (target.service.clone(), target.id.clone());
+        let pool = self.pools.entry(service).or_default();
+        let is_new = pool.upsert_target(target, now);
+        if let Some(member) = pool.member_mut(&id) {
+            member.is_leaving = self.departures.includes(&Run::of(&member.target));
+        }
+        is_new
     }
 
     pub fn remove_target(&mut self, target: &id::Target) -> bool {
--- a/crates/sg-proxy/tests/proxy/dialect.rs
+++ b/crates/sg-proxy/tests/proxy/dialect.rs
@@ -3,7 +3,10 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Response, StatusCode, request, response};
 use sg_catalog::KeyDigest;
-use sg_place::member::LoadReport;
+use sg_place::{
+    member::LoadReport,
+    self_report::{RetryAfter, SelfReport},
+};
 use sg_proxy::{
     Dialect,
     dialect::{ForwardInfo, Malformed, Refusal, RequestInfo, ResponseInfo, Verdict},
@@ -65,8 +68,15 @@
         let rate_limit = header(&head.headers, "limit").and_then(|text| text.parse().ok());
         ResponseInfo {
             verdict,
-            report,
-            rate_limit: rate_limit.map(Rate::per_second),
+            self_report: SelfReport {
+                load: report,
+                rate_limit: rate_limit.map(Rate::per_second),
+                is_leaving: head.headers.contains_key("leaving"),
+                retry_after: header(&head.headers, "come-back").map(|text| {
+                    let millis = text.parse().map(Span::from_millis);
+                    millis.map_or(RetryAfter::Unreadable, RetryAfter::In)
+                }),
+            },
             keep_alive_timeout: None,
             closes_connection: self.closes_connection(head),
         }
--- a/crates/sg-proxy/tests/proxy/harness.rs
+++ b/crates/sg-proxy/tests/proxy/harness.rs
@@ -48,6 +48,9 @@
     RespondAndReset(&'static str),
     /// Writes these bytes after a delay in milliseconds.
     RespondAfter(u64, &'static str),
+    /// Writes the first bytes, then the second ones again and again, with a pause in milliseconds in
+    /// between, until the connection is closed.
+    Flood(&'static str, &'static str, u64),
     /// Never responds.
     Silent,
 }
@@ -60,6 +63,8 @@
     /// Number of connections that were closed by the instance while a request was unanswered.
     pub aborted: Arc<AtomicUsize>,
     pub connections: Arc<AtomicUsize>,
+    /// Number of floods that the instance ended by closing the connection.
+    closed_floods: Arc<AtomicUsize>,
 }
 
 /// Complete response with the status 200.
@@ -74,10 +79,12 @@
             requests: Arc::default(),
             aborted: Arc::default(),
             connections: Arc::default(),
+            closed_floods: Arc::default(),
         };
         let step_index = Arc::new(AtomicUsize::new(0));
         let (requests, aborted) = (target.requests.clone(), target.aborted.clone());
-        let connections = target.connections.clone();
+        let (connections, closed_floods) =
+            (target.connections.clone(), target.closed_floods.clone());
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 connections.fetch_add(1, Ordering::SeqCst);
@@ -86,6 +93,7 @@
                     step_index: step_index.clone(),
                     requests: requests.clone(),
                     aborted: aborted.clone(),
+                    closed_floods: closed_floods.clone(),
                 };
                 tokio::spawn(script.run(stream));
             }
@@ -93,6 +101,10 @@
         target
     }
 
+    pub fn closed_floods(&self) -> usize {
+        self.closed_floods.load(Ordering::SeqCst)
+    }
+
     pub fn count(&self) -> usize {
         self.requests.lock().len()
     }
@@ -103,6 +115,7 @@
     step_index: Arc<AtomicUsize>,
     requests: Arc<Mutex<Vec<String>>>,
     aborted: Arc<AtomicUsize>,
+    closed_floods: Arc<AtomicUsize>,
 }
 
 impl Script {
@@ -138,6 +151,12 @@
                     stream.set_zero_linger().expect("a socket");
                     return;
                 }
+                Step::Flood(first, again, pause) => {
+                    let first = first.replace("{id}", &id);
+                    flood(&mut stream, &first, again, pause).await;
+                    self.closed_floods.fetch_add(1, Ordering::SeqCst);
+                    return;
+                }
                 Step::Silent => {
                     let mut byte = [0];
                     if matches!(stream.read(&mut byte).await, Ok(0) | Err(_)) {
@@ -150,6 +169,19 @@
     }
 }
 
+/// Writes `first`, then `again` without end, until the connection is closed.
+async fn flood(stream: &mut TcpStream, first: &str, again: &str, pause_millis: u64) {
+    // Fewer, larger writes keep the test short.
+    let again = again.repeat(if pause_millis == 0 { 512 } else { 1 });
+    let mut bytes = first.as_bytes();
+    while stream.write_all(bytes).await.is_ok() {
+        bytes = again.as_bytes();
+        if pause_millis > 0 {
+            tokio::time::sleep(Duration::from_millis(pause_millis)).await;
+        }
+    }
+}
+
 /// Reads one request including its body.
 async fn read(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
@@ -297,6 +329,7 @@
             initial_cold_fraction: 1.0,
             location,
             max_idle_connections: 64,
+            max_received: Bytes::new(8 << 20),
             source: None,
         };
         let metrics = Metrics::register(&prometheus::Registry::new()).expect("counters");
--- a/crates/sg-proxy/tests/proxy/main.rs
+++ b/crates/sg-proxy/tests/proxy/main.rs
@@ -3,8 +3,10 @@
 mod callers;
 mod dialect;
 mod endings;
+mod endless;
 mod harness;
 mod limits;
 mod rate_limits;
 mod relays;
 mod responses;
+mod self_reports;
--- a/crates/sg-types/src/outcome.rs
+++ b/crates/sg-types/src/outcome.rs
@@ -133,6 +133,8 @@
     NoTarget = "no-target", 503;
     /// The region is at capacity.
     RegionFull = "region-full", 503;
+    /// All targets asked for a pause.
+    TargetsPaused = "targets-paused", 503;
     /// The traffic shift toward another region reached its cap.
     ShiftCapped = "shift-capped", 503;
     /// A target refused the request and reported that it did not run it.
