feat(sg-mesh): two instances of each failure domain follow the store and exchange beacons for the others

Change: - sg_mesh::duty decides from the beacons heard which two instances of a failure domain follow the store. The others fetch what these announce; an instance follows by itself while fewer than two others vouch for their own contact with the store, so that silent, leaving, cut off and turned away followers are replaced at once or after 1.3 s. A change that any failure domain knows is fetched from there. - sg_mesh::digest packs the beacons of a failure domain, compressed, with a version in the first byte. They go to two instances of each other domain and to one more at random, which pass them on.

--- a/crates/sg-gateway/src/beacon.rs
+++ b/crates/sg-gateway/src/beacon.rs
@@ -1,19 +1,27 @@
 //! The beacons by which instances announce their state to each other.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::atomic::Ordering};
 
-use sg_mesh::frame::{Beacon, Frame, Location, RateStatement};
+use sg_mesh::{
+    digest::{Digest, Heard},
+    duty,
+    frame::{Beacon, Frame, Location, RateStatement},
+    members::Member,
+};
 use sg_place::rate_limit;
 use sg_proxy::planning::InstanceLoad;
 use sg_store::{Store, version::Era};
 use sg_types::prelude::*;
 
-use crate::{Interpreter, Protocol, daemon::Context, registry};
+use crate::{
+    Interpreter, Protocol,
+    daemon::{Context, OPERATOR_INDEX, TARGET_INDEX, WATCH_TIMEOUTS},
+    registry,
+};
 
 /// The least interval between two beacons of an instance.
 const BEACON_INTERVAL: Span = Span::from_millis(400);
-/// The number of instances from which the interval grows with the fleet, because a beacon goes to every
-/// instance.
+/// The number of receivers of a beacon from which the interval grows with them.
 const BEACON_FLEET: f64 = 10.0;
 /// The largest factor by which the interval grows. Several beacons still fit into the time after which a
 /// silent instance counts as gone.
@@ -21,10 +29,38 @@
 /// The time without a beacon after which an instance is removed from the members.
 const MEMBER_RETENTION: Span = Span::from_secs(60);
 
+/// The number of intervals after which a beacon also goes to instances that were not heard of lately.
+const INTERVALS_PER_DISCOVERY: u32 = 4;
+/// The time beyond the watch timeout after which the store counts as silent if no call succeeded.
+const SILENCE_MARGIN: Span = Span::from_secs(1);
+
 /// Returns the interval between two beacons in the current fleet.
 pub(crate) fn interval<D, I, S>(context: &Context<D, I, S>, now: Instant) -> Span {
-    let others = context.members.lock().alive(now).count() as f64;
-    BEACON_INTERVAL.mul_f64((others / BEACON_FLEET).clamp(1.0, MAX_BEACON_FACTOR))
+    let members = context.members.lock();
+    let receivers = members
+        .alive(now)
+        .filter(|member| needs_beacon(context, member));
+    let receivers = receivers.count() as f64;
+    BEACON_INTERVAL.mul_f64((receivers / BEACON_FLEET).clamp(1.0, MAX_BEACON_FACTOR))
+}
+
+/// Returns whether this instance's beacons go to `member`. Instances of other failure domains get them in
+/// digests, unless they are of a release that doesn't read digests.
+fn needs_beacon<D, I, S>(context: &Context<D, I, S>, member: &Member) -> bool {
+    !member.beacon.takes_digests || member.beacon.location.domain == context.settings.domain
+}
+
+/// Returns whether this instance follows the store and reached it lately.
+pub(crate) fn follows_store<D, I, S>(context: &Context<D, I, S>, now: Instant) -> bool {
+    let has_contact = |index: usize| {
+        let contact = context.replica.contact(index);
+        let silence = WATCH_TIMEOUTS[index] + SILENCE_MARGIN;
+        let is_fresh = contact
+            .last_success
+            .is_some_and(|at| now.since(at) <= silence);
+        contact.failing_since.is_none() && is_fresh
+    };
+    context.replica.is_following() && has_contact(OPERATOR_INDEX) && has_contact(TARGET_INDEX)
 }
 
 /// Rounds a number of slots to hundredths.
@@ -39,6 +75,7 @@
     now: Instant,
 ) {
     let other_addresses = context.members.lock().other_addresses(now);
+    let last_changes = context.replica.last_changes();
     let positions = context.replica.positions();
     let has_eras = context.replica.era() > Era::default();
     let eras = positions.iter().filter(|_| has_eras);
@@ -64,18 +101,175 @@
             .iter()
             .map(|position| position.revision())
             .collect(),
+        changed: last_changes
+            .iter()
+            .map(|version| version.revision())
+            .collect(),
+        follows: follows_store(context, now),
+        takes_digests: true,
         demand: demand.collect(),
         bound: bound.collect(),
         wanted_tokens: Vec::new(),
         other_addresses,
         rate_statements: rate_statements(context),
     };
-    let addresses = addresses(context, now);
+    *context.own_beacon.lock() = Some((beacon.clone(), now));
+    let number = context.beacon_count.fetch_add(1, Ordering::Relaxed);
+    let addresses = receivers(context, number.is_multiple_of(INTERVALS_PER_DISCOVERY), now);
     let frame = Frame::Beacon(Box::new(beacon));
     context.gossip.send(&frame, addresses);
+    send_digests(context, now);
+}
+
+/// Returns the addresses that this instance's beacon is sent to, with those of instances that were not
+/// heard of lately if `discovers`.
+fn receivers<D, I, S>(
+    context: &Context<D, I, S>,
+    discovers: bool,
+    now: Instant,
+) -> IndexSet<SocketAddr> {
+    let all = addresses(context, now);
+    let members = context.members.lock();
+    let alive: IndexMap<SocketAddr, bool> = members
+        .alive(now)
+        .map(|member| {
+            (
+                member.beacon.location.mesh_address,
+                needs_beacon(context, member),
+            )
+        })
+        .collect();
+    let is_receiver = |address: &SocketAddr| alive.get(address).copied().unwrap_or(discovers);
+    all.into_iter().filter(is_receiver).collect()
+}
+
+/// Sends the beacons of this failure domain to the instances that exchange those of the others, if this
+/// instance does so for its own one.
+pub(crate) fn send_digests<D, I, S>(context: &Context<D, I, S>, now: Instant) {
+    let settings = &context.settings;
+    let Some((own, own_at)) = context.own_beacon.lock().clone() else {
+        return;
+    };
+    let members = context.members.lock();
+    if !duty::must_exchange(&members, &settings.instance, &settings.domain, now) {
+        return;
+    }
+    let alive = members.alive(now);
+    let neighbours = alive.filter(|member| member.beacon.location.domain == settings.domain);
+    let neighbours = neighbours.map(|member| (member.beacon.clone(), member.last_seen));
+    let heard = std::iter::once((own, own_at)).chain(neighbours);
+    let heard = heard.map(|(beacon, at)| Heard {
+        age_ms: now.since(at).as_millis(),
+        beacon: Beacon {
+            other_addresses: Vec::new(),
+            ..beacon
+        },
+    });
+    let heard: Vec<Heard> = heard.collect();
+    let domains = settings
+        .domains
+        .keys()
+        .filter(|domain| **domain != settings.domain);
+    let draw = |count| rand::random_range(0..count);
+    let receivers = domains.flat_map(|domain| duty::receivers(&members, domain, now, draw));
+    let receivers = receivers.map(|member| member.beacon.location.mesh_address);
+    let receivers: Vec<SocketAddr> = receivers.collect();
+    drop(members);
+    if receivers.is_empty() {
+        return;
+    }
+    let first_number = context.next_digest_number.load(Ordering::Relaxed);
+    let digests = match Digest::pack(context.incarnation, first_number, &heard) {
+        Ok(digests) => digests,
+        Err(error) => {
+            log::warn!(error:% = error; "digest not sent");
+            return;
+        }
+    };
+    let next_number = first_number + digests.len() as u64;
+    context
+        .next_digest_number
+        .store(next_number, Ordering::Relaxed);
+    for digest in digests {
+        context
+            .gossip
+            .send(&Frame::Digest(digest), receivers.iter().copied());
+    }
+}
+
+/// Records the beacons of a digest and passes the digest on in this failure domain.
+pub(crate) fn receive_digest<D, I, S>(context: &Context<D, I, S>, digest: &Digest, now: Instant) {
+    if digest.sender == context.incarnation || !context.received_digests.lock().record(digest, now)
+    {
+        return;
+    }
+    if !digest.is_passed_on {
+        let members = context.members.lock();
+        let neighbours = members.alive(now).filter(|member| {
+            member.beacon.takes_digests && member.beacon.location.domain == context.settings.domain
+        });
+        let addresses = neighbours.map(|member| member.beacon.location.mesh_address);
+        let addresses: Vec<SocketAddr> = addresses.collect();
+        drop(members);
+        context
+            .gossip
+            .send(&Frame::Digest(digest.passed_on()), addresses);
+    }
+    let beacons = match digest.unpack() {
+        Ok(beacons) => beacons,
+        Err(error) => {
+            log::debug!(error:% = error; "digest skipped");
+            return;
+        }
+    };
+    for Heard { age_ms, mut beacon } in beacons {
+        for statement in &mut beacon.rate_statements {
+            statement.age_ms += age_ms;
+        }
+        record(context, beacon, now - Span::from_millis(age_ms), now);
+    }
+}
+
+/// Records a beacon that was heard at `heard_at`. Returns whether other instances have to know of the
+/// change at once.
+pub(crate) fn record<D, I, S>(
+    context: &Context<D, I, S>,
+    beacon: Beacon,
+    heard_at: Instant,
+    now: Instant,
+) -> bool {
+    if beacon.instance == context.settings.instance {
+        return false;
+    }
+    apply_to_core(context, &beacon);
+    let (incarnation, instance) = (beacon.incarnation, beacon.instance.clone());
+    let is_ahead = is_ahead(context, &beacon);
+    let mut members = context.members.lock();
+    let previous = members.beacon(&instance);
+    let is_urgent = previous.is_some_and(|previous| beacon.is_urgent_after(previous));
+    let is_news = members.record_beacon(beacon, heard_at);
+    drop(members);
+    if is_news {
+        log::info!(
+            other:% = instance, incarnation = incarnation.get(),
+            age_ms = now.since(heard_at).as_millis();
+            "instance heard"
+        );
+    }
+    if is_ahead {
+        context.ahead.notify_one();
+    }
+    is_urgent
+}
+
+/// Returns whether the sender of `beacon` knows of a change that this instance doesn't know.
+fn is_ahead<D, I, S>(context: &Context<D, I, S>, beacon: &Beacon) -> bool {
+    let positions = context.replica.positions();
+    let mut positions = positions.iter().enumerate();
+    positions.any(|(index, position)| beacon.last_change(index) > *position)
 }
 
-/// Returns the addresses that beacons are sent to: live instances, the instances that their beacons
+/// Returns the addresses of all known instances: live instances, the instances that their beacons
 /// name, seeds and registered instances. Removes members that were silent for too long.
 pub(crate) fn addresses<D, I, S>(context: &Context<D, I, S>, now: Instant) -> IndexSet<SocketAddr> {
     let mut addresses = IndexSet::new();
--- a/crates/sg-gateway/src/daemon.rs
+++ b/crates/sg-gateway/src/daemon.rs
@@ -1,12 +1,16 @@
 //! Starts the tasks of an instance and stops them in order.
 
-use std::{path::PathBuf, sync::atomic::AtomicU64};
+use std::{
+    path::PathBuf,
+    sync::atomic::{AtomicU32, AtomicU64},
+};
 
 use parking_lot::Mutex;
 use sg_clock::Timer;
 use sg_mesh::{
-    Members,
+    Members, digest,
     follower::{self, Replica, Update},
+    frame::Beacon,
     gossip::Gossip,
     relay,
 };
@@ -24,7 +28,7 @@
 use tokio::{
     net::TcpListener,
     runtime::Builder,
-    sync::{mpsc, watch},
+    sync::{Notify, mpsc, watch},
     task::JoinSet,
 };
 
@@ -95,6 +99,17 @@
     pub gossip: Gossip,
     /// The sequence number of the next loan to another instance. Each run starts at 1.
     pub next_loan_number: AtomicU64,
+    /// The last beacon of this instance, with its time.
+    pub own_beacon: Mutex<Option<(Beacon, Instant)>>,
+    /// The number of beacons sent so far.
+    pub beacon_count: AtomicU32,
+    /// The sequence number of the next digest. Each run starts at 1.
+    pub next_digest_number: AtomicU64,
+    pub received_digests: Mutex<digest::Received>,
+    /// Notified when another instance knows of a change that this one doesn't know.
+    pub ahead: Notify,
+    /// Notified when this instance has applied changes of the store.
+    pub changed: Notify,
     pub registry: prometheus::Registry,
     /// The era of the store.
     pub era_gauge: prometheus::IntGauge,
@@ -173,6 +188,12 @@
         replica,
         gossip,
         next_loan_number: AtomicU64::new(1),
+        own_beacon: Mutex::default(),
+        beacon_count: AtomicU32::new(0),
+        next_digest_number: AtomicU64::new(1),
+        received_digests: Mutex::default(),
+        ahead: Notify::new(),
+        changed: Notify::new(),
         registry,
         era_gauge,
     });
--- a/crates/sg-gateway/src/exchange.rs
+++ b/crates/sg-gateway/src/exchange.rs
@@ -4,8 +4,9 @@
 
 use rand::seq::SliceRandom;
 use sg_mesh::{
-    Members,
+    Members, duty,
     frame::{Departure, Frame},
+    members::Member,
     relay,
 };
 use sg_place::{departure::Run, quota, relay::Peer};
@@ -73,17 +74,15 @@
     let now = context.timer.now();
     match frame {
         Frame::Beacon(beacon) => {
-            if beacon.instance == context.settings.instance {
-                return;
-            }
             let wanted_tokens = beacon.wanted_tokens.clone();
-            beacon::apply_to_core(context, &beacon);
-            let (incarnation, instance) = (beacon.incarnation, beacon.instance.clone());
-            if context.members.lock().record_beacon(*beacon, now) {
-                log::info!(other:% = instance, incarnation = incarnation.get(); "instance heard");
+            let incarnation = beacon.incarnation;
+            let is_neighbour = beacon.location.domain == context.settings.domain;
+            if beacon::record(context, *beacon, now, now) && is_neighbour {
+                beacon::send_digests(context, now);
             }
             lend_wanted_tokens(context, incarnation, from, wanted_tokens);
         }
+        Frame::Digest(digest) => beacon::receive_digest(context, &digest, now),
         Frame::Wanted {
             incarnation,
             tokens,
@@ -184,10 +183,15 @@
                 let load = context.core.load();
                 beacon::send(&context, load, context.timer.now());
             }
+            () = context.changed.notified() => {
+                let load = context.core.load();
+                beacon::send(&context, load, context.timer.now());
+            }
             tick = ticks.tick() => {
                 context.core.metrics.lateness.observe(tick.late.as_secs_f64());
                 tick_count += 1;
                 update_core(&context, tick.now);
+                update_following(&context, tick.now);
                 if tick_count.is_multiple_of(TICKS_PER_SWEEP) {
                     context.core.connections.close_expired();
                 }
@@ -195,7 +199,8 @@
                 send_wanted(&context, &load.wanted_tokens, tick.now);
                 send_departures(&context, tick.now);
                 let core = &context.core;
-                let state = (context.is_ready(), core.is_draining(), core.is_cut_off());
+                let follows = beacon::follows_store(&context, tick.now);
+                let state = (context.is_ready(), core.is_draining(), core.is_cut_off(), follows);
                 let is_due = tick.now.since(last_beacon) >= beacon::interval(&context, tick.now);
                 if is_due || last_state != Some(state) {
                     last_beacon = tick.now;
@@ -208,6 +213,18 @@
     }
 }
 
+/// Decides whether this instance follows the store itself.
+fn update_following<D, I, S>(context: &Context<D, I, S>, now: Instant) {
+    let settings = &context.settings;
+    let must_follow = {
+        let members = context.members.lock();
+        duty::must_follow(&members, &settings.instance, &settings.domain, now)
+    };
+    if context.replica.set_following(must_follow) {
+        log::info!(following = must_follow; "duty to follow the store changed");
+    }
+}
+
 /// Sends a notice to all live instances, or a request for a loan to the holder that may lend.
 fn send_signal<D: Protocol, I: Interpreter, S: Store>(context: &Context<D, I, S>, signal: Signal) {
     let (frame, to) = match signal {
@@ -402,15 +419,20 @@
     log::info!(answered, retained, era:% = replica.era(); "other instances asked for retained values");
 }
 
-/// Fetches changes from instances that know a newer store version, while this instance can't reach the
-/// store.
+/// Fetches changes from instances that know a newer store version, while this instance doesn't follow the
+/// store or can't reach it.
 pub(crate) async fn catch_up<D: Protocol, I: Interpreter, S: Store>(
     context: Arc<Context<D, I, S>>,
 ) {
     let mut ticks = context.timer.every(CATCH_UP_INTERVAL);
     let mut behind_since = [None; INSTANCE_INDEX + 1];
     loop {
-        let now = ticks.tick().await.now;
+        // Without a notification, the time is needed for fetches that failed.
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = context.ahead.notified() => {}
+        }
+        let now = context.timer.now();
         for (index, since) in behind_since.iter_mut().enumerate() {
             let ahead = instances_ahead(&context, index, now);
             if ahead.is_empty() {
@@ -426,23 +448,31 @@
     }
 }
 
-/// Returns the live instances that know a newer store version of the prefix at `index`.
+/// Returns the live instances that know a newer store version of the prefix at `index`: those of the own
+/// failure domain, if there are any.
 fn instances_ahead<D, I, S>(
     context: &Context<D, I, S>,
     index: usize,
     now: Instant,
 ) -> Vec<SocketAddr> {
     let own = context.replica.position(index);
+    let is_following = context.replica.is_following();
     let members = context.members.lock();
-    members
-        .alive(now)
-        .filter(|member| member.beacon.position(index) > own)
-        .map(|member| member.beacon.location.mesh_address)
-        .collect()
+    let ahead = members.alive(now).filter(|member| match is_following {
+        true => member.beacon.position(index) > own,
+        false => member.beacon.last_change(index) > own,
+    });
+    let (near, far): (Vec<&Member>, Vec<&Member>) =
+        ahead.partition(|member| member.beacon.location.domain == context.settings.domain);
+    let chosen = if near.is_empty() { far } else { near };
+    let addresses = chosen
+        .iter()
+        .map(|member| member.beacon.location.mesh_address);
+    addresses.collect()
 }
 
-/// Returns whether to fetch from another instance: at once while calls to the store fail or before the
-/// first one succeeded, and after a delay while the store is only silent.
+/// Returns whether to fetch from another instance: at once while this instance doesn't follow the store,
+/// while its calls to the store fail or before the first one succeeded, and after a delay while the store is only silent.
 fn is_fetch_due<D, I, S>(
     context: &Context<D, I, S>,
     index: usize,
@@ -450,7 +480,10 @@
     now: Instant,
 ) -> bool {
     let contact = context.replica.contact(index);
-    if contact.failing_since.is_some() || contact.last_success.is_none() {
+    if !context.replica.is_following()
+        || contact.failing_since.is_some()
+        || contact.last_success.is_none()
+    {
         return true;
     }
     let is_silent = contact
--- a/crates/sg-gateway/src/updates.rs
+++ b/crates/sg-gateway/src/updates.rs
@@ -53,6 +53,9 @@
     exchange::fetch_retained(&context).await;
     let mut are_targets_known = false;
     while let Some(update) = updates.recv().await {
+        if !update.changes.is_empty() && context.replica.is_following() {
+            context.changed.notify_one();
+        }
         if update.index == INSTANCE_INDEX {
             registry::update_members(&context);
             continue;
--- /dev/null
+++ b/crates/sg-mesh/src/duty.rs
@@ -0,0 +1,77 @@
+//! Decides which instances of a failure domain follow the store for the others, and which exchange the
+//! domain's beacons with other domains.
+//!
+//! The load: every instance that follows the store by itself costs the store as many calls, and every
+//! beacon that goes to every instance costs the network the square of the fleet. A few instances of each
+//! domain do both for the others. Nobody appoints them: each instance decides from the beacons that it has
+//! heard. Two instances may disagree for a moment; then more instances do the work than necessary.
+
+use sg_types::prelude::*;
+
+use crate::members::{Member, Members};
+
+/// Number of instances of a failure domain that do a duty for the others.
+pub const HOLDERS: usize = 2;
+/// Time without a beacon after which an instance no longer counts as doing a duty. It is shorter than the
+/// time after which the instance counts as gone, because a duty that nobody does delays changes.
+const SILENCE_TIMEOUT: Span = Span::from_millis(1_300);
+
+/// Returns whether `own` has to follow the store itself: fewer than [`HOLDERS`] instances of its failure
+/// domain that go before it say that they follow.
+#[must_use]
+pub fn must_follow(
+    members: &Members,
+    own: &id::Instance,
+    domain: &id::Domain,
+    now: Instant,
+) -> bool {
+    let followers = fresh(members, domain, now)
+        .filter(|member| member.beacon.follows && member.beacon.instance < *own);
+    followers.count() < HOLDERS
+}
+
+/// Returns whether `own` exchanges beacons with other domains for its own one.
+#[must_use]
+pub fn must_exchange(
+    members: &Members,
+    own: &id::Instance,
+    domain: &id::Domain,
+    now: Instant,
+) -> bool {
+    let earlier = fresh(members, domain, now)
+        .filter(|member| member.beacon.takes_digests && member.beacon.instance < *own);
+    earlier.count() < HOLDERS
+}
+
+/// Returns the instances of `domain`, another one than the own, that get digests: those that exchange the
+/// beacons of that domain, and one more by `draw`, which returns an index below its argument. Without the
+/// latter a domain would hear nothing for as long as it takes to notice that both are gone.
+#[must_use]
+pub fn receivers<'a>(
+    members: &'a Members,
+    domain: &id::Domain,
+    now: Instant,
+    draw: impl FnOnce(usize) -> usize,
+) -> Vec<&'a Member> {
+    let takers = fresh(members, domain, now).filter(|member| member.beacon.takes_digests);
+    let mut takers: Vec<&Member> = takers.collect();
+    takers.sort_by(|a, b| a.beacon.instance.cmp(&b.beacon.instance));
+    let others = takers.split_off(takers.len().min(HOLDERS));
+    if !others.is_empty() {
+        takers.push(others[draw(others.len())]);
+    }
+    takers
+}
+
+/// Returns the instances of `domain` that were heard of lately and stay.
+fn fresh<'a>(
+    members: &'a Members,
+    domain: &id::Domain,
+    now: Instant,
+) -> impl Iterator<Item = &'a Member> {
+    members.alive(now).filter(move |member| {
+        member.beacon.location.domain == *domain
+            && !member.beacon.leaving
+            && now.since(member.last_seen) <= SILENCE_TIMEOUT
+    })
+}
--- a/crates/sg-mesh/src/follower.rs
+++ b/crates/sg-mesh/src/follower.rs
@@ -60,6 +60,8 @@
     updates: mpsc::UnboundedSender<Update>,
     /// The newest era of any prefix.
     era: watch::Sender<Era>,
+    /// Whether this instance follows the store, rather than other instances that do.
+    following: watch::Sender<bool>,
 }
 
 impl Replica {
@@ -72,6 +74,7 @@
             contacts: (0..count).map(|_| Mutex::default()).collect(),
             updates,
             era: watch::Sender::default(),
+            following: watch::Sender::new(true),
         };
         (Arc::new(replica), receiver)
     }
@@ -83,6 +86,43 @@
         positions.collect()
     }
 
+    /// Returns the store version of the last known change of each prefix.
+    #[must_use]
+    pub fn last_changes(&self) -> Vec<Version> {
+        let changes = self.mirrors.iter().map(|mirror| mirror.lock().changed_at());
+        changes.collect()
+    }
+
+    /// Returns whether this instance follows the store, rather than other instances that do.
+    #[must_use]
+    pub fn is_following(&self) -> bool {
+        *self.following.borrow()
+    }
+
+    /// Sets whether this instance follows the store. Watches that are waiting are not cut. Returns whether
+    /// that is a change.
+    pub fn set_following(&self, is_following: bool) -> bool {
+        let has_changed = self.following.send_if_modified(|known| {
+            let has_changed = *known != is_following;
+            *known = is_following;
+            has_changed
+        });
+        if has_changed && !is_following {
+            for contact in &self.contacts {
+                contact.lock().failing_since = None;
+            }
+        }
+        has_changed
+    }
+
+    /// Records when the instance that this one follows could reach the store again.
+    pub fn record_relayed_recovery(&self, index: usize, at: Instant) {
+        if let Some(contact) = self.contacts.get(index).filter(|_| !self.is_following()) {
+            let mut contact = contact.lock();
+            contact.last_recovery = contact.last_recovery.max(Some(at));
+        }
+    }
+
     /// Returns the state of the connection to the store for the prefix at `index`.
     #[must_use]
     pub fn contact(&self, index: usize) -> StoreContact {
@@ -212,7 +252,8 @@
     }
 }
 
-/// Follows the prefix at `index` until the future is dropped. Lists the prefix first and again whenever
+/// Follows the prefix at `index` until the future is dropped, except while other instances follow the store
+/// for this one. Lists the prefix first and again whenever
 /// the store no longer has the history that a watch needs.
 pub async fn run<S: Store>(
     replica: Arc<Replica>,
@@ -223,7 +264,12 @@
 ) {
     let mut retry_delay = INITIAL_RETRY_DELAY;
     let mut listed = false;
+    let mut following = replica.following.subscribe();
     loop {
+        if listed {
+            // The sender lives as long as the replica.
+            let _ = following.wait_for(|following| *following).await;
+        }
         let started = timer.now();
         let result = if listed {
             watch_prefix(&replica, &store, index, &options).await
@@ -250,6 +296,10 @@
                 timer.sleep(MAX_RELIST_DELAY.mul_f64(delay)).await;
                 listed = false;
             }
+            // Another instance follows the store in the meantime.
+            Err(error) if listed && !replica.is_following() => {
+                log::debug!(prefix:% = options.prefix, error:% = error; "last watch failed");
+            }
             Err(error) => {
                 replica.record_failure(index, &options.prefix, &error, now);
                 let jitter = rand::rng().random_range(0.6..1.2);
--- a/crates/sg-mesh/src/frame.rs
+++ b/crates/sg-mesh/src/frame.rs
@@ -1,4 +1,4 @@
-//! The frames that instances send each other, one per datagram, encoded as JSON.
+//! The frames that instances send each other, one per datagram, encoded as JSON except for digests.
 
 use std::net::SocketAddr;
 
@@ -6,6 +6,8 @@
 use sg_store::{Version, version::Era};
 use sg_types::prelude::*;
 
+use crate::digest::{self, Digest};
+
 /// The largest datagram, in bytes.
 pub const MAX_FRAME_BYTES: usize = 8_192;
 
@@ -68,6 +70,20 @@
     /// The era of each position; missing eras are 0.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub eras: Vec<u64>,
+    /// The store version of the last change that the sender knows of each followed prefix, of the same eras.
+    /// Positions advance without changes of the prefix as well.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub changed: Vec<u64>,
+    /// Whether the sender follows the store and reached it lately.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub follows: bool,
+    /// Whether the sender reads digests, so that it needs no beacons of other failure domains.
+    #[serde(
+        rename = "digests",
+        default,
+        skip_serializing_if = "std::ops::Not::not"
+    )]
+    pub takes_digests: bool,
     /// The number of slots kept busy by requests that arrive at the sender, by service. Senders round the
     /// numbers, because a beacon goes to every instance.
     pub demand: Vec<(id::Service, f64)>,
@@ -132,6 +148,9 @@
         /// The runs.
         runs: Vec<Departure>,
     },
+    /// Beacons of another failure domain. They are no JSON.
+    #[serde(skip)]
+    Digest(Digest),
     /// A notice that all instances have to receive at once.
     Notice {
         /// The sender.
@@ -148,6 +167,23 @@
         let at = |numbers: &[u64]| numbers.get(index).copied().unwrap_or(0);
         Version::at(Era::new(at(&self.eras)), at(&self.positions))
     }
+
+    /// Returns the store version of the last change that the sender knows of the prefix at `index`; zero if
+    /// the sender, of an earlier release, doesn't tell.
+    #[must_use]
+    pub fn last_change(&self, index: usize) -> Version {
+        let at = |numbers: &[u64]| numbers.get(index).copied().unwrap_or(0);
+        Version::at(Era::new(at(&self.eras)), at(&self.changed))
+    }
+
+    /// Returns whether other instances have to know at once that `self` has replaced `previous`.
+    #[must_use]
+    pub fn is_urgent_after(&self, previous: &Self) -> bool {
+        let state = |beacon: &Self| (beacon.ready, beacon.leaving, beacon.cut_off, beacon.follows);
+        state(self) != state(previous)
+            || self.eras != previous.eras
+            || self.changed.first() != previous.changed.first()
+    }
 }
 
 /// An error in encoding or decoding a frame.
@@ -158,6 +194,9 @@
         "the datagram is not a valid frame ({0}); check that all instances run the same version"
     )]
     Malformed(#[from] serde_json::Error),
+    /// The datagram is not a digest.
+    #[error(transparent)]
+    Digest(#[from] digest::Error),
     /// The frame exceeds [`MAX_FRAME_BYTES`].
     #[error(
         "a frame of {0} bytes is too large to send; lower the number of accounts that borrow at once"
@@ -166,12 +205,15 @@
 }
 
 impl Frame {
-    /// Encodes the frame as JSON.
+    /// Encodes the frame, as JSON unless it is a digest.
     ///
     /// # Errors
     /// Returns [`Error::TooLong`] if the frame exceeds [`MAX_FRAME_BYTES`].
     pub fn encode(&self) -> Result<Vec<u8>, Error> {
-        let bytes = serde_json::to_vec(self)?;
+        let bytes = match self {
+            Self::Digest(digest) => digest.encode(),
+            json => serde_json::to_vec(json)?,
+        };
         if bytes.len() > MAX_FRAME_BYTES {
             return Err(Error::TooLong(bytes.len()));
         }
@@ -181,8 +223,11 @@
     /// Decodes a frame.
     ///
     /// # Errors
-    /// Returns [`Error::Malformed`] if `bytes` are not a frame.
+    /// Returns [`Error::Malformed`] or [`Error::Digest`] if `bytes` are not a frame.
     pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        if Digest::is_digest(bytes) {
+            return Ok(Self::Digest(Digest::decode(bytes)?));
+        }
         Ok(serde_json::from_slice(bytes)?)
     }
 }
--- a/crates/sg-mesh/src/lib.rs
+++ b/crates/sg-mesh/src/lib.rs
@@ -4,11 +4,15 @@
 //!   other instances in any order; the higher version wins.
 //! - [`follower`] keeps a mirror up to date from the store.
 //! - [`frame`] defines the datagrams between instances; [`gossip`] sends and receives them.
+//! - [`digest`] packs the beacons of a failure domain; [`duty`] decides which instances send them, and
+//!   which follow the store.
 //! - [`members`] tracks the instances that are alive or registered.
 //! - [`relay`] fetches changes from an instance with a newer copy of the store.
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
+pub mod digest;
+pub mod duty;
 pub mod follower;
 pub mod frame;
 pub mod gossip;
--- a/crates/sg-mesh/src/members.rs
+++ b/crates/sg-mesh/src/members.rs
@@ -37,11 +37,13 @@
 }
 
 impl Members {
-    /// Records a beacon. Returns whether its sender is new, was restarted, or was silent for longer
-    /// than [`SILENCE_TIMEOUT`].
+    /// Records a beacon that was heard at `now`, or earlier if another instance has passed the beacon on.
+    /// Returns whether its sender is new, was restarted, or was silent for longer than [`SILENCE_TIMEOUT`].
+    /// A beacon that is older than the known one changes nothing.
     pub fn record_beacon(&mut self, beacon: Beacon, now: Instant) -> bool {
         let known = self.by_name.get_mut(&beacon.instance);
         match known {
+            Some(member) if now < member.last_seen => false,
             Some(member) if member.beacon.incarnation == beacon.incarnation => {
                 let is_back = now.since(member.last_seen) > SILENCE_TIMEOUT;
                 member.beacon = beacon;
@@ -65,6 +67,12 @@
         self.registered = registered;
     }
 
+    /// Returns the last beacon of `instance`, if it is known.
+    #[must_use]
+    pub fn beacon(&self, instance: &id::Instance) -> Option<&Beacon> {
+        self.by_name.get(instance).map(|member| &member.beacon)
+    }
+
     /// Returns the instances that sent a beacon within [`SILENCE_TIMEOUT`].
     pub fn alive(&self, now: Instant) -> impl Iterator<Item = &Member> {
         let alive = move |member: &&Member| now.since(member.last_seen) <= SILENCE_TIMEOUT;
--- a/crates/sg-mesh/src/mirror.rs
+++ b/crates/sg-mesh/src/mirror.rs
@@ -37,6 +37,8 @@
 pub struct Mirror {
     records: IndexMap<Arc<str>, Record>,
     position: Version,
+    /// The version of the last change.
+    changed_at: Version,
     /// The number of records without a value, which stand for deleted keys.
     tombstones: usize,
     /// Values of earlier eras that the current era has not caught up with.
@@ -61,6 +63,12 @@
         self.position
     }
 
+    /// Returns the store version of the last change, zero if nothing was read yet.
+    #[must_use]
+    pub fn changed_at(&self) -> Version {
+        self.changed_at
+    }
+
     /// Applies one change and returns it; `None` if the mirror knows the same or a newer version.
     pub fn apply_change(&mut self, change: Change) -> Option<Change> {
         if let Some(known) = self.records.get(&change.key)
@@ -69,6 +77,7 @@
             return None;
         }
         self.release_if_caught_up(&change);
+        self.changed_at = self.changed_at.max(change.version);
         let record = Record {
             version: change.version,
             value: change.value.clone(),
@@ -153,6 +162,7 @@
             .collect();
         drop(listed);
         self.position = page.version;
+        self.changed_at = page.version;
         let entries = page.entries.into_iter().map(Change::from);
         entries
             .filter_map(|change| self.apply_change(change))
--- a/crates/sg-mesh/src/relay.rs
+++ b/crates/sg-mesh/src/relay.rs
@@ -47,6 +47,9 @@
     /// Values of earlier eras that the sender retains.
     #[serde(default)]
     retained: Vec<EncodedChange>,
+    /// The time since the sender last reached the store again after a failure, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    recovered_ms: Option<u64>,
 }
 
 /// A change whose value is encoded in Base64; no value means that the key was deleted.
@@ -146,6 +149,10 @@
     let exchange = request(address, index, after);
     let response = timer.until(timer.now() + EXCHANGE_TIMEOUT, exchange).await;
     let response = response.map_err(|_| Error::Timeout)??;
+    if let Some(recovered_ms) = response.recovered_ms {
+        let at = timer.now() - Span::from_millis(recovered_ms);
+        replica.record_relayed_recovery(index, at);
+    }
     let decode = |encoded: Vec<EncodedChange>| -> Result<Vec<Change>, Error> {
         encoded.into_iter().map(Change::try_from).collect()
     };
@@ -192,7 +199,7 @@
         };
         let (replica, timer) = (replica.clone(), timer.clone());
         tokio::spawn(async move {
-            let exchange = respond(&replica, stream);
+            let exchange = respond(&replica, &timer, stream);
             match timer.until(timer.now() + EXCHANGE_TIMEOUT, exchange).await {
                 Ok(Ok(())) => {}
                 Ok(Err(error)) => log::debug!(error:% = error; "relay question not answered"),
@@ -203,7 +210,7 @@
 }
 
 /// Reads one request and sends the response.
-async fn respond(replica: &Replica, mut stream: TcpStream) -> Result<(), Error> {
+async fn respond(replica: &Replica, timer: &Timer, mut stream: TcpStream) -> Result<(), Error> {
     let (read_half, mut write_half) = stream.split();
     let mut line = Vec::new();
     let mut reader = BufReader::new(read_half.take(MAX_REQUEST_BYTES));
@@ -222,6 +229,10 @@
         era: snapshot.position.era().get(),
         changes: encode(snapshot.changes),
         retained: encode(snapshot.retained),
+        recovered_ms: replica
+            .contact(request.index)
+            .last_recovery
+            .map(|at| timer.now().since(at).as_millis()),
     };
     let bytes = serde_json::to_vec(&response).map_err(|error| malformed_error(&error))?;
     write_half.write_all(&bytes).await?;
--- a/crates/sg-mesh/tests/mesh/main.rs
+++ b/crates/sg-mesh/tests/mesh/main.rs
@@ -1,6 +1,9 @@
 //! Tests of the mesh: an instance's copy of the store never goes back to an older value, and instances
 //! find each other.
 
+mod compat;
+mod digest;
+mod duty;
 mod follower;
 mod members;
 mod mirror;
--- a/crates/sg-mesh/tests/mesh/members.rs
+++ b/crates/sg-mesh/tests/mesh/members.rs
@@ -7,11 +7,11 @@
 };
 use sg_types::prelude::*;
 
-fn at(millis: u64) -> Instant {
+pub fn at(millis: u64) -> Instant {
     Instant::START + Span::from_millis(millis)
 }
 
-fn beacon(name: &str, run: u64) -> Beacon {
+pub fn beacon(name: &str, run: u64) -> Beacon {
     Beacon {
         instance: name.parse().expect("a name"),
         incarnation: Incarnation::new(run),
@@ -29,6 +29,9 @@
         bound: Vec::new(),
         wanted_tokens: Vec::new(),
         cut_off: false,
+        changed: vec![5],
+        follows: true,
+        takes_digests: true,
         rate_statements: Vec::new(),
         other_addresses: Vec::new(),
     }
