fix(sg-proxy): a response that names no request is not taken for the next one's on a connection in use again

Cause: the id in a response was compared only if there was one. A late copy of a failure or a rejection without an id, on a connection that was in use again, was given to the next caller, or told it wrongly that its request had not run.

Change: on a reused connection a response must name its request. Otherwise the connection is closed and the request may have run. On a new connection there is no earlier request.

Test: late_copy_that_names_no_request_is_not_given_to_the_next_request; before, the caller got the 500 or a 503.

--- a/crates/sg-proxy/src/dialect.rs
+++ b/crates/sg-proxy/src/dialect.rs
@@ -61,6 +61,8 @@
 pub struct ResponseInfo {
     /// Meaning of the response.
     pub verdict: Verdict,
+    /// Whether the response names the request that it belongs to.
+    pub names_request: bool,
     /// What the target says of itself; empty if the response is not from the target.
     pub self_report: SelfReport,
     /// Time for which the target keeps an idle connection open.
--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -400,14 +400,22 @@
 ) -> SendOutcome {
     let (mut head, body) = response.into_parts();
     let response_info = core.dialect.parse_response(&head, &call.id);
+    // A late copy of the response to an earlier request may arrive on a connection that is in use again.
+    let is_doubtful = connection.connect_time().is_none() && !response_info.names_request;
+    let verdict = match response_info.verdict {
+        _ if is_doubtful => Verdict::Mismatched("a response that names no request"),
+        verdict => verdict,
+    };
     let self_report = response_info.self_report;
-    core.record_self_report(&choice.target, &self_report);
-    if let Verdict::Mismatched(what) = response_info.verdict {
+    if !is_doubtful {
+        core.record_self_report(&choice.target, &self_report);
+    }
+    if let Verdict::Mismatched(what) = verdict {
         log::info!(request = call.id.as_ref(), target_id:% = choice.target.id, what; "foreign answer");
         return SendOutcome::Lost;
     }
     // A target that has no capacity rejects requests before it adds its usual headers.
-    let states_rate = match response_info.verdict {
+    let states_rate = match verdict {
         Verdict::Response { .. } => true,
         Verdict::Shed => self_report.rate_limit.is_some(),
         Verdict::Misdirected | Verdict::Mismatched(_) => false,
@@ -427,7 +435,7 @@
     let (cutting, target) = (core.clone(), choice.target.clone());
     let on_cut = move |cut| record_cut(&cutting, &target, cut);
     let body = finish_body(core, received, from, call.deadline, on_cut);
-    match response_info.verdict {
+    match verdict {
         Verdict::Response { failed: false } => {
             SendOutcome::Answered(Response::from_parts(head, body))
         }
--- a/crates/sg-proxy/tests/proxy/dialect.rs
+++ b/crates/sg-proxy/tests/proxy/dialect.rs
@@ -68,6 +68,7 @@
         let rate_limit = header(&head.headers, "limit").and_then(|text| text.parse().ok());
         ResponseInfo {
             verdict,
+            names_request: header(&head.headers, "id") == Some(id),
             self_report: SelfReport {
                 load: report,
                 rate_limit: rate_limit.map(Rate::per_second),
--- a/crates/sg-proxy/tests/proxy/responses.rs
+++ b/crates/sg-proxy/tests/proxy/responses.rs
@@ -129,6 +129,31 @@
     assert!(response.ends_with("fine"));
 }
 
+/// The late copy may be of a failure or of a rejection, which are forwarded without a stamp, and name no
+/// request. Taken for the next request's response, it would be another request's, or a false "not run".
+#[tokio::test]
+async fn late_copy_that_names_no_request_is_not_given_to_the_next_request() {
+    const FAILED_ANONYMOUS: &str = "HTTP/1.1 500 Bad\r\ncontent-length: 3\r\n\r\nbad";
+    const SHED_ANONYMOUS: &str = "HTTP/1.1 503 Full\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+    for late_copy in [FAILED_ANONYMOUS, SHED_ANONYMOUS, MOVED] {
+        let steps = vec![
+            Step::Respond(OK),
+            Step::Respond(late_copy),
+            Step::Respond(OK),
+        ];
+        let target = ScriptedTarget::start(steps).await;
+        let instance = Instance::start(&[&target]).await;
+        assert!(instance.send(&get("/safe/x", "a1")).await.ends_with("fine"));
+        let response = instance.send(&post("/once/x", "a2", "body")).await;
+        assert_eq!(
+            target.connections.load(std::sync::atomic::Ordering::SeqCst),
+            1
+        );
+        // The request may have run.
+        assert_eq!((status(&response), target.count()), (502, 2), "{late_copy}");
+    }
+}
+
 /// If a response over the buffer limit breaks off, the caller must get fewer bytes than its content
 /// length states.
 #[tokio::test]
