--- a/crates/sg-place/src/lib.rs
+++ b/crates/sg-place/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`pool`] holds the observations of a service's targets and chooses a target for a request.
 //! - [`member`] holds the observations of one target.
 //! - [`location`] describes where an instance is, and its round-trip times to targets.
+//! - [`abandon`] decides when a request gives up on a slow target.
 //! - [`self_report`] holds what a target says of itself in a response.
 //! - [`departure`] remembers which runs of targets are leaving.
 //! - [`pause`] keeps requests away from a target that asked to come back later.
@@ -27,6 +28,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
+pub mod abandon;
 mod candidate;
 pub mod cold;
 pub mod departure;
--- a/crates/sg-place/tests/place/main.rs
+++ b/crates/sg-place/tests/place/main.rs
@@ -1,5 +1,6 @@
 //! Tests of placement and budget decisions on simulated loads, without a network.
 
+mod abandon;
 mod budgets;
 mod choice;
 mod lending;
--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -6,6 +6,7 @@
 use http::{Response, request};
 use sg_catalog::{Account, Catalog, Route};
 use sg_place::{
+    abandon,
     hash::Object,
     member::TargetOutcome,
     pool::{Choice, Query, Rejection},
@@ -36,9 +37,6 @@
 const PRIORITY_MARGIN_FRACTION: f64 = 0.1;
 /// Greatest priority level. Requests with a greater priority number are treated like this level.
 const MAX_PRIORITY: u32 = 5;
-/// Time after which an idempotent request abandons a target, as a multiple of the longest duration
-/// expected of a healthy target. A smaller factor would discard work that is nearly done.
-const SLOW_TARGET_FACTOR: f64 = 1.5;
 /// Time that a request may take while the instance drains, as a multiple of the expected time, because
 /// the duration of work varies by about a half.
 const DRAIN_TIME_FACTOR: f64 = 1.5;
@@ -417,12 +415,11 @@
     if !call.route.idempotent || history.sends + 1 >= call.route.max_targets {
         return call.deadline;
     }
-    let wait_seconds = choice.expected_if_cold_seconds * SLOW_TARGET_FACTOR;
     let remaining_seconds = call.deadline.since(now).as_secs_f64();
-    if wait_seconds + choice.expected_seconds > remaining_seconds {
-        return call.deadline;
-    }
-    now + Span::from_secs(1).mul_f64(wait_seconds)
+    let patience = abandon::patience_seconds(choice, remaining_seconds);
+    patience.map_or(call.deadline, |seconds| {
+        now + Span::from_secs(1).mul_f64(seconds)
+    })
 }
 
 fn check_retry<D: Dialect>(
