fix(sg-mesh): few instances take over the duty to follow the store at once; requests in sockets survive a closing

Change: after a failure, and when an instance takes up the duty, the first watch returns at once; each place in the domain's order waits 0.3 s longer before it takes over.

Change: connections read for 0.1 s more before they are shut down.

Departures that an instance heard itself are announced once more when another instance starts.

--- a/crates/sg-gateway/src/beacon.rs
+++ b/crates/sg-gateway/src/beacon.rs
@@ -250,6 +250,7 @@
     let is_news = members.record_beacon(beacon, heard_at);
     drop(members);
     if is_news {
+        context.core.announce_departures_again();
         log::info!(
             other:% = instance, incarnation = incarnation.get(),
             age_ms = now.since(heard_at).as_millis();
--- a/crates/sg-gateway/src/exchange.rs
+++ b/crates/sg-gateway/src/exchange.rs
@@ -174,6 +174,7 @@
     let mut ticks = context.timer.every(TICK_INTERVAL);
     let mut tick_count = 0u32;
     let mut last_beacon = Instant::START;
+    let mut follow_due_since = None;
     let mut last_state = None;
     let mut era = context.replica.subscribe_era();
     loop {
@@ -191,7 +192,7 @@
                 context.core.metrics.lateness.observe(tick.late.as_secs_f64());
                 tick_count += 1;
                 update_core(&context, tick.now);
-                update_following(&context, tick.now);
+                update_following(&context, &mut follow_due_since, tick.now);
                 if tick_count.is_multiple_of(TICKS_PER_SWEEP) {
                     context.core.connections.close_expired();
                 }
@@ -213,13 +214,24 @@
     }
 }
 
-/// Decides whether this instance follows the store itself.
-fn update_following<D, I, S>(context: &Context<D, I, S>, now: Instant) {
+/// Decides whether this instance follows the store itself. `due_since` is when nobody else began to.
+fn update_following<D, I, S>(
+    context: &Context<D, I, S>,
+    due_since: &mut Option<Instant>,
+    now: Instant,
+) {
     let settings = &context.settings;
-    let must_follow = {
+    let delay = {
         let members = context.members.lock();
-        duty::must_follow(&members, &settings.instance, &settings.domain, now)
+        duty::delay_to_follow(&members, &settings.instance, &settings.domain, now)
     };
+    let must_follow = delay.is_some_and(|delay| {
+        let is_due = now.since(*due_since.get_or_insert(now)) >= delay;
+        is_due || context.replica.is_following()
+    });
+    if delay.is_none() {
+        *due_since = None;
+    }
     if context.replica.set_following(must_follow) {
         log::info!(following = must_follow; "duty to follow the store changed");
     }
--- a/crates/sg-mesh/src/duty.rs
+++ b/crates/sg-mesh/src/duty.rs
@@ -12,22 +12,32 @@
 
 /// Number of instances of a failure domain that do a duty for the others.
 pub const HOLDERS: usize = 2;
+/// Time that an instance has to follow the store and to say so before the next one does.
+const TAKEOVER_STEP: Span = Span::from_millis(300);
 /// Time without a beacon after which an instance no longer counts as doing a duty. It is shorter than the
 /// time after which the instance counts as gone, because a duty that nobody does delays changes.
 const SILENCE_TIMEOUT: Span = Span::from_millis(1_300);
 
-/// Returns whether `own` has to follow the store itself: fewer than [`HOLDERS`] instances of its failure
-/// domain that go before it say that they follow.
+/// Returns for how long `own` waits before it follows the store itself; `None` if it doesn't have to, because
+/// [`HOLDERS`] instances of its failure domain that go before it say that they follow.
+///
+/// Instances that go before it and don't follow yet come first. Each place behind them adds a step to the
+/// wait, so that not all of a domain follow at once when its followers fail.
 #[must_use]
-pub fn must_follow(
+pub fn delay_to_follow(
     members: &Members,
     own: &id::Instance,
     domain: &id::Domain,
     now: Instant,
-) -> bool {
-    let followers = fresh(members, domain, now)
-        .filter(|member| member.beacon.follows && member.beacon.instance < *own);
-    followers.count() < HOLDERS
+) -> Option<Span> {
+    let earlier = fresh(members, domain, now).filter(|member| member.beacon.instance < *own);
+    let (following, others): (Vec<&Member>, Vec<&Member>) =
+        earlier.partition(|member| member.beacon.follows);
+    let missing = HOLDERS
+        .checked_sub(following.len())
+        .filter(|missing| *missing > 0)?;
+    let places = (others.len() + 1).saturating_sub(missing);
+    Some(TAKEOVER_STEP.mul_f64(places as f64))
 }
 
 /// Returns whether `own` exchanges beacons with other domains for its own one.
--- a/crates/sg-mesh/src/follower.rs
+++ b/crates/sg-mesh/src/follower.rs
@@ -265,14 +265,22 @@
     let mut retry_delay = INITIAL_RETRY_DELAY;
     let mut listed = false;
     let mut following = replica.following.subscribe();
+    // Whether the next watch returns at once, to find out whether the store responds again.
+    let mut is_probe = false;
     loop {
-        if listed {
+        if listed && !replica.is_following() {
             // The sender lives as long as the replica.
             let _ = following.wait_for(|following| *following).await;
+            is_probe = true;
         }
         let started = timer.now();
         let result = if listed {
-            watch_prefix(&replica, &store, index, &options).await
+            let timeout = if is_probe {
+                Span::ZERO
+            } else {
+                options.watch_timeout
+            };
+            watch_prefix(&replica, &store, index, &options.prefix, timeout).await
         } else {
             list_prefix(&replica, &store, index, &options).await
         };
@@ -280,6 +288,7 @@
         match result {
             Ok(()) => {
                 replica.record_success(index, &options.prefix, now);
+                is_probe = false;
                 retry_delay = INITIAL_RETRY_DELAY;
                 if listed {
                     let remaining = options
@@ -302,6 +311,7 @@
             }
             Err(error) => {
                 replica.record_failure(index, &options.prefix, &error, now);
+                is_probe = true;
                 let jitter = rand::rng().random_range(0.6..1.2);
                 timer.sleep(retry_delay.mul_f64(jitter)).await;
                 retry_delay = (retry_delay + retry_delay).min(MAX_RETRY_DELAY);
@@ -325,11 +335,12 @@
     replica: &Replica,
     store: &S,
     index: usize,
-    options: &Options,
+    prefix: &str,
+    timeout: Span,
 ) -> Result<(), Error> {
     let after = replica.position(index);
     let mut era = replica.subscribe_era();
-    let watch = store.watch(&options.prefix, after, options.watch_timeout);
+    let watch = store.watch(prefix, after, timeout);
     let changes = tokio::select! {
         changes = watch => changes?,
         _ = era.wait_for(|era| *era > after.era()) => return Err(Error::EraEnded),
--- a/crates/sg-mesh/tests/mesh/duty.rs
+++ b/crates/sg-mesh/tests/mesh/duty.rs
@@ -25,14 +25,23 @@
     members
 }
 
-fn followers(size: usize, follows: impl Fn(usize) -> bool) -> Vec<usize> {
+fn delay(members: &Members, own: usize, now: u64) -> Option<Span> {
+    duty::delay_to_follow(members, &name(own), &domain(), at(now))
+}
+
+/// Returns the instances of a domain that follow the store after `wait`.
+fn followers_after(wait: Span, size: usize, follows: impl Fn(usize) -> bool) -> Vec<usize> {
     let must_follow = |own: &usize| {
         let members = known_by(*own, size, &follows);
-        duty::must_follow(&members, &name(*own), &domain(), at(1_500))
+        delay(&members, *own, 1_500).is_some_and(|delay| delay <= wait)
     };
     (0..size).filter(must_follow).collect()
 }
 
+fn followers(size: usize, follows: impl Fn(usize) -> bool) -> Vec<usize> {
+    followers_after(Span::from_secs(60), size, follows)
+}
+
 #[test]
 fn two_instances_of_a_domain_follow_the_store() {
     assert_eq!(followers(1, |_| true), [0]);
@@ -47,6 +56,17 @@
     assert_eq!(followers(13, |_| false).len(), 13);
 }
 
+/// The first ones that take over say so before the others would.
+#[test]
+fn few_instances_take_over_at_once() {
+    let at_once = followers_after(Span::ZERO, 13, |_| false);
+    assert_eq!(at_once, [0, 1]);
+    let at_once = followers_after(Span::ZERO, 13, |index| index == 0);
+    assert_eq!(at_once, [0, 1]);
+    let later = followers_after(Span::from_millis(600), 13, |_| false);
+    assert_eq!(later, [0, 1, 2, 3]);
+}
+
 #[test]
 fn instances_that_the_store_turns_away_are_replaced() {
     assert_eq!(followers(13, |index| index > 1), [0, 1, 2, 3]);
@@ -55,8 +75,8 @@
 #[test]
 fn silent_and_leaving_followers_are_replaced_before_they_count_as_gone() {
     let silent = known_by(9, 13, |_| true);
-    assert!(!duty::must_follow(&silent, &name(9), &domain(), at(2_300)));
-    assert!(duty::must_follow(&silent, &name(9), &domain(), at(2_301)));
+    assert_eq!(delay(&silent, 9, 2_300), None);
+    assert_eq!(delay(&silent, 9, 2_301), Some(Span::ZERO));
     assert!(Span::from_millis(1_301) < SILENCE_TIMEOUT);
     let mut leaving = known_by(9, 13, |_| true);
     for index in 0..8 {
@@ -64,7 +84,7 @@
         beacon.leaving = true;
         leaving.record_beacon(beacon, at(1_100));
     }
-    assert!(duty::must_follow(&leaving, &name(9), &domain(), at(1_500)));
+    assert_eq!(delay(&leaving, 9, 1_500), Some(Span::ZERO));
 }
 
 #[test]
@@ -75,7 +95,7 @@
         beacon.location.domain = "b".parse().expect("a name");
         members.record_beacon(beacon, at(1_000));
     }
-    assert!(duty::must_follow(&members, &name(9), &domain(), at(1_100)));
+    assert_eq!(delay(&members, 9, 1_100), Some(Span::ZERO));
     assert!(duty::must_exchange(
         &members,
         &name(9),
--- a/crates/sg-place/src/departure.rs
+++ b/crates/sg-place/src/departure.rs
@@ -57,6 +57,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Departure {
     started_at_millis: u64,
+    source: Source,
     announcements_left: u32,
 }
 
@@ -74,6 +75,7 @@
         }
         let departure = Departure {
             started_at_millis: run.started_at_millis,
+            source,
             announcements_left: match source {
                 Source::Response => ANNOUNCEMENTS,
                 Source::Instance => 0,
@@ -95,6 +97,16 @@
         known.is_some_and(|known| known.started_at_millis >= run.started_at_millis)
     }
 
+    /// Announces once more what this instance heard itself, because another instance has started and knows
+    /// nothing.
+    pub fn announce_again(&mut self) {
+        let departures = self.by_target.values_mut();
+        let heard = departures.filter(|departure| departure.source == Source::Response);
+        for departure in heard {
+            departure.announcements_left = departure.announcements_left.max(1);
+        }
+    }
+
     /// Returns at most `limit` departures to announce to the other instances now.
     pub fn take_announcements(&mut self, limit: usize) -> Vec<Run> {
         let pending = self.by_target.iter_mut().rev();
--- a/crates/sg-place/tests/place/self_reports.rs
+++ b/crates/sg-place/tests/place/self_reports.rs
@@ -150,6 +150,21 @@
     assert_eq!(departures.take_announcements(64).len(), 64);
 }
 
+/// An instance that has just started learns from those that heard the target itself.
+#[test]
+fn departures_are_announced_again_to_an_instance_that_starts() {
+    let mut departures = Departures::default();
+    departures.record(&run("heard", 1), Source::Response);
+    departures.record(&run("told", 1), Source::Instance);
+    for _ in 0..2 {
+        assert_eq!(departures.take_announcements(64), [run("heard", 1)]);
+    }
+    assert!(departures.take_announcements(64).is_empty());
+    departures.announce_again();
+    assert_eq!(departures.take_announcements(64), [run("heard", 1)]);
+    assert!(departures.take_announcements(64).is_empty());
+}
+
 #[test]
 fn paused_and_leaving_targets_count_no_slots() {
     let mut pool = sg_place::Pool::default();
--- a/crates/sg-proxy/src/self_reports.rs
+++ b/crates/sg-proxy/src/self_reports.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Announces the departures once more to an instance that has just started.
+    pub fn announce_departures_again(&self) {
+        self.state.lock().departures.announce_again();
+    }
+
     /// Returns the departures that this instance announces to the others now. A departure that the store
     /// tells as well is not announced.
     #[must_use]
--- a/crates/sg-proxy/src/server.rs
+++ b/crates/sg-proxy/src/server.rs
@@ -20,6 +20,9 @@
 const ACCEPT_RETRY_DELAY: Span = Span::from_millis(50);
 /// Maximum time that a connection whose request is refused may wait for the head of the request.
 const REFUSED_HEADER_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time between the start of a stop's last phase and the end of idle connections, in which requests that have
+/// arrived are read.
+const CLOSING_DELAY: Span = Span::from_millis(100);
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1024;
 
@@ -150,14 +153,14 @@
             mut phase,
         } = self;
         let slot = Arc::new(slot);
-        let request_slot = slot.clone();
+        let (request_slot, request_timer) = (slot.clone(), timer.clone());
         let service = service_fn(move |mut request: Request<Incoming>| {
             request_slot.set_busy();
             if is_refused {
                 request.extensions_mut().insert(Overloaded);
             }
             let response = handler(request);
-            let (slot, timer) = (request_slot.clone(), timer.clone());
+            let (slot, timer) = (request_slot.clone(), request_timer.clone());
             async move {
                 let mut response = response.await;
                 let load = slot.set_idle(timer.now());
@@ -179,8 +182,15 @@
         let ended = tokio::select! {
             ended = connection.as_mut() => ended,
             () = wait_for_closing(&mut phase) => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
+                // A request that has arrived is read first: the shutdown closes a connection without one.
+                let read_until = timer.now() + CLOSING_DELAY;
+                match timer.until(read_until, connection.as_mut()).await {
+                    Ok(ended) => ended,
+                    Err(_) => {
+                        connection.as_mut().graceful_shutdown();
+                        connection.await
+                    }
+                }
             }
             () = slot.wait_for_end() => {
                 connection.as_mut().graceful_shutdown();
--- a/crates/sg-proxy/tests/proxy/endings.rs
+++ b/crates/sg-proxy/tests/proxy/endings.rs
@@ -259,3 +259,36 @@
     let metrics = &instance.core.metrics;
     assert_eq!(metrics.responses(Outcome::NotRun, Reason::NoTree), 1);
 }
+
+/// The requests lie in the sockets of connections that are accepted at the moment of the closing, or were
+/// accepted just before.
+#[tokio::test]
+async fn requests_that_arrived_before_the_closing_are_answered() {
+    for is_accepted in [false, true] {
+        let target = ScriptedTarget::start(vec![Step::Respond(OK)]).await;
+        let instance = Instance::start(&[&target]).await;
+        instance.drain_for(Span::from_secs(30));
+        let mut callers = Vec::new();
+        for index in 0..20 {
+            let mut caller = instance.connect().await;
+            if is_accepted {
+                sleep(Duration::from_millis(2)).await;
+            }
+            let request = get("/safe/x", &format!("a{index}"));
+            assert_eq!(
+                caller.try_write(request.as_bytes()).ok(),
+                Some(request.len())
+            );
+            callers.push((caller, request));
+        }
+        instance.phase.send_replace(Phase::Closing);
+        for (index, (mut caller, _)) in callers.into_iter().enumerate() {
+            let mut response = String::new();
+            let read = caller.read_to_string(&mut response).await;
+            assert!(
+                read.is_ok() && status(&response) == 200,
+                "{index} of 20, accepted before: {is_accepted}: {read:?}"
+            );
+        }
+    }
+}
