--- a/crates/sg-proxy/tests/proxy/endings.rs
+++ b/crates/sg-proxy/tests/proxy/endings.rs
@@ -270,7 +270,7 @@
         instance.drain_for(Span::from_secs(30));
         let mut callers = Vec::new();
         for index in 0..20 {
-            let mut caller = instance.connect().await;
+            let caller = instance.connect().await;
             if is_accepted {
                 sleep(Duration::from_millis(2)).await;
             }
