fix(sg-clock): count the time for which the machine was suspended

Cause: the steady clock stands still while a machine is suspended.

Waits are as long as before.

Test: suspension_of_the_machine_counts_at_once_and_never_twice, with a clock of its own; with the clock as it was before, the time stood still there.

--- a/crates/sg-clock/src/lib.rs
+++ b/crates/sg-clock/src/lib.rs
@@ -1,5 +1,7 @@
 //! Timer service, the only code that reads a clock.
 //!
+//! The clock counts the time for which the machine was suspended, as soon as the machine goes on.
+//!
 //! [`Timer`] wraps tokio's time, so a test that pauses tokio's clock controls every subscriber. A
 //! [`Subscription`] yields one [`Tick`] per period. The tick contains its lateness, so that a
 //! process that was paused can detect the pause before it acts.
@@ -7,6 +9,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 
 mod subscription;
+mod suspension;
 mod timer;
 
 pub use subscription::{Subscription, Tick};
--- a/crates/sg-clock/src/timer.rs
+++ b/crates/sg-clock/src/timer.rs
@@ -5,12 +5,16 @@
 use sg_types::time::{Instant, Span};
 use tokio::time;
 
-use crate::Subscription;
+use crate::{
+    Subscription,
+    suspension::{self, Suspension},
+};
 
 /// The timer service of one process. All clones share the same start of the clock.
 #[derive(Debug, Clone)]
 pub struct Timer {
     start: Arc<time::Instant>,
+    suspension: Arc<Suspension>,
 }
 
 /// The error for an operation that did not finish before its deadline.
@@ -21,16 +25,24 @@
     /// Starts the clock. Requires a tokio runtime with time enabled.
     #[must_use]
     pub fn new() -> Self {
+        Self::with_boot_time(suspension::boot_time)
+    }
+
+    /// Starts the clock like [`new`](Self::new). `boot_time` returns the time of a clock that goes on while
+    /// the machine is suspended, or `None` if there is none.
+    #[must_use]
+    pub fn with_boot_time(boot_time: fn() -> Option<Span>) -> Self {
         Self {
             start: Arc::new(time::Instant::now()),
+            suspension: Arc::new(Suspension::new(boot_time)),
         }
     }
 
-    /// Returns the time since the start of the clock.
+    /// Returns the time since the start of the clock, with the time for which the machine was suspended.
     #[must_use]
     pub fn now(&self) -> Instant {
         let elapsed = time::Instant::now().saturating_duration_since(*self.start);
-        Instant::START + Span::from(elapsed)
+        Instant::START + Span::from(elapsed) + self.suspension.total()
     }
 
     /// Waits for `span`.
@@ -66,7 +78,9 @@
     }
 
     fn to_tokio(&self, instant: Instant) -> time::Instant {
-        *self.start + instant.since(Instant::START).into()
+        let suspended = self.suspension.total();
+        let steady = instant.since(Instant::START).saturating_sub(suspended);
+        *self.start + steady.into()
     }
 }
 
--- a/crates/sg-clock/tests/clock/main.rs
+++ b/crates/sg-clock/tests/clock/main.rs
@@ -31,3 +31,43 @@
     let result = timer.until(deadline, timer.sleep(Span::from_secs(1))).await;
     assert!(result.is_err());
 }
+
+/// The time of a clock that goes on while the machine is suspended, in milliseconds.
+static BOOT_MILLIS: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
+
+fn boot_time() -> Option<Span> {
+    let millis = BOOT_MILLIS.load(std::sync::atomic::Ordering::Relaxed);
+    Some(Span::from_millis(1_000_000 + millis))
+}
+
+/// A permission that was given before the machine was suspended must have run out afterwards.
+#[tokio::test(start_paused = true)]
+async fn suspension_of_the_machine_counts_at_once_and_never_twice() {
+    let timer = Timer::with_boot_time(boot_time);
+    let permitted_until = timer.now() + Span::from_secs(2);
+    let before = timer.now();
+    BOOT_MILLIS.store(5_000, std::sync::atomic::Ordering::Relaxed);
+    let after = timer.now();
+    assert!(after > permitted_until);
+    assert!(after.since(before) > Span::from_millis(4_500));
+    assert!(
+        timer
+            .until(permitted_until, std::future::pending::<()>())
+            .await
+            .is_err()
+    );
+    tokio::time::advance(std::time::Duration::from_secs(1)).await;
+    let later = timer.now().since(after);
+    assert!(later >= Span::from_secs(1) && later < Span::from_millis(1_100));
+    // A wait is as long as asked for, also after a suspension.
+    let start = tokio::time::Instant::now();
+    timer
+        .sleep_until(timer.now() + Span::from_millis(100))
+        .await;
+    let waited = start.elapsed();
+    assert!(waited >= std::time::Duration::from_millis(90), "{waited:?}");
+    assert!(
+        waited <= std::time::Duration::from_millis(110),
+        "{waited:?}"
+    );
+}
