--- a/crates/sg-gateway/src/beacon.rs
+++ b/crates/sg-gateway/src/beacon.rs
@@ -3,8 +3,6 @@
 use std::{net::SocketAddr, sync::atomic::Ordering};
 
 use sg_mesh::{
-    digest::{Digest, Heard},
-    duty,
     frame::{Beacon, Frame, Location, RateStatement},
     members::Member,
 };
@@ -13,11 +11,7 @@
 use sg_store::{Store, version::Era};
 use sg_types::prelude::*;
 
-use crate::{
-    Interpreter, Protocol,
-    daemon::{Context, OPERATOR_INDEX, TARGET_INDEX, WATCH_TIMEOUTS},
-    registry,
-};
+use crate::{Interpreter, Protocol, daemon::Context, digests, following, registry};
 
 /// The least interval between two beacons of an instance.
 const BEACON_INTERVAL: Span = Span::from_millis(400);
@@ -31,8 +25,6 @@
 
 /// The number of intervals after which a beacon also goes to instances that were not heard of lately.
 const INTERVALS_PER_DISCOVERY: u32 = 4;
-/// The time beyond the watch timeout after which the store counts as silent if no call succeeded.
-const SILENCE_MARGIN: Span = Span::from_secs(1);
 
 /// Returns the interval between two beacons in the current fleet.
 pub(crate) fn interval<D, I, S>(context: &Context<D, I, S>, now: Instant) -> Span {
@@ -50,19 +42,6 @@
     !member.beacon.takes_digests || member.beacon.location.domain == context.settings.domain
 }
 
-/// Returns whether this instance follows the store and reached it lately.
-pub(crate) fn follows_store<D, I, S>(context: &Context<D, I, S>, now: Instant) -> bool {
-    let has_contact = |index: usize| {
-        let contact = context.replica.contact(index);
-        let silence = WATCH_TIMEOUTS[index] + SILENCE_MARGIN;
-        let is_fresh = contact
-            .last_success
-            .is_some_and(|at| now.since(at) <= silence);
-        contact.failing_since.is_none() && is_fresh
-    };
-    context.replica.is_following() && has_contact(OPERATOR_INDEX) && has_contact(TARGET_INDEX)
-}
-
 /// Rounds a number of slots to hundredths.
 fn round_slots(slots: f64) -> f64 {
     (slots * 100.0).round() / 100.0
@@ -105,7 +84,7 @@
             .iter()
             .map(|version| version.revision())
             .collect(),
-        follows: follows_store(context, now),
+        follows: following::reaches_store(context, now),
         takes_digests: true,
         demand: demand.collect(),
         bound: bound.collect(),
@@ -113,12 +92,12 @@
         other_addresses,
         rate_statements: rate_statements(context),
     };
-    *context.own_beacon.lock() = Some((beacon.clone(), now));
-    let number = context.beacon_count.fetch_add(1, Ordering::Relaxed);
+    *context.digests.own_beacon.lock() = Some((beacon.clone(), now));
+    let number = context.digests.beacon_count.fetch_add(1, Ordering::Relaxed);
     let addresses = receivers(context, number.is_multiple_of(INTERVALS_PER_DISCOVERY), now);
     let frame = Frame::Beacon(Box::new(beacon));
     context.gossip.send(&frame, addresses);
-    send_digests(context, now);
+    digests::send(context, now);
 }
 
 /// Returns the addresses that this instance's beacon is sent to, with those of instances that were not
@@ -143,93 +122,6 @@
     all.into_iter().filter(is_receiver).collect()
 }
 
-/// Sends the beacons of this failure domain to the instances that exchange those of the others, if this
-/// instance does so for its own one.
-pub(crate) fn send_digests<D, I, S>(context: &Context<D, I, S>, now: Instant) {
-    let settings = &context.settings;
-    let Some((own, own_at)) = context.own_beacon.lock().clone() else {
-        return;
-    };
-    let members = context.members.lock();
-    if !duty::must_exchange(&members, &settings.instance, &settings.domain, now) {
-        return;
-    }
-    let alive = members.alive(now);
-    let neighbours = alive.filter(|member| member.beacon.location.domain == settings.domain);
-    let neighbours = neighbours.map(|member| (member.beacon.clone(), member.last_seen));
-    let heard = std::iter::once((own, own_at)).chain(neighbours);
-    let heard = heard.map(|(beacon, at)| Heard {
-        age_ms: now.since(at).as_millis(),
-        beacon: Beacon {
-            other_addresses: Vec::new(),
-            ..beacon
-        },
-    });
-    let heard: Vec<Heard> = heard.collect();
-    let domains = settings
-        .domains
-        .keys()
-        .filter(|domain| **domain != settings.domain);
-    let draw = |count| rand::random_range(0..count);
-    let receivers = domains.flat_map(|domain| duty::receivers(&members, domain, now, draw));
-    let receivers = receivers.map(|member| member.beacon.location.mesh_address);
-    let receivers: Vec<SocketAddr> = receivers.collect();
-    drop(members);
-    if receivers.is_empty() {
-        return;
-    }
-    let first_number = context.next_digest_number.load(Ordering::Relaxed);
-    let digests = match Digest::pack(context.incarnation, first_number, &heard) {
-        Ok(digests) => digests,
-        Err(error) => {
-            log::warn!(error:% = error; "digest not sent");
-            return;
-        }
-    };
-    let next_number = first_number + digests.len() as u64;
-    context
-        .next_digest_number
-        .store(next_number, Ordering::Relaxed);
-    for digest in digests {
-        context
-            .gossip
-            .send(&Frame::Digest(digest), receivers.iter().copied());
-    }
-}
-
-/// Records the beacons of a digest and passes the digest on in this failure domain.
-pub(crate) fn receive_digest<D, I, S>(context: &Context<D, I, S>, digest: &Digest, now: Instant) {
-    if digest.sender == context.incarnation || !context.received_digests.lock().record(digest, now)
-    {
-        return;
-    }
-    if !digest.is_passed_on {
-        let members = context.members.lock();
-        let neighbours = members.alive(now).filter(|member| {
-            member.beacon.takes_digests && member.beacon.location.domain == context.settings.domain
-        });
-        let addresses = neighbours.map(|member| member.beacon.location.mesh_address);
-        let addresses: Vec<SocketAddr> = addresses.collect();
-        drop(members);
-        context
-            .gossip
-            .send(&Frame::Digest(digest.passed_on()), addresses);
-    }
-    let beacons = match digest.unpack() {
-        Ok(beacons) => beacons,
-        Err(error) => {
-            log::debug!(error:% = error; "digest skipped");
-            return;
-        }
-    };
-    for Heard { age_ms, mut beacon } in beacons {
-        for statement in &mut beacon.rate_statements {
-            statement.age_ms += age_ms;
-        }
-        record(context, beacon, now - Span::from_millis(age_ms), now);
-    }
-}
-
 /// Records a beacon that was heard at `heard_at`. Returns whether other instances have to know of the
 /// change at once.
 pub(crate) fn record<D, I, S>(
--- a/crates/sg-gateway/src/daemon.rs
+++ b/crates/sg-gateway/src/daemon.rs
@@ -1,16 +1,12 @@
 //! Starts the tasks of an instance and stops them in order.
 
-use std::{
-    path::PathBuf,
-    sync::atomic::{AtomicU32, AtomicU64},
-};
+use std::{path::PathBuf, sync::atomic::AtomicU64};
 
 use parking_lot::Mutex;
 use sg_clock::Timer;
 use sg_mesh::{
-    Members, digest,
+    Members,
     follower::{self, Replica, Update},
-    frame::Beacon,
     gossip::Gossip,
     relay,
 };
@@ -33,8 +29,8 @@
 };
 
 use crate::{
-    Interpreter, Protocol, Settings, budget::Budget, exchange, health, registry, servers,
-    servers::Phases, settings, shutdown, updates,
+    Interpreter, Protocol, Settings, budget::Budget, digests, exchange, following, health,
+    registry, servers, servers::Phases, settings, shutdown, updates,
 };
 
 /// The index of the operators' prefix among the followed prefixes.
@@ -99,13 +95,7 @@
     pub gossip: Gossip,
     /// The sequence number of the next loan to another instance. Each run starts at 1.
     pub next_loan_number: AtomicU64,
-    /// The last beacon of this instance, with its time.
-    pub own_beacon: Mutex<Option<(Beacon, Instant)>>,
-    /// The number of beacons sent so far.
-    pub beacon_count: AtomicU32,
-    /// The sequence number of the next digest. Each run starts at 1.
-    pub next_digest_number: AtomicU64,
-    pub received_digests: Mutex<digest::Received>,
+    pub digests: digests::State,
     /// Notified when another instance knows of a change that this one doesn't know.
     pub ahead: Notify,
     /// Notified when this instance has applied changes of the store.
@@ -188,10 +178,7 @@
         replica,
         gossip,
         next_loan_number: AtomicU64::new(1),
-        own_beacon: Mutex::default(),
-        beacon_count: AtomicU32::new(0),
-        next_digest_number: AtomicU64::new(1),
-        received_digests: Mutex::default(),
+        digests: digests::State::default(),
         ahead: Notify::new(),
         changed: Notify::new(),
         registry,
@@ -278,7 +265,7 @@
     tasks.spawn(updates::release_retained(context.clone()));
     tasks.spawn(exchange::receive_frames(context.clone()));
     tasks.spawn(exchange::send_frames(context.clone(), signals));
-    tasks.spawn(exchange::catch_up(context.clone()));
+    tasks.spawn(following::catch_up(context.clone()));
     tasks.spawn(health::run(context.clone()));
 }
 
--- /dev/null
+++ b/crates/sg-gateway/src/digests.rs
@@ -0,0 +1,113 @@
+//! The exchange of beacons between failure domains.
+
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicU32, AtomicU64, Ordering},
+};
+
+use parking_lot::Mutex;
+use sg_mesh::{
+    digest::{Digest, Heard, Received},
+    duty,
+    frame::{Beacon, Frame},
+};
+use sg_types::prelude::*;
+
+use crate::{beacon, daemon::Context};
+
+/// The state of the exchange.
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    /// The last beacon of this instance, with its time.
+    pub own_beacon: Mutex<Option<(Beacon, Instant)>>,
+    /// The number of beacons sent so far.
+    pub beacon_count: AtomicU32,
+    /// The number of digests sent so far.
+    sent: AtomicU64,
+    received: Mutex<Received>,
+}
+
+/// Sends the beacons of this failure domain to the instances that exchange those of the others, if this
+/// instance does so for its own one.
+pub(crate) fn send<D, I, S>(context: &Context<D, I, S>, now: Instant) {
+    let settings = &context.settings;
+    let Some((own, own_at)) = context.digests.own_beacon.lock().clone() else {
+        return;
+    };
+    let members = context.members.lock();
+    if !duty::must_exchange(&members, &settings.instance, &settings.domain, now) {
+        return;
+    }
+    let alive = members.alive(now);
+    let neighbours = alive.filter(|member| member.beacon.location.domain == settings.domain);
+    let neighbours = neighbours.map(|member| (member.beacon.clone(), member.last_seen));
+    let heard = std::iter::once((own, own_at)).chain(neighbours);
+    let heard = heard.map(|(beacon, at)| Heard {
+        age_ms: now.since(at).as_millis(),
+        beacon: Beacon {
+            other_addresses: Vec::new(),
+            ..beacon
+        },
+    });
+    let heard: Vec<Heard> = heard.collect();
+    let domains = settings
+        .domains
+        .keys()
+        .filter(|domain| **domain != settings.domain);
+    let draw = |count| rand::random_range(0..count);
+    let receivers = domains.flat_map(|domain| duty::receivers(&members, domain, now, draw));
+    let receivers = receivers.map(|member| member.beacon.location.mesh_address);
+    let receivers: Vec<SocketAddr> = receivers.collect();
+    drop(members);
+    if receivers.is_empty() {
+        return;
+    }
+    let sent = context.digests.sent.load(Ordering::Relaxed);
+    let digests = match Digest::pack(context.incarnation, sent + 1, &heard) {
+        Ok(digests) => digests,
+        Err(error) => {
+            log::warn!(error:% = error; "digest not sent");
+            return;
+        }
+    };
+    let sent = sent + digests.len() as u64;
+    context.digests.sent.store(sent, Ordering::Relaxed);
+    for digest in digests {
+        context
+            .gossip
+            .send(&Frame::Digest(digest), receivers.iter().copied());
+    }
+}
+
+/// Records the beacons of a digest and passes the digest on in this failure domain.
+pub(crate) fn receive<D, I, S>(context: &Context<D, I, S>, digest: &Digest, now: Instant) {
+    if digest.sender == context.incarnation || !context.digests.received.lock().record(digest, now)
+    {
+        return;
+    }
+    if !digest.is_passed_on {
+        let members = context.members.lock();
+        let neighbours = members.alive(now).filter(|member| {
+            member.beacon.takes_digests && member.beacon.location.domain == context.settings.domain
+        });
+        let addresses = neighbours.map(|member| member.beacon.location.mesh_address);
+        let addresses: Vec<SocketAddr> = addresses.collect();
+        drop(members);
+        context
+            .gossip
+            .send(&Frame::Digest(digest.passed_on()), addresses);
+    }
+    let beacons = match digest.unpack() {
+        Ok(beacons) => beacons,
+        Err(error) => {
+            log::debug!(error:% = error; "digest skipped");
+            return;
+        }
+    };
+    for Heard { age_ms, mut beacon } in beacons {
+        for statement in &mut beacon.rate_statements {
+            statement.age_ms += age_ms;
+        }
+        beacon::record(context, beacon, now - Span::from_millis(age_ms), now);
+    }
+}
--- a/crates/sg-gateway/src/exchange.rs
+++ b/crates/sg-gateway/src/exchange.rs
@@ -4,9 +4,8 @@
 
 use rand::seq::SliceRandom;
 use sg_mesh::{
-    Members, duty,
+    Members,
     frame::{Departure, Frame},
-    members::Member,
     relay,
 };
 use sg_place::{departure::Run, quota, relay::Peer};
@@ -20,21 +19,14 @@
 
 use crate::{
     Interpreter, Protocol, beacon,
-    daemon::{Context, INSTANCE_INDEX, OPERATOR_INDEX, TARGET_INDEX, WATCH_TIMEOUTS},
+    daemon::{Context, INSTANCE_INDEX, OPERATOR_INDEX, TARGET_INDEX},
+    digests, following,
 };
 
 /// The interval at which the demand for loans, the traffic plans and the fleet size are updated.
 const TICK_INTERVAL: Span = Span::from_millis(200);
 /// The number of ticks between two sweeps of idle connections to targets.
 const TICKS_PER_SWEEP: u32 = 5;
-/// The interval at which the store versions that other instances announce are compared with this
-/// instance's versions.
-const CATCH_UP_INTERVAL: Span = Span::from_millis(300);
-/// The time for which other instances have to know a newer store version before this instance fetches
-/// changes from one of them, if its store is silent but no call has failed.
-const CATCH_UP_DELAY: Span = Span::from_millis(1_000);
-/// The time beyond the watch timeout after which the store counts as silent if no call succeeded.
-const SILENCE_MARGIN: Span = Span::from_secs(1);
 /// The time after the start for which an instance that has not read the registered instances uses no
 /// fleet-wide budget. Afterwards the instance assumes a fleet of at least two instances per failure
 /// domain, so that it does not take more than its share of the budgets.
@@ -78,11 +70,11 @@
             let incarnation = beacon.incarnation;
             let is_neighbour = beacon.location.domain == context.settings.domain;
             if beacon::record(context, *beacon, now, now) && is_neighbour {
-                beacon::send_digests(context, now);
+                digests::send(context, now);
             }
             lend_wanted_tokens(context, incarnation, from, wanted_tokens);
         }
-        Frame::Digest(digest) => beacon::receive_digest(context, &digest, now),
+        Frame::Digest(digest) => digests::receive(context, &digest, now),
         Frame::Wanted {
             incarnation,
             tokens,
@@ -192,7 +184,7 @@
                 context.core.metrics.lateness.observe(tick.late.as_secs_f64());
                 tick_count += 1;
                 update_core(&context, tick.now);
-                update_following(&context, &mut follow_due_since, tick.now);
+                following::update(&context, &mut follow_due_since, tick.now);
                 if tick_count.is_multiple_of(TICKS_PER_SWEEP) {
                     context.core.connections.close_expired();
                 }
@@ -200,7 +192,7 @@
                 send_wanted(&context, &load.wanted_tokens, tick.now);
                 send_departures(&context, tick.now);
                 let core = &context.core;
-                let follows = beacon::follows_store(&context, tick.now);
+                let follows = following::reaches_store(&context, tick.now);
                 let state = (context.is_ready(), core.is_draining(), core.is_cut_off(), follows);
                 let is_due = tick.now.since(last_beacon) >= beacon::interval(&context, tick.now);
                 if is_due || last_state != Some(state) {
@@ -214,29 +206,6 @@
     }
 }
 
-/// Decides whether this instance follows the store itself. `due_since` is when nobody else began to.
-fn update_following<D, I, S>(
-    context: &Context<D, I, S>,
-    due_since: &mut Option<Instant>,
-    now: Instant,
-) {
-    let settings = &context.settings;
-    let delay = {
-        let members = context.members.lock();
-        duty::delay_to_follow(&members, &settings.instance, &settings.domain, now)
-    };
-    let must_follow = delay.is_some_and(|delay| {
-        let is_due = now.since(*due_since.get_or_insert(now)) >= delay;
-        is_due || context.replica.is_following()
-    });
-    if delay.is_none() {
-        *due_since = None;
-    }
-    if context.replica.set_following(must_follow) {
-        log::info!(following = must_follow; "duty to follow the store changed");
-    }
-}
-
 /// Sends a notice to all live instances, or a request for a loan to the holder that may lend.
 fn send_signal<D: Protocol, I: Interpreter, S: Store>(context: &Context<D, I, S>, signal: Signal) {
     let (frame, to) = match signal {
@@ -430,84 +399,3 @@
     let retained = replica.retained_count(OPERATOR_INDEX) + replica.retained_count(TARGET_INDEX);
     log::info!(answered, retained, era:% = replica.era(); "other instances asked for retained values");
 }
-
-/// Fetches changes from instances that know a newer store version, while this instance doesn't follow the
-/// store or can't reach it.
-pub(crate) async fn catch_up<D: Protocol, I: Interpreter, S: Store>(
-    context: Arc<Context<D, I, S>>,
-) {
-    let mut ticks = context.timer.every(CATCH_UP_INTERVAL);
-    let mut behind_since = [None; INSTANCE_INDEX + 1];
-    loop {
-        // Without a notification, the time is needed for fetches that failed.
-        tokio::select! {
-            _ = ticks.tick() => {}
-            () = context.ahead.notified() => {}
-        }
-        let now = context.timer.now();
-        for (index, since) in behind_since.iter_mut().enumerate() {
-            let ahead = instances_ahead(&context, index, now);
-            if ahead.is_empty() {
-                *since = None;
-                continue;
-            }
-            let since = *since.get_or_insert(now);
-            if is_fetch_due(&context, index, since, now) {
-                let chosen = ahead[rand::random_range(0..ahead.len())];
-                fetch_changes(&context, index, chosen).await;
-            }
-        }
-    }
-}
-
-/// Returns the live instances that know a newer store version of the prefix at `index`: those of the own
-/// failure domain, if there are any.
-fn instances_ahead<D, I, S>(
-    context: &Context<D, I, S>,
-    index: usize,
-    now: Instant,
-) -> Vec<SocketAddr> {
-    let own = context.replica.position(index);
-    let is_following = context.replica.is_following();
-    let members = context.members.lock();
-    let ahead = members.alive(now).filter(|member| match is_following {
-        true => member.beacon.position(index) > own,
-        false => member.beacon.last_change(index) > own,
-    });
-    let (near, far): (Vec<&Member>, Vec<&Member>) =
-        ahead.partition(|member| member.beacon.location.domain == context.settings.domain);
-    let chosen = if near.is_empty() { far } else { near };
-    let addresses = chosen
-        .iter()
-        .map(|member| member.beacon.location.mesh_address);
-    addresses.collect()
-}
-
-/// Returns whether to fetch from another instance: at once while this instance doesn't follow the store,
-/// while its calls to the store fail or before the first one succeeded, and after a delay while the store is only silent.
-fn is_fetch_due<D, I, S>(
-    context: &Context<D, I, S>,
-    index: usize,
-    behind_since: Instant,
-    now: Instant,
-) -> bool {
-    let contact = context.replica.contact(index);
-    if !context.replica.is_following()
-        || contact.failing_since.is_some()
-        || contact.last_success.is_none()
-    {
-        return true;
-    }
-    let is_silent = contact
-        .last_success
-        .is_none_or(|at| now.since(at) > WATCH_TIMEOUTS[index] + SILENCE_MARGIN);
-    is_silent && now.since(behind_since) >= CATCH_UP_DELAY
-}
-
-/// Fetches the changes of the prefix at `index` from another instance and logs the outcome.
-async fn fetch_changes<D, I, S>(context: &Context<D, I, S>, index: usize, from: SocketAddr) {
-    match relay::fetch(&context.replica, &context.timer, from, index).await {
-        Ok(count) => log::info!(from:% = from, index, count; "changes relayed"),
-        Err(error) => log::warn!(from:% = from, index, error:% = error; "changes not relayed"),
-    }
-}
--- /dev/null
+++ b/crates/sg-gateway/src/following.rs
@@ -0,0 +1,139 @@
+//! Follows the store through other instances: decides whether this instance has to follow the store itself, and
+//! fetches changes from those that know more.
+
+use std::net::SocketAddr;
+
+use sg_mesh::{duty, members::Member, relay};
+use sg_store::Store;
+use sg_types::prelude::*;
+
+use crate::{
+    Interpreter, Protocol,
+    daemon::{Context, INSTANCE_INDEX, OPERATOR_INDEX, TARGET_INDEX, WATCH_TIMEOUTS},
+};
+
+/// The interval at which the store versions that other instances announce are compared with this
+/// instance's versions.
+const CATCH_UP_INTERVAL: Span = Span::from_millis(300);
+/// The time for which other instances have to know a newer store version before this instance fetches
+/// changes from one of them, if its store is silent but no call has failed.
+const CATCH_UP_DELAY: Span = Span::from_millis(1_000);
+/// The time beyond the watch timeout after which the store counts as silent if no call succeeded.
+const SILENCE_MARGIN: Span = Span::from_secs(1);
+
+/// Returns whether this instance follows the store and reached it lately.
+pub(crate) fn reaches_store<D, I, S>(context: &Context<D, I, S>, now: Instant) -> bool {
+    let has_contact = |index: usize| {
+        let contact = context.replica.contact(index);
+        let silence = WATCH_TIMEOUTS[index] + SILENCE_MARGIN;
+        let is_fresh = contact
+            .last_success
+            .is_some_and(|at| now.since(at) <= silence);
+        contact.failing_since.is_none() && is_fresh
+    };
+    context.replica.is_following() && has_contact(OPERATOR_INDEX) && has_contact(TARGET_INDEX)
+}
+
+/// Decides whether this instance follows the store itself. `due_since` is when nobody else began to.
+pub(crate) fn update<D, I, S>(
+    context: &Context<D, I, S>,
+    due_since: &mut Option<Instant>,
+    now: Instant,
+) {
+    let settings = &context.settings;
+    let delay = {
+        let members = context.members.lock();
+        duty::delay_to_follow(&members, &settings.instance, &settings.domain, now)
+    };
+    let must_follow = delay.is_some_and(|delay| {
+        let is_due = now.since(*due_since.get_or_insert(now)) >= delay;
+        is_due || context.replica.is_following()
+    });
+    if delay.is_none() {
+        *due_since = None;
+    }
+    if context.replica.set_following(must_follow) {
+        log::info!(following = must_follow; "duty to follow the store changed");
+    }
+}
+
+/// Fetches changes from instances that know a newer store version, while this instance doesn't follow the
+/// store or can't reach it.
+pub(crate) async fn catch_up<D: Protocol, I: Interpreter, S: Store>(
+    context: Arc<Context<D, I, S>>,
+) {
+    let mut ticks = context.timer.every(CATCH_UP_INTERVAL);
+    let mut behind_since = [None; INSTANCE_INDEX + 1];
+    loop {
+        // Without a notification, the time is needed for fetches that failed.
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = context.ahead.notified() => {}
+        }
+        let now = context.timer.now();
+        for (index, since) in behind_since.iter_mut().enumerate() {
+            let ahead = instances_ahead(&context, index, now);
+            if ahead.is_empty() {
+                *since = None;
+                continue;
+            }
+            let since = *since.get_or_insert(now);
+            if is_fetch_due(&context, index, since, now) {
+                let chosen = ahead[rand::random_range(0..ahead.len())];
+                fetch_changes(&context, index, chosen).await;
+            }
+        }
+    }
+}
+
+/// Returns the live instances that know a newer store version of the prefix at `index`: those of the own
+/// failure domain, if there are any.
+fn instances_ahead<D, I, S>(
+    context: &Context<D, I, S>,
+    index: usize,
+    now: Instant,
+) -> Vec<SocketAddr> {
+    let own = context.replica.position(index);
+    let is_following = context.replica.is_following();
+    let members = context.members.lock();
+    let ahead = members.alive(now).filter(|member| match is_following {
+        true => member.beacon.position(index) > own,
+        false => member.beacon.last_change(index) > own,
+    });
+    let (near, far): (Vec<&Member>, Vec<&Member>) =
+        ahead.partition(|member| member.beacon.location.domain == context.settings.domain);
+    let chosen = if near.is_empty() { far } else { near };
+    let addresses = chosen
+        .iter()
+        .map(|member| member.beacon.location.mesh_address);
+    addresses.collect()
+}
+
+/// Returns whether to fetch from another instance: at once while this instance doesn't follow the store,
+/// while its calls to the store fail or before the first one succeeded, and after a delay while the store is only silent.
+fn is_fetch_due<D, I, S>(
+    context: &Context<D, I, S>,
+    index: usize,
+    behind_since: Instant,
+    now: Instant,
+) -> bool {
+    let contact = context.replica.contact(index);
+    if !context.replica.is_following()
+        || contact.failing_since.is_some()
+        || contact.last_success.is_none()
+    {
+        return true;
+    }
+    let is_silent = contact
+        .last_success
+        .is_none_or(|at| now.since(at) > WATCH_TIMEOUTS[index] + SILENCE_MARGIN);
+    is_silent && now.since(behind_since) >= CATCH_UP_DELAY
+}
+
+/// Fetches the changes of the prefix at `index` from another instance and logs the outcome.
+async fn fetch_changes<D, I, S>(context: &Context<D, I, S>, index: usize, from: SocketAddr) {
+    match relay::fetch(&context.replica, &context.timer, from, index).await {
+        Ok(count) => log::info!(from:% = from, index, count; "changes relayed"),
+        Err(error) => log::warn!(from:% = from, index, error:% = error; "changes not relayed"),
+    }
+}
--- a/crates/sg-gateway/src/lib.rs
+++ b/crates/sg-gateway/src/lib.rs
@@ -10,7 +10,9 @@
 mod beacon;
 pub mod budget;
 pub mod daemon;
+mod digests;
 mod exchange;
+mod following;
 mod health;
 pub mod logs;
 mod lookup;
