feat(sg-gateway): tell when instances of earlier builds are in the fleet, and when the last one is gone

During a replacement an operator has to know when the last instance of a build that needs beacons from everybody is gone.

Test: instances_of_earlier_builds_are_counted_while_they_live.

--- a/crates/sg-gateway/src/digests.rs
+++ b/crates/sg-gateway/src/digests.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::atomic::{AtomicU32, AtomicU64, Ordering},
+    sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
 };
 
 use parking_lot::Mutex;
@@ -25,6 +25,20 @@
     /// The number of digests sent so far.
     sent: AtomicU64,
     received: Mutex<Received>,
+    /// Whether instances of earlier builds were alive lately.
+    has_earlier_builds: AtomicBool,
+}
+
+/// Tells when the first instance of an earlier build is heard, and when the last one is gone.
+pub(crate) fn report_earlier_builds<D, I, S>(context: &Context<D, I, S>, now: Instant) {
+    let count = duty::earlier_builds(&context.members.lock(), now);
+    let had = context
+        .digests
+        .has_earlier_builds
+        .swap(count > 0, Ordering::Relaxed);
+    if had != (count > 0) {
+        log::info!(count; "instances of earlier builds");
+    }
 }
 
 /// Sends the beacons of this failure domain to the instances that exchange those of the others, if this
--- a/crates/sg-gateway/src/exchange.rs
+++ b/crates/sg-gateway/src/exchange.rs
@@ -184,6 +184,7 @@
                 context.core.metrics.lateness.observe(tick.late.as_secs_f64());
                 tick_count += 1;
                 update_core(&context, tick.now);
+                digests::report_earlier_builds(&context, tick.now);
                 following::update(&context, &mut follow_due_since, tick.now);
                 if tick_count.is_multiple_of(TICKS_PER_SWEEP) {
                     context.core.connections.close_expired();
--- a/crates/sg-mesh/src/duty.rs
+++ b/crates/sg-mesh/src/duty.rs
@@ -73,6 +73,13 @@
     takers
 }
 
+/// Returns the number of live instances of builds that don't read digests.
+#[must_use]
+pub fn earlier_builds(members: &Members, now: Instant) -> usize {
+    let alive = members.alive(now);
+    alive.filter(|member| !member.beacon.takes_digests).count()
+}
+
 /// Returns the instances of `domain` that were heard of lately and stay.
 fn fresh<'a>(
     members: &'a Members,
--- a/crates/sg-mesh/tests/mesh/duty.rs
+++ b/crates/sg-mesh/tests/mesh/duty.rs
@@ -109,6 +109,16 @@
     assert_eq!(receivers, [&name(0), &name(1), &name(3)]);
 }
 
+#[test]
+fn instances_of_earlier_builds_are_counted_while_they_live() {
+    let mut members = known_by(0, 5, |_| true);
+    let mut earlier = beacon(name(9).as_ref(), 1);
+    earlier.takes_digests = false;
+    members.record_beacon(earlier, at(1_000));
+    assert_eq!(duty::earlier_builds(&members, at(1_500)), 1);
+    assert_eq!(duty::earlier_builds(&members, at(9_000)), 0);
+}
+
 quickcheck! {
     /// Whatever each instance has heard, one that vouches for another one has heard of two followers; so
     /// nobody rests on instances that rest themselves, and each domain has a follower.
