fix(sg-gateway): no digests in the first half second, and one a tick for changes of neighbours

New instances had no targets for a second (`no-target`): each one took the exchange of beacons for its own duty until it had heard its neighbours, and sent a digest for each of their changes at once, which all others had to unpack.

Change: an instance that has just started sends beacons to all instances directly and no digest for 0.5 s; changes of neighbours are told with one digest at the next tick of 0.2 s. An instance's own changes go at once, as before.

Test: instances_that_start_at_the_same_moment_know_each_other_soon (0.19 s; 0.62 s without the direct beacons), changes_are_in_force_in_time_while_the_followers_of_a_zone_are_frozen_or_killed (127 and 127 ms, worst).

--- a/crates/sg-gateway/src/beacon.rs
+++ b/crates/sg-gateway/src/beacon.rs
@@ -94,7 +94,11 @@
     };
     *context.digests.own_beacon.lock() = Some((beacon.clone(), now));
     let number = context.digests.beacon_count.fetch_add(1, Ordering::Relaxed);
-    let addresses = receivers(context, number.is_multiple_of(INTERVALS_PER_DISCOVERY), now);
+    let discovers = number.is_multiple_of(INTERVALS_PER_DISCOVERY);
+    let addresses = match digests::is_settling(now) {
+        true => addresses(context, now),
+        false => receivers(context, discovers, now),
+    };
     let frame = Frame::Beacon(Box::new(beacon));
     context.gossip.send(&frame, addresses);
     digests::send(context, now);
--- a/crates/sg-gateway/src/digests.rs
+++ b/crates/sg-gateway/src/digests.rs
@@ -15,6 +15,10 @@
 
 use crate::{beacon, daemon::Context};
 
+/// The time after the start in which an instance sends no digests: until it has heard its neighbours, it would
+/// take every duty for its own, and beacons go to all instances directly then.
+const SETTLING_TIME: Span = Span::from_millis(500);
+
 /// The state of the exchange.
 #[derive(Debug, Default)]
 pub(crate) struct State {
@@ -25,10 +29,31 @@
     /// The number of digests sent so far.
     sent: AtomicU64,
     received: Mutex<Received>,
+    /// Whether a neighbour has told something that other failure domains have to know soon.
+    is_requested: AtomicBool,
     /// Whether instances of earlier builds were alive lately.
     has_earlier_builds: AtomicBool,
 }
 
+/// Returns whether this instance has just started.
+pub(crate) fn is_settling(now: Instant) -> bool {
+    now.since(Instant::START) < SETTLING_TIME
+}
+
+impl State {
+    /// Asks for a digest at the next tick, so that changes of many neighbours at once take one digest.
+    pub fn request(&self) {
+        self.is_requested.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Sends the digest that was asked for since the last tick, if any.
+pub(crate) fn send_requested<D, I, S>(context: &Context<D, I, S>, now: Instant) {
+    if context.digests.is_requested.swap(false, Ordering::Relaxed) {
+        send(context, now);
+    }
+}
+
 /// Tells when the first instance of an earlier build is heard, and when the last one is gone.
 pub(crate) fn report_earlier_builds<D, I, S>(context: &Context<D, I, S>, now: Instant) {
     let count = duty::earlier_builds(&context.members.lock(), now);
@@ -44,6 +69,9 @@
 /// Sends the beacons of this failure domain to the instances that exchange those of the others, if this
 /// instance does so for its own one.
 pub(crate) fn send<D, I, S>(context: &Context<D, I, S>, now: Instant) {
+    if is_settling(now) {
+        return;
+    }
     let settings = &context.settings;
     let Some((own, own_at)) = context.digests.own_beacon.lock().clone() else {
         return;
--- a/crates/sg-gateway/src/exchange.rs
+++ b/crates/sg-gateway/src/exchange.rs
@@ -70,7 +70,7 @@
             let incarnation = beacon.incarnation;
             let is_neighbour = beacon.location.domain == context.settings.domain;
             if beacon::record(context, *beacon, now, now) && is_neighbour {
-                digests::send(context, now);
+                context.digests.request();
             }
             lend_wanted_tokens(context, incarnation, from, wanted_tokens);
         }
@@ -185,6 +185,7 @@
                 tick_count += 1;
                 update_core(&context, tick.now);
                 digests::report_earlier_builds(&context, tick.now);
+                digests::send_requested(&context, tick.now);
                 following::update(&context, &mut follow_due_since, tick.now);
                 if tick_count.is_multiple_of(TICKS_PER_SWEEP) {
                     context.core.connections.close_expired();
