fix(sg-place): notice a cut that quarantines hide, and forget all its losses

With few different requests all of them are quarantined first; nothing is sent any more, so that nobody notices the cut and the quarantine stays in force in the whole fleet.

Change: failures keep their first time, bounded by DETECTION_TIME; a quarantine that rests on losses of this instance starts a round of health checks. The round asks targets that have not failed lately first, so that a request which does crash targets isn't taken for a cut.

--- a/crates/sg-place/src/quarantine.rs
+++ b/crates/sg-place/src/quarantine.rs
@@ -159,6 +159,22 @@
         (until > now).then(|| until.since(now))
     }
 
+    /// Returns whether a request is quarantined because of losses of this instance, among others.
+    #[must_use]
+    pub fn rests_on_own_losses(
+        &self,
+        account: Option<&id::Account>,
+        fingerprint: Fingerprint,
+        now: Instant,
+    ) -> bool {
+        let suspects = self.accounts.get(&account.cloned());
+        let suspect = suspects.and_then(|suspects| suspects.get(&fingerprint));
+        suspect.is_some_and(|suspect| {
+            let mut losses = suspect.losses.iter();
+            suspect.is_quarantined(now) && losses.any(|loss| loss.reporter.is_none())
+        })
+    }
+
     /// Clears the suspicion against a request after a complete response, which shows that the
     /// request causes no more losses than others do. A quarantine in force stays.
     pub fn clear(&mut self, account: Option<&id::Account>, fingerprint: Fingerprint, now: Instant) {
--- a/crates/sg-place/src/reach.rs
+++ b/crates/sg-place/src/reach.rs
@@ -4,6 +4,9 @@
 //! fault is this instance's own. A round of health checks over all failure domains then confirms or refutes
 //! the suspicion. Successes on open connections don't refute failures of new ones, because open
 //! connections may outlive the path to a target.
+//!
+//! A quarantine that rests on losses of this instance raises the suspicion too: once requests are
+//! quarantined, they are no longer sent, and no further failures would.
 
 use sg_types::prelude::*;
 
@@ -13,32 +16,63 @@
 const MIN_FAILED_DOMAINS: usize = 2;
 /// How long a failure counts.
 const FAILURE_LIFETIME: Span = Span::from_secs(3);
+/// Greatest time from the start of a cut until this instance and the others know of the cut. Failures before
+/// say nothing of the cut.
+pub const DETECTION_TIME: Span = Span::from_secs(5);
+
+/// The failures at one target since its last response.
+#[derive(Debug, Clone)]
+struct TargetFailures {
+    domain: id::Domain,
+    first: Instant,
+    last: Instant,
+}
+
+impl TargetFailures {
+    fn is_recent(&self, now: Instant) -> bool {
+        now.since(self.last) < FAILURE_LIFETIME
+    }
+}
 
 /// Recent failures, by target.
 #[derive(Debug, Clone, Default)]
 struct Failures {
-    by_target: IndexMap<id::Target, (id::Domain, Instant)>,
+    by_target: IndexMap<id::Target, TargetFailures>,
 }
 
 impl Failures {
     fn record(&mut self, target: &id::Target, domain: &id::Domain, now: Instant) {
-        self.by_target
-            .retain(|_, (_, at)| now.since(*at) < FAILURE_LIFETIME);
-        self.by_target.insert(target.clone(), (domain.clone(), now));
+        self.by_target.retain(|_, failures| failures.is_recent(now));
+        let failures = self.by_target.entry(target.clone());
+        let failures = failures.or_insert_with(|| TargetFailures {
+            domain: domain.clone(),
+            first: now,
+            last: now,
+        });
+        failures.last = now;
+    }
+
+    /// Returns the failures of targets that failed lately.
+    fn recent(&self, now: Instant) -> impl Iterator<Item = &TargetFailures> {
+        let failures = self.by_target.values();
+        failures.filter(move |failures| failures.is_recent(now))
     }
 
-    /// Returns the time of the first recent failure.
+    /// Returns the time of the first failure at a target that still failed lately.
     fn first(&self, now: Instant) -> Option<Instant> {
-        let times = self.by_target.values().map(|(_, at)| *at);
-        times.filter(|at| now.since(*at) < FAILURE_LIFETIME).min()
+        self.recent(now).map(|failures| failures.first).min()
+    }
+
+    fn contains(&self, target: &id::Target, now: Instant) -> bool {
+        let failures = self.by_target.get(target);
+        failures.is_some_and(|failures| failures.is_recent(now))
     }
 
     /// Returns whether the failures concern as many targets and domains as raise the suspicion, out of
     /// `targets` and `domains` that exist.
     fn are_widespread(&self, targets: usize, domains: usize, now: Instant) -> bool {
-        let recent = self.by_target.values();
-        let recent = recent.filter(|(_, at)| now.since(*at) < FAILURE_LIFETIME);
-        let failed: Vec<&id::Domain> = recent.map(|(domain, _)| domain).collect();
+        let recent = self.recent(now);
+        let failed: Vec<&id::Domain> = recent.map(|failures| &failures.domain).collect();
         let failed_domains: IndexSet<&id::Domain> = failed.iter().copied().collect();
         targets > 0
             && failed.len() >= MIN_FAILED_TARGETS.min(targets)
@@ -53,6 +87,8 @@
     unreached: Failures,
     /// Requests without a response since the last response.
     unanswered: Failures,
+    /// The last time at which a request was quarantined because of losses of this instance.
+    quarantined_at: Option<Instant>,
     cut_off_since: Option<Instant>,
 }
 
@@ -67,9 +103,21 @@
         self.unanswered.record(target, domain, now);
     }
 
+    /// Records that a request is quarantined because of losses of this instance.
+    pub fn record_quarantine(&mut self, now: Instant) {
+        self.quarantined_at = Some(now);
+    }
+
+    /// Returns whether a target failed lately and has not responded since.
+    #[must_use]
+    pub fn has_failed(&self, target: &id::Target, now: Instant) -> bool {
+        self.unreached.contains(target, now) || self.unanswered.contains(target, now)
+    }
+
     /// Records that a target responded. `is_new` says whether the connection was opened for the request.
     pub fn record_response(&mut self, is_new: bool) {
         self.unanswered.by_target.clear();
+        self.quarantined_at = None;
         if is_new {
             self.unreached.by_target.clear();
         }
@@ -79,7 +127,9 @@
     /// arguments are the numbers of targets and of their failure domains.
     #[must_use]
     pub fn needs_check(&self, targets: usize, domains: usize, now: Instant) -> bool {
+        let has_quarantined = |at| now.since(at) < FAILURE_LIFETIME;
         self.is_cut_off()
+            || self.quarantined_at.is_some_and(has_quarantined)
             || self.unreached.are_widespread(targets, domains, now)
             || self.unanswered.are_widespread(targets, domains, now)
     }
@@ -90,15 +140,16 @@
         self.cut_off_since.is_some()
     }
 
-    /// Records a round of health checks that no target responded to. Returns the time of the first failure
-    /// if the instance was not known to be cut off.
+    /// Records a round of health checks that no target responded to. Returns the time of the first failure,
+    /// at most [`DETECTION_TIME`] ago, if the instance was not known to be cut off.
     pub fn record_failed_round(&mut self, now: Instant) -> Option<Instant> {
         if self.is_cut_off() {
             return None;
         }
         let first = [&self.unreached, &self.unanswered];
         let first = first.into_iter().filter_map(|failures| failures.first(now));
-        self.cut_off_since = Some(first.min().unwrap_or(now));
+        let first = first.min().unwrap_or(now);
+        self.cut_off_since = Some(first.max(now - DETECTION_TIME));
         self.cut_off_since
     }
 
--- a/crates/sg-place/tests/place/reach.rs
+++ b/crates/sg-place/tests/place/reach.rs
@@ -170,6 +170,55 @@
     assert!(candidates(&["east"], &["north"], &[]).is_empty());
 }
 
+/// Guards against losses that stay on record because a target failed twice before the cut was noticed.
+#[test]
+fn cut_begins_with_the_first_failure_of_targets_that_fail_again() {
+    let mut reach = Reach::default();
+    fail(&mut reach, [0, 1], 1_000);
+    fail(&mut reach, [1, 0, 2], 1_400);
+    assert!(needs_check(&reach, 1_500));
+    assert_eq!(reach.record_failed_round(at(1_800)), Some(at(1_000)));
+    assert_eq!(reach.record_reached(), Some(at(1_000)));
+}
+
+/// Guards against a cut that nobody notices because all requests are quarantined before enough targets have
+/// failed.
+#[test]
+fn quarantine_on_losses_of_this_instance_raises_the_suspicion() {
+    let mut reach = Reach::default();
+    fail(&mut reach, [0], 1_000);
+    assert!(!needs_check(&reach, 1_050));
+    reach.record_quarantine(at(1_050));
+    assert!(needs_check(&reach, 1_100));
+    let (target, _) = names(0);
+    assert!(reach.has_failed(&target, at(1_100)));
+    let mut answered = reach.clone();
+    answered.record_response(false);
+    assert!(!needs_check(&answered, 1_100));
+    assert!(!needs_check(&reach, 4_100));
+    assert!(!reach.has_failed(&target, at(4_100)));
+    assert_eq!(reach.record_failed_round(at(1_200)), Some(at(1_000)));
+}
+
+#[test]
+fn quarantine_rests_on_own_losses_until_these_are_forgotten() {
+    let mut table = Table::after(2);
+    let fingerprint = Fingerprint::new(7);
+    let length = Span::from_secs(60);
+    let other: id::Instance = "front-2".parse().expect("a name");
+    let is_own = |table: &Table| table.rests_on_own_losses(None, fingerprint, at(1_300));
+    table.note(suspicion(0), length, at(1_000));
+    assert!(!is_own(&table), "one loss is no quarantine");
+    assert!(table.note_reported(suspicion(1), other.clone(), length, at(1_100)));
+    assert!(is_own(&table));
+    table.note_reported(suspicion(2), other, length, at(1_200));
+    assert!(!is_own(&table), "only losses of the other are left");
+    table.note(suspicion(3), length, at(1_250));
+    assert!(is_own(&table));
+    table.forget_losses(None, at(1_000));
+    assert!(!is_own(&table));
+}
+
 fn suspicion(target: usize) -> Suspicion {
     Suspicion {
         account: None,
--- a/crates/sg-proxy/src/core.rs
+++ b/crates/sg-proxy/src/core.rs
@@ -10,7 +10,7 @@
 use sg_catalog::Catalog;
 use sg_clock::Timer;
 use sg_place::{
-    Target, location::Location, quarantine::Suspicion, quota, relay::Peer, retry,
+    Target, location::Location, quarantine::Suspicion, quota, reach, relay::Peer, retry,
     self_report::SelfReport,
 };
 use sg_types::prelude::*;
@@ -31,8 +31,7 @@
 const MAX_HOLDERS_ASKED: u32 = 2;
 /// Length of the quarantine of a request that crashes targets, as long as its caller may retry.
 const QUARANTINE_DURATION: Span = Span::from_secs(60);
-/// Maximum time from the loss of the paths to all targets until other instances know of it.
-const CUT_DETECTION_TIME: Span = Span::from_secs(5);
+
 /// Fleet-wide limits and the location of the instance, as deployed.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -444,27 +443,36 @@
             target: target.clone(),
             in_flight: *in_flight,
         };
-        let now = self.timer.now();
-        let mut state = self.state.lock();
-        let table = &mut state.quarantine;
-        if table.note_reported(suspicion, from, QUARANTINE_DURATION, now) {
-            log::warn!(fingerprint:% = fingerprint; "request quarantined");
-        }
+        self.record_loss(suspicion, Some(from));
     }
 
     /// Forgets what `from` told of lost targets lately, because it has lost its paths to all targets.
     pub fn forget_losses(&self, from: &id::Instance) {
-        let since = self.timer.now() - CUT_DETECTION_TIME;
+        let since = self.timer.now() - reach::DETECTION_TIME;
         let mut state = self.state.lock();
         state.quarantine.forget_losses(Some(from), since);
     }
 
+    /// Records the loss of a target that this instance noticed.
     pub(crate) fn record_suspicion(&self, suspicion: Suspicion) {
+        self.record_loss(suspicion, None);
+    }
+
+    /// Records the loss of a target that `reporter` told of, or this instance noticed if it is `None`.
+    fn record_loss(&self, suspicion: Suspicion, reporter: Option<id::Instance>) {
         let now = self.timer.now();
-        let fingerprint = suspicion.fingerprint;
+        let (account, fingerprint) = (suspicion.account.clone(), suspicion.fingerprint);
         let mut state = self.state.lock();
         let table = &mut state.quarantine;
-        if table.note(suspicion, QUARANTINE_DURATION, now) {
+        let has_begun = match reporter {
+            Some(from) => table.note_reported(suspicion, from, QUARANTINE_DURATION, now),
+            None => table.note(suspicion, QUARANTINE_DURATION, now),
+        };
+        if table.rests_on_own_losses(account.as_ref(), fingerprint, now) {
+            state.reach.record_quarantine(now);
+        }
+        drop(state);
+        if has_begun {
             log::warn!(fingerprint:% = fingerprint; "request quarantined");
         }
     }
--- a/crates/sg-proxy/src/reach.rs
+++ b/crates/sg-proxy/src/reach.rs
@@ -49,7 +49,8 @@
     }
 
     /// Returns a target of each failure domain for a round of health checks, with its address and the path
-    /// to request, while this instance may be cut off from all targets.
+    /// to request, while this instance may be cut off from all targets. Targets that have not failed lately
+    /// come first: if the targets are at fault, only these respond.
     #[must_use]
     pub fn reach_checks(&self) -> Vec<(id::Target, SocketAddr, Arc<str>)> {
         let Some(catalog) = self.catalog() else {
@@ -63,7 +64,12 @@
             return Vec::new();
         }
         let mut rng = rand::rng();
-        let chosen = by_domain.values().filter_map(|all| all.choose(&mut rng));
+        let chosen = by_domain.values().filter_map(|all| {
+            let others = all.iter().filter(|t| !state.reach.has_failed(&t.id, now));
+            let others: Vec<&Target> = others.copied().collect();
+            let candidates = if others.is_empty() { all } else { &others };
+            candidates.choose(&mut rng).copied()
+        });
         let checks = chosen.filter_map(|target| {
             let service = catalog.services.get(&target.service)?;
             let path = service.health_path.clone();
