fix(sg-mesh): list the store before asking others for it

Cause: a starting instance is behind everybody.

Change: the decision is code of its own (`lag`); the first listing gets 0.3 s before another instance is asked, unless a call has failed. The other cases are as before.

--- a/crates/sg-gateway/src/following.rs
+++ b/crates/sg-gateway/src/following.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use sg_mesh::{duty, members::Member, relay};
+use sg_mesh::{duty, lag::Lag, members::Member, relay};
 use sg_store::Store;
 use sg_types::prelude::*;
 
@@ -15,9 +15,6 @@
 /// The interval at which the store versions that other instances announce are compared with this
 /// instance's versions.
 const CATCH_UP_INTERVAL: Span = Span::from_millis(300);
-/// The time for which other instances have to know a newer store version before this instance fetches
-/// changes from one of them, if its store is silent but no call has failed.
-const CATCH_UP_DELAY: Span = Span::from_millis(1_000);
 /// The time beyond the watch timeout after which the store counts as silent if no call succeeded.
 const SILENCE_MARGIN: Span = Span::from_secs(1);
 
@@ -109,25 +106,22 @@
     addresses.collect()
 }
 
-/// Returns whether to fetch from another instance: at once while this instance doesn't follow the store,
-/// while its calls to the store fail or before the first one succeeded, and after a delay while the store is only silent.
+/// Returns whether to fetch the changes of the prefix at `index` from an instance that has known more since
+/// `behind_since`.
 fn is_fetch_due<D, I, S>(
     context: &Context<D, I, S>,
     index: usize,
     behind_since: Instant,
     now: Instant,
 ) -> bool {
-    let contact = context.replica.contact(index);
-    if !context.replica.is_following()
-        || contact.failing_since.is_some()
-        || contact.last_success.is_none()
-    {
-        return true;
-    }
-    let is_silent = contact
-        .last_success
-        .is_none_or(|at| now.since(at) > WATCH_TIMEOUTS[index] + SILENCE_MARGIN);
-    is_silent && now.since(behind_since) >= CATCH_UP_DELAY
+    let lag = Lag {
+        is_initialized: context.replica.is_initialized(index),
+        is_following: context.replica.is_following(),
+        contact: context.replica.contact(index),
+        silence_timeout: WATCH_TIMEOUTS[index] + SILENCE_MARGIN,
+        behind: now.since(behind_since),
+    };
+    lag.must_fetch(now)
 }
 
 /// Fetches the changes of the prefix at `index` from another instance and logs the outcome.
--- /dev/null
+++ b/crates/sg-mesh/src/lag.rs
@@ -0,0 +1,52 @@
+//! Decides whether an instance fetches changes of the store from another instance that knows more.
+//!
+//! The load: after the loss of a whole fleet all instances read the store at the same time. Whoever is ready
+//! first must not be asked for everything by all others, which are about to know the same, while the first
+//! requests arrive.
+
+use sg_types::prelude::*;
+
+use crate::follower::StoreContact;
+
+/// Time for the first listing of a prefix, in which no other instance is asked for the prefix.
+const FIRST_LISTING_TIME: Span = Span::from_millis(300);
+/// Time for which others have to know more before one of them is asked, while the store is silent but no
+/// call has failed.
+const SILENT_STORE_DELAY: Span = Span::from_secs(1);
+
+/// How an instance stands that knows less of a prefix than another one.
+#[derive(Debug, Clone, Copy)]
+pub struct Lag {
+    /// Whether the instance has read the prefix at least once.
+    pub is_initialized: bool,
+    /// Whether the instance follows the store itself.
+    pub is_following: bool,
+    /// The contact of the instance with the store.
+    pub contact: StoreContact,
+    /// Time without a successful call after which the store counts as silent.
+    pub silence_timeout: Span,
+    /// Time for which another instance has known more.
+    pub behind: Span,
+}
+
+impl Lag {
+    /// Returns whether to fetch from an instance that knows more.
+    ///
+    /// That is so while calls to the store fail and while the instance doesn't follow the store, but not before
+    /// its first listing had time to end. An instance that follows the store waits for the store unless the
+    /// store is silent.
+    #[must_use]
+    pub fn must_fetch(&self, now: Instant) -> bool {
+        if self.contact.failing_since.is_some() {
+            return true;
+        }
+        if !self.is_initialized {
+            return self.behind >= FIRST_LISTING_TIME;
+        }
+        let Some(last_success) = self.contact.last_success else {
+            return true;
+        };
+        let is_silent = now.since(last_success) > self.silence_timeout;
+        !self.is_following || is_silent && self.behind >= SILENT_STORE_DELAY
+    }
+}
--- a/crates/sg-mesh/src/lib.rs
+++ b/crates/sg-mesh/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod follower;
 pub mod frame;
 pub mod gossip;
+pub mod lag;
 pub mod members;
 pub mod mirror;
 pub mod relay;
--- /dev/null
+++ b/crates/sg-mesh/tests/mesh/lag.rs
@@ -0,0 +1,66 @@
+//! When an instance that knows less of the store than another one asks that one.
+
+use sg_mesh::{follower::StoreContact, lag::Lag};
+use sg_types::prelude::*;
+
+fn at(millis: u64) -> Instant {
+    Instant::START + Span::from_millis(millis)
+}
+
+/// Returns how an instance stands that follows a store which responded at 1 s.
+fn follower() -> Lag {
+    Lag {
+        is_initialized: true,
+        is_following: true,
+        contact: StoreContact {
+            last_success: Some(at(1_000)),
+            ..StoreContact::default()
+        },
+        silence_timeout: Span::from_secs(3),
+        behind: Span::ZERO,
+    }
+}
+
+/// Guards against a start of all instances at once in which the first one that is ready is asked for the
+/// whole store by all others, which are reading the store themselves.
+#[test]
+fn starting_instance_lists_the_store_before_it_asks_others() {
+    for is_following in [true, false] {
+        let mut lag = Lag {
+            is_initialized: false,
+            is_following,
+            contact: StoreContact::default(),
+            ..follower()
+        };
+        lag.behind = Span::from_millis(250);
+        assert!(!lag.must_fetch(at(400)), "following: {is_following}");
+        lag.behind = Span::from_millis(350);
+        assert!(lag.must_fetch(at(500)), "following: {is_following}");
+    }
+}
+
+#[test]
+fn instance_whose_calls_fail_asks_at_once() {
+    let mut lag = follower();
+    lag.contact.failing_since = Some(at(1_100));
+    assert!(lag.must_fetch(at(1_100)));
+    lag.is_initialized = false;
+    assert!(lag.must_fetch(at(1_100)));
+}
+
+#[test]
+fn instance_that_does_not_follow_asks_at_once() {
+    let mut lag = follower();
+    lag.is_following = false;
+    assert!(lag.must_fetch(at(1_100)));
+}
+
+#[test]
+fn follower_waits_for_the_store_unless_the_store_is_silent() {
+    let mut lag = follower();
+    lag.behind = Span::from_secs(2);
+    assert!(!lag.must_fetch(at(3_900)));
+    assert!(lag.must_fetch(at(4_100)));
+    lag.behind = Span::from_millis(900);
+    assert!(!lag.must_fetch(at(4_100)));
+}
--- a/crates/sg-mesh/tests/mesh/main.rs
+++ b/crates/sg-mesh/tests/mesh/main.rs
@@ -5,6 +5,7 @@
 mod digest;
 mod duty;
 mod follower;
+mod lag;
 mod members;
 mod mirror;
 mod restore;
