perf(sg-mesh): digests take two ways instead of six

Cause: each of a domain's two exchangers sent every digest to two fixed and one drawn instance of each other domain.

Change: the first exchanger sends to the first one of the other domain, the second to any other one. A domain still hears of another on two ways that share no instance.

--- a/crates/sg-gateway/src/digests.rs
+++ b/crates/sg-gateway/src/digests.rs
@@ -77,9 +77,10 @@
         return;
     };
     let members = context.members.lock();
-    if !duty::must_exchange(&members, &settings.instance, &settings.domain, now) {
+    let place = duty::exchange_place(&members, &settings.instance, &settings.domain, now);
+    let Some(place) = place else {
         return;
-    }
+    };
     let alive = members.alive(now);
     let neighbours = alive.filter(|member| member.beacon.location.domain == settings.domain);
     let neighbours = neighbours.map(|member| (member.beacon.clone(), member.last_seen));
@@ -97,7 +98,7 @@
         .keys()
         .filter(|domain| **domain != settings.domain);
     let draw = |count| rand::random_range(0..count);
-    let receivers = domains.flat_map(|domain| duty::receivers(&members, domain, now, draw));
+    let receivers = domains.filter_map(|domain| duty::receiver(&members, domain, place, now, draw));
     let receivers = receivers.map(|member| member.beacon.location.mesh_address);
     let receivers: Vec<SocketAddr> = receivers.collect();
     drop(members);
--- a/crates/sg-mesh/src/duty.rs
+++ b/crates/sg-mesh/src/duty.rs
@@ -40,37 +40,45 @@
     Some(TAKEOVER_STEP.mul_f64(places as f64))
 }
 
-/// Returns whether `own` exchanges beacons with other domains for its own one.
+/// Returns the place of `own` among the instances that exchange beacons with other domains for its own one, or
+/// `None` if it doesn't.
 #[must_use]
-pub fn must_exchange(
+pub fn exchange_place(
     members: &Members,
     own: &id::Instance,
     domain: &id::Domain,
     now: Instant,
-) -> bool {
+) -> Option<usize> {
     let earlier = fresh(members, domain, now)
         .filter(|member| member.beacon.takes_digests && member.beacon.instance < *own);
-    earlier.count() < HOLDERS
+    let place = earlier.count();
+    (place < HOLDERS).then_some(place)
 }
 
-/// Returns the instances of `domain`, another one than the own, that get digests: those that exchange the
-/// beacons of that domain, and one more by `draw`, which returns an index below its argument. Without the
-/// latter a domain would hear nothing for as long as it takes to notice that both are gone.
+/// Returns the member of `domain`, another one than the own, that gets the digests of the instance at `place`
+/// of its own domain.
+///
+/// A domain hears of each other one on two ways that share no instance: the first instance that exchanges
+/// beacons sends to the first one there, the second to any other one by `draw`, which returns an index below
+/// its argument. The draw reaches the domain while those that exchange its beacons are gone and nobody has
+/// noticed.
 #[must_use]
-pub fn receivers<'a>(
+pub fn receiver<'a>(
     members: &'a Members,
     domain: &id::Domain,
+    place: usize,
     now: Instant,
     draw: impl FnOnce(usize) -> usize,
-) -> Vec<&'a Member> {
+) -> Option<&'a Member> {
     let takers = fresh(members, domain, now).filter(|member| member.beacon.takes_digests);
     let mut takers: Vec<&Member> = takers.collect();
     takers.sort_by(|a, b| a.beacon.instance.cmp(&b.beacon.instance));
-    let others = takers.split_off(takers.len().min(HOLDERS));
-    if !others.is_empty() {
-        takers.push(others[draw(others.len())]);
+    match takers.as_slice() {
+        [] => None,
+        [first] => Some(first),
+        [first, ..] if place == 0 => Some(first),
+        [_, others @ ..] => Some(others[draw(others.len())]),
     }
-    takers
 }
 
 /// Returns the number of live instances of builds that don't read digests.
--- a/crates/sg-mesh/tests/mesh/duty.rs
+++ b/crates/sg-mesh/tests/mesh/duty.rs
@@ -96,17 +96,40 @@
         members.record_beacon(beacon, at(1_000));
     }
     assert_eq!(delay(&members, 9, 1_100), Some(Span::ZERO));
-    assert!(duty::must_exchange(
-        &members,
-        &name(9),
-        &domain(),
-        at(1_100)
-    ));
-    let domain = "b".parse().expect("a name");
-    let receivers = duty::receivers(&members, &domain, at(1_100), |count| count - 1);
-    let receivers = receivers.iter().map(|member| &member.beacon.instance);
-    let receivers: Vec<_> = receivers.collect();
-    assert_eq!(receivers, [&name(0), &name(1), &name(3)]);
+    let place = duty::exchange_place(&members, &name(9), &domain(), at(1_100));
+    assert_eq!(place, Some(0));
+}
+
+#[test]
+fn two_instances_exchange_the_beacons_of_a_domain() {
+    let place = |own: usize, now: u64| {
+        let members = known_by(own, 13, |_| false);
+        duty::exchange_place(&members, &name(own), &domain(), at(now))
+    };
+    let places: Vec<Option<usize>> = (0..4).map(|own| place(own, 1_500)).collect();
+    assert_eq!(places, [Some(0), Some(1), None, None]);
+    assert_eq!(place(9, 2_301), Some(0), "nobody was heard lately");
+}
+
+/// Guards against a failure domain that hears of another one on one way only, and against copies of digests
+/// that grow with the number of those who exchange them.
+#[test]
+fn digests_take_two_ways_that_share_no_instance() {
+    let members = known_by(99, 13, |_| true);
+    let receiver = |place: usize, drawn: usize, now: u64| {
+        let found = duty::receiver(&members, &domain(), place, at(now), |count| drawn % count);
+        found.map(|member| member.beacon.instance.clone())
+    };
+    for drawn in 0..40 {
+        assert_eq!(receiver(0, drawn, 1_100), Some(name(0)));
+        assert_eq!(receiver(1, drawn, 1_100), Some(name(1 + drawn % 12)));
+    }
+    assert_eq!(receiver(0, 0, 2_301), None, "nobody was heard lately");
+    let single = known_by(99, 1, |_| true);
+    for place in 0..2 {
+        let found = duty::receiver(&single, &domain(), place, at(1_100), |count| count - 1);
+        assert_eq!(found.map(|member| &member.beacon.instance), Some(&name(0)));
+    }
 }
 
 #[test]
