--- a/crates/sg-gateway/src/daemon.rs
+++ b/crates/sg-gateway/src/daemon.rs
@@ -292,7 +292,6 @@
             prefix,
             watch_timeout: WATCH_TIMEOUTS[index],
             min_watch_interval,
-            lists_copy: index == TARGET_INDEX,
         };
         let (replica, store) = (context.replica.clone(), context.store.clone());
         tasks.spawn(follower::run(
--- a/crates/sg-mesh/src/follower.rs
+++ b/crates/sg-mesh/src/follower.rs
@@ -30,9 +30,6 @@
     pub watch_timeout: Span,
     /// The least time between the starts of two watches, which limits the rate of calls.
     pub min_watch_interval: Span,
-    /// Whether to list the prefix from a copy of the store and to catch up with a watch, which costs the
-    /// platform less if the prefix takes several pages.
-    pub lists_copy: bool,
 }
 
 /// Changes of one followed prefix.
@@ -329,26 +326,11 @@
     index: usize,
     options: &Options,
 ) -> Result<(), Error> {
-    let page = match options.lists_copy {
-        true => list_copy(store, &options.prefix).await?,
-        false => store.list(&options.prefix).await?,
-    };
+    let page = store.list(&options.prefix).await?;
     replica.apply_listing(index, page);
     Ok(())
 }
 
-/// Lists a prefix from a copy of the store, with the changes since. Nothing of the copy is used before it has
-/// caught up: the copy may hold what was withdrawn seconds ago.
-async fn list_copy<S: Store>(store: &S, prefix: &str) -> Result<Page, Error> {
-    let page = store.list_stale(prefix).await?;
-    match store.watch(prefix, page.version, Span::ZERO).await {
-        Ok(changes) if changes.version.era() == page.version.era() => Ok(page.updated(changes)),
-        // The copy is older than the history of the store, or of an earlier era.
-        Ok(_) | Err(Error::HistoryCompacted | Error::EraEnded) => store.list(prefix).await,
-        Err(error) => Err(error),
-    }
-}
-
 async fn watch_prefix<S: Store>(
     replica: &Replica,
     store: &S,
--- a/crates/sg-mesh/tests/mesh/follower.rs
+++ b/crates/sg-mesh/tests/mesh/follower.rs
@@ -19,7 +19,6 @@
         prefix: PREFIX.into(),
         watch_timeout: Span::from_millis(500),
         min_watch_interval: Span::from_millis(100),
-        lists_copy: true,
     };
     let follower = follower::run(replica.clone(), store.clone(), timer.clone(), 0, options);
     tokio::spawn(follower);
@@ -107,57 +106,3 @@
     );
     assert!(relay::fetch(&far, &timer, address, 9).await.is_err());
 }
-
-/// Guards against a target that has left, or a key that was withdrawn, being used again by an instance that
-/// starts and reads a copy of the store from before.
-#[tokio::test(start_paused = true)]
-async fn start_from_a_copy_shows_nothing_of_the_past() {
-    let timer = Timer::new();
-    let store = memory::Store::new(timer.clone());
-    let operator = store.connect();
-    for (key, value) in [("t/gone", "one"), ("t/kept", "one"), ("t/changed", "one")] {
-        write(&operator, key, value).await;
-    }
-    operator.keep_copy();
-    let gone = operator.get("t/gone").await.expect("a response");
-    let version = gone.expect("an entry").version;
-    assert!(matches!(operator.remove("t/gone", version).await, Ok(true)));
-    write(&operator, "t/changed", "two").await;
-    write(&operator, "t/new", "one").await;
-    let (replica, mut updates) = start(&store, &timer);
-    let changes = next_changes(&mut updates).await;
-    let changes: Vec<(&str, Option<Bytes>)> = changes
-        .iter()
-        .map(|change| (&*change.key, change.value.clone()))
-        .collect();
-    let value = |text: &'static str| Some(Bytes::from(text));
-    let expected = [
-        ("t/changed", value("two")),
-        ("t/kept", value("one")),
-        ("t/new", value("one")),
-    ];
-    assert_eq!(changes, expected);
-    assert_eq!(replica.position(0), Version::new(6));
-    assert_eq!(store.calls().reads, 0);
-    assert_eq!(store.calls().stale_reads, 1);
-}
-
-/// Guards against a start that fails, or keeps the past, because the copy is older than the store's history.
-#[tokio::test(start_paused = true)]
-async fn start_from_a_copy_without_history_lists_the_store() {
-    let timer = Timer::new();
-    let store = memory::Store::new(timer.clone());
-    let operator = store.connect();
-    write(&operator, "t/gone", "one").await;
-    operator.keep_copy();
-    let gone = operator.get("t/gone").await.expect("a response");
-    let version = gone.expect("an entry").version;
-    assert!(matches!(operator.remove("t/gone", version).await, Ok(true)));
-    write(&operator, "t/new", "one").await;
-    operator.compact();
-    let (_replica, mut updates) = start(&store, &timer);
-    let changes = next_changes(&mut updates).await;
-    assert_eq!(changes.len(), 1);
-    assert_eq!(&*changes[0].key, "t/new");
-    assert_eq!(store.calls().reads, 1);
-}
--- a/crates/sg-store/src/memory.rs
+++ b/crates/sg-store/src/memory.rs
@@ -21,15 +21,13 @@
     pub writes: u64,
     /// Opened watches.
     pub watches: u64,
-    /// Reads of a copy.
-    pub stale_reads: u64,
 }
 
 impl Calls {
     /// Returns the number of all calls.
     #[must_use]
     pub const fn total(self) -> u64 {
-        self.reads + self.writes + self.watches + self.stale_reads
+        self.reads + self.writes + self.watches
     }
 }
 
@@ -56,8 +54,6 @@
     entries: IndexMap<Arc<str>, (Entry, Option<Lease>)>,
     leases: IndexMap<i64, (Instant, Span)>,
     history: Vec<(u64, Event)>,
-    /// Version up to which the history is discarded.
-    compacted: u64,
 }
 
 #[derive(Debug, Default)]
@@ -69,8 +65,6 @@
 #[derive(Debug)]
 struct Shared {
     data: Mutex<Data>,
-    /// Entries and version of the copy for stale reads; the current ones if `None`.
-    copy: Mutex<Option<Page>>,
     changed: Notify,
     timer: Timer,
 }
@@ -89,7 +83,6 @@
     pub fn new(timer: Timer) -> Self {
         let shared = Shared {
             data: Mutex::default(),
-            copy: Mutex::default(),
             changed: Notify::new(),
             timer,
         };
@@ -119,19 +112,6 @@
         self.connection.lock().fault = fault;
     }
 
-    /// Keeps the current entries as the copy that stale reads return from now on.
-    pub fn keep_copy(&self) {
-        let page = self.shared.data.lock().page("");
-        *self.shared.copy.lock() = Some(page);
-    }
-
-    /// Discards the changes up to now, so that watches can't resume from earlier versions.
-    pub fn compact(&self) {
-        let mut data = self.shared.data.lock();
-        data.compacted = data.version;
-        data.history.clear();
-    }
-
     /// Writes a value without a precondition, as a faulty tool would.
     pub fn overwrite(&self, key: &str, value: impl Into<Bytes>) {
         self.shared.data.lock().put(key, value.into(), None);
@@ -259,19 +239,6 @@
         expired.into_iter().for_each(|id| self.end_lease(id));
     }
 
-    /// Returns the entries under `prefix` in order of their keys.
-    fn page(&self, prefix: &str) -> Page {
-        let found = self.entries.values().map(|(entry, _)| entry.clone());
-        let mut entries: Vec<_> = found
-            .filter(|entry| entry.key.starts_with(prefix))
-            .collect();
-        entries.sort_by(|a, b| a.key.cmp(&b.key));
-        Page {
-            entries,
-            version: Version::new(self.version),
-        }
-    }
-
     fn events_after(&self, prefix: &str, after: Version) -> Vec<Event> {
         let key = |event: &Event| match event {
             Event::Put(entry) => Arc::clone(&entry.key),
@@ -294,15 +261,18 @@
     }
 
     async fn list(&self, prefix: &str) -> Result<Page, Error> {
-        self.read(|data| data.page(prefix)).await
-    }
-
-    async fn list_stale(&self, prefix: &str) -> Result<Page, Error> {
-        self.begin_call(|calls| calls.stale_reads += 1).await?;
-        let copy = self.shared.copy.lock().clone();
-        let mut page = copy.unwrap_or_else(|| self.shared.data.lock().page(prefix));
-        page.entries.retain(|entry| entry.key.starts_with(prefix));
-        Ok(page)
+        self.read(|data| {
+            let found = data.entries.values().map(|(entry, _)| entry.clone());
+            let mut entries: Vec<_> = found
+                .filter(|entry| entry.key.starts_with(prefix))
+                .collect();
+            entries.sort_by(|a, b| a.key.cmp(&b.key));
+            Page {
+                entries,
+                version: Version::new(data.version),
+            }
+        })
+        .await
     }
 
     async fn swap(
@@ -390,9 +360,6 @@
             let now = self.shared.timer.now();
             let (events, version, next_expiry) = {
                 let mut data = self.shared.data.lock();
-                if after < Version::new(data.compacted) {
-                    return Err(Error::HistoryCompacted);
-                }
                 data.expire(now);
                 let next_expiry = data
                     .leases
--- a/crates/sg-store/src/store.rs
+++ b/crates/sg-store/src/store.rs
@@ -3,7 +3,6 @@
 use std::{future::Future, sync::Arc};
 
 use bytes::Bytes;
-use indexmap::IndexMap;
 use sg_types::time::Span;
 
 use crate::{Error, Version, version::Era};
@@ -96,30 +95,6 @@
     pub version: Version,
 }
 
-impl Page {
-    /// Returns the page with the changes of a watch from its version.
-    #[must_use]
-    pub fn updated(self, changes: Changes) -> Self {
-        let by_key = |entry: Entry| (entry.key.clone(), entry);
-        let mut entries: IndexMap<Arc<str>, Entry> = self.entries.into_iter().map(by_key).collect();
-        for event in changes.events {
-            match event {
-                Event::Put(entry) => {
-                    entries.insert(entry.key.clone(), entry);
-                }
-                Event::Removed { key, .. } => {
-                    entries.swap_remove(&key);
-                }
-            }
-        }
-        entries.sort_keys();
-        Self {
-            entries: entries.into_values().collect(),
-            version: changes.version,
-        }
-    }
-}
-
 /// Interface of the platform's key-value store. Each call counts against the rate limits of the
 /// platform.
 pub trait Store: Clone + Send + Sync + 'static {
@@ -132,13 +107,6 @@
     /// Reads all keys that start with `prefix`.
     fn list(&self, prefix: &str) -> impl Future<Output = Result<Page, Error>> + Send;
 
-    /// Reads all keys that start with `prefix` from a copy that may be seconds old. Such a read costs the
-    /// platform less. The page is no basis for decisions until the changes of a watch from its version are
-    /// applied; a store without copies lists the current entries.
-    fn list_stale(&self, prefix: &str) -> impl Future<Output = Result<Page, Error>> + Send {
-        self.list(prefix)
-    }
-
     /// Writes `value` if `precondition` holds. The key is removed when `lease` expires, if a lease
     /// is given.
     fn swap(
