fix(sg-gateway): no instance follows the store before it has heard its neighbours

Cause: a starting instance knew nobody, so each took the duty to follow the store for its own, and after its listing opened three watches. After the loss of all instances registrations come in one after the other, so each watch returned at once, with all that the others had just written, and was opened again: calls, bytes from the store's region, and processor time in the moment in which the first requests arrive.

Change: an instance lists the store at once, and decides about the duty after the half second in which it hears its neighbours (it already sent no digests then).

--- a/crates/sg-gateway/src/daemon.rs
+++ b/crates/sg-gateway/src/daemon.rs
@@ -164,6 +164,8 @@
         signal_sender,
     );
     let (replica, updates) = Replica::new(INSTANCE_INDEX + 1);
+    // Lists the store at once, and follows it from when the neighbours have been heard.
+    replica.set_following(false);
     let gossip = Gossip::bind(settings.mesh_address()).await?;
     let relay_listener = TcpListener::bind(settings.mesh_address()).await?;
     let context = Arc::new(Context {
--- a/crates/sg-gateway/src/digests.rs
+++ b/crates/sg-gateway/src/digests.rs
@@ -15,8 +15,8 @@
 
 use crate::{beacon, daemon::Context};
 
-/// The time after the start in which an instance sends no digests: until it has heard its neighbours, it would
-/// take every duty for its own, and beacons go to all instances directly then.
+/// The time after the start in which an instance does no duty: until it has heard its neighbours, it would take
+/// every duty for its own. Beacons go to all instances directly then.
 const SETTLING_TIME: Span = Span::from_millis(500);
 
 /// The state of the exchange.
--- a/crates/sg-gateway/src/following.rs
+++ b/crates/sg-gateway/src/following.rs
@@ -10,6 +10,7 @@
 use crate::{
     Interpreter, Protocol,
     daemon::{Context, INSTANCE_INDEX, OPERATOR_INDEX, TARGET_INDEX, WATCH_TIMEOUTS},
+    digests,
 };
 
 /// The interval at which the store versions that other instances announce are compared with this
@@ -31,12 +32,17 @@
     context.replica.is_following() && has_contact(OPERATOR_INDEX) && has_contact(TARGET_INDEX)
 }
 
-/// Decides whether this instance follows the store itself. `due_since` is when nobody else began to.
+/// Decides whether this instance follows the store itself. `due_since` is when nobody else began to. An instance
+/// that has just started waits until it has heard its neighbours: if all start at once, each would otherwise
+/// watch all prefixes.
 pub(crate) fn update<D, I, S>(
     context: &Context<D, I, S>,
     due_since: &mut Option<Instant>,
     now: Instant,
 ) {
+    if digests::is_settling(now) {
+        return;
+    }
     let settings = &context.settings;
     let delay = {
         let members = context.members.lock();
