perf(sg-mesh): one follower of the store for each failure domain

The second follower of a domain was there for the time until the loss of the first one is noticed; but instances that rest hear of a change from any domain's beacons.

Change: FOLLOWERS is 1; two instances of a domain go on exchanging its beacons.

--- a/crates/sg-mesh/src/duty.rs
+++ b/crates/sg-mesh/src/duty.rs
@@ -10,8 +10,11 @@
 
 use crate::members::{Member, Members};
 
-/// Number of instances of a failure domain that do a duty for the others.
-pub const HOLDERS: usize = 2;
+/// Number of instances of a failure domain that follow the store for the others. While it is gone and nobody has
+/// noticed, the domain hears of changes from the followers of other domains.
+pub const FOLLOWERS: usize = 1;
+/// Number of instances of a failure domain that exchange its beacons with other domains.
+pub const EXCHANGERS: usize = 2;
 /// Time that an instance has to follow the store and to say so before the next one does.
 const TAKEOVER_STEP: Span = Span::from_millis(300);
 /// Time without a beacon after which an instance no longer counts as doing a duty. It is shorter than the
@@ -19,7 +22,7 @@
 const SILENCE_TIMEOUT: Span = Span::from_millis(1_300);
 
 /// Returns for how long `own` waits before it follows the store itself; `None` if it doesn't have to, because
-/// [`HOLDERS`] instances of its failure domain that go before it say that they follow.
+/// [`FOLLOWERS`] instances of its failure domain that go before it say that they follow.
 ///
 /// Instances that go before it and don't follow yet come first. Each place behind them adds a step to the
 /// wait, so that not all of a domain follow at once when its followers fail.
@@ -33,7 +36,7 @@
     let earlier = fresh(members, domain, now).filter(|member| member.beacon.instance < *own);
     let (following, others): (Vec<&Member>, Vec<&Member>) =
         earlier.partition(|member| member.beacon.follows);
-    let missing = HOLDERS
+    let missing = FOLLOWERS
         .checked_sub(following.len())
         .filter(|missing| *missing > 0)?;
     let places = (others.len() + 1).saturating_sub(missing);
@@ -52,7 +55,7 @@
     let earlier = fresh(members, domain, now)
         .filter(|member| member.beacon.takes_digests && member.beacon.instance < *own);
     let place = earlier.count();
-    (place < HOLDERS).then_some(place)
+    (place < EXCHANGERS).then_some(place)
 }
 
 /// Returns the member of `domain`, another one than the own, that gets the digests of the instance at `place`
