perf(sg-gateway): changes of targets come from the own failure domain

Cause: targets write heartbeats all the time, so the follower of some other domain is always ahead of the own one by a few of them.

Change: an instance that rests on its domain's follower asks other domains for changes of targets and registrations only when it has learnt of none for a second. Changes by operators are asked for anywhere and at once, as before, and so is everything while the instance has to follow the store itself.

--- a/crates/sg-gateway/src/following.rs
+++ b/crates/sg-gateway/src/following.rs
@@ -3,8 +3,13 @@
 
 use std::net::SocketAddr;
 
-use sg_mesh::{duty, lag::Lag, members::Member, relay};
-use sg_store::Store;
+use sg_mesh::{
+    duty,
+    lag::{self, Lag},
+    members::Member,
+    relay,
+};
+use sg_store::{Store, Version};
 use sg_types::prelude::*;
 
 use crate::{
@@ -60,13 +65,32 @@
     }
 }
 
+/// How long this instance lags behind others in one prefix.
+#[derive(Debug, Clone, Copy, Default)]
+struct Progress {
+    /// When this instance last learnt of a change.
+    advanced_at: Instant,
+    position: Version,
+    /// Since when others have known more.
+    behind_since: Option<Instant>,
+}
+
+impl Progress {
+    fn update(&mut self, position: Version, now: Instant) {
+        if self.position != position {
+            self.position = position;
+            self.advanced_at = now;
+        }
+    }
+}
+
 /// Fetches changes from instances that know a newer store version, while this instance doesn't follow the
 /// store or can't reach it.
 pub(crate) async fn catch_up<D: Protocol, I: Interpreter, S: Store>(
     context: Arc<Context<D, I, S>>,
 ) {
     let mut ticks = context.timer.every(CATCH_UP_INTERVAL);
-    let mut behind_since = [None; INSTANCE_INDEX + 1];
+    let mut progress = [Progress::default(); INSTANCE_INDEX + 1];
     loop {
         // Without a notification, the time is needed for fetches that failed.
         tokio::select! {
@@ -74,13 +98,14 @@
             () = context.ahead.notified() => {}
         }
         let now = context.timer.now();
-        for (index, since) in behind_since.iter_mut().enumerate() {
-            let ahead = instances_ahead(&context, index, now);
+        for (index, progress) in progress.iter_mut().enumerate() {
+            progress.update(context.replica.position(index), now);
+            let ahead = instances_ahead(&context, index, now.since(progress.advanced_at), now);
             if ahead.is_empty() {
-                *since = None;
+                progress.behind_since = None;
                 continue;
             }
-            let since = *since.get_or_insert(now);
+            let since = *progress.behind_since.get_or_insert(now);
             if is_fetch_due(&context, index, since, now) {
                 let chosen = ahead[rand::random_range(0..ahead.len())];
                 fetch_changes(&context, index, chosen).await;
@@ -89,11 +114,12 @@
     }
 }
 
-/// Returns the live instances that know a newer store version of the prefix at `index`: those of the own
-/// failure domain, if there are any.
+/// Returns the live instances that know a newer store version of the prefix at `index` and may be asked for
+/// its changes. `standstill` is the time since this instance last learnt of one.
 fn instances_ahead<D, I, S>(
     context: &Context<D, I, S>,
     index: usize,
+    standstill: Span,
     now: Instant,
 ) -> Vec<SocketAddr> {
     let own = context.replica.position(index);
@@ -105,7 +131,13 @@
     });
     let (near, far): (Vec<&Member>, Vec<&Member>) =
         ahead.partition(|member| member.beacon.location.domain == context.settings.domain);
-    let chosen = if near.is_empty() { far } else { near };
+    let chosen = if !near.is_empty() {
+        near
+    } else if index == OPERATOR_INDEX || is_following || lag::may_ask_other_domains(standstill) {
+        far
+    } else {
+        Vec::new()
+    };
     let addresses = chosen
         .iter()
         .map(|member| member.beacon.location.mesh_address);
--- a/crates/sg-mesh/src/lag.rs
+++ b/crates/sg-mesh/src/lag.rs
@@ -14,6 +14,20 @@
 /// call has failed.
 const SILENT_STORE_DELAY: Span = Span::from_secs(1);
 
+/// Time without any change after which other failure domains are asked for changes of targets and instances.
+/// Targets change all the time, so that an instance whose domain keeps up learns of changes more often.
+const MAX_STANDSTILL: Span = Span::from_secs(1);
+
+/// Returns whether an instance that rests on a follower of its own failure domain, and has learnt of no change
+/// for `standstill`, asks other domains that know more.
+///
+/// The load: targets write heartbeats all the time, and some other domain is always ahead by a few. Each
+/// answer between regions carries all heartbeats since the last one.
+#[must_use]
+pub fn may_ask_other_domains(standstill: Span) -> bool {
+    standstill >= MAX_STANDSTILL
+}
+
 /// How an instance stands that knows less of a prefix than another one.
 #[derive(Debug, Clone, Copy)]
 pub struct Lag {
--- a/crates/sg-mesh/tests/mesh/lag.rs
+++ b/crates/sg-mesh/tests/mesh/lag.rs
@@ -1,6 +1,9 @@
 //! When an instance that knows less of the store than another one asks that one.
 
-use sg_mesh::{follower::StoreContact, lag::Lag};
+use sg_mesh::{
+    follower::StoreContact,
+    lag::{self, Lag},
+};
 use sg_types::prelude::*;
 
 fn at(millis: u64) -> Instant {
@@ -64,3 +67,11 @@
     lag.behind = Span::from_millis(900);
     assert!(!lag.must_fetch(at(4_100)));
 }
+
+/// Guards against heartbeats of all targets that cross regions again and again, because some other domain is
+/// always ahead by a few.
+#[test]
+fn other_domains_are_asked_only_after_a_standstill() {
+    assert!(!lag::may_ask_other_domains(Span::from_millis(900)));
+    assert!(lag::may_ask_other_domains(Span::from_millis(1_000)));
+}
