--- a/crates/sg-catalog/src/route.rs
+++ b/crates/sg-catalog/src/route.rs
@@ -20,6 +20,8 @@
     pub path_prefix: Arc<str>,
     /// Whether a request may be executed more than once.
     pub idempotent: bool,
+    /// Whether the responses are large transfers rather than short messages.
+    pub large_responses: bool,
     /// The largest number of targets that one request may be sent to.
     pub max_targets: u32,
     /// The time limit of a request; `None` leaves the limit to the caller's deadline.
--- a/crates/sg-proxy/tests/proxy/harness.rs
+++ b/crates/sg-proxy/tests/proxy/harness.rs
@@ -232,6 +232,7 @@
         name: name.parse().expect("a name"),
         path_prefix: prefix.into(),
         idempotent,
+        large_responses: false,
         max_targets: 2,
         timeout: Some(Span::from_millis(1_500)),
         latency_objective: Span::from_millis(100),
