feat(sg-dispatch): messages of the assignment of slots; read the pace of a target's machine

Parts that are built side by side need common types: the ask for a slot and the decision about it, and the fourth figure of a target's load header, which was ignored.

Measured: the workspace compiles; nothing uses the new types yet.

--- a/crates/sg-catalog/tests/catalog/main.rs
+++ b/crates/sg-catalog/tests/catalog/main.rs
@@ -22,6 +22,7 @@
         name: name.parse().expect("a name"),
         path_prefix: prefix.into(),
         idempotent: true,
+        large_responses: false,
         max_targets: 2,
         timeout: None,
         latency_objective: Span::from_millis(600),
--- /dev/null
+++ b/crates/sg-dispatch/src/lib.rs
@@ -0,0 +1,16 @@
+//! Assignment of requests to the slots of a service's targets in one region, as pure decisions.
+//!
+//! One instance of the region, the dispatcher, holds a group for each service. The other instances ask the
+//! dispatcher for a slot before they send a request. No function of this crate reads a clock or opens a
+//! socket: time is an argument, so tests can simulate any load.
+//!
+//! - [`message`] holds what the asking instances and the dispatcher tell each other.
+//! - [`order`] compares requests by what a rejection would cost their callers.
+#![forbid(unsafe_code)]
+#![deny(missing_docs, rust_2018_idioms)]
+
+pub mod message;
+pub mod order;
+
+pub use message::{Ask, Decision, Ticket};
+pub use order::Bid;
--- /dev/null
+++ b/crates/sg-dispatch/tests/dispatch/main.rs
@@ -0,0 +1,1 @@
+//! Tests of the assignment of slots on simulated loads, without a network.
--- a/crates/sg-place/src/lib.rs
+++ b/crates/sg-place/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`abandon`] decides when a request gives up on a slow target.
 //! - [`self_report`] holds what a target says of itself in a response.
 //! - [`departure`] remembers which runs of targets are leaving.
+//! - [`pace`] tells how fast a target's machine works at a moment.
 //! - [`pause`] keeps requests away from a target that asked to come back later.
 //! - [`limit`] bounds the requests that one instance keeps in flight at one target.
 //! - [`cold`] bounds the requests that a cold target receives from the fleet.
@@ -36,6 +37,7 @@
 pub mod limit;
 pub mod location;
 pub mod member;
+pub mod pace;
 pub mod pause;
 pub mod plan;
 pub mod pool;
--- a/crates/sg-place/src/member.rs
+++ b/crates/sg-place/src/member.rs
@@ -8,6 +8,7 @@
     hash::Object,
     limit::Limit,
     location::Location,
+    pace::Pace,
     pause::Pause,
     rate_limit::{RateLimit, Share},
 };
@@ -52,6 +53,8 @@
     pub waiting: u32,
     /// Requests that the target can run at once.
     pub slots: u32,
+    /// How fast the target's machine works at this moment, if the target tells.
+    pub pace: Option<Pace>,
 }
 
 /// Averages over the targets of a service, with which an outlier is compared.
--- a/crates/sg-place/tests/place/choice.rs
+++ b/crates/sg-place/tests/place/choice.rs
@@ -124,6 +124,7 @@
         running: 9,
         waiting: 40,
         slots: 9,
+        pace: None,
     };
     pool.record_report(&first, full, at(0));
     assert_ne!(chosen(&pool, &query(1, at(0))), Ok(first.clone()));
@@ -143,6 +144,7 @@
         running: 3,
         waiting: 12,
         slots: 3,
+        pace: None,
     };
     pool.record_report(&"only".parse().expect("a name"), report, at(0));
     let refused = chosen(&pool, &query(1, at(0)));
@@ -184,6 +186,7 @@
         running: 1,
         waiting: 30,
         slots: 1,
+        pace: None,
     };
     pool.record_report(&"t0".parse().expect("a name"), full, at(0));
     let home_regions = ["west".parse().expect("a name")];
--- a/crates/sg-place/tests/place/load.rs
+++ b/crates/sg-place/tests/place/load.rs
@@ -57,6 +57,7 @@
             running: in_flight.min(SLOTS) as u32,
             waiting: in_flight.saturating_sub(SLOTS) as u32,
             slots: SLOTS as u32,
+            pace: None,
         }
     }
 }
--- a/crates/sg-place/tests/place/overload.rs
+++ b/crates/sg-place/tests/place/overload.rs
@@ -39,6 +39,7 @@
             running: self.running.len() as u32,
             waiting: self.waiting.len() as u32,
             slots: SLOTS as u32,
+            pace: None,
         }
     }
 }
--- a/crates/sg-place/tests/place/properties.rs
+++ b/crates/sg-place/tests/place/properties.rs
@@ -72,6 +72,7 @@
             running: u32::from(running % 9),
             waiting: u32::from(waiting % 20),
             slots: 8,
+            pace: None,
         };
         let id = target.id.clone();
         pool.upsert_target(target, at(0));
--- a/crates/sg-place/tests/place/surge.rs
+++ b/crates/sg-place/tests/place/surge.rs
@@ -143,6 +143,7 @@
                 running,
                 waiting: ends.len() as u32 - running,
                 slots: SLOTS,
+                pace: None,
             };
             pool.record_report(&choice.target.id, report, at(now));
             if let Some(window) = ran.get_mut((start / WINDOW_MILLIS) as usize) {
--- a/crates/sg-proxy/tests/proxy/dialect.rs
+++ b/crates/sg-proxy/tests/proxy/dialect.rs
@@ -64,6 +64,7 @@
             running: 1,
             waiting: 0,
             slots: 4,
+            pace: None,
         });
         let rate_limit = header(&head.headers, "limit").and_then(|text| text.parse().ok());
         ResponseInfo {
