feat(sg-mesh): binary datagrams for the assignment of slots

Cause: instances ask the dispatcher of a service for each request, which JSON frames make too large. Change: a compact packet with Ask, Grant, Wait, Reject, End, Cancel and Adopt; several messages share a datagram. Beacons tell whether an instance takes part and how much memory its machine has. A pure function names the dispatcher by rendezvous hashing.

--- a/crates/sg-catalog/src/catalog.rs
+++ b/crates/sg-catalog/src/catalog.rs
@@ -156,6 +156,13 @@
             .find(|route| path.starts_with(route.path_prefix.as_ref()))
     }
 
+    /// Returns whether any route has large responses.
+    #[must_use]
+    pub fn has_large_responses(&self) -> bool {
+        let mut routes = self.routes_by_host.values().flatten();
+        routes.any(|route| route.large_responses)
+    }
+
     /// Returns the account that has the key with the digest `key`.
     #[must_use]
     pub fn account_by_key(&self, key: &KeyDigest) -> Option<&Arc<Account>> {
--- a/crates/sg-dispatch/src/lib.rs
+++ b/crates/sg-dispatch/src/lib.rs
@@ -5,10 +5,13 @@
 //! socket: time is an argument, so tests can simulate any load.
 //!
 //! - [`message`] holds what the asking instances and the dispatcher tell each other.
+//! - [`exchange`] holds the messages in which they do so, and [`duty`] names the dispatcher.
 //! - [`order`] compares requests by what a rejection would cost their callers.
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
+pub mod duty;
+pub mod exchange;
 pub mod message;
 pub mod order;
 
--- a/crates/sg-mesh/src/frame.rs
+++ b/crates/sg-mesh/src/frame.rs
@@ -1,4 +1,5 @@
-//! The frames that instances send each other, one per datagram, encoded as JSON except for digests.
+//! The frames that instances send each other, one per datagram, encoded as JSON except for digests and
+//! messages about slots.
 
 use std::net::SocketAddr;
 
@@ -6,7 +7,10 @@
 use sg_store::{Version, version::Era};
 use sg_types::prelude::*;
 
-use crate::digest::{self, Digest};
+use crate::{
+    digest::{self, Digest},
+    slots::{self, Packet},
+};
 
 /// The largest datagram, in bytes.
 pub const MAX_FRAME_BYTES: usize = 8_192;
@@ -84,6 +88,13 @@
         skip_serializing_if = "std::ops::Not::not"
     )]
     pub takes_digests: bool,
+    /// Whether the sender asks for slots and may assign them. It does neither while no route needs it.
+    #[serde(rename = "slots", default, skip_serializing_if = "std::ops::Not::not")]
+    pub takes_slots: bool,
+    /// The memory of the sender's machine in MiB, if the sender takes part in the assignment of slots and its
+    /// settings tell; zero otherwise.
+    #[serde(rename = "memory", default, skip_serializing_if = "is_zero")]
+    pub memory_mb: u64,
     /// The number of slots kept busy by requests that arrive at the sender, by service. Senders round the
     /// numbers, because a beacon goes to every instance.
     pub demand: Vec<(id::Service, f64)>,
@@ -151,6 +162,9 @@
     /// Beacons of another failure domain. They are no JSON.
     #[serde(skip)]
     Digest(Digest),
+    /// Messages between an asking instance and a dispatcher. They are no JSON.
+    #[serde(skip)]
+    Slots(Packet),
     /// A notice that all instances have to receive at once.
     Notice {
         /// The sender.
@@ -179,13 +193,24 @@
     /// Returns whether other instances have to know at once that `self` has replaced `previous`.
     #[must_use]
     pub fn is_urgent_after(&self, previous: &Self) -> bool {
-        let state = |beacon: &Self| (beacon.ready, beacon.leaving, beacon.cut_off, beacon.follows);
+        let state = |beacon: &Self| {
+            let is_usable = (beacon.ready, beacon.leaving, beacon.cut_off);
+            (is_usable, beacon.follows, beacon.takes_slots)
+        };
         state(self) != state(previous)
             || self.eras != previous.eras
             || self.changed.first() != previous.changed.first()
     }
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 /// An error in encoding or decoding a frame.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -197,6 +222,9 @@
     /// The datagram is not a digest.
     #[error(transparent)]
     Digest(#[from] digest::Error),
+    /// The datagram has no valid messages about slots.
+    #[error(transparent)]
+    Slots(#[from] slots::Error),
     /// The frame exceeds [`MAX_FRAME_BYTES`].
     #[error(
         "a frame of {0} bytes is too large to send; lower the number of accounts that borrow at once"
@@ -205,13 +233,14 @@
 }
 
 impl Frame {
-    /// Encodes the frame, as JSON unless it is a digest.
+    /// Encodes the frame, as JSON unless it is a digest or has messages about slots.
     ///
     /// # Errors
     /// Returns [`Error::TooLong`] if the frame exceeds [`MAX_FRAME_BYTES`].
     pub fn encode(&self) -> Result<Vec<u8>, Error> {
         let bytes = match self {
             Self::Digest(digest) => digest.encode(),
+            Self::Slots(packet) => packet.encode(),
             json => serde_json::to_vec(json)?,
         };
         if bytes.len() > MAX_FRAME_BYTES {
@@ -223,8 +252,11 @@
     /// Decodes a frame.
     ///
     /// # Errors
-    /// Returns [`Error::Malformed`] or [`Error::Digest`] if `bytes` are not a frame.
+    /// Returns [`Error::Malformed`], [`Error::Digest`] or [`Error::Slots`] if `bytes` are not a frame.
     pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        if Packet::is_packet(bytes) {
+            return Ok(Self::Slots(Packet::decode(bytes)?));
+        }
         if Digest::is_digest(bytes) {
             return Ok(Self::Digest(Digest::decode(bytes)?));
         }
--- a/crates/sg-mesh/src/gossip.rs
+++ b/crates/sg-mesh/src/gossip.rs
@@ -33,9 +33,14 @@
             }
         };
         for address in addresses {
-            if let Err(error) = self.socket.try_send_to(&bytes, address) {
-                log::debug!(to:% = address, error:% = error; "frame dropped");
-            }
+            self.send_bytes(&bytes, address);
+        }
+    }
+
+    /// Sends the datagram `bytes`, which is dropped if it can't be sent at once.
+    pub fn send_bytes(&self, bytes: &[u8], address: SocketAddr) {
+        if let Err(error) = self.socket.try_send_to(bytes, address) {
+            log::debug!(to:% = address, error:% = error; "frame dropped");
         }
     }
 
--- a/crates/sg-mesh/src/lib.rs
+++ b/crates/sg-mesh/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`frame`] defines the datagrams between instances; [`gossip`] sends and receives them.
 //! - [`digest`] packs the beacons of a failure domain; [`duty`] decides which instances send them, and
 //!   which follow the store.
+//! - [`slots`] encodes what instances ask a dispatcher for slots, and its answers.
 //! - [`members`] tracks the instances that are alive or registered.
 //! - [`relay`] fetches changes from an instance with a newer copy of the store.
 #![forbid(unsafe_code)]
@@ -20,6 +21,7 @@
 pub mod members;
 pub mod mirror;
 pub mod relay;
+pub mod slots;
 
 pub use members::Members;
 pub use mirror::Mirror;
--- a/crates/sg-mesh/tests/mesh/members.rs
+++ b/crates/sg-mesh/tests/mesh/members.rs
@@ -32,6 +32,8 @@
         changed: vec![5],
         follows: true,
         takes_digests: true,
+        takes_slots: false,
+        memory_mb: 0,
         rate_statements: Vec::new(),
         other_addresses: Vec::new(),
     }
--- a/crates/sg-place/src/hash.rs
+++ b/crates/sg-place/src/hash.rs
@@ -21,6 +21,18 @@
         Self(FixedState::with_seed(SEED).hash_one((scope, name)))
     }
 
+    /// Returns the object whose [`to_bits`](Self::to_bits) are `bits`.
+    #[must_use]
+    pub const fn from_bits(bits: u64) -> Self {
+        Self(bits)
+    }
+
+    /// Returns the number by which instances tell each other of the object.
+    #[must_use]
+    pub const fn to_bits(self) -> u64 {
+        self.0
+    }
+
     /// Returns the score of `other` for this object. The highest score ranks first, and the score
     /// is the same on all instances.
     #[must_use]
--- a/crates/sg-place/src/pace.rs
+++ b/crates/sg-place/src/pace.rs
@@ -19,6 +19,12 @@
         }
     }
 
+    /// Returns the time that work takes in percent of the usual time.
+    #[must_use]
+    pub const fn percent(self) -> u32 {
+        self.0
+    }
+
     /// Returns the factor by which work takes longer than usual.
     #[must_use]
     pub fn factor(self) -> f64 {
