feat(sg-place): use the pace that a target reports by its age and persistence

Cause: the fourth figure of the load header was read but not used, so that requests went to targets whose machine is slow at the moment, and a target counted as slow for a pace that its machine explains. Change: Persistence observes between consecutive reports how long deviations from the usual pace last. The expected work at a target is extended by the part that the reported pace still slows, and measured work is reduced by that part before it counts for the slowness. Speed holds the samples of slowness, moved unchanged out of Member.

--- a/crates/sg-place/src/candidate.rs
+++ b/crates/sg-place/src/candidate.rs
@@ -8,6 +8,7 @@
     hash::Object,
     location::Location,
     member::{Baseline, Member},
+    pace::Persistence,
     pool::Query,
 };
 
@@ -124,6 +125,15 @@
         .collect()
 }
 
+/// Returns how long deviations from the usual pace last at `members`.
+pub fn pace_persistence(members: &[&Member]) -> Persistence {
+    let mut total = Persistence::default();
+    for member in members {
+        total.add(member.pace_persistence());
+    }
+    total
+}
+
 /// What the targets of a request are evaluated against.
 pub(crate) struct Evaluation<'a, 'q> {
     pub query: &'a Query<'q>,
@@ -134,6 +144,8 @@
     pub highest_ranked: IndexMap<&'a id::Region, &'a id::Target>,
     /// Ratio of the requests that all instances of this region send to those that this instance sends.
     pub sender_ratio: f64,
+    /// How long deviations from the usual pace last at the targets of the service.
+    pub pace_persistence: Persistence,
 }
 
 impl<'a> Evaluation<'a, '_> {
@@ -151,6 +163,7 @@
         let round_trip_seconds = self.location.round_trip_seconds(&member.target);
         let queue_wait_seconds = self.queue_wait_seconds(member, load);
         let work_seconds = self.work_seconds(member, is_warm, is_highest_ranked);
+        let work_seconds = self.paced_seconds(member, work_seconds, queue_wait_seconds);
         let penalty_seconds = self.utilization_penalty_seconds(member, load)
             + self.bias_seconds(member)
             + member.excess_failure_rate(query.now) * FAILURE_PENALTY * query.cold_work_seconds;
@@ -210,6 +223,13 @@
         work * member.slowness(query.now) * cold_factor
     }
 
+    /// Returns the time that `work_seconds` of usual work take at the pace of the target's machine.
+    fn paced_seconds(&self, member: &Member, work_seconds: f64, wait_seconds: f64) -> f64 {
+        let now = self.query.now;
+        self.pace_persistence
+            .expected_seconds(member.pace(), work_seconds, wait_seconds, now)
+    }
+
     fn utilization_penalty_seconds(&self, member: &Member, load: f64) -> f64 {
         let utilization = (load + 1.0) / f64::from(member.slots());
         (utilization - FULL_UTILIZATION).max(0.0) * self.query.warm_work_seconds
--- a/crates/sg-place/src/lib.rs
+++ b/crates/sg-place/src/lib.rs
@@ -24,6 +24,7 @@
 //! - [`retry`] bounds retries.
 //! - [`shift_limit`] bounds how fast the regions' shares of running requests change during a load
 //!   surge.
+//! - [`speed`] tells whether a target works more slowly than expected.
 //! - [`hash`] ranks targets and instances by rendezvous hashing.
 //! - [`target`] holds the description of a target.
 #![forbid(unsafe_code)]
@@ -51,6 +52,7 @@
 mod scarcity;
 pub mod self_report;
 pub mod shift_limit;
+pub mod speed;
 pub mod target;
 pub mod work_estimate;
 
--- a/crates/sg-place/src/member.rs
+++ b/crates/sg-place/src/member.rs
@@ -8,9 +8,10 @@
     hash::Object,
     limit::Limit,
     location::Location,
-    pace::Pace,
+    pace::{Pace, Persistence, Sample},
     pause::Pause,
     rate_limit::{RateLimit, Share},
+    speed::{SLOW_RATIO, Speed},
 };
 
 /// Time constant of the decay of the load that a report attributes to other instances, in seconds.
@@ -19,16 +20,6 @@
 const FAILURE_SMOOTHING: f64 = 0.2;
 /// Time constant of the decay of the failure rate without new results, in seconds.
 const FAILURE_DECAY_SECONDS: f64 = 6.0;
-/// Number of recent responses from which the slowness is computed. The fastest of them counts: a
-/// slow target is slow with every request, while an object that was evicted there slows only one.
-const SPEED_SAMPLES: usize = 4;
-/// Minimum number of recent responses before a target can count as slow.
-const MIN_SPEED_SAMPLES: usize = 3;
-/// How long a response counts for the slowness.
-const SPEED_SAMPLE_LIFETIME: Span = Span::from_secs(6);
-/// Ratio of measured to expected time below which a target does not count as slow, because response
-/// times vary by about a half.
-const SLOW_RATIO: f64 = 1.6;
 /// Failure rate up to which a target does not count as failing, because one request in a few may
 /// itself be the cause of its failure.
 const TOLERATED_FAILURE_RATE: f64 = 0.25;
@@ -132,8 +123,8 @@
     reported: Option<Observation>,
     last_failure_rate: f64,
     failure_rate_at: Instant,
-    /// Recent ratios of measured to expected response time.
-    speed_samples: Vec<(Instant, f64)>,
+    speed: Speed,
+    pace_persistence: Persistence,
     consecutive_bans: u32,
     banned_until: Instant,
     /// When the ban began, if failures of sends are the only reason for the required check.
@@ -159,7 +150,8 @@
             reported: None,
             last_failure_rate: 0.0,
             failure_rate_at: now,
-            speed_samples: Vec::new(),
+            speed: Speed::default(),
+            pace_persistence: Persistence::default(),
             consecutive_bans: 0,
             banned_until: Instant::START,
             banned_at: None,
@@ -213,6 +205,10 @@
 
     /// Records the target's report of its load.
     pub fn record_report(&mut self, report: LoadReport, now: Instant) {
+        if let (Some(earlier), Some(pace)) = (self.pace(), report.pace) {
+            let later = Sample { pace, at: now };
+            self.pace_persistence.record(earlier, later);
+        }
         self.reported = Some(Observation {
             report,
             at: now,
@@ -349,17 +345,24 @@
     /// target does not count as slow.
     #[must_use]
     pub fn slowness(&self, now: Instant) -> f64 {
-        let recent = self
-            .speed_samples
-            .iter()
-            .filter(|(at, _)| now.since(*at) < SPEED_SAMPLE_LIFETIME);
-        let (count, least) = recent.fold((0, f64::MAX), |(count, least), (_, ratio)| {
-            (count + 1, ratio.min(least))
-        });
-        if count < MIN_SPEED_SAMPLES || least < SLOW_RATIO {
-            return 1.0;
-        }
-        least
+        self.speed.slowness(now)
+    }
+
+    /// Returns the pace that the target reported last.
+    #[must_use]
+    pub fn pace(&self) -> Option<Sample> {
+        let reported = self.reported?;
+        let pace = reported.report.pace?;
+        Some(Sample {
+            pace,
+            at: reported.at,
+        })
+    }
+
+    /// Returns how long deviations from the usual pace were observed to last at the target.
+    #[must_use]
+    pub fn pace_persistence(&self) -> &Persistence {
+        &self.pace_persistence
     }
 
     /// Records how a send ended. `senders` is the number of instances that send to the target.
@@ -428,15 +431,13 @@
         }
     }
 
-    /// Records the measured and the expected time of a response.
+    /// Records the measured and the expected time of a response. The part of the time that the target
+    /// ascribes to the pace of its machine does not count.
     pub fn record_speed(&mut self, seconds: f64, expected_seconds: f64, now: Instant) {
-        if expected_seconds <= 0.0 {
-            return;
-        }
-        if self.speed_samples.len() >= SPEED_SAMPLES {
-            self.speed_samples.remove(0);
-        }
-        self.speed_samples.push((now, seconds / expected_seconds));
+        let usual_seconds = self
+            .pace_persistence
+            .usual_seconds(self.pace(), seconds, now);
+        self.speed.record(usual_seconds, expected_seconds, now);
     }
 
     /// Returns whether this instance recently sent a request about `object` to the target.
--- a/crates/sg-place/src/pool.rs
+++ b/crates/sg-place/src/pool.rs
@@ -213,6 +213,7 @@
             planned,
             highest_ranked: candidate::highest_ranked(&members, query.object, query.now),
             sender_ratio: self.sender_ratio,
+            pace_persistence: candidate::pace_persistence(&members),
         };
         let candidates: Vec<Candidate<'_>> = members
             .iter()
