feat(sg-dispatch): waiting room with an order of refusal

Cause: with too few slots, each instance refuses by a margin of the remaining time, which gives the most urgent kind the smallest share.

--- a/crates/sg-dispatch/src/lib.rs
+++ b/crates/sg-dispatch/src/lib.rs
@@ -6,11 +6,14 @@
 //!
 //! - [`message`] holds what the asking instances and the dispatcher tell each other.
 //! - [`order`] compares requests by what a rejection would cost their callers.
+//! - [`room`] holds the requests that wait for a slot.
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
 pub mod message;
 pub mod order;
+pub mod room;
 
 pub use message::{Ask, Decision, Ticket};
 pub use order::Bid;
+pub use room::Room;
--- a/crates/sg-dispatch/tests/dispatch/main.rs
+++ b/crates/sg-dispatch/tests/dispatch/main.rs
@@ -1,1 +1,3 @@
 //! Tests of the assignment of slots on simulated loads, without a network.
+
+mod room;
