feat(sg-dispatch): state machine that assigns the slots of a group

Cause: instances that choose alone from reports that are seconds old fill some targets while others have free slots. Change: Group assigns the slots of a service's targets in one region: leases by ticket, choice among the targets where the object is warm, its home within a fair share and the least utilised ones, a waiting room in the order of refusal, correction by reports, adoption, expiry and idempotent messages. Ranks of an object are cached and the targets are ordered by load, so an ask does not scan the targets.

--- a/crates/sg-dispatch/src/group/target.rs
+++ b/crates/sg-dispatch/src/group/target.rs
@@ -143,7 +143,11 @@
 
     /// Returns the factor by which work takes longer than usual, apart from the pace.
     pub fn work_factor(&self, now: Instant) -> f64 {
-        let cold = if self.is_cold { COLD_TARGET_FACTOR } else { 1.0 };
+        let cold = if self.is_cold {
+            COLD_TARGET_FACTOR
+        } else {
+            1.0
+        };
         cold * self.speed.slowness(now)
     }
 
--- a/crates/sg-dispatch/src/lease.rs
+++ b/crates/sg-dispatch/src/lease.rs
@@ -3,7 +3,10 @@
 use sg_place::hash::Object;
 use sg_types::prelude::*;
 
-use crate::{group::Place, message::Ticket};
+use crate::{
+    group::Place,
+    message::{Lease, Ticket},
+};
 
 /// Ratio of the age of a lease to its expected work above which the lease counts as long-running. Response
 /// times vary by about a half, so that a lease twice as old is no variation.
@@ -17,7 +20,7 @@
     pub since: Instant,
     /// When the asking instance has given up on the request.
     pub until: Instant,
-    /// Expected work of the request.
+    /// Expected work of the request at the expected pace of the target's machine.
     pub work: Span,
     /// Expected work if the object is cold, and if it is warm.
     pub cold_work: Span,
@@ -27,6 +30,29 @@
 }
 
 impl Held {
+    /// Returns the lease that an asking instance describes as `lease`, at `place`.
+    pub fn adopted(lease: &Lease, place: Place, now: Instant) -> Self {
+        Self {
+            place,
+            object: lease.object,
+            since: now - lease.age,
+            until: now + lease.deadline_left,
+            work: lease.work,
+            warm_work: lease.work,
+            cold_work: lease.work,
+            depth: None,
+        }
+    }
+
+    /// Returns the work that was expected of a target that is not slow, in seconds.
+    pub fn base_seconds(&self) -> f64 {
+        let work = match self.depth {
+            Some(_) => self.warm_work,
+            None => self.cold_work,
+        };
+        work.as_secs_f64()
+    }
+
     /// Returns whether the request runs for much longer than expected.
     pub fn is_long_running(&self, now: Instant) -> bool {
         now.since(self.since) > self.work.mul_f64(LONG_RATIO)
--- a/crates/sg-dispatch/src/lib.rs
+++ b/crates/sg-dispatch/src/lib.rs
@@ -4,16 +4,22 @@
 //! dispatcher for a slot before they send a request. No function of this crate reads a clock or opens a
 //! socket: time is an argument, so tests can simulate any load.
 //!
+//! - [`group`] assigns the slots of one service in one region.
 //! - [`message`] holds what the asking instances and the dispatcher tell each other.
 //! - [`order`] compares requests by what a rejection would cost their callers.
 //! - [`room`] holds the requests that wait for a slot.
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
+pub mod group;
+mod lease;
 pub mod message;
 pub mod order;
+mod placement;
+mod recent;
 pub mod room;
 
+pub use group::Group;
 pub use message::{Ask, Decision, Ticket};
 pub use order::Bid;
 pub use room::Room;
--- a/crates/sg-dispatch/src/placement.rs
+++ b/crates/sg-dispatch/src/placement.rs
@@ -99,10 +99,7 @@
 }
 
 /// Returns the highest-ranked of `targets` for `object`, the highest first.
-fn ranks<'a>(
-    object: Object,
-    targets: impl Iterator<Item = (&'a id::Target, Place)>,
-) -> Vec<Place> {
+fn ranks<'a>(object: Object, targets: impl Iterator<Item = (&'a id::Target, Place)>) -> Vec<Place> {
     let mut best: Vec<(u64, Place)> = Vec::with_capacity(RANKS + 1);
     for (id, place) in targets {
         let score = object.score(id.as_str());
