--- a/crates/sg-place/src/candidate.rs
+++ b/crates/sg-place/src/candidate.rs
@@ -204,6 +204,23 @@
         queued / slots * self.query.typical_work_seconds * QUEUE_WAIT_FACTOR * slowness
     }
 
+    /// Returns the time that a request waits at a target that its dispatcher has granted. The dispatcher counts
+    /// the requests at the target and grants at most one beyond the slots.
+    pub fn granted_wait_seconds(&self, member: &Member) -> f64 {
+        let load = self.load(member).min(f64::from(member.slots()));
+        self.queue_wait_seconds(member, load)
+    }
+
+    /// Returns the time that a granted target works on the request, after `wait_seconds`.
+    pub fn granted_work_seconds(&self, member: &Member, is_warm: bool, wait_seconds: f64) -> f64 {
+        let query = self.query;
+        let work = match is_warm {
+            true => query.warm_work_seconds,
+            false => query.cold_work_seconds,
+        };
+        self.paced_seconds(member, self.slowed_seconds(member, work), wait_seconds)
+    }
+
     /// Returns the time that the target works on the request, with a penalty for warming up a target that
     /// is not the highest-ranked one.
     fn work_seconds(&self, member: &Member, is_warm: bool, is_highest_ranked: bool) -> f64 {
@@ -216,11 +233,17 @@
             (true, false) => query.warm_work_seconds + saved_by_warmth * WARM_OTHER_PENALTY,
             (false, false) => query.cold_work_seconds + saved_by_warmth * COLD_OTHER_PENALTY,
         };
-        let cold_factor = match member.is_cold(query.now) {
+        self.slowed_seconds(member, work)
+    }
+
+    /// Returns the time that `work` takes at a target that is slow or has just started.
+    fn slowed_seconds(&self, member: &Member, work: f64) -> f64 {
+        let now = self.query.now;
+        let cold_factor = match member.is_cold(now) {
             true => COLD_TARGET_FACTOR,
             false => 1.0,
         };
-        work * member.slowness(query.now) * cold_factor
+        work * member.slowness(now) * cold_factor
     }
 
     /// Returns the time that `work_seconds` of usual work take at the pace of the target's machine.
--- a/crates/sg-place/src/lib.rs
+++ b/crates/sg-place/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`plan`] splits a region's requests over the regions that have room.
 //! - [`pool`] holds the observations of a service's targets and chooses a target for a request.
+//! - [`grant`] checks a target that the dispatcher of a region granted to a request.
 //! - [`member`] holds the observations of one target.
 //! - [`location`] describes where an instance is, and its round-trip times to targets.
 //! - [`abandon`] decides when a request gives up on a slow target.
@@ -34,6 +35,7 @@
 mod candidate;
 pub mod cold;
 pub mod departure;
+pub mod grant;
 pub mod hash;
 pub mod limit;
 pub mod location;
--- a/crates/sg-place/src/member.rs
+++ b/crates/sg-place/src/member.rs
@@ -348,6 +348,13 @@
         self.speed.slowness(now)
     }
 
+    /// Returns the last report of the target if it arrived at `since` or later.
+    #[must_use]
+    pub fn report_since(&self, since: Instant) -> Option<LoadReport> {
+        let reported = self.reported.filter(|reported| reported.at >= since)?;
+        Some(reported.report)
+    }
+
     /// Returns the pace that the target reported last.
     #[must_use]
     pub fn pace(&self) -> Option<Sample> {
--- a/crates/sg-place/src/pool.rs
+++ b/crates/sg-place/src/pool.rs
@@ -17,7 +17,6 @@
 
 /// Time after which room is expected while the shift limiter allows no region.
 const SHIFT_RETRY_SECONDS: f64 = 0.5;
-
 /// Time after which room is expected while other instances use the rates that all targets state.
 const RATE_RETRY_SECONDS: f64 = 1.0;
 
@@ -108,9 +107,9 @@
 /// The targets of one service.
 #[derive(Debug, Clone, Default)]
 pub struct Pool {
-    members: IndexMap<id::Target, Member>,
+    pub(crate) members: IndexMap<id::Target, Member>,
     plan: Plan,
-    sender_ratio: f64,
+    pub(crate) sender_ratio: f64,
     scarcity: Scarcity,
     /// Average time that the targets work on a request.
     work: MovingAverage,
@@ -203,8 +202,7 @@
         location: &Location,
         closed: &IndexSet<id::Domain>,
     ) -> Result<Choice, Rejection> {
-        let limits_shift =
-            query.shift_limiter.is_surging(query.now) && !self.has_banned_target(query.now);
+        let limits_shift = self.limits_shift(query);
         let planned = self.planned_region(query, location, limits_shift);
         let members = self.permitted_members(query, closed, planned, limits_shift)?;
         let evaluation = Evaluation {
@@ -222,9 +220,8 @@
             .collect();
         let best = best_with_room(&candidates, query)?;
         if best.is_late(query) {
-            return Err(Rejection::NoRoom(
-                best.expected_seconds() - query.remaining_seconds,
-            ));
+            let excess_seconds = best.expected_seconds() - query.remaining_seconds;
+            return Err(Rejection::NoRoom(excess_seconds));
         }
         Ok(Choice {
             target: best.member.target.clone(),
@@ -280,7 +277,7 @@
 
     /// Returns the region that the plan names for the request. While the shift limiter does not
     /// allow that region, returns the first other one that it allows.
-    fn planned_region<'a>(
+    pub(crate) fn planned_region<'a>(
         &'a self,
         query: &Query<'_>,
         location: &'a Location,
@@ -312,14 +309,18 @@
         self.scarcity.is_scarce(region, now)
     }
 
-    /// Returns whether any target is excluded. Its requests must then move to other targets at
-    /// once, so the shift limiter does not apply.
-    fn has_banned_target(&self, now: Instant) -> bool {
-        self.members().any(|member| member.is_banned(now))
+    /// Returns whether the shift limiter applies. Requests of an excluded target must move at once.
+    pub(crate) fn limits_shift(&self, query: &Query<'_>) -> bool {
+        query.shift_limiter.is_surging(query.now) && !self.members().any(|m| m.is_banned(query.now))
     }
 
     /// Returns whether this instance may send one more request to `member` if that is cold.
-    fn has_cold_allowance(&self, member: &Member, query: &Query<'_>, location: &Location) -> bool {
+    pub(crate) fn has_cold_allowance(
+        &self,
+        member: &Member,
+        query: &Query<'_>,
+        location: &Location,
+    ) -> bool {
         if !member.is_cold(query.now) || query.cold_rate <= 0.0 {
             return true;
         }
