feat(sg-gateway): dispatch slots; feat(sg-proxy): ask the dispatcher before the first send

Cause: instances that decide alone send to targets that are full while others are idle. Change: the instance named by rendezvous hashing holds a group for each service and answers asks; the request path asks for a slot before the first send of a request that the plan keeps in the region, and decides alone if there is no answer in time.

--- a/crates/sg-gateway/src/beacon.rs
+++ b/crates/sg-gateway/src/beacon.rs
@@ -11,7 +11,7 @@
 use sg_store::{Store, version::Era};
 use sg_types::prelude::*;
 
-use crate::{Interpreter, Protocol, daemon::Context, digests, following, registry};
+use crate::{Interpreter, Protocol, daemon::Context, digests, following, registry, slots};
 
 /// The least interval between two beacons of an instance.
 const BEACON_INTERVAL: Span = Span::from_millis(400);
@@ -63,6 +63,8 @@
     let bound = load.bound.into_iter();
     let bound = bound.map(|(service, region, slots)| (service, region, round_slots(slots)));
     let bound = bound.filter(|(.., slots)| *slots > 0.0);
+    let takes_slots = context.slots.takes_part();
+    let memory_mb = context.settings.limits.memory_mb.unwrap_or(0);
     let beacon = Beacon {
         instance: context.settings.instance.clone(),
         incarnation: context.incarnation,
@@ -86,6 +88,8 @@
             .collect(),
         follows: following::reaches_store(context, now),
         takes_digests: true,
+        takes_slots,
+        memory_mb: if takes_slots { memory_mb } else { 0 },
         demand: demand.collect(),
         bound: bound.collect(),
         wanted_tokens: Vec::new(),
@@ -161,6 +165,9 @@
     if is_ahead {
         context.ahead.notify_one();
     }
+    if is_urgent {
+        slots::update(context, now);
+    }
     is_urgent
 }
 
--- a/crates/sg-gateway/src/daemon.rs
+++ b/crates/sg-gateway/src/daemon.rs
@@ -30,7 +30,7 @@
 
 use crate::{
     Interpreter, Protocol, Settings, budget::Budget, digests, exchange, following, health,
-    registry, servers, servers::Phases, settings, shutdown, updates,
+    registry, servers, servers::Phases, settings, shutdown, slots, updates,
 };
 
 /// The index of the operators' prefix among the followed prefixes.
@@ -96,6 +96,7 @@
     /// The sequence number of the next loan to another instance. Each run starts at 1.
     pub next_loan_number: AtomicU64,
     pub digests: digests::State,
+    pub slots: slots::State,
     /// Notified when another instance knows of a change that this one doesn't know.
     pub ahead: Notify,
     /// Notified when this instance has applied changes of the store.
@@ -181,11 +182,13 @@
         gossip,
         next_loan_number: AtomicU64::new(1),
         digests: digests::State::default(),
+        slots: slots::State::new(&registry)?,
         ahead: Notify::new(),
         changed: Notify::new(),
         registry,
         era_gauge,
     });
+    context.core.slots.set_run(context.incarnation);
     let phases = Phases::default();
     let mut servers = servers::start(&context, &phases, &budget)?;
     let mut tasks = JoinSet::new();
@@ -267,6 +270,7 @@
     tasks.spawn(updates::release_retained(context.clone()));
     tasks.spawn(exchange::receive_frames(context.clone()));
     tasks.spawn(exchange::send_frames(context.clone(), signals));
+    tasks.spawn(slots::run(context.clone()));
     tasks.spawn(following::catch_up(context.clone()));
     tasks.spawn(health::run(context.clone()));
 }
--- a/crates/sg-gateway/src/exchange.rs
+++ b/crates/sg-gateway/src/exchange.rs
@@ -20,7 +20,7 @@
 use crate::{
     Interpreter, Protocol, beacon,
     daemon::{Context, INSTANCE_INDEX, OPERATOR_INDEX, TARGET_INDEX},
-    digests, following,
+    digests, following, slots,
 };
 
 /// The interval at which the demand for loans, the traffic plans and the fleet size are updated.
@@ -75,6 +75,7 @@
             lend_wanted_tokens(context, incarnation, from, wanted_tokens);
         }
         Frame::Digest(digest) => digests::receive(context, &digest, now),
+        Frame::Slots(packet) => slots::receive(context, packet, from, now),
         Frame::Wanted {
             incarnation,
             tokens,
@@ -184,6 +185,7 @@
                 context.core.metrics.lateness.observe(tick.late.as_secs_f64());
                 tick_count += 1;
                 update_core(&context, tick.now);
+                slots::update(&context, tick.now);
                 digests::report_earlier_builds(&context, tick.now);
                 digests::send_requested(&context, tick.now);
                 following::update(&context, &mut follow_due_since, tick.now);
@@ -195,7 +197,9 @@
                 send_departures(&context, tick.now);
                 let core = &context.core;
                 let follows = following::reaches_store(&context, tick.now);
-                let state = (context.is_ready(), core.is_draining(), core.is_cut_off(), follows);
+                let takes_slots = context.slots.takes_part();
+                let is_usable = (context.is_ready(), core.is_draining(), core.is_cut_off());
+                let state = (is_usable, follows, takes_slots);
                 let is_due = tick.now.since(last_beacon) >= beacon::interval(&context, tick.now);
                 if is_due || last_state != Some(state) {
                     last_beacon = tick.now;
--- a/crates/sg-gateway/src/lib.rs
+++ b/crates/sg-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod servers;
 pub mod settings;
 mod shutdown;
+mod slots;
 mod updates;
 
 pub use daemon::run;
--- a/crates/sg-place/src/grant.rs
+++ b/crates/sg-place/src/grant.rs
@@ -108,7 +108,6 @@
         if !is_usable {
             return Err(Unusable::Target);
         }
-        let may_shift = !self.limits_shift(query) || query.shift_limiter.allows(region, query.now);
         let has_allowance = member.rate_limit.has_room(query.now)
             && self.has_cold_allowance(member, query, location);
         has_allowance.then_some(()).ok_or(Unusable::Allowance)
--- a/crates/sg-place/src/pool.rs
+++ b/crates/sg-place/src/pool.rs
@@ -55,7 +55,8 @@
 
 impl Query<'_> {
     /// Returns the time that a warm object saves at the target.
-    pub(crate) fn saved_by_warmth_seconds(&self) -> f64 {
+    #[must_use]
+    pub fn saved_by_warmth_seconds(&self) -> f64 {
         (self.cold_work_seconds - self.warm_work_seconds).max(0.0)
     }
 }
--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -6,19 +6,20 @@
 use http::{Response, request};
 use sg_catalog::{Account, Catalog, Route};
 use sg_place::{
-    abandon,
+    Pool, abandon,
     hash::Object,
+    location::Location,
     member::TargetOutcome,
     pool::{Choice, Query, Rejection},
-    quarantine::Suspicion,
 };
 use sg_types::prelude::*;
 
 use crate::{
     Body, Core, Dialect,
-    core::Signal,
     dialect::Refusal,
+    history::{self, History},
     send::{self, SendOutcome},
+    slots::{self, Granted},
     trace::{SendRecord, Trace},
 };
 
@@ -26,7 +27,7 @@
 /// attempt does not count as a send.
 const MAX_CONNECT_FAILURES: u32 = 4;
 /// Time that the response needs to reach the caller, including the processing by this instance.
-const RESPONSE_OVERHEAD_SECONDS: f64 = 0.02;
+pub(crate) const RESPONSE_OVERHEAD: Span = Span::from_millis(20);
 /// Time that a refused caller is asked to wait before it retries, as a fraction of its remaining
 /// time. Capacity frees up over time, but with a fraction of a quarter the retries outlast a burst
 /// of requests and shift the burst's traffic to the region of the retries.
@@ -66,14 +67,14 @@
 impl Call<'_> {
     /// Returns the priority of the request, 0 being the most urgent. The priority of the account
     /// takes precedence over that of the route.
-    fn priority(&self) -> u32 {
+    pub fn priority(&self) -> u32 {
         let account = self.account.as_ref().and_then(|account| account.priority);
         account.unwrap_or(self.route.priority)
     }
 
     /// Returns how long a refused caller should wait before its only retry: a fraction of its
     /// remaining time, because capacity frees up over time and the retry needs time for a response.
-    fn retry_after(&self, now: Instant) -> Span {
+    pub fn retry_after(&self, now: Instant) -> Span {
         let until = self.caller_deadline.unwrap_or(self.deadline);
         until.since(now).mul_f64(RETRY_AFTER_FRACTION)
     }
@@ -104,17 +105,6 @@
     }
 }
 
-/// Results of the sends so far.
-#[derive(Debug, Default)]
-struct History {
-    tried: Vec<id::Target>,
-    sends: u32,
-    connect_failures: u32,
-    /// Whether a target may have run the request.
-    may_have_run: bool,
-    failure: Option<Response<Body>>,
-}
-
 /// Sends the request to one target after another until one responds without a failure or no further
 /// send is allowed.
 pub async fn run<D: Dialect>(
@@ -127,9 +117,16 @@
     record_demand(core, call, &service);
     let mut history = History::default();
     loop {
-        let choice = match reserve_target(core, call, &service, &history) {
-            Ok(choice) => choice,
-            Err(refusal) => return history.into_result(call, refusal, core.timer.now()),
+        let granted = match history.tried.is_empty() {
+            true => slots::acquire(core, call, &service, trace.arrived).await?,
+            false => None,
+        };
+        let (choice, slot) = match granted {
+            Some(Granted { choice, slot }) => (choice, Some(slot)),
+            None => match reserve_target(core, call, &service, &history) {
+                Ok(choice) => (choice, None),
+                Err(refusal) => return history.into_result(call, refusal, core.timer.now()),
+            },
         };
         history.tried.push(choice.target.id.clone());
         let index = trace.sends.len();
@@ -145,6 +142,9 @@
         call.may_have_run.store(true, Ordering::Relaxed);
         let may_abandon = || may_abandon(core, call, &service, &history.tried);
         let outcome = send::send(core, call, &service, &choice, until, may_abandon).await;
+        if let Some(slot) = slot {
+            slot.finish(core, &service, &choice, &outcome);
+        }
         trace.sends[index].outcome = outcome.as_str();
         core.metrics.record_attempt(&service, outcome.as_str());
         retract_unrun(core, &choice, &outcome);
@@ -168,7 +168,7 @@
             }
         }
         if matches!(outcome_label, "lost") && !core.is_cut_off() {
-            report_suspect(core, call, &service, &choice);
+            history::report_suspect(core, call, &service, &choice);
         }
         if let Err(reason) = check_retry(core, call, &service, &history, outcome_label) {
             return history.into_result(call, Refusal::not_run(reason), core.timer.now());
@@ -176,39 +176,6 @@
     }
 }
 
-impl History {
-    /// Returns the final result: the failure response of a target if there is one, else a refusal
-    /// that says whether the request may have run.
-    fn into_result(
-        self,
-        call: &Call<'_>,
-        mut refusal: Refusal,
-        now: Instant,
-    ) -> Result<Response<Body>, Refusal> {
-        if let Some(failure) = self.failure {
-            return Ok(failure);
-        }
-        if self.may_have_run {
-            let reason = match refusal.reason {
-                Reason::Deadline => Reason::DeadlineRunning,
-                _ => Reason::ConnectionLost,
-            };
-            return Err(Refusal::may_have_run(reason));
-        }
-        // The caller was told when the first target is back.
-        if refusal.reason == Reason::TargetsPaused {
-            return Err(refusal);
-        }
-        refusal.retry_after = None;
-        let wait = match refusal.reason {
-            // Other instances can serve the request at once.
-            Reason::Leaving => Span::ZERO,
-            _ => call.retry_after(now),
-        };
-        Err(refusal.with_retry_after(wait))
-    }
-}
-
 /// Chooses the service that runs the request, by the weights of the route's services.
 fn choose_service<D: Dialect>(core: &Core<D>, call: &Call<'_>) -> Result<id::Service, Refusal> {
     let services = &call.route.services;
@@ -263,25 +230,48 @@
     history: &History,
 ) -> Result<Choice, Refusal> {
     let choice = choose_target(core, call, service, &history.tried)
-        .and_then(|choice| check_stop(core, choice));
+        .and_then(|choice| check_stop(core, choice))
+        .inspect_err(|refusal| record_refusal(core, call, service, refusal))?;
+    record_send(core, call, service, &choice, !history.tried.is_empty());
+    Ok(choice)
+}
+
+/// Records that a request was refused because its region has no room.
+pub(crate) fn record_refusal<D: Dialect>(
+    core: &Core<D>,
+    call: &Call<'_>,
+    service: &id::Service,
+    refusal: &Refusal,
+) {
+    if refusal.reason != Reason::RegionFull {
+        return;
+    }
+    let now = core.timer.now();
+    let mut state = core.state.lock();
+    state.shift_limiter.record_refusal(now);
+    let account_home_regions = call
+        .account
+        .iter()
+        .flat_map(|account| account.home_regions.iter());
+    let home_regions = call.route.home_regions.iter().chain(account_home_regions);
+    state
+        .pool(service)
+        .record_restricted_refusal(home_regions, now);
+}
+
+/// Records that a request is sent to the chosen target.
+pub(crate) fn record_send<D: Dialect>(
+    core: &Core<D>,
+    call: &Call<'_>,
+    service: &id::Service,
+    choice: &Choice,
+    is_retry: bool,
+) {
     let now = core.timer.now();
     let mut state = core.state.lock();
-    if choice.as_ref().is_ok_and(|choice| choice.leaves_region) {
+    if choice.leaves_region {
         state.off_plan.record_departure();
     }
-    let choice = choice.inspect_err(|refusal| {
-        if refusal.reason == Reason::RegionFull {
-            state.shift_limiter.record_refusal(now);
-            let account_home_regions = call
-                .account
-                .iter()
-                .flat_map(|account| account.home_regions.iter());
-            let home_regions = call.route.home_regions.iter().chain(account_home_regions);
-            state
-                .pool(service)
-                .record_restricted_refusal(home_regions, now);
-        }
-    })?;
     state
         .shift_limiter
         .record(&choice.target.region, choice.expected_start(), now);
@@ -289,10 +279,8 @@
     pool.record_send(&choice.target.id, call.object, now);
     let member = pool.member_mut(&choice.target.id);
     if member.is_some_and(|member| member.rate_limit.rate().is_some()) {
-        let is_retry = !history.tried.is_empty();
         core.metrics.record_limited_send(service, is_retry);
     }
-    Ok(choice)
 }
 
 /// Retracts a request that its target did not run from the shift limiter.
@@ -321,23 +309,55 @@
     if now >= call.deadline {
         return Err(Refusal::not_run(Reason::Deadline));
     }
-    let remaining_seconds = call.deadline.since(now).as_secs_f64() - RESPONSE_OVERHEAD_SECONDS;
+    let may_leave_region = core.state.lock().off_plan.record_request();
+    let choice = with_query(
+        core,
+        call,
+        service,
+        tried,
+        now,
+        |pool, query, location, closed| {
+            let query = Query {
+                may_leave_region,
+                ..*query
+            };
+            pool.choose(&query, location, closed)
+        },
+    );
+    let choice = choice.unwrap_or(Err(Rejection::NoTarget));
+    choice.map_err(|rejection| match rejection {
+        Rejection::NoTarget => Refusal::not_run(Reason::NoTarget),
+        Rejection::NoRoom(excess_seconds) => Refusal::not_run(Reason::RegionFull)
+            .with_retry_after(Span::from_secs(1).mul_f64(excess_seconds)),
+        Rejection::Paused(seconds) => Refusal::not_run(Reason::TargetsPaused)
+            .with_retry_from(Span::from_secs(1).mul_f64(seconds)),
+    })
+}
+
+/// Calls `decide` with the targets of `service`, what the request needs in its planned region, the location of this
+/// instance and the closed domains. Returns `None` if the service has no targets.
+pub(crate) fn with_query<D: Dialect, T>(
+    core: &Core<D>,
+    call: &Call<'_>,
+    service: &id::Service,
+    tried: &[id::Target],
+    now: Instant,
+    decide: impl FnOnce(&Pool, &Query<'_>, &Location, &IndexSet<id::Domain>) -> T,
+) -> Option<T> {
+    let remaining_seconds =
+        call.deadline.since(now).as_secs_f64() - RESPONSE_OVERHEAD.as_secs_f64();
     let priority = call.priority().min(MAX_PRIORITY);
     let remaining_seconds =
         remaining_seconds * (1.0 - PRIORITY_MARGIN_FRACTION * f64::from(priority));
     let services = &call.catalog.services;
     let cold_rate = services.get(service).map_or(0.0, |s| s.cold_rate);
-    let account_home_regions = call
-        .account
-        .as_ref()
-        .map(|account| account.home_regions.clone());
+    let account_home_regions = call.account.as_ref().map(|a| a.home_regions.clone());
     let mut state = core.state.lock();
     let work = state.route_stats(&call.route).work;
-    let may_leave_region = state.off_plan.record_request();
     let query = Query {
         object: call.object,
         placement_key: call.placement_key,
-        may_leave_region,
+        may_leave_region: false,
         warm_work_seconds: work.expected_work_seconds(true),
         cold_work_seconds: work.expected_work_seconds(call.object.is_none()),
         cold_fraction: work.cold_fraction(),
@@ -350,22 +370,13 @@
         shift_limiter: &state.shift_limiter,
         now,
     };
-    let Some(pool) = state.pools.get(service) else {
-        return Err(Refusal::not_run(Reason::NoTarget));
-    };
-    let choice = pool.choose(&query, &state.location, &state.closed_domains);
-    choice.map_err(|rejection| match rejection {
-        Rejection::NoTarget => Refusal::not_run(Reason::NoTarget),
-        Rejection::NoRoom(excess_seconds) => Refusal::not_run(Reason::RegionFull)
-            .with_retry_after(Span::from_secs(1).mul_f64(excess_seconds)),
-        Rejection::Paused(seconds) => Refusal::not_run(Reason::TargetsPaused)
-            .with_retry_from(Span::from_secs(1).mul_f64(seconds)),
-    })
+    let pool = state.pools.get(service)?;
+    Some(decide(pool, &query, &state.location, &state.closed_domains))
 }
 
 /// Refuses a request that the chosen target may not finish before this instance stops. Another instance
 /// can still serve the request.
-fn check_stop<D: Dialect>(core: &Core<D>, choice: Choice) -> Result<Choice, Refusal> {
+pub(crate) fn check_stop<D: Dialect>(core: &Core<D>, choice: Choice) -> Result<Choice, Refusal> {
     let Some(stop_at) = core.stop_at() else {
         return Ok(choice);
     };
@@ -451,33 +462,6 @@
     Ok(())
 }
 
-fn report_suspect<D: Dialect>(
-    core: &Core<D>,
-    call: &Call<'_>,
-    service: &id::Service,
-    choice: &Choice,
-) {
-    let in_flight = {
-        let mut state = core.state.lock();
-        let member = state.pool(service).member_mut(&choice.target.id);
-        member.map_or(1, |member| member.in_flight + 1)
-    };
-    let suspicion = Suspicion {
-        account: call.account().cloned(),
-        fingerprint: call.fingerprint,
-        target: choice.target.id.clone(),
-        in_flight,
-    };
-    core.send_signal(Signal::Notice(Notice::Suspect {
-        account: suspicion.account.clone(),
-        service: service.clone(),
-        fingerprint: suspicion.fingerprint,
-        target: suspicion.target.clone(),
-        in_flight,
-    }));
-    core.record_suspicion(suspicion);
-}
-
 /// Returns what the outcome of a send says about its target.
 #[must_use]
 pub fn target_outcome(outcome: &SendOutcome) -> TargetOutcome {
--- a/crates/sg-proxy/src/core.rs
+++ b/crates/sg-proxy/src/core.rs
@@ -20,6 +20,7 @@
     body::ReceiveBudget,
     connections::{self, ConnectionPool},
     metrics::Metrics,
+    slots::Requester,
     state::State,
     trace::LogLimiter,
 };
@@ -81,6 +82,8 @@
     pub metrics: Metrics,
     /// Connections to targets.
     pub connections: ConnectionPool,
+    /// Asks for slots of targets.
+    pub slots: Arc<Requester>,
     pub(crate) options: Options,
     pub(crate) receive_budget: ReceiveBudget,
     pub(crate) state: Mutex<State>,
@@ -130,6 +133,7 @@
                 metrics.connections_opened.clone(),
             ),
             timer,
+            slots: Arc::new(Requester::new(metrics.slots.clone())),
             metrics,
             state: Mutex::new(State::new(
                 options.location.clone(),
@@ -183,10 +187,8 @@
         }
         let mut loaded_at = self.loaded_at.subscribe();
         // The caller finds out after a timeout what is missing.
-        let _ = self
-            .timer
-            .until(until, loaded_at.wait_for(Option::is_some))
-            .await;
+        let loaded = loaded_at.wait_for(Option::is_some);
+        let _ = self.timer.until(until, loaded).await;
     }
 
     /// Makes all further responses close their connections, because the instance is about to stop.
@@ -194,6 +196,7 @@
     /// flight at `stop_at` are answered by the instance itself.
     pub fn start_draining(&self, stop_at: Instant) {
         self.stop_at.send_replace(Some(stop_at));
+        self.slots.give_up_all();
     }
 
     /// Returns when the instance answers all requests in flight, if it drains.
--- a/crates/sg-proxy/src/lib.rs
+++ b/crates/sg-proxy/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! A [`Dialect`] reads and writes headers and makes no decisions. [`Core`] holds the state that
 //! decisions are based on, [`serve`](fn@serve) handles one request from its head to its response,
-//! [`connections`] keeps connections to targets, and [`server`] accepts connections of callers.
+//! [`connections`] keeps connections to targets, [`slots`] asks a dispatcher for them, and [`server`] accepts connections of callers.
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
@@ -13,6 +13,7 @@
 pub mod connections;
 pub mod core;
 pub mod dialect;
+mod history;
 pub mod metrics;
 pub mod planning;
 mod rate_limits;
@@ -22,6 +23,7 @@
 mod send;
 mod serve;
 pub mod server;
+pub mod slots;
 mod state;
 mod trace;
 
--- a/crates/sg-proxy/src/metrics.rs
+++ b/crates/sg-proxy/src/metrics.rs
@@ -6,6 +6,8 @@
 };
 use sg_types::prelude::*;
 
+use crate::slots;
+
 /// Upper bounds of the latency buckets, in seconds: from a warm response nearby to the longest
 /// deadline.
 const LATENCY_BUCKETS_SECONDS: [f64; 12] =
@@ -62,6 +64,8 @@
     pub omitted_log_lines: IntCounter,
     /// Time by which timers fire late, for lack of processor time.
     pub lateness: Histogram,
+    /// Metrics of asks for slots.
+    pub slots: slots::Metrics,
 }
 
 impl Metrics {
@@ -137,6 +141,7 @@
             in_progress: gauge("sg_requests_in_hand", "Requests in hand.")?,
             omitted_log_lines: counter("sg_log_lines_left_out_total", "Request lines left out.")?,
             lateness: registered(registry, timer_lateness())?,
+            slots: slots::Metrics::register(registry)?,
         })
     }
 
--- /dev/null
+++ b/crates/sg-proxy/src/slots.rs
@@ -0,0 +1,249 @@
+//! Asks the dispatcher of a service for a slot before a request is sent.
+//!
+//! The load: each instance sees a small part of a target's requests, so that instances which decide alone send
+//! to targets that are full while others are idle. The dispatcher knows all requests of its region. An instance
+//! that gets no answer in time decides alone.
+
+mod ask;
+mod assign;
+mod contact;
+mod lease;
+mod metrics;
+mod targets;
+
+use std::net::SocketAddr;
+
+use parking_lot::Mutex;
+use sg_dispatch::{Decision, Ticket, exchange::Message, exchange::ServiceKey, message::Lease};
+use sg_types::prelude::*;
+use tokio::sync::Notify;
+
+use ask::{Answer, Pending};
+pub(crate) use assign::{Granted, acquire};
+use contact::Contact;
+use lease::{Held, Slot};
+pub use metrics::Metrics;
+
+/// How messages reach another party.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Link {
+    /// The party is this instance.
+    Local,
+    /// The party is the instance with this mesh address.
+    Remote(SocketAddr),
+}
+
+/// A message that is to be delivered.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Post {
+    /// The receiver.
+    pub to: Link,
+    /// The service that the message is about.
+    pub service: ServiceKey,
+    /// The message.
+    pub message: Message,
+}
+
+/// Asks of this instance that are open, and the slots that it uses.
+#[derive(Debug)]
+pub struct Requester {
+    inner: Mutex<Inner>,
+    posts: Mutex<Vec<Post>>,
+    posted: Notify,
+    metrics: Metrics,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    run: Incarnation,
+    last_number: u64,
+    dispatchers: IndexMap<id::Service, Link>,
+    contacts: IndexMap<Link, Contact>,
+    pending: IndexMap<u64, Pending>,
+    held: IndexMap<u64, Held>,
+}
+
+impl Requester {
+    /// Creates a requester that knows no dispatchers.
+    #[must_use]
+    pub fn new(metrics: Metrics) -> Self {
+        Self {
+            inner: Mutex::default(),
+            posts: Mutex::default(),
+            posted: Notify::new(),
+            metrics,
+        }
+    }
+
+    /// Sets the run of this instance, which its tickets carry.
+    pub fn set_run(&self, run: Incarnation) {
+        self.inner.lock().run = run;
+    }
+
+    /// Adds a message to those that are to be delivered. Messages that are added before the task of the receiver
+    /// of [`wait_for_posts`](Self::wait_for_posts) runs share a datagram.
+    pub fn post(&self, post: Post) {
+        let mut posts = self.posts.lock();
+        let is_first = posts.is_empty();
+        posts.push(post);
+        drop(posts);
+        if is_first {
+            self.posted.notify_one();
+        }
+    }
+
+    /// Waits until there are messages to deliver.
+    pub async fn wait_for_posts(&self) {
+        self.posted.notified().await;
+    }
+
+    /// Moves the messages that are to be delivered to `taken`, which is empty.
+    pub fn take_posts(&self, taken: &mut Vec<Post>) {
+        std::mem::swap(&mut *self.posts.lock(), taken);
+    }
+
+    /// Replaces the dispatchers. A new dispatcher of a service learns of the slots that this instance uses, and
+    /// open asks at the former one are given up.
+    pub fn set_dispatchers(&self, dispatchers: IndexMap<id::Service, Link>, now: Instant) {
+        let mut inner = self.inner.lock();
+        if inner.dispatchers == dispatchers {
+            return;
+        }
+        let former = std::mem::replace(&mut inner.dispatchers, dispatchers);
+        let links: IndexSet<Link> = inner.dispatchers.values().copied().collect();
+        inner.contacts.retain(|link, _| links.contains(link));
+        let mut posts = Vec::new();
+        for (service, link) in &inner.dispatchers {
+            if former.get(service) != Some(link) {
+                let key = ServiceKey::of(service);
+                let held = inner.held.iter().filter(|(_, held)| held.service == key);
+                posts.extend(held.map(|(number, held)| Post {
+                    to: *link,
+                    service: key,
+                    message: Message::Adopt(held.lease(inner.ticket(*number), now)),
+                }));
+            }
+        }
+        let current: IndexMap<ServiceKey, Link> = inner
+            .dispatchers
+            .iter()
+            .map(|(service, link)| (ServiceKey::of(service), *link))
+            .collect();
+        let is_moved = |pending: &Pending| current.get(&pending.service) != Some(&pending.to);
+        let moved = inner.take_pending(is_moved);
+        drop(inner);
+        posts.into_iter().for_each(|post| self.post(post));
+        moved
+            .into_iter()
+            .for_each(|pending| pending.resolve(Answer::Moved));
+    }
+
+    /// Gives up all open asks, because this instance drains.
+    pub(crate) fn give_up_all(&self) {
+        let given_up = self.inner.lock().take_pending(|_| true);
+        for pending in given_up {
+            pending.resolve(Answer::Draining);
+        }
+    }
+
+    /// Handles a decision about an ask of this instance, which came by `from`.
+    pub fn handle(
+        self: &Arc<Self>,
+        service: ServiceKey,
+        decision: Decision,
+        from: Link,
+        now: Instant,
+    ) {
+        let ticket = decision.ticket();
+        let mut inner = self.inner.lock();
+        if ticket.sender != inner.run {
+            return;
+        }
+        if let Some(contact) = inner.contacts.get_mut(&from) {
+            contact.record_answer(ticket.number, now, &self.metrics);
+        }
+        let is_granted = matches!(decision, Decision::Grant { .. });
+        if let Decision::Wait { .. } = decision {
+            if let Some(pending) = inner.pending.get_mut(&ticket.number) {
+                pending.is_heard = true;
+            }
+            return;
+        }
+        let pending = inner
+            .pending
+            .get(&ticket.number)
+            .is_some_and(|pending| pending.to == from);
+        let pending = pending
+            .then(|| inner.pending.swap_remove(&ticket.number))
+            .flatten();
+        let Some(pending) = pending else {
+            let is_held = inner.held.contains_key(&ticket.number);
+            drop(inner);
+            if is_granted && !is_held {
+                self.metrics.late_grants.inc();
+                self.cancel(service, ticket, from);
+            }
+            return;
+        };
+        let answer = match decision {
+            Decision::Reject { retry_after, .. } => Answer::Rejected(retry_after),
+            Decision::Grant {
+                target, is_warm, ..
+            } => {
+                let held = pending.hold(target.clone(), is_warm, now);
+                inner.held.insert(ticket.number, held);
+                Answer::Granted {
+                    target,
+                    is_warm,
+                    slot: Slot::new(self.clone(), ticket.number),
+                }
+            }
+            Decision::Wait { .. } => return,
+        };
+        drop(inner);
+        // If the caller has left, the slot goes with the answer, which cancels the ask.
+        pending.resolve(answer);
+    }
+
+    fn cancel(&self, service: ServiceKey, ticket: Ticket, to: Link) {
+        self.post(Post {
+            to,
+            service,
+            message: Message::Cancel { ticket },
+        });
+    }
+}
+
+impl Inner {
+    fn ticket(&self, number: u64) -> Ticket {
+        Ticket {
+            sender: self.run,
+            number,
+        }
+    }
+
+    /// Returns the dispatcher of the service with the key `service`.
+    fn dispatcher_of(&self, service: ServiceKey) -> Option<Link> {
+        let mut dispatchers = self.dispatchers.iter();
+        let found = dispatchers.find(|(name, _)| ServiceKey::of(name) == service);
+        found.map(|(_, link)| *link)
+    }
+
+    fn take_pending(&mut self, is_taken: impl Fn(&Pending) -> bool) -> Vec<Pending> {
+        let taken = self.pending.extract_if(.., |_, pending| is_taken(pending));
+        taken.map(|(_, pending)| pending).collect()
+    }
+}
+
+impl Held {
+    fn lease(&self, ticket: Ticket, now: Instant) -> Lease {
+        Lease {
+            ticket,
+            target: self.target.clone(),
+            object: self.object,
+            work: self.work,
+            age: now.since(self.since),
+            deadline_left: self.until.since(now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sg-proxy/src/slots/lease.rs
@@ -0,0 +1,122 @@
+//! Slots in use by requests of this instance.
+
+use sg_dispatch::{
+    exchange::{Message, ServiceKey},
+    message::{End, Outcome},
+};
+use sg_place::{grant::Unusable, hash::Object, pool::Choice};
+use sg_types::prelude::*;
+
+use super::{Link, Post, Requester};
+use crate::{Core, send::SendOutcome};
+
+/// A slot that a dispatcher granted.
+#[derive(Debug)]
+pub(super) struct Held {
+    pub service: ServiceKey,
+    /// Dispatcher that granted the slot.
+    pub from: Link,
+    pub target: id::Target,
+    pub object: Option<Object>,
+    pub work: Span,
+    pub since: Instant,
+    /// When the response is due.
+    pub until: Instant,
+}
+
+/// Guard of a granted slot. When dropped, which also happens if the caller disconnects, the guard tells the
+/// dispatcher how the use of the slot ended. Without a known end it withdraws the ask.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    requester: Arc<Requester>,
+    number: u64,
+    end: Option<End>,
+}
+
+impl Slot {
+    pub(super) fn new(requester: Arc<Requester>, number: u64) -> Self {
+        Self {
+            requester,
+            number,
+            end: None,
+        }
+    }
+
+    /// Ends the use of a slot that this instance may not use. A target that has room but that this instance
+    /// has sent its share to is no failure of the target, so that the ask is withdrawn.
+    pub fn refuse(mut self, why: Unusable) {
+        if why == Unusable::Target {
+            self.end = Some(End {
+                outcome: Outcome::NotRun,
+                report: None,
+                work: None,
+            });
+        }
+    }
+
+    /// Ends the use of the slot after a send, with what the target said of its load in its response.
+    pub fn finish<D>(
+        mut self,
+        core: &Core<D>,
+        service: &id::Service,
+        choice: &Choice,
+        outcome: &SendOutcome,
+    ) {
+        let mut state = core.state.lock();
+        let member = state.pool(service).member_mut(&choice.target.id);
+        let report = member.and_then(|member| member.report_since(choice.chosen_at));
+        drop(state);
+        self.end = Some(match outcome {
+            SendOutcome::Answered(_) => End {
+                outcome: Outcome::Answered,
+                report,
+                work: measured_work(choice, core.timer.now()),
+            },
+            SendOutcome::Failed(_) => End {
+                outcome: Outcome::Answered,
+                report,
+                work: None,
+            },
+            outcome if outcome.is_not_run() => End {
+                outcome: Outcome::NotRun,
+                report,
+                work: None,
+            },
+            _ => End {
+                outcome: Outcome::Lost,
+                report: None,
+                work: None,
+            },
+        });
+    }
+}
+
+/// Returns how long the target worked on a request whose response is complete now. The expected wait at the target
+/// is not counted.
+fn measured_work(choice: &Choice, now: Instant) -> Option<Span> {
+    let elapsed = now.since(choice.chosen_at).as_secs_f64();
+    let seconds = elapsed - choice.round_trip_seconds - choice.queue_wait_seconds;
+    (seconds > 0.0).then(|| Span::from_secs(1).mul_f64(seconds))
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let mut inner = self.requester.inner.lock();
+        let Some(held) = inner.held.swap_remove(&self.number) else {
+            return;
+        };
+        let ticket = inner.ticket(self.number);
+        // A dispatcher that took over has adopted the slot.
+        let to = inner.dispatcher_of(held.service).unwrap_or(held.from);
+        drop(inner);
+        let message = match self.end {
+            Some(end) => Message::End { ticket, end },
+            None => Message::Cancel { ticket },
+        };
+        self.requester.post(Post {
+            to,
+            service: held.service,
+            message,
+        });
+    }
+}
