feat(sg-gateway): take over from a dispatcher that leaves asks unanswered

Cause: beacons of a killed dispatcher are missed only after 2 s, and requests are decided alone for so long. Change: an instance that got no answer to three asks in a row, and no beacon since, asks the next one by rank.

--- a/crates/sg-gateway/src/slots.rs
+++ b/crates/sg-gateway/src/slots.rs
@@ -13,7 +13,10 @@
     exchange::{Message, ServiceKey},
     room::Bounds,
 };
-use sg_mesh::slots::{Packet, Writer};
+use sg_mesh::{
+    members::Member,
+    slots::{Packet, Writer},
+};
 use sg_proxy::slots::{Link, Post};
 use sg_types::prelude::*;
 
@@ -398,6 +401,7 @@
             && !beacon.cut_off
             && beacon.location.region == settings.region
             && now.since(member.last_seen) <= SILENCE_TIMEOUT
+            && !is_silent(context, member)
     });
     let others = alive.map(|member| {
         let candidate = Candidate {
@@ -420,3 +424,11 @@
     });
     named.collect()
 }
+
+/// Returns whether `member` left asks unanswered and has sent no beacon since. The next instance then takes over
+/// before the beacons are missed.
+fn is_silent<D, I, S>(context: &Context<D, I, S>, member: &Member) -> bool {
+    let link = Link::Remote(member.beacon.location.mesh_address);
+    let silent_at = context.core.slots.silent_at(link);
+    silent_at.is_some_and(|at| member.last_seen <= at)
+}
--- a/crates/sg-proxy/src/slots.rs
+++ b/crates/sg-proxy/src/slots.rs
@@ -111,7 +111,9 @@
         }
         let former = std::mem::replace(&mut inner.dispatchers, dispatchers);
         let links: IndexSet<Link> = inner.dispatchers.values().copied().collect();
-        inner.contacts.retain(|link, _| links.contains(link));
+        inner
+            .contacts
+            .retain(|link, contact| links.contains(link) || contact.silent_at().is_some());
         let mut posts = Vec::new();
         for (service, link) in &inner.dispatchers {
             if former.get(service) != Some(link) {
@@ -138,6 +140,12 @@
             .for_each(|pending| pending.resolve(Answer::Moved));
     }
 
+    /// Returns when the instance at `link` was last found silent, if it still counts as silent.
+    #[must_use]
+    pub fn silent_at(&self, link: Link) -> Option<Instant> {
+        self.inner.lock().contacts.get(&link)?.silent_at()
+    }
+
     /// Gives up all open asks, because this instance drains.
     pub(crate) fn give_up_all(&self) {
         let given_up = self.inner.lock().take_pending(|_| true);
--- a/crates/sg-proxy/src/slots/contact.rs
+++ b/crates/sg-proxy/src/slots/contact.rs
@@ -25,6 +25,8 @@
     round_trip: MovingAverage,
     silent_asks: u32,
     resume_at: Instant,
+    /// When the dispatcher was last found silent.
+    silent_at: Instant,
     /// When asks were sent that have no answer yet.
     open: IndexMap<u64, Instant>,
 }
@@ -63,12 +65,18 @@
         }
     }
 
+    /// Returns when the dispatcher was found silent, if it still counts as silent.
+    pub fn silent_at(&self) -> Option<Instant> {
+        (self.silent_asks >= MAX_SILENT_ASKS).then_some(self.silent_at)
+    }
+
     /// Records that an ask got no answer in time. Returns whether the dispatcher now counts as silent.
     pub fn record_silence(&mut self, now: Instant) -> bool {
         self.silent_asks += 1;
         let is_silent = self.silent_asks >= MAX_SILENT_ASKS;
         if is_silent {
             self.resume_at = now + BACK_OFF;
+            self.silent_at = now;
         }
         is_silent
     }
