--- a/crates/sg-place/src/candidate.rs
+++ b/crates/sg-place/src/candidate.rs
@@ -8,6 +8,7 @@
     hash::Object,
     location::Location,
     member::{Baseline, Member},
+    pace::Persistence,
     pool::Query,
 };
 
@@ -124,6 +125,15 @@
         .collect()
 }
 
+/// Returns how long deviations from the usual pace last at `members`.
+pub fn pace_persistence(members: &[&Member]) -> Persistence {
+    let mut total = Persistence::default();
+    for member in members {
+        total.add(member.pace_persistence());
+    }
+    total
+}
+
 /// What the targets of a request are evaluated against.
 pub(crate) struct Evaluation<'a, 'q> {
     pub query: &'a Query<'q>,
@@ -134,6 +144,8 @@
     pub highest_ranked: IndexMap<&'a id::Region, &'a id::Target>,
     /// Ratio of the requests that all instances of this region send to those that this instance sends.
     pub sender_ratio: f64,
+    /// How long deviations from the usual pace last at the targets of the service.
+    pub pace_persistence: Persistence,
 }
 
 impl<'a> Evaluation<'a, '_> {
@@ -151,6 +163,7 @@
         let round_trip_seconds = self.location.round_trip_seconds(&member.target);
         let queue_wait_seconds = self.queue_wait_seconds(member, load);
         let work_seconds = self.work_seconds(member, is_warm, is_highest_ranked);
+        let work_seconds = self.paced_seconds(member, work_seconds, queue_wait_seconds);
         let penalty_seconds = self.utilization_penalty_seconds(member, load)
             + self.bias_seconds(member)
             + member.excess_failure_rate(query.now) * FAILURE_PENALTY * query.cold_work_seconds;
@@ -191,6 +204,23 @@
         queued / slots * self.query.typical_work_seconds * QUEUE_WAIT_FACTOR * slowness
     }
 
+    /// Returns the time that a request waits at a target that its dispatcher has granted. The dispatcher counts
+    /// the requests at the target and grants at most one beyond the slots.
+    pub fn granted_wait_seconds(&self, member: &Member) -> f64 {
+        let load = self.load(member).min(f64::from(member.slots()));
+        self.queue_wait_seconds(member, load)
+    }
+
+    /// Returns the time that a granted target works on the request, after `wait_seconds`.
+    pub fn granted_work_seconds(&self, member: &Member, is_warm: bool, wait_seconds: f64) -> f64 {
+        let query = self.query;
+        let work = match is_warm {
+            true => query.warm_work_seconds,
+            false => query.cold_work_seconds,
+        };
+        self.paced_seconds(member, self.slowed_seconds(member, work), wait_seconds)
+    }
+
     /// Returns the time that the target works on the request, with a penalty for warming up a target that
     /// is not the highest-ranked one.
     fn work_seconds(&self, member: &Member, is_warm: bool, is_highest_ranked: bool) -> f64 {
@@ -203,11 +233,24 @@
             (true, false) => query.warm_work_seconds + saved_by_warmth * WARM_OTHER_PENALTY,
             (false, false) => query.cold_work_seconds + saved_by_warmth * COLD_OTHER_PENALTY,
         };
-        let cold_factor = match member.is_cold(query.now) {
+        self.slowed_seconds(member, work)
+    }
+
+    /// Returns the time that `work` takes at a target that is slow or has just started.
+    fn slowed_seconds(&self, member: &Member, work: f64) -> f64 {
+        let now = self.query.now;
+        let cold_factor = match member.is_cold(now) {
             true => COLD_TARGET_FACTOR,
             false => 1.0,
         };
-        work * member.slowness(query.now) * cold_factor
+        work * member.slowness(now) * cold_factor
+    }
+
+    /// Returns the time that `work_seconds` of usual work take at the pace of the target's machine.
+    fn paced_seconds(&self, member: &Member, work_seconds: f64, wait_seconds: f64) -> f64 {
+        let now = self.query.now;
+        self.pace_persistence
+            .expected_seconds(member.pace(), work_seconds, wait_seconds, now)
     }
 
     fn utilization_penalty_seconds(&self, member: &Member, load: f64) -> f64 {
--- a/crates/sg-place/src/lib.rs
+++ b/crates/sg-place/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`plan`] splits a region's requests over the regions that have room.
 //! - [`pool`] holds the observations of a service's targets and chooses a target for a request.
+//! - [`grant`] checks a target that the dispatcher of a region granted to a request.
 //! - [`member`] holds the observations of one target.
 //! - [`location`] describes where an instance is, and its round-trip times to targets.
 //! - [`abandon`] decides when a request gives up on a slow target.
@@ -24,6 +25,7 @@
 //! - [`retry`] bounds retries.
 //! - [`shift_limit`] bounds how fast the regions' shares of running requests change during a load
 //!   surge.
+//! - [`speed`] tells whether a target works more slowly than expected.
 //! - [`hash`] ranks targets and instances by rendezvous hashing.
 //! - [`target`] holds the description of a target.
 #![forbid(unsafe_code)]
@@ -33,6 +35,7 @@
 mod candidate;
 pub mod cold;
 pub mod departure;
+pub mod grant;
 pub mod hash;
 pub mod limit;
 pub mod location;
@@ -51,6 +54,7 @@
 mod scarcity;
 pub mod self_report;
 pub mod shift_limit;
+pub mod speed;
 pub mod target;
 pub mod work_estimate;
 
