fix(sg-proxy): let callers read slowly

TCP_USER_TIMEOUT of 1.5 s on callers' sockets reset a connection whose caller paused, because the kernel counts the time of a closed window toward that limit.

Callers' sockets keep the keepalive probes and lose that limit.

--- a/crates/sg-proxy/src/connections.rs
+++ b/crates/sg-proxy/src/connections.rs
@@ -349,13 +349,23 @@
     }
 }
 
-/// Sets the socket options that detect a dead connection early.
+/// Sets the options of a socket to a target, which detect a dead connection early.
 ///
 /// # Errors
 /// Returns the error of the system.
 pub fn configure_socket(socket: &SockRef<'_>) -> io::Result<()> {
-    socket.set_tcp_nodelay(true)?;
     socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
+    configure_caller_socket(socket)
+}
+
+/// Sets the options of a caller's socket. Keepalive probes detect a dead connection. The time for which sent
+/// data may stay unacknowledged is not limited, because the kernel counts the time for which a caller reads
+/// nothing toward that limit.
+///
+/// # Errors
+/// Returns the error of the system.
+pub fn configure_caller_socket(socket: &SockRef<'_>) -> io::Result<()> {
+    socket.set_tcp_nodelay(true)?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
--- a/crates/sg-proxy/src/server.rs
+++ b/crates/sg-proxy/src/server.rs
@@ -94,7 +94,7 @@
                         Admission::Refused(slot) => (slot, true),
                         Admission::Dropped => continue,
                     };
-                    if let Err(error) = connections::configure_socket(&SockRef::from(&stream)) {
+                    if let Err(error) = connections::configure_caller_socket(&SockRef::from(&stream)) {
                         log::debug!(error:% = error; "caller's socket not configured");
                     }
                     let connection = Connection {
