fix(sg-proxy): read ahead of the HTTP library on callers' connections

The HTTP library stops reading while it holds bytes of a further request, and closes the socket as soon as the kernel has the last byte of a response.

A stream of our own now reads ahead of the library, up to 32 KiB. It gives the library one request at a time, sees the end of the stream and resets while a request is in progress, ends connections whose head is not complete within the configured time or whose caller reads nothing for 5 s after the request's time, and closes connections by a half-close followed by a bounded discard. The place in the table of connections stays held meanwhile. A counter names the connections that end early.

--- a/crates/sg-gateway/src/servers.rs
+++ b/crates/sg-gateway/src/servers.rs
@@ -26,6 +26,8 @@
 /// The time after which a connection without a request is closed. Callers reuse an idle connection for
 /// most of the documented limit, so the server keeps a connection longer than any caller does.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// The time in which the head of a request has to be complete before the configuration is known.
+const DEFAULT_HEAD_TIMEOUT: Span = Span::from_secs(3);
 /// The longest time for which callers may cache a lookup response. A leaving instance keeps serving for
 /// at least that time.
 const MAX_LOOKUP_TTL: Span = Span::from_millis(1_500);
@@ -61,8 +63,14 @@
         max_head_bytes: MAX_HEAD_BYTES,
         header_timeout: IDLE_TIMEOUT,
         max_connections: budget.callers,
+        early_ends: context.core.metrics.early_ends.clone(),
     };
     let settings = &context.settings;
+    let core = context.core.clone();
+    let head_timeout = move || {
+        let catalog = core.catalog();
+        catalog.map_or(DEFAULT_HEAD_TIMEOUT, |catalog| catalog.limits.head_timeout)
+    };
     let mut servers = JoinSet::new();
     let listener = server::bind(settings.serve)?;
     let core = context.core.clone();
@@ -71,7 +79,15 @@
         async move { sg_proxy::serve(&core, request).await }
     };
     let (timer, phase) = (context.timer.clone(), phases.callers.subscribe());
-    servers.spawn(server::run(listener, timer, options, phase, handle));
+    let caller_options = options.clone();
+    servers.spawn(server::run(
+        listener,
+        timer,
+        caller_options,
+        phase,
+        head_timeout.clone(),
+        handle,
+    ));
     let options = server::Options {
         max_connections: budget.auxiliary,
         ..options
@@ -89,7 +105,15 @@
             let response = handler(&context, &request).map(Body::buffered);
             async move { response }
         };
-        servers.spawn(server::run(listener, timer, options, phase, handle));
+        let (options, head_timeout) = (options.clone(), head_timeout.clone());
+        servers.spawn(server::run(
+            listener,
+            timer,
+            options,
+            phase,
+            head_timeout,
+            handle,
+        ));
     }
     Ok(servers)
 }
--- a/crates/sg-proxy/src/body.rs
+++ b/crates/sg-proxy/src/body.rs
@@ -14,7 +14,7 @@
 use sg_types::prelude::*;
 use tokio::sync::oneshot;
 
-use crate::connections::Connection;
+use crate::{connections::Connection, stream::Delivery};
 
 /// Maximum size of a body that is streamed and whose response does not declare a length. Such a body may
 /// have no end.
@@ -227,6 +227,42 @@
     }
 }
 
+/// Body of a response, with the guard that tells the caller's connection when the HTTP library has taken it.
+#[derive(Debug)]
+pub(crate) struct Delivered {
+    body: Body,
+    _delivery: Delivery,
+}
+
+impl Delivered {
+    pub fn new(body: Body, delivery: Delivery) -> Self {
+        Self {
+            body,
+            _delivery: delivery,
+        }
+    }
+}
+
+impl http_body::Body for Delivered {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Memory for the responses that are being received, shared by all requests.
 #[derive(Debug)]
 pub(crate) struct ReceiveBudget {
--- a/crates/sg-proxy/src/lib.rs
+++ b/crates/sg-proxy/src/lib.rs
@@ -23,6 +23,7 @@
 mod serve;
 pub mod server;
 mod state;
+pub mod stream;
 mod trace;
 
 pub use body::Body;
--- a/crates/sg-proxy/src/metrics.rs
+++ b/crates/sg-proxy/src/metrics.rs
@@ -52,6 +52,8 @@
     pub rate_limit_share: Gauge,
     /// Targets that this instance sends nothing to because they asked for a pause.
     pub paused_targets: IntGauge,
+    /// Connections of callers that ended early, by cause.
+    pub early_ends: IntCounterVec,
     /// Callers that disconnected before their response.
     pub callers_gone: IntCounter,
     /// Connections opened to targets.
@@ -123,6 +125,11 @@
                 "Responses without an end that were cut off.",
                 &["cause"],
             )?,
+            early_ends: counters(
+                "sg_caller_connections_ended_early_total",
+                "Connections of callers that ended before their requests were answered, by cause.",
+                &["cause"],
+            )?,
             target_pauses: counter("sg_target_pauses_total", "Pauses that targets asked for.")?,
             paused_targets: gauge(
                 "sg_paused_targets",
--- a/crates/sg-proxy/src/server.rs
+++ b/crates/sg-proxy/src/server.rs
@@ -3,8 +3,10 @@
 use std::{convert::Infallible, net::SocketAddr, time::Duration};
 
 use http::{HeaderName, HeaderValue, Request, Response, header};
+use http_body::Body as _;
 use hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
+use prometheus::IntCounterVec;
 use sg_clock::Timer;
 use sg_types::prelude::*;
 use socket2::SockRef;
@@ -12,8 +14,10 @@
 
 use crate::{
     Body,
+    body::Delivered,
     callers::{Admission, Load, SHORT_IDLE_TIMEOUT, Slot, Table},
     connections,
+    stream::{Ending, Socket, Stream},
 };
 
 /// Delay after the system failed to accept a connection, most likely for lack of file descriptors.
@@ -27,7 +31,7 @@
 const BACKLOG: i32 = 1024;
 
 /// Limits of the connections of callers.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Options {
     /// Maximum size of a request's head, in bytes.
     pub max_head_bytes: usize,
@@ -35,8 +39,19 @@
     pub header_timeout: Duration,
     /// Maximum number of open connections whose requests are served.
     pub max_connections: usize,
+    /// Counts the connections that ended early, by cause.
+    pub early_ends: IntCounterVec,
 }
 
+/// Request extension that states when the head of the request was read from the socket. A request may have
+/// waited since then for the responses to requests before it on the connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Arrived(pub Instant);
+
+/// Response extension that states until when the caller may take to read the response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Until(pub Instant);
+
 /// Request extension that marks a request to be refused, because its connection exceeds
 /// [`Options::max_connections`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -70,16 +85,19 @@
 }
 
 /// Serves connections until `phase` becomes [`Phase::Closing`], then waits until all of them have
-/// ended. Dropping the future aborts the remaining connections.
-pub async fn run<F, R>(
+/// ended. `head_timeout` returns the time in which the head of a request has to be complete once its first
+/// byte was read. Dropping the future aborts the remaining connections.
+pub async fn run<F, R, H>(
     listener: TcpListener,
     timer: Timer,
     options: Options,
     mut phase: watch::Receiver<Phase>,
+    head_timeout: H,
     handler: F,
 ) where
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
+    H: Fn() -> Span + Clone + Send + Sync + 'static,
 {
     let mut connections = JoinSet::new();
     let connections_phase = phase.clone();
@@ -98,14 +116,14 @@
                         log::debug!(error:% = error; "caller's socket not configured");
                     }
                     let connection = Connection {
-                        stream,
-                        slot,
+                        socket: Socket::new(stream, timer.clone()),
+                        slot: Arc::new(slot),
                         is_refused,
                         timer: timer.clone(),
-                        options,
+                        options: options.clone(),
                         phase: connections_phase.clone(),
                     };
-                    connections.spawn(connection.serve(handler.clone()));
+                    connections.spawn(connection.run(handler.clone(), head_timeout.clone()));
                 }
                 Err(error) => {
                     log::warn!(error:% = error; "connection not accepted");
@@ -129,8 +147,8 @@
 
 /// An accepted connection.
 struct Connection {
-    stream: tokio::net::TcpStream,
-    slot: Slot,
+    socket: Arc<Socket>,
+    slot: Arc<Slot>,
     /// Whether the first request is refused.
     is_refused: bool,
     timer: Timer,
@@ -139,52 +157,62 @@
 }
 
 impl Connection {
-    async fn serve<F, R>(self, handler: F)
+    /// Serves the requests of the connection and closes it.
+    async fn run<F, R>(self, handler: F, head_timeout: impl Fn() -> Span)
     where
         F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
         R: Future<Output = Response<Body>> + Send + 'static,
     {
-        let Self {
-            stream,
-            slot,
-            is_refused,
-            timer,
-            options,
-            mut phase,
-        } = self;
-        let slot = Arc::new(slot);
-        let (request_slot, request_timer) = (slot.clone(), timer.clone());
-        let service = service_fn(move |mut request: Request<Incoming>| {
-            request_slot.set_busy();
-            if is_refused {
-                request.extensions_mut().insert(Overloaded);
-            }
-            let response = handler(request);
-            let (slot, timer) = (request_slot.clone(), request_timer.clone());
-            async move {
-                let mut response = response.await;
-                let load = slot.set_idle(timer.now());
-                limit_reuse(&mut response, if is_refused { Load::Full } else { load });
-                Ok::<_, Infallible>(response)
-            }
-        });
-        let header_timeout = if is_refused {
+        let ending = tokio::select! {
+            biased;
+            () = self.serve(handler) => None,
+            ending = self.socket.watch(head_timeout) => Some(ending),
+        };
+        if let Some(ending) = ending {
+            let ended = self
+                .options
+                .early_ends
+                .with_label_values(&[ending.as_str()]);
+            ended.inc();
+        }
+        match ending {
+            Some(Ending::Gone) => return,
+            Some(Ending::Stalled) => return self.socket.reset_on_close(),
+            Some(Ending::LateHead) | None => {}
+        }
+        // The connection keeps its place while it lingers, and ends early if its place is needed.
+        self.slot.set_idle(self.timer.now());
+        tokio::select! {
+            () = self.socket.linger() => {}
+            () = self.slot.wait_for_end() => {}
+        }
+    }
+
+    /// Serves requests until the HTTP library ends the connection.
+    async fn serve<F, R>(&self, handler: F)
+    where
+        F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
+        R: Future<Output = Response<Body>> + Send + 'static,
+    {
+        let header_timeout = if self.is_refused {
             REFUSED_HEADER_TIMEOUT
         } else {
-            options.header_timeout
+            self.options.header_timeout
         };
+        let service = service_fn(|request| self.handle(request, &handler));
         let connection = Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(header_timeout)
-            .max_buf_size(options.max_head_bytes.max(8192))
-            .serve_connection(TokioIo::new(stream), service);
+            .max_buf_size(self.options.max_head_bytes.max(8192))
+            .serve_connection(Stream(self.socket.clone()), service);
         tokio::pin!(connection);
+        let mut phase = self.phase.clone();
         let ended = tokio::select! {
             ended = connection.as_mut() => ended,
             () = wait_for_closing(&mut phase) => {
                 // A request that has arrived is read first: the shutdown closes a connection without one.
-                let read_until = timer.now() + CLOSING_DELAY;
-                match timer.until(read_until, connection.as_mut()).await {
+                let read_until = self.timer.now() + CLOSING_DELAY;
+                match self.timer.until(read_until, connection.as_mut()).await {
                     Ok(ended) => ended,
                     Err(_) => {
                         connection.as_mut().graceful_shutdown();
@@ -192,7 +220,7 @@
                     }
                 }
             }
-            () = slot.wait_for_end() => {
+            () = self.slot.wait_for_end() => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
@@ -201,6 +229,35 @@
             log::debug!(error:% = error; "caller's connection ended");
         }
     }
+
+    /// Handles one request of the connection.
+    async fn handle<F, R>(
+        &self,
+        mut request: Request<Incoming>,
+        handler: &F,
+    ) -> Result<Response<Delivered>, Infallible>
+    where
+        F: Fn(Request<Incoming>) -> R,
+        R: Future<Output = Response<Body>>,
+    {
+        let arrived = self
+            .socket
+            .start_request(request.body().size_hint().exact());
+        request.extensions_mut().insert(Arrived(arrived));
+        self.slot.set_busy();
+        if self.is_refused {
+            request.extensions_mut().insert(Overloaded);
+        }
+        let mut response = handler(request).await;
+        let until = response.extensions_mut().remove::<Until>();
+        let delivery = self.socket.start_response(until.map(|until| until.0));
+        let load = self.slot.set_idle(self.timer.now());
+        limit_reuse(
+            &mut response,
+            if self.is_refused { Load::Full } else { load },
+        );
+        Ok(response.map(|body| Delivered::new(body, delivery)))
+    }
 }
 
 /// Tells the caller how long its connection is kept, if the load shortens that time.
--- /dev/null
+++ b/crates/sg-proxy/src/stream/ahead.rs
@@ -0,0 +1,175 @@
+//! Bytes of a caller that were read ahead of the HTTP library.
+
+use std::collections::VecDeque;
+
+use bytes::{Buf, BytesMut};
+use sg_types::prelude::*;
+
+/// Resolution of the recorded read times. Bytes that are read within this span share one record, so that a
+/// caller that sends single bytes does not cost a multiple of its bytes.
+const TIME_RESOLUTION: Span = Span::from_millis(25);
+/// Maximum number of recorded read times, enough for 6 s of bytes that arrive without a break.
+const MAX_READS: usize = 256;
+
+/// Part of a request that the next bytes belong to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Part {
+    /// The head of a request.
+    Head,
+    /// The body of a request, of which so many bytes are left.
+    Body(u64),
+    /// A body of unknown length. Bytes behind the body are not told apart from it.
+    ChunkedBody,
+    /// A request that waits for the response to the request before it.
+    Next,
+}
+
+/// Consecutive bytes that were read at about the same time.
+#[derive(Debug, Clone, Copy)]
+struct Read {
+    bytes: usize,
+    at: Instant,
+}
+
+/// Bytes that were read and not yet taken, with the times at which they were read.
+///
+/// The HTTP library gets the bytes up to the end of one head, the bytes of its body, and nothing of the next
+/// request before the response is complete. The time at which the last byte of a head was read is therefore
+/// known when the library hands over the request.
+#[derive(Debug)]
+pub(super) struct Ahead {
+    bytes: BytesMut,
+    reads: VecDeque<Read>,
+    part: Part,
+    /// Whether the line of the head that the last taken byte belongs to is empty so far.
+    is_line_empty: bool,
+    /// Time at which the first byte of an incomplete head was read.
+    head_since: Option<Instant>,
+    /// Time at which the last taken byte was read.
+    last_taken: Instant,
+}
+
+impl Ahead {
+    /// Creates an empty buffer of a connection that was accepted at `now`.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            bytes: BytesMut::new(),
+            reads: VecDeque::new(),
+            part: Part::Head,
+            is_line_empty: false,
+            head_since: None,
+            last_taken: now,
+        }
+    }
+
+    /// Returns the number of bytes that were not taken.
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Returns whether all bytes were taken.
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    /// Returns the part of a request that the next bytes belong to.
+    pub fn part(&self) -> Part {
+        self.part
+    }
+
+    /// Returns the time at which the first byte of an incomplete head was read.
+    pub fn head_since(&self) -> Option<Instant> {
+        self.head_since
+    }
+
+    /// Returns the time at which the last taken byte was read.
+    pub fn last_taken(&self) -> Instant {
+        self.last_taken
+    }
+
+    /// Adds bytes that were read at `now`.
+    pub fn push(&mut self, bytes: &[u8], now: Instant) {
+        self.bytes.extend_from_slice(bytes);
+        let is_full = self.reads.len() >= MAX_READS;
+        match self.reads.back_mut() {
+            Some(last) if is_full || now.since(last.at) < TIME_RESOLUTION => {
+                last.bytes += bytes.len();
+            }
+            _ => self.reads.push_back(Read {
+                bytes: bytes.len(),
+                at: now,
+            }),
+        }
+    }
+
+    /// Starts the next part. A head starts at the next byte.
+    pub fn start(&mut self, part: Part) {
+        self.part = part;
+        self.is_line_empty = false;
+        self.head_since = None;
+    }
+
+    /// Drops all bytes.
+    pub fn clear(&mut self) {
+        self.bytes = BytesMut::new();
+        self.reads = VecDeque::new();
+    }
+
+    /// Passes up to `max` bytes of the current part to `sink` and returns their number.
+    pub fn take(&mut self, max: usize, sink: impl FnOnce(&[u8])) -> usize {
+        let Some(read) = self.reads.front().copied() else {
+            return 0;
+        };
+        let available = read.bytes.min(max);
+        let count = match self.part {
+            Part::Head => self.take_head(available, read.at),
+            Part::Body(left) => {
+                let count = usize::try_from(left).unwrap_or(usize::MAX).min(available);
+                self.part = match left - count as u64 {
+                    0 => Part::Next,
+                    left => Part::Body(left),
+                };
+                count
+            }
+            Part::ChunkedBody => available,
+            Part::Next => 0,
+        };
+        if count > 0 {
+            sink(&self.bytes[..count]);
+            self.advance(count, read.at);
+        }
+        count
+    }
+
+    /// Returns how many of the first `available` bytes belong to the current head.
+    fn take_head(&mut self, available: usize, read_at: Instant) -> usize {
+        self.head_since.get_or_insert(read_at);
+        for (index, byte) in self.bytes[..available].iter().enumerate() {
+            match byte {
+                b'\n' if self.is_line_empty => {
+                    self.is_line_empty = false;
+                    self.head_since = None;
+                    return index + 1;
+                }
+                b'\n' => self.is_line_empty = true,
+                b'\r' => {}
+                _ => self.is_line_empty = false,
+            }
+        }
+        available
+    }
+
+    fn advance(&mut self, count: usize, read_at: Instant) {
+        self.last_taken = read_at;
+        self.bytes.advance(count);
+        if let Some(read) = self.reads.front_mut() {
+            read.bytes -= count;
+            if read.bytes == 0 {
+                self.reads.pop_front();
+            }
+        }
+        if self.bytes.is_empty() {
+            self.clear();
+        }
+    }
+}
--- /dev/null
+++ b/crates/sg-proxy/src/stream/mod.rs
@@ -0,0 +1,332 @@
+//! Stream of a caller's connection.
+//!
+//! The HTTP library stops reading while it holds bytes of a further request, so that it does not notice the
+//! end of the stream or a reset. [`Socket`] therefore reads ahead of the library into a bounded buffer, and
+//! [`Stream`] is what the library reads from and writes to. [`Socket::watch`] reports why a connection has to
+//! end before the library ends it, and [`Socket::linger`] closes a connection without the loss of data in
+//! transit to the caller.
+
+mod ahead;
+mod progress;
+
+use std::{
+    future::poll_fn,
+    io::{self, IoSlice},
+    net::Shutdown,
+    pin::{Pin, pin},
+    task::{Context, Poll, Waker},
+};
+
+use hyper::rt::{Read, ReadBufCursor, Write};
+use parking_lot::Mutex;
+use sg_clock::Timer;
+use sg_types::prelude::*;
+use socket2::SockRef;
+use tokio::{io::Interest, net::TcpStream};
+
+pub use progress::Ending;
+use progress::{Check, End, Progress};
+
+/// Maximum number of bytes that are read ahead of the HTTP library. The library holds one head or a piece of
+/// a body besides.
+const MAX_READ_AHEAD: usize = 32 << 10;
+/// Maximum number of bytes per read.
+const READ_SIZE: usize = 16 << 10;
+/// Time without bytes from the caller after which a lingering connection closes: some round trips between
+/// regions, in which the caller sees the end of the stream and closes its side.
+const LINGER_IDLE: Span = Span::from_secs(1);
+/// Maximum time for which a connection lingers while the caller still sends.
+const LINGER_TIME: Span = Span::from_secs(5);
+/// Maximum number of bytes that a lingering connection discards.
+const LINGER_BYTES: usize = 16 << 20;
+/// Maximum number of reads that discard bytes before other tasks run.
+const DISCARDS_PER_TURN: usize = 16;
+/// Size of a response from which a lingering connection waits for a caller that reads slowly. The receive
+/// buffer of a caller takes a smaller response at once.
+const LARGE_RESPONSE_BYTES: u64 = 16 << 10;
+
+/// Socket of a caller, shared by the HTTP library and the task of the connection.
+#[derive(Debug)]
+pub struct Socket {
+    stream: TcpStream,
+    timer: Timer,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    progress: Progress,
+    /// Waker of the HTTP library while it waits for bytes that it may not have yet.
+    reader: Option<Waker>,
+}
+
+impl Socket {
+    /// Creates the socket of a connection that was just accepted.
+    #[must_use]
+    pub fn new(stream: TcpStream, timer: Timer) -> Arc<Self> {
+        let state = State {
+            progress: Progress::new(timer.now()),
+            reader: None,
+        };
+        Arc::new(Self {
+            stream,
+            timer,
+            state: Mutex::new(state),
+        })
+    }
+
+    /// Records that the HTTP library handed over a request whose body has `length` bytes, if that is known.
+    /// Returns the time at which the request's head was read.
+    pub fn start_request(&self, length: Option<u64>) -> Instant {
+        self.state.lock().progress.start_request(length)
+    }
+
+    /// Records that the response is ready. The caller may take until `until` to read it.
+    #[must_use]
+    pub fn start_response(self: &Arc<Self>, until: Option<Instant>) -> Delivery {
+        let until = until.unwrap_or_else(|| self.timer.now());
+        self.state.lock().progress.start_response(until);
+        Delivery(self.clone())
+    }
+
+    /// Reads ahead and waits until the connection has to end. `head_timeout` is the time in which the head of
+    /// a request has to be complete.
+    pub async fn watch(&self, head_timeout: impl Fn() -> Span) -> Ending {
+        loop {
+            let next = self.state.lock().progress.next_check(&head_timeout);
+            match next {
+                Some((at, Check::End(ending))) if at <= self.timer.now() => return ending,
+                Some((at, Check::Probe)) if at <= self.timer.now() => {
+                    self.probe();
+                    continue;
+                }
+                _ => {}
+            }
+            let changed = poll_fn(|cx| {
+                let mut state = self.state.lock();
+                self.poll_read_ahead(&mut state, cx);
+                match state.progress.next_check(&head_timeout) == next {
+                    true => Poll::Pending,
+                    false => Poll::Ready(()),
+                }
+            });
+            let check_time = async {
+                match next {
+                    Some((at, _)) => self.timer.sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                () = changed => {}
+                () = check_time => {}
+            }
+        }
+    }
+
+    /// Closes the connection: ends the stream to the caller, then discards what the caller still sends until
+    /// it closes its side. Closing the socket with unread bytes would reset the connection and drop the part
+    /// of the response that is in transit.
+    pub async fn linger(&self) {
+        let (is_over, patient_until) = {
+            let mut state = self.state.lock();
+            state.progress.ahead.clear();
+            let progress = &state.progress;
+            let is_large = progress.written() >= LARGE_RESPONSE_BYTES;
+            (progress.end.is_some(), is_large.then(|| progress.until()))
+        };
+        let shut_down = SockRef::from(&self.stream).shutdown(Shutdown::Write);
+        if is_over || shut_down.is_err() {
+            return;
+        }
+        let limit = self.timer.now() + LINGER_TIME;
+        let mut bytes_left = LINGER_BYTES;
+        loop {
+            let idle_limit = (self.timer.now() + LINGER_IDLE).min(limit);
+            let wait_limit = patient_until.map_or(idle_limit, |until| until.max(idle_limit));
+            let readable = self.timer.until(wait_limit, self.stream.readable()).await;
+            if !matches!(readable, Ok(Ok(()))) || !self.discard(&mut bytes_left) {
+                return;
+            }
+        }
+    }
+
+    /// Makes the close of the socket drop the data that the caller has not read.
+    pub fn reset_on_close(&self) {
+        if let Err(error) = self.stream.set_zero_linger() {
+            log::debug!(error:% = error; "caller's connection not reset");
+        }
+    }
+
+    /// Discards received bytes. Returns whether the caller may send more within the bound.
+    fn discard(&self, bytes_left: &mut usize) -> bool {
+        let mut scratch = [0; READ_SIZE];
+        for _ in 0..DISCARDS_PER_TURN {
+            match self.stream.try_read(&mut scratch) {
+                Ok(0) => return false,
+                Ok(count) => *bytes_left = bytes_left.saturating_sub(count),
+                Err(error) => return error.kind() == io::ErrorKind::WouldBlock,
+            }
+            if *bytes_left == 0 {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Reads into the buffer until the socket has no more bytes or the buffer is full.
+    fn poll_read_ahead(&self, state: &mut State, cx: &mut Context<'_>) {
+        let progress = &mut state.progress;
+        while progress.end.is_none() {
+            let room = MAX_READ_AHEAD.saturating_sub(progress.ahead.len());
+            progress.is_full = room == 0;
+            if progress.is_full {
+                return;
+            }
+            let Poll::Ready(ready) = self.stream.poll_read_ready(cx) else {
+                return;
+            };
+            let mut scratch = [0; READ_SIZE];
+            let scratch = &mut scratch[..room.min(READ_SIZE)];
+            let read = ready.and_then(|()| self.stream.try_read(scratch));
+            let now = self.timer.now();
+            match read {
+                Ok(0) => progress.record_end(End::Closed(now)),
+                Ok(count) => progress.ahead.push(&scratch[..count], now),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => progress.record_end(End::Reset(now)),
+            }
+        }
+    }
+
+    /// Checks whether the caller has closed its side behind bytes that do not fit into the buffer.
+    fn probe(&self) {
+        let is_reset = !matches!(self.stream.take_error(), Ok(None));
+        // The socket has unread bytes, so that the state is available without a wait.
+        let ready = pin!(self.stream.ready(Interest::READABLE))
+            .poll(&mut Context::from_waker(Waker::noop()));
+        let is_closed = matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed());
+        // A connection that was reset has no peer any more.
+        let is_gone = self.stream.peer_addr().is_err();
+        let now = self.timer.now();
+        let progress = &mut self.state.lock().progress;
+        progress.record_probe(now);
+        if is_reset || is_gone {
+            progress.record_end(End::Reset(now));
+        } else if is_closed {
+            progress.record_end(End::Closed(now));
+        }
+    }
+
+    /// Records the result of a write.
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        let now = self.timer.now();
+        let progress = &mut self.state.lock().progress;
+        match written {
+            Poll::Ready(Ok(count)) => progress.record_written(*count),
+            Poll::Ready(Err(_)) => progress.record_end(End::Reset(now)),
+            Poll::Pending => progress.record_stall(now),
+        }
+    }
+
+    fn poll_write_with(
+        &self,
+        cx: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        let written = loop {
+            match self.stream.poll_write_ready(cx) {
+                Poll::Pending => break Poll::Pending,
+                Poll::Ready(Err(error)) => break Poll::Ready(Err(error)),
+                Poll::Ready(Ok(())) => {}
+            }
+            match write(&self.stream) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => break Poll::Ready(written),
+            }
+        };
+        self.record_write(&written);
+        written
+    }
+}
+
+/// Guard of a response body that the HTTP library has not taken completely.
+#[derive(Debug)]
+pub struct Delivery(Arc<Socket>);
+
+impl Drop for Delivery {
+    fn drop(&mut self) {
+        self.0.state.lock().progress.end_body();
+    }
+}
+
+/// The side of a [`Socket`] that the HTTP library uses.
+#[derive(Debug)]
+pub struct Stream(pub Arc<Socket>);
+
+impl Read for Stream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let socket = &self.0;
+        let mut state = socket.state.lock();
+        socket.poll_read_ahead(&mut state, cx);
+        if matches!(state.progress.end, Some(End::Reset(_))) {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        let max = buffer.remaining();
+        let count = state
+            .progress
+            .ahead
+            .take(max, |bytes| buffer.put_slice(bytes));
+        if count > 0 || state.progress.is_at_end() {
+            return Poll::Ready(Ok(()));
+        }
+        state.reader = Some(cx.waker().clone());
+        Poll::Pending
+    }
+}
+
+impl Write for Stream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.0.poll_write_with(cx, |stream| stream.try_write(bytes))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.0
+            .poll_write_with(cx, |stream| stream.try_write_vectored(parts))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    /// The library flushes once it has written all of its bytes. The next request may be read if the response
+    /// is complete.
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let now = self.0.timer.now();
+        let mut state = self.0.state.lock();
+        if state.progress.end_response(now)
+            && let Some(reader) = state.reader.take()
+        {
+            reader.wake();
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The caller may be gone, which is no error of the response.
+        let _ = SockRef::from(&self.0.stream).shutdown(Shutdown::Write);
+        Poll::Ready(Ok(()))
+    }
+}
--- a/crates/sg-proxy/tests/proxy/harness.rs
+++ b/crates/sg-proxy/tests/proxy/harness.rs
@@ -366,6 +366,12 @@
             max_head_bytes: 16 << 10,
             header_timeout: Duration::from_secs(20),
             max_connections,
+            early_ends: core.metrics.early_ends.clone(),
+        };
+        let limits_core = core.clone();
+        let head_timeout = move || {
+            let catalog = limits_core.catalog();
+            catalog.map_or(Span::from_secs(3), |catalog| catalog.limits.head_timeout)
         };
         let handler_core = core.clone();
         let handler = move |request| {
@@ -377,6 +383,7 @@
             timer,
             options,
             phase_receiver,
+            head_timeout,
             handler,
         ));
         Self {
