fix(sg-proxy): count the wait behind other requests as the caller's time

A request that waited behind others on its connection began with its whole time when it was handed over, so that a target got more time than the caller stated.

The caller's time now counts from when the head of the request was read from the socket. The route's timeout still limits the handling and counts from its start.

--- a/crates/sg-proxy/src/serve.rs
+++ b/crates/sg-proxy/src/serve.rs
@@ -41,12 +41,14 @@
 
 /// Handles one request and returns the response to the caller.
 pub async fn serve<D: Dialect>(core: &Arc<Core<D>>, request: Request<Incoming>) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    let arrived = head.extensions.get::<server::Arrived>();
     let mut trace = Trace::new(
         core.timer.clone(),
         core.metrics.clone(),
         core.log_limiter.clone(),
+        arrived.map(|arrived| arrived.0),
     );
-    let (head, body) = request.into_parts();
     let result = if head.extensions.get::<server::Overloaded>().is_some() {
         Err(overload_refusal(core, &head, &mut trace))
     } else {
@@ -71,6 +73,9 @@
             response.map(Body::buffered)
         }
     };
+    if let Some(deadline) = trace.deadline {
+        response.extensions_mut().insert(server::Until(deadline));
+    }
     if core.is_draining() {
         let close = header::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -185,7 +190,8 @@
     trace.objective = route.latency_objective;
     let account = authenticate(&catalog, &route, &request_info)?;
     trace.account = account.as_ref().map(|account| account.name.clone());
-    let deadline = deadline(&route, &request_info, trace.arrived);
+    let deadline = deadline(&route, &request_info, trace);
+    trace.deadline = Some(deadline);
     if core.is_cut_off() {
         let content = read_body(core, &catalog, body, deadline).await?;
         let account = account.as_deref();
@@ -239,10 +245,13 @@
     }
 }
 
-fn deadline(route: &Route, request_info: &RequestInfo<'_>, arrived: Instant) -> Instant {
-    let spans = [request_info.deadline, route.timeout];
-    let shortest = spans.into_iter().flatten().min();
-    arrived + shortest.unwrap_or(DEFAULT_TIMEOUT)
+/// Returns the time by which this instance has to respond. The caller's time counts from when the request was
+/// read, also while the request waited for responses to others. The route's timeout limits the handling.
+fn deadline(route: &Route, request_info: &RequestInfo<'_>, trace: &Trace) -> Instant {
+    let by_caller = request_info.deadline.map(|span| trace.arrived + span);
+    let by_route = route.timeout.map(|span| trace.started + span);
+    let first = [by_caller, by_route].into_iter().flatten().min();
+    first.unwrap_or(trace.started + DEFAULT_TIMEOUT)
 }
 
 /// Time in which a request must end if neither the caller nor the route sets a limit.
--- a/crates/sg-proxy/src/trace.rs
+++ b/crates/sg-proxy/src/trace.rs
@@ -137,8 +137,13 @@
 pub struct Trace {
     /// Id of the request.
     pub id: Arc<str>,
-    /// Arrival time.
+    /// Time at which the head of the request was read from the caller's socket.
     pub arrived: Instant,
+    /// Time at which the request began to be handled. A request on a connection with several requests waits
+    /// for the responses to those before it.
+    pub started: Instant,
+    /// Time by which this instance has to respond, once the request's route is known.
+    pub deadline: Option<Instant>,
     /// Route of the request.
     pub route: Option<id::Route>,
     /// Client account of the request.
@@ -188,11 +193,20 @@
 }
 
 impl Trace {
-    pub fn new(timer: Timer, metrics: Metrics, log_limiter: Arc<LogLimiter>) -> Self {
+    /// Creates the record of a request that arrived at `arrived`, or now if that is not known.
+    pub fn new(
+        timer: Timer,
+        metrics: Metrics,
+        log_limiter: Arc<LogLimiter>,
+        arrived: Option<Instant>,
+    ) -> Self {
         metrics.in_progress.inc();
+        let started = timer.now();
         Self {
             id: Arc::from(""),
-            arrived: timer.now(),
+            arrived: arrived.unwrap_or(started),
+            started,
+            deadline: None,
             route: None,
             account: None,
             revision: Revision::default(),
