--- a/crates/sg-proxy/src/lib.rs
+++ b/crates/sg-proxy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod server;
 pub mod slots;
 mod state;
+pub mod stream;
 mod trace;
 
 pub use body::Body;
