--- a/crates/sg-gateway/src/servers.rs
+++ b/crates/sg-gateway/src/servers.rs
@@ -4,11 +4,12 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
 use prometheus::{Encoder, TextEncoder};
 use sg_proxy::{
     Body,
-    server::{self, Phase},
+    body::RequestBody,
+    policy,
+    server::{self, OneByOne, Phase, Policy},
 };
 use sg_store::Store;
 use sg_types::prelude::*;
@@ -26,14 +27,12 @@
 /// The time after which a connection without a request is closed. Callers reuse an idle connection for
 /// most of the documented limit, so the server keeps a connection longer than any caller does.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-/// The time in which the head of a request has to be complete before the configuration is known.
-const DEFAULT_HEAD_TIMEOUT: Span = Span::from_secs(3);
 /// The longest time for which callers may cache a lookup response. A leaving instance keeps serving for
 /// at least that time.
 const MAX_LOOKUP_TTL: Span = Span::from_millis(1_500);
 
 /// A handler of requests to the readiness, lookup or operators' address.
-type Handler<D, I, S> = fn(&Context<D, I, S>, &Request<Incoming>) -> Response<Bytes>;
+type Handler<D, I, S> = fn(&Context<D, I, S>, &Request<RequestBody>) -> Response<Bytes>;
 
 /// The phases of the servers.
 #[derive(Debug)]
@@ -64,13 +63,12 @@
         header_timeout: IDLE_TIMEOUT,
         max_connections: budget.callers,
         early_ends: context.core.metrics.early_ends.clone(),
+        started_early: context.core.metrics.started_early.clone(),
     };
     let settings = &context.settings;
-    let core = context.core.clone();
-    let head_timeout = move || {
-        let catalog = core.catalog();
-        catalog.map_or(DEFAULT_HEAD_TIMEOUT, |catalog| catalog.limits.head_timeout)
-    };
+    let policy = policy::Callers(context.core.clone());
+    let head_policy = policy.clone();
+    let one_by_one = OneByOne(move || head_policy.head_timeout());
     let mut servers = JoinSet::new();
     let listener = server::bind(settings.serve)?;
     let core = context.core.clone();
@@ -85,7 +83,7 @@
         timer,
         caller_options,
         phase,
-        head_timeout.clone(),
+        policy,
         handle,
     ));
     let options = server::Options {
@@ -101,19 +99,12 @@
         let listener = server::bind(address)?;
         let context = context.clone();
         let (timer, phase) = (context.timer.clone(), phases.others.subscribe());
-        let handle = move |request: Request<Incoming>| {
+        let handle = move |request: Request<RequestBody>| {
             let response = handler(&context, &request).map(Body::buffered);
             async move { response }
         };
-        let (options, head_timeout) = (options.clone(), head_timeout.clone());
-        servers.spawn(server::run(
-            listener,
-            timer,
-            options,
-            phase,
-            head_timeout,
-            handle,
-        ));
+        let (options, policy) = (options.clone(), one_by_one.clone());
+        servers.spawn(server::run(listener, timer, options, phase, policy, handle));
     }
     Ok(servers)
 }
@@ -121,7 +112,7 @@
 /// Responds to a readiness check.
 fn handle_ready<D: Protocol, I: Interpreter, S: Store>(
     context: &Context<D, I, S>,
-    request: &Request<Incoming>,
+    request: &Request<RequestBody>,
 ) -> Response<Bytes> {
     let dialect = &context.core.dialect;
     let head = copy_head(request);
@@ -131,7 +122,7 @@
 /// Responds to a lookup with the addresses of the instances that the caller should use.
 fn handle_lookup<D: Protocol, I: Interpreter, S: Store>(
     context: &Context<D, I, S>,
-    request: &Request<Incoming>,
+    request: &Request<RequestBody>,
 ) -> Response<Bytes> {
     let dialect = &context.core.dialect;
     let head = copy_head(request);
@@ -182,7 +173,7 @@
 /// path.
 fn handle_admin<D: Protocol, I: Interpreter, S: Store>(
     context: &Context<D, I, S>,
-    request: &Request<Incoming>,
+    request: &Request<RequestBody>,
 ) -> Response<Bytes> {
     if request.uri().path() != "/metrics" {
         let mut response = Response::new(Bytes::new());
@@ -203,7 +194,7 @@
 }
 
 /// Returns a copy of the head of `request`, without extensions and version.
-fn copy_head(request: &Request<Incoming>) -> http::request::Parts {
+fn copy_head(request: &Request<RequestBody>) -> http::request::Parts {
     let mut copy = Request::new(());
     *copy.method_mut() = request.method().clone();
     *copy.uri_mut() = request.uri().clone();
--- a/crates/sg-proxy/src/body.rs
+++ b/crates/sg-proxy/src/body.rs
@@ -62,6 +62,44 @@
     }
 }
 
+/// Body of a request of a caller.
+#[derive(Debug)]
+pub enum RequestBody {
+    /// Body that arrives on the caller's connection.
+    Received(Incoming),
+    /// The request has no body.
+    Empty,
+}
+
+impl http_body::Body for RequestBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        match self.get_mut() {
+            Self::Received(incoming) => Pin::new(incoming).poll_frame(cx),
+            Self::Empty => Poll::Ready(None),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Received(incoming) => incoming.is_end_stream(),
+            Self::Empty => true,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Received(incoming) => incoming.size_hint(),
+            Self::Empty => SizeHint::with_exact(0),
+        }
+    }
+}
+
 /// Body of a response to a caller.
 #[derive(Debug)]
 pub enum Body {
--- a/crates/sg-proxy/src/callers.rs
+++ b/crates/sg-proxy/src/callers.rs
@@ -233,6 +233,12 @@
         self.table.load()
     }
 
+    /// Returns the current load.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        self.table.load()
+    }
+
     /// Waits until the connection is to end as soon as it has no request.
     pub async fn wait_for_end(&self) {
         self.end.notified().await;
--- a/crates/sg-proxy/src/metrics.rs
+++ b/crates/sg-proxy/src/metrics.rs
@@ -56,6 +56,8 @@
     pub paused_targets: IntGauge,
     /// Connections of callers that ended early, by cause.
     pub early_ends: IntCounterVec,
+    /// Requests that were started while earlier responses of their connection were due.
+    pub started_early: IntCounter,
     /// Callers that disconnected before their response.
     pub callers_gone: IntCounter,
     /// Connections opened to targets.
@@ -134,6 +136,10 @@
                 "Connections of callers that ended before their requests were answered, by cause.",
                 &["cause"],
             )?,
+            started_early: counter(
+                "sg_requests_started_early_total",
+                "Requests that were started while earlier responses of their connection were due.",
+            )?,
             target_pauses: counter("sg_target_pauses_total", "Pauses that targets asked for.")?,
             paused_targets: gauge(
                 "sg_paused_targets",
--- a/crates/sg-proxy/src/serve.rs
+++ b/crates/sg-proxy/src/serve.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use http::{Request, Response, header, request};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use sg_catalog::{Account, Catalog, Route};
 use sg_place::hash::Object;
 use sg_types::prelude::*;
@@ -13,6 +12,7 @@
 use crate::{
     Body, Core, Dialect,
     attempt::{self, Call},
+    body::RequestBody,
     core,
     dialect::{Refusal, RequestInfo},
     relay::{self, Relayed},
@@ -40,7 +40,10 @@
 const RETURN_SPREAD: f64 = 0.25;
 
 /// Handles one request and returns the response to the caller.
-pub async fn serve<D: Dialect>(core: &Arc<Core<D>>, request: Request<Incoming>) -> Response<Body> {
+pub async fn serve<D: Dialect>(
+    core: &Arc<Core<D>>,
+    request: Request<RequestBody>,
+) -> Response<Body> {
     let (head, body) = request.into_parts();
     let arrived = head.extensions.get::<server::Arrived>();
     let mut trace = Trace::new(
@@ -160,7 +163,7 @@
 async fn handle<D: Dialect>(
     core: &Arc<Core<D>>,
     head: &request::Parts,
-    body: Incoming,
+    body: RequestBody,
     trace: &mut Trace,
 ) -> Result<Response<Body>, Refusal> {
     let request_info = core.dialect.parse_request(head).map_err(|malformed| {
@@ -290,7 +293,7 @@
 async fn read_body<D: Dialect>(
     core: &Core<D>,
     catalog: &Catalog,
-    body: Incoming,
+    body: RequestBody,
     deadline: Instant,
 ) -> Result<Bytes, Refusal> {
     let limited = Limited::new(body, catalog.limits.max_body.as_len());
--- a/crates/sg-proxy/src/server.rs
+++ b/crates/sg-proxy/src/server.rs
@@ -1,12 +1,13 @@
 //! Accepts and serves connections of callers.
 
-use std::{convert::Infallible, net::SocketAddr, time::Duration};
+use std::{convert::Infallible, future::poll_fn, net::SocketAddr, task::Poll, time::Duration};
 
 use http::{HeaderName, HeaderValue, Request, Response, header};
 use http_body::Body as _;
 use hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn};
 use hyper_util::rt::TokioTimer;
-use prometheus::IntCounterVec;
+use parking_lot::Mutex;
+use prometheus::{IntCounter, IntCounterVec};
 use sg_clock::Timer;
 use sg_types::prelude::*;
 use socket2::SockRef;
@@ -14,9 +15,10 @@
 
 use crate::{
     Body,
-    body::Delivered,
+    body::{Delivered, RequestBody},
     callers::{Admission, Load, SHORT_IDLE_TIMEOUT, Slot, Table},
     connections,
+    pipeline::{Head, Pipeline},
     stream::{Ending, Socket, Stream},
 };
 
@@ -41,6 +43,33 @@
     pub max_connections: usize,
     /// Counts the connections that ended early, by cause.
     pub early_ends: IntCounterVec,
+    /// Counts the requests that were started while earlier responses of their connection were due.
+    pub started_early: IntCounter,
+}
+
+/// Decisions about callers' connections that depend on the configuration.
+pub trait Policy: Clone + Send + Sync + 'static {
+    /// Returns the time in which the head of a request has to be complete once its first byte was read.
+    fn head_timeout(&self) -> Span;
+
+    /// Returns whether the request with the head `head` may be handled while earlier responses of its
+    /// connection are still due.
+    fn may_start_early(&self, head: &Request<()>) -> bool;
+}
+
+/// Policy of a server whose requests are handled one after the other on each connection, with the time in which
+/// a head has to be complete.
+#[derive(Debug, Clone)]
+pub struct OneByOne<H>(pub H);
+
+impl<H: Fn() -> Span + Clone + Send + Sync + 'static> Policy for OneByOne<H> {
+    fn head_timeout(&self) -> Span {
+        (self.0)()
+    }
+
+    fn may_start_early(&self, _: &Request<()>) -> bool {
+        false
+    }
 }
 
 /// Request extension that states when the head of the request was read from the socket. A request may have
@@ -85,19 +114,18 @@
 }
 
 /// Serves connections until `phase` becomes [`Phase::Closing`], then waits until all of them have
-/// ended. `head_timeout` returns the time in which the head of a request has to be complete once its first
-/// byte was read. Dropping the future aborts the remaining connections.
-pub async fn run<F, R, H>(
+/// ended. Dropping the future aborts the remaining connections.
+pub async fn run<F, R, P>(
     listener: TcpListener,
     timer: Timer,
     options: Options,
     mut phase: watch::Receiver<Phase>,
-    head_timeout: H,
+    policy: P,
     handler: F,
 ) where
-    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    F: Fn(Request<RequestBody>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
-    H: Fn() -> Span + Clone + Send + Sync + 'static,
+    P: Policy,
 {
     let mut connections = JoinSet::new();
     let connections_phase = phase.clone();
@@ -122,8 +150,10 @@
                         timer: timer.clone(),
                         options: options.clone(),
                         phase: connections_phase.clone(),
+                        policy: policy.clone(),
+                        pipeline: Mutex::default(),
                     };
-                    connections.spawn(connection.run(handler.clone(), head_timeout.clone()));
+                    connections.spawn(connection.run(handler.clone()));
                 }
                 Err(error) => {
                     log::warn!(error:% = error; "connection not accepted");
@@ -146,7 +176,7 @@
 }
 
 /// An accepted connection.
-struct Connection {
+struct Connection<P> {
     socket: Arc<Socket>,
     slot: Arc<Slot>,
     /// Whether the first request is refused.
@@ -154,19 +184,22 @@
     timer: Timer,
     options: Options,
     phase: watch::Receiver<Phase>,
+    policy: P,
+    /// Requests that were started while earlier responses are due.
+    pipeline: Mutex<Pipeline<Response<Body>>>,
 }
 
-impl Connection {
+impl<P: Policy> Connection<P> {
     /// Serves the requests of the connection and closes it.
-    async fn run<F, R>(self, handler: F, head_timeout: impl Fn() -> Span)
+    async fn run<F, R>(self, handler: F)
     where
-        F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
+        F: Fn(Request<RequestBody>) -> R + Send + Sync + 'static,
         R: Future<Output = Response<Body>> + Send + 'static,
     {
         let ending = tokio::select! {
             biased;
             () = self.serve(handler) => None,
-            ending = self.socket.watch(head_timeout) => Some(ending),
+            ending = self.socket.watch(|| self.policy.head_timeout()) => Some(ending),
         };
         if let Some(ending) = ending {
             let ended = self
@@ -191,7 +224,7 @@
     /// Serves requests until the HTTP library ends the connection.
     async fn serve<F, R>(&self, handler: F)
     where
-        F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
+        F: Fn(Request<RequestBody>) -> R + Send + Sync + 'static,
         R: Future<Output = Response<Body>> + Send + 'static,
     {
         let header_timeout = if self.is_refused {
@@ -211,10 +244,9 @@
             ended = connection.as_mut() => ended,
             () = wait_for_closing(&mut phase) => {
                 // A request that has arrived is read first: the shutdown closes a connection without one.
-                let read_until = self.timer.now() + CLOSING_DELAY;
-                match self.timer.until(read_until, connection.as_mut()).await {
-                    Ok(ended) => ended,
-                    Err(_) => {
+                tokio::select! {
+                    ended = connection.as_mut() => ended,
+                    () = self.wait_for_quiet() => {
                         connection.as_mut().graceful_shutdown();
                         connection.await
                     }
@@ -233,33 +265,120 @@
     /// Handles one request of the connection.
     async fn handle<F, R>(
         &self,
-        mut request: Request<Incoming>,
+        request: Request<Incoming>,
         handler: &F,
     ) -> Result<Response<Delivered>, Infallible>
     where
-        F: Fn(Request<Incoming>) -> R,
-        R: Future<Output = Response<Body>>,
+        F: Fn(Request<RequestBody>) -> R,
+        R: Future<Output = Response<Body>> + Send + 'static,
     {
         let arrived = self
             .socket
             .start_request(request.body().size_hint().exact());
-        request.extensions_mut().insert(Arrived(arrived));
         self.slot.set_busy();
-        if self.is_refused {
-            request.extensions_mut().insert(Overloaded);
-        }
-        let mut response = handler(request).await;
+        let mut response = tokio::select! {
+            biased;
+            response = self.respond(request, arrived, handler) => response,
+            never = self.start_waiting(handler) => match never {},
+        };
         let until = response.extensions_mut().remove::<Until>();
         let delivery = self.socket.start_response(until.map(|until| until.0));
-        let load = self.slot.set_idle(self.timer.now());
-        limit_reuse(
-            &mut response,
-            if self.is_refused { Load::Full } else { load },
-        );
+        if self.pipeline.lock().is_empty() {
+            let load = self.slot.set_idle(self.timer.now());
+            limit_reuse(
+                &mut response,
+                if self.is_refused { Load::Full } else { load },
+            );
+        } else {
+            // The responses to the requests that were started behind this one are still due.
+            response.headers_mut().remove(header::CONNECTION);
+        }
         Ok(response.map(|body| Delivered::new(body, delivery)))
     }
 }
 
+impl<P: Policy> Connection<P> {
+    /// Returns the response to `request`, which may have been started early.
+    async fn respond<F, R>(
+        &self,
+        request: Request<Incoming>,
+        read_at: Instant,
+        handler: &F,
+    ) -> Response<Body>
+    where
+        F: Fn(Request<RequestBody>) -> R,
+        R: Future<Output = Response<Body>>,
+    {
+        let started = self.pipeline.lock().take(&request);
+        if let Some(started) = started
+            && let Some(response) = started.response().await
+        {
+            return response;
+        }
+        let mut request = request.map(RequestBody::Received);
+        request.extensions_mut().insert(Arrived(read_at));
+        if self.is_refused {
+            request.extensions_mut().insert(Overloaded);
+        }
+        // A connection without a request does not hold the memory of the handling.
+        Box::pin(handler(request)).await
+    }
+
+    /// Starts the requests that were read behind the one in progress, as far as the policy allows.
+    async fn start_waiting<F, R>(&self, handler: &F) -> Infallible
+    where
+        F: Fn(Request<RequestBody>) -> R,
+        R: Future<Output = Response<Body>> + Send + 'static,
+    {
+        poll_fn(|_| {
+            // The task of the connection also wakes up when bytes were read.
+            while self.start_next(handler) {}
+            Poll::Pending
+        })
+        .await
+    }
+
+    /// Starts the next request behind those that were started. Returns whether there was one that may be
+    /// started.
+    fn start_next<F, R>(&self, handler: &F) -> bool
+    where
+        F: Fn(Request<RequestBody>) -> R,
+        R: Future<Output = Response<Body>> + Send + 'static,
+    {
+        let mut pipeline = self.pipeline.lock();
+        let keeps_open = self.slot.load() < Load::NoReuse && *self.phase.borrow() == Phase::Open;
+        if self.is_refused || !keeps_open || !pipeline.has_room() {
+            return false;
+        }
+        let parse = |bytes: &[u8], read_at| Some((Head::parse(bytes)?, bytes.len(), read_at));
+        let waiting = self.socket.waiting_head(pipeline.bytes(), parse);
+        let Some((head, length, read_at)) = waiting.flatten() else {
+            return false;
+        };
+        let request = head.to_request();
+        if !self.policy.may_start_early(&request) {
+            return false;
+        }
+        let mut request = request.map(|()| RequestBody::Empty);
+        request.extensions_mut().insert(Arrived(read_at));
+        self.options.started_early.inc();
+        pipeline.push(head, length, tokio::spawn(handler(request)));
+        true
+    }
+
+    /// Waits until requests that arrived before the stop were read and those that were started early have
+    /// their responses.
+    async fn wait_for_quiet(&self) {
+        self.timer.sleep(CLOSING_DELAY).await;
+        // The task of the connection wakes up with each response.
+        poll_fn(|_| match self.pipeline.lock().is_empty() {
+            true => Poll::Ready(()),
+            false => Poll::Pending,
+        })
+        .await;
+    }
+}
+
 /// Tells the caller how long its connection is kept, if the load shortens that time.
 fn limit_reuse(response: &mut Response<Body>, load: Load) {
     let headers = response.headers_mut();
--- a/crates/sg-proxy/src/stream/ahead.rs
+++ b/crates/sg-proxy/src/stream/ahead.rs
@@ -109,6 +109,23 @@
         self.head_since = None;
     }
 
+    /// Returns the complete head that begins `skipped` bytes behind the request in progress, and the time at
+    /// which its last byte was read.
+    pub fn waiting_head(&self, skipped: usize) -> Option<(&[u8], Instant)> {
+        if self.part != Part::Next {
+            return None;
+        }
+        let bytes = self.bytes.get(skipped..)?;
+        let length = head_length(bytes)?;
+        let mut end = skipped + length;
+        let read = self.reads.iter().find(|read| {
+            let is_last = end <= read.bytes;
+            end = end.saturating_sub(read.bytes);
+            is_last
+        })?;
+        Some((&bytes[..length], read.at))
+    }
+
     /// Drops all bytes.
     pub fn clear(&mut self) {
         self.bytes = BytesMut::new();
@@ -173,3 +190,17 @@
         }
     }
 }
+
+/// Returns the length of the head at the start of `bytes` with its empty line, if the head is complete.
+fn head_length(bytes: &[u8]) -> Option<usize> {
+    let mut is_line_empty = true;
+    for (index, byte) in bytes.iter().enumerate() {
+        match byte {
+            b'\n' if is_line_empty => return Some(index + 1),
+            b'\n' => is_line_empty = true,
+            b'\r' => {}
+            _ => is_line_empty = false,
+        }
+    }
+    None
+}
--- a/crates/sg-proxy/src/stream/mod.rs
+++ b/crates/sg-proxy/src/stream/mod.rs
@@ -89,6 +89,18 @@
         Delivery(self.clone())
     }
 
+    /// Passes the complete head of a request that begins `skipped` bytes behind the request in progress to
+    /// `parse`, with the time at which the head was read.
+    pub fn waiting_head<T>(
+        &self,
+        skipped: usize,
+        parse: impl FnOnce(&[u8], Instant) -> T,
+    ) -> Option<T> {
+        let state = self.state.lock();
+        let (head, read_at) = state.progress.ahead.waiting_head(skipped)?;
+        Some(parse(head, read_at))
+    }
+
     /// Reads ahead and waits until the connection has to end. `head_timeout` is the time in which the head of
     /// a request has to be complete.
     pub async fn watch(&self, head_timeout: impl Fn() -> Span) -> Ending {
--- a/crates/sg-proxy/tests/proxy/harness.rs
+++ b/crates/sg-proxy/tests/proxy/harness.rs
@@ -23,6 +23,7 @@
     Core,
     core::{Fleet, Options},
     metrics::Metrics,
+    policy,
     server::{self, Phase},
 };
 use sg_types::prelude::*;
@@ -367,12 +368,9 @@
             header_timeout: Duration::from_secs(20),
             max_connections,
             early_ends: core.metrics.early_ends.clone(),
+            started_early: core.metrics.started_early.clone(),
         };
-        let limits_core = core.clone();
-        let head_timeout = move || {
-            let catalog = limits_core.catalog();
-            catalog.map_or(Span::from_secs(3), |catalog| catalog.limits.head_timeout)
-        };
+        let policy = policy::Callers(core.clone());
         let handler_core = core.clone();
         let handler = move |request| {
             let core = handler_core.clone();
@@ -383,7 +381,7 @@
             timer,
             options,
             phase_receiver,
-            head_timeout,
+            policy,
             handler,
         ));
         Self {
