--- a/crates/sg-proxy/src/server.rs
+++ b/crates/sg-proxy/src/server.rs
@@ -232,7 +232,13 @@
         } else {
             self.options.header_timeout
         };
-        let service = service_fn(|request| self.handle(request, &handler));
+        let service = service_fn(|request: Request<Incoming>| {
+            // Recorded before the library reads on, so that it takes nothing of the next request.
+            let arrived = self
+                .socket
+                .start_request(request.body().size_hint().exact());
+            self.handle(request, arrived, &handler)
+        });
         let connection = Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(header_timeout)
@@ -266,15 +272,13 @@
     async fn handle<F, R>(
         &self,
         request: Request<Incoming>,
+        arrived: Instant,
         handler: &F,
     ) -> Result<Response<Delivered>, Infallible>
     where
         F: Fn(Request<RequestBody>) -> R,
         R: Future<Output = Response<Body>> + Send + 'static,
     {
-        let arrived = self
-            .socket
-            .start_request(request.body().size_hint().exact());
         self.slot.set_busy();
         let mut response = tokio::select! {
             biased;
--- a/crates/sg-proxy/tests/proxy/harness.rs
+++ b/crates/sg-proxy/tests/proxy/harness.rs
@@ -262,6 +262,17 @@
     catalog
 }
 
+/// Returns the next revision of [`catalog`], with an open route with large responses.
+pub fn catalog_with_downloads() -> Catalog {
+    let mut catalog = catalog_at(2);
+    let download = Route {
+        large_responses: true,
+        ..route("download", "/download/", true)
+    };
+    catalog.add_route("h", download).expect("a known service");
+    catalog
+}
+
 fn catalog_at(revision: u64) -> Catalog {
     let limits = Limits {
         max_body: Bytes::new(64),
