--- a/crates/sg-mesh/tests/mesh/main.rs
+++ b/crates/sg-mesh/tests/mesh/main.rs
@@ -9,3 +9,4 @@
 mod members;
 mod mirror;
 mod restore;
+mod slots;
