test(sg-proxy): requests with a scripted dispatcher; withdraw asks that are given up

Cause: the requester had no tests; an ask given up because of a drain or a move was not withdrawn, and the retry time of a rejection was jittered twice. Change: tests of no answer, late and doubled grant, reject, wait, silence, callers that leave, drain, unusable grant and takeover; both faults mended.

--- a/crates/sg-proxy/src/slots.rs
+++ b/crates/sg-proxy/src/slots.rs
@@ -135,9 +135,15 @@
         let moved = inner.take_pending(is_moved);
         drop(inner);
         posts.into_iter().for_each(|post| self.post(post));
-        moved
-            .into_iter()
-            .for_each(|pending| pending.resolve(Answer::Moved));
+        self.give_up(moved, || Answer::Moved);
+    }
+
+    /// Withdraws asks that have been taken from the open ones.
+    fn give_up(&self, asks: Vec<(Ticket, Pending)>, answer: impl Fn() -> Answer) {
+        for (ticket, pending) in asks {
+            self.cancel(pending.service, ticket, pending.to);
+            pending.resolve(answer());
+        }
     }
 
     /// Returns when the instance at `link` was last found silent, if it still counts as silent.
@@ -149,9 +155,7 @@
     /// Gives up all open asks, because this instance drains.
     pub(crate) fn give_up_all(&self) {
         let given_up = self.inner.lock().take_pending(|_| true);
-        for pending in given_up {
-            pending.resolve(Answer::Draining);
-        }
+        self.give_up(given_up, || Answer::Draining);
     }
 
     /// Handles a decision about an ask of this instance, which came by `from`.
@@ -237,9 +241,19 @@
         found.map(|(_, link)| *link)
     }
 
-    fn take_pending(&mut self, is_taken: impl Fn(&Pending) -> bool) -> Vec<Pending> {
+    fn take_pending(&mut self, is_taken: impl Fn(&Pending) -> bool) -> Vec<(Ticket, Pending)> {
+        let run = self.run;
         let taken = self.pending.extract_if(.., |_, pending| is_taken(pending));
-        taken.map(|(_, pending)| pending).collect()
+        let taken = taken.map(|(number, pending)| {
+            (
+                Ticket {
+                    sender: run,
+                    number,
+                },
+                pending,
+            )
+        });
+        taken.collect()
     }
 }
 
--- a/crates/sg-proxy/src/slots/ask.rs
+++ b/crates/sg-proxy/src/slots/ask.rs
@@ -224,7 +224,7 @@
             false => Vec::new(),
         };
         drop(inner);
-        for pending in silent {
+        for (_, pending) in silent {
             pending.resolve(Answer::Silent);
         }
         Some(Answer::Silent)
--- a/crates/sg-proxy/src/slots/assign.rs
+++ b/crates/sg-proxy/src/slots/assign.rs
@@ -94,7 +94,11 @@
             },
             Answer::Rejected(retry_after) => {
                 metrics.record_ask("rejected");
-                return Err(Refusal::not_run(Reason::RegionFull).with_retry_after(retry_after));
+                // The dispatcher spreads the retry times of those that it rejects.
+                return Err(Refusal {
+                    retry_after: Some(retry_after),
+                    ..Refusal::not_run(Reason::RegionFull)
+                });
             }
             Answer::Moved => {}
             Answer::Silent => {
--- a/crates/sg-proxy/tests/proxy/main.rs
+++ b/crates/sg-proxy/tests/proxy/main.rs
@@ -10,3 +10,4 @@
 mod relays;
 mod responses;
 mod self_reports;
+mod slots;
