feat(sg-dispatch): simulation of a service's load under several ways of choosing

Cause: the choice of targets was not compared with today's on a load. Change: tests simulate each service of the two fleets in one region with uneven popularity, a cold start, machines that turn slow for 600 ms, a tail of long work and callers that retry.

--- a/crates/sg-dispatch/tests/dispatch/main.rs
+++ b/crates/sg-dispatch/tests/dispatch/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the assignment of slots on simulated loads, without a network.
 
-mod room;
+mod loads;
+mod simulation;
--- /dev/null
+++ b/crates/sg-dispatch/tests/dispatch/simulation.rs
@@ -0,0 +1,684 @@
+//! Simulates the instances and the targets of one service in one region.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use sg_dispatch::{Ask, Bid, Decision, Group, Ticket, message, room::Bounds};
+use sg_place::{
+    Pool, Target,
+    hash::Object,
+    location::{Location, RoundTrips},
+    member::{LoadReport, TargetOutcome},
+    pace::Pace,
+    pool::{Query, Rejection},
+    shift_limit::ShiftLimiter,
+    work_estimate::WorkEstimate,
+};
+use sg_types::prelude::*;
+
+/// One-way time between two machines of the region.
+const TRIP_MICROS: u64 = 1_000;
+/// Period of the arrivals, and how far they vary around their mean.
+const PERIOD_MICROS: f64 = 36e6;
+const VARIATION: f64 = 0.55;
+/// How long a machine stays slow, the mean time between, and the factor.
+const SLOW_MICROS: u64 = 600_000;
+const SLOW_EVERY_MICROS: f64 = 6e6;
+const SLOW_FACTOR: f64 = 3.0;
+/// Fraction of the work that a request about a warm object needs.
+const WARM_FRACTION: f64 = 0.3;
+/// A tail request takes this many times the work.
+const TAIL_FACTOR: f64 = 7.0;
+/// Requests that wait at a target at most, per slot.
+const QUEUE_PER_SLOT: usize = 1;
+const OBJECTS_PER_TARGET: usize = 10;
+const POPULARITY_EXPONENT: f64 = 0.8;
+const TICK_MICROS: u64 = 50_000;
+pub const BEACON_MICROS: u64 = 250_000;
+
+/// Requests of one route.
+#[derive(Debug, Clone, Copy)]
+pub struct Kind {
+    pub per_second: f64,
+    pub cold_seconds: f64,
+    pub objective_seconds: f64,
+    pub deadline_seconds: f64,
+    pub priority: u32,
+    /// Fraction of requests that need far more work.
+    pub tail: f64,
+}
+
+/// A service in one region.
+#[derive(Debug, Clone)]
+pub struct Service {
+    pub instances: usize,
+    pub targets: usize,
+    pub slots: usize,
+    pub kinds: Vec<Kind>,
+}
+
+/// Who decides, and on what knowledge.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    /// Each instance, from its own responses.
+    Alone { uses_pace: bool },
+    /// Each instance, with the loads of all targets in beacons.
+    Beacons,
+    /// Each instance, for the targets that it ranks highest for only.
+    Senders { per_target: usize },
+    /// The dispatcher.
+    Dispatcher,
+}
+
+/// What the callers of a kind got.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Counts {
+    pub sent: u32,
+    pub within_objective: u32,
+    pub served: u32,
+}
+
+impl Counts {
+    pub fn share(&self) -> f64 {
+        f64::from(self.within_objective) / f64::from(self.sent.max(1))
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Totals {
+    /// Counts by kind, of requests that arrived in the first 8 s and later.
+    pub start: Vec<Counts>,
+    pub later: Vec<Counts>,
+    pub cold_runs: u32,
+    pub runs: u32,
+    pub refused_by_targets: u32,
+    /// Requests begun at the busiest target over the mean.
+    pub busiest: f64,
+    /// Time that the decisions of the dispatcher took.
+    pub decision_micros: f64,
+    /// Messages between instances and the dispatcher.
+    pub messages: u32,
+}
+
+#[derive(Clone)]
+struct Request {
+    kind: usize,
+    object: u64,
+    instance: usize,
+    arrived: u64,
+    sent: u64,
+    started: u64,
+    target: usize,
+    is_retry: bool,
+    tried: Vec<id::Target>,
+    /// Whether the deciding party believed the object warm, and the target to be its home.
+    is_warm: bool,
+    is_home: bool,
+    is_granted: bool,
+    is_tail: bool,
+}
+
+#[derive(Default)]
+struct Server {
+    running: usize,
+    waiting: VecDeque<usize>,
+    capacity: usize,
+    warm: Vec<u64>,
+    /// Starts of the times in which the machine is slow.
+    slow: Vec<u64>,
+    begun: u32,
+}
+
+impl Server {
+    fn is_slow(&self, at: u64) -> bool {
+        self.slow_end(at).is_some()
+    }
+
+    fn slow_end(&self, at: u64) -> Option<u64> {
+        let index = self.slow.partition_point(|from| *from <= at);
+        let from = self.slow.get(index.checked_sub(1)?)?;
+        (from + SLOW_MICROS > at).then_some(from + SLOW_MICROS)
+    }
+
+    /// Returns when work that begins at `at` ends.
+    fn end_of(&self, at: u64, seconds: f64) -> u64 {
+        let (mut now, mut left) = (at, seconds * 1e6);
+        loop {
+            let slow_end = self.slow_end(now);
+            let index = self.slow.partition_point(|from| *from <= now);
+            let next_slow = self.slow.get(index).copied().unwrap_or(u64::MAX);
+            let until = slow_end.map_or(next_slow, |end| end.min(next_slow));
+            let factor = if slow_end.is_some() { SLOW_FACTOR } else { 1.0 };
+            let possible = (until - now) as f64 / factor;
+            if possible >= left {
+                return now + (left * factor) as u64;
+            }
+            left -= possible;
+            now = until;
+        }
+    }
+}
+
+enum Event {
+    Arrive(usize),
+    Ask(usize),
+    Decided(Decision),
+    Reach(usize),
+    Done(usize),
+    Respond(usize, message::Outcome, LoadReport),
+    End(usize, message::End),
+    Tick,
+    Beacon,
+}
+
+pub struct Simulation {
+    service: Service,
+    policy: Policy,
+    pub group: Group,
+    pools: Vec<Pool>,
+    locations: Vec<Location>,
+    work: Vec<Vec<WorkEstimate>>,
+    servers: Vec<Server>,
+    requests: Vec<Request>,
+    events: BTreeMap<(u64, u64), Event>,
+    scheduled: u64,
+    popularity: Vec<f64>,
+    random: u64,
+    limiter: ShiftLimiter,
+    totals: Totals,
+    /// Time that the dispatcher's decisions took.
+    pub decision_time: std::time::Duration,
+}
+
+fn at(micros: u64) -> Instant {
+    Instant::START + Span::from_micros(micros)
+}
+
+fn span(seconds: f64) -> Span {
+    Span::from_secs(1).mul_f64(seconds.max(0.0))
+}
+
+fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("a name")
+}
+
+fn target(index: usize, slots: usize) -> Target {
+    Target {
+        id: name(&format!("t{index}")),
+        service: name("portal"),
+        address: "127.0.0.1:80".parse().expect("an address"),
+        domain: name("west-a"),
+        region: name("west"),
+        slots: slots as u32,
+        draining: false,
+        started_at_millis: 1,
+        sequence: 1,
+        cold_for: Span::ZERO,
+    }
+}
+
+fn location(index: usize, instances: usize) -> Location {
+    let names = (0..instances).map(|index| name(&format!("front-{index}")));
+    Location {
+        domain: name("west-a"),
+        region: name("west"),
+        instance: name(&format!("front-{index}")),
+        instances: names.collect(),
+        instance_regions: IndexMap::new(),
+        round_trips: RoundTrips::assumed(0.002, 0.002, 0.072),
+    }
+}
+
+impl Simulation {
+    pub fn new(service: Service, policy: Policy, seed: u64) -> Self {
+        let objects = service.targets * OBJECTS_PER_TARGET;
+        let mut sum = 0.0;
+        let popularity = (0..objects).map(|rank| {
+            sum += ((rank + 1) as f64).powf(-POPULARITY_EXPONENT);
+            sum
+        });
+        let bounds = Bounds {
+            requests: 4_096,
+            bytes: Bytes::new(4 << 20),
+            time: Span::from_secs(20),
+        };
+        let estimates = service.kinds.iter();
+        let estimates = estimates.map(|kind| WorkEstimate::new(span(kind.objective_seconds), 1.0));
+        let estimates: Vec<WorkEstimate> = estimates.collect();
+        let mut simulation = Self {
+            policy,
+            group: Group::new(bounds, at(0)),
+            pools: vec![Pool::default(); service.instances],
+            locations: (0..service.instances)
+                .map(|index| location(index, service.instances))
+                .collect(),
+            work: vec![estimates; service.instances],
+            servers: Vec::new(),
+            requests: Vec::new(),
+            events: BTreeMap::new(),
+            scheduled: 0,
+            popularity: popularity.collect(),
+            random: seed | 1,
+            limiter: ShiftLimiter::default(),
+            totals: Totals {
+                start: vec![Counts::default(); service.kinds.len()],
+                later: vec![Counts::default(); service.kinds.len()],
+                ..Totals::default()
+            },
+            decision_time: std::time::Duration::ZERO,
+            service,
+        };
+        simulation.add_targets();
+        simulation
+    }
+
+    fn add_targets(&mut self) {
+        let targets = 0..self.service.targets;
+        let targets: Vec<Target> = targets.map(|i| target(i, self.service.slots)).collect();
+        for target in &targets {
+            let mut senders: Vec<usize> = (0..self.service.instances).collect();
+            if let Policy::Senders { per_target } = self.policy {
+                let scope = Object::new("senders", target.id.as_str());
+                senders.sort_by_key(|index| scope.score(index));
+                senders.truncate(per_target);
+            }
+            for index in senders {
+                self.pools[index].upsert_target(target.clone(), at(0));
+            }
+            let capacity = 8 + (self.next_random() * 22.0) as usize;
+            self.servers.push(Server {
+                capacity,
+                ..Server::default()
+            });
+        }
+        let ratio = match self.policy {
+            Policy::Senders { per_target } => per_target,
+            _ => self.service.instances,
+        };
+        for pool in &mut self.pools {
+            pool.set_sender_ratio(ratio as f64);
+        }
+        let views = targets.iter().map(|target| message::TargetView {
+            id: target.id.clone(),
+            slots: target.slots,
+            is_usable: true,
+            is_cold: false,
+        });
+        self.group.set_targets(views, at(0));
+    }
+
+    /// Returns a random number below 1.
+    fn next_random(&mut self) -> f64 {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        (self.random >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn schedule(&mut self, micros: u64, event: Event) {
+        self.scheduled += 1;
+        self.events.insert((micros, self.scheduled), event);
+    }
+
+    /// Runs the load for `seconds` and returns what the callers got.
+    pub fn run(mut self, seconds: u64) -> Totals {
+        let end = seconds * 1_000_000;
+        self.schedule_load(end);
+        while let Some(((now, _), event)) = self.events.pop_first() {
+            self.handle(event, now);
+        }
+        let begun = self.servers.iter().map(|server| f64::from(server.begun));
+        let mean = begun.clone().sum::<f64>() / self.servers.len() as f64;
+        self.totals.decision_micros = self.decision_time.as_micros() as f64;
+        self.totals.busiest = begun.fold(0.0, f64::max) / mean;
+        self.totals
+    }
+
+    fn schedule_load(&mut self, end: u64) {
+        for index in 0..self.servers.len() {
+            let mut from = 0;
+            while from < end * 2 {
+                let gap = -(1.0 - self.next_random()).ln() * SLOW_EVERY_MICROS;
+                from += gap as u64 + SLOW_MICROS;
+                self.servers[index].slow.push(from);
+            }
+        }
+        for kind in 0..self.service.kinds.len() {
+            let mut now = 0.0;
+            while now < end as f64 {
+                let phase = (now / PERIOD_MICROS * std::f64::consts::TAU).sin();
+                let rate = self.service.kinds[kind].per_second * (1.0 + VARIATION * phase);
+                now += -(1.0 - self.next_random()).ln() / rate * 1e6;
+                self.add_request(kind, now as u64);
+            }
+        }
+        for micros in (0..end * 2).step_by(TICK_MICROS as usize) {
+            self.schedule(micros, Event::Tick);
+        }
+        for micros in (0..end).step_by(BEACON_MICROS as usize) {
+            self.schedule(micros, Event::Beacon);
+        }
+    }
+
+    fn add_request(&mut self, kind: usize, arrived: u64) {
+        let total = self.popularity.last().copied().unwrap_or_default();
+        let drawn = self.next_random() * total;
+        let object = self.popularity.partition_point(|sum| *sum < drawn) as u64;
+        let instance = (self.next_random() * self.service.instances as f64) as usize;
+        let is_tail = self.next_random() < self.service.kinds[kind].tail;
+        self.requests.push(Request {
+            kind,
+            object,
+            instance,
+            arrived,
+            sent: 0,
+            started: 0,
+            target: 0,
+            is_retry: false,
+            tried: Vec::new(),
+            is_warm: false,
+            is_home: false,
+            is_granted: false,
+            is_tail,
+        });
+        self.counts(self.requests.len() - 1).sent += 1;
+        self.schedule(arrived, Event::Arrive(self.requests.len() - 1));
+    }
+
+    fn counts(&mut self, index: usize) -> &mut Counts {
+        let request = &self.requests[index];
+        match request.arrived < 8_000_000 {
+            true => &mut self.totals.start[request.kind],
+            false => &mut self.totals.later[request.kind],
+        }
+    }
+
+    fn handle(&mut self, event: Event, now: u64) {
+        match event {
+            Event::Arrive(index) if self.policy == Policy::Dispatcher => {
+                self.schedule(now + TRIP_MICROS, Event::Ask(index));
+            }
+            Event::Arrive(index) => self.choose(index, now),
+            Event::Ask(index) => {
+                let ask = self.ask(index, now);
+                self.decide(now, |group| group.ask(ask, at(now)));
+            }
+            Event::Decided(decision) => self.follow(decision, now),
+            Event::Reach(index) => self.reach(index, now),
+            Event::Done(index) => self.done(index, now),
+            Event::Respond(index, outcome, report) => self.respond(index, outcome, report, now),
+            Event::End(index, end) => {
+                self.decide(now, |group| group.end(ticket(index), end, at(now)));
+            }
+            Event::Tick if self.policy == Policy::Dispatcher => {
+                self.decide(now, |group| group.tick(at(now)));
+            }
+            Event::Beacon if self.policy == Policy::Beacons => self.share_loads(now),
+            Event::Tick | Event::Beacon => {}
+        }
+    }
+
+    fn decide(&mut self, now: u64, decide: impl FnOnce(&mut Group) -> Vec<Decision>) {
+        let began = std::time::Instant::now();
+        let decisions = decide(&mut self.group);
+        self.decision_time += began.elapsed();
+        self.totals.messages += decisions.len() as u32;
+        for decision in decisions {
+            self.schedule(now + TRIP_MICROS, Event::Decided(decision));
+        }
+    }
+
+    fn object(&self, index: usize) -> Object {
+        Object::new("objects", self.requests[index].object)
+    }
+
+    fn ask(&mut self, index: usize, now: u64) -> Ask {
+        self.totals.messages += 1;
+        let request = &self.requests[index];
+        let kind = self.service.kinds[request.kind];
+        let work = &self.work[request.instance][request.kind];
+        let waited = (now - request.arrived) as f64 / 1e6;
+        Ask {
+            ticket: ticket(index),
+            object: Some(self.object(index)),
+            bid: Bid {
+                priority: kind.priority,
+                objective_left: span(kind.objective_seconds - waited),
+                deadline_left: span(kind.deadline_seconds - waited),
+                work: span(work.expected_work_seconds(false)),
+                waited: span(waited),
+                account: None,
+                route: name(&format!("route-{}", request.kind)),
+            },
+            warm_work: span(work.expected_work_seconds(true)),
+            cold_work: span(work.expected_work_seconds(false)),
+            excluded: request.tried.clone(),
+        }
+    }
+
+    fn follow(&mut self, decision: Decision, now: u64) {
+        match decision {
+            Decision::Grant {
+                ticket,
+                target,
+                is_warm,
+            } => {
+                let index = ticket.number as usize;
+                self.requests[index].is_granted = true;
+                self.send(index, &target, is_warm, false, now);
+            }
+            Decision::Wait { .. } => {}
+            Decision::Reject {
+                ticket,
+                retry_after,
+            } => {
+                self.refuse(ticket.number as usize, retry_after.as_secs_f64(), now);
+            }
+        }
+    }
+
+    /// Chooses a target as an instance that decides alone.
+    fn choose(&mut self, index: usize, now: u64) {
+        let request = &self.requests[index];
+        let kind = self.service.kinds[request.kind];
+        let work = &self.work[request.instance][request.kind];
+        let object = self.object(index);
+        let query = Query {
+            object: Some(object),
+            placement_key: object,
+            may_leave_region: false,
+            warm_work_seconds: work.expected_work_seconds(true),
+            cold_work_seconds: work.expected_work_seconds(false),
+            cold_fraction: work.cold_fraction(),
+            typical_work_seconds: work.typical_work_seconds(),
+            tried: &request.tried,
+            home_regions: &[],
+            account_home_regions: &[],
+            cold_rate: 0.0,
+            remaining_seconds: kind.deadline_seconds - (now - request.arrived) as f64 / 1e6,
+            shift_limiter: &self.limiter,
+            now: at(now),
+        };
+        let instance = request.instance;
+        let pool = &mut self.pools[instance];
+        match pool.choose(&query, &self.locations[instance], &IndexSet::new()) {
+            Ok(choice) => {
+                pool.record_send(&choice.target.id, Some(object), at(now));
+                let is_home = choice.is_highest_ranked;
+                self.send(index, &choice.target.id, choice.warm, is_home, now);
+            }
+            Err(Rejection::NoRoom(seconds) | Rejection::Paused(seconds)) => {
+                self.refuse(index, seconds, now);
+            }
+            Err(Rejection::NoTarget) => {}
+        }
+    }
+
+    fn send(&mut self, index: usize, target: &id::Target, warm: bool, home: bool, now: u64) {
+        let request = &mut self.requests[index];
+        request.target = target.as_str()[1..].parse().expect("a number");
+        (request.is_warm, request.is_home, request.sent) = (warm, home, now);
+        self.schedule(now + TRIP_MICROS, Event::Reach(index));
+    }
+
+    /// Tells the caller to retry, once.
+    fn refuse(&mut self, index: usize, retry_after_seconds: f64, now: u64) {
+        let request = &mut self.requests[index];
+        let deadline_seconds = self.service.kinds[request.kind].deadline_seconds;
+        let left = deadline_seconds - (now - request.arrived) as f64 / 1e6;
+        if request.is_retry || retry_after_seconds > left / 3.0 {
+            return;
+        }
+        request.is_retry = true;
+        request.tried.clear();
+        let pause = (retry_after_seconds * 1e6) as u64;
+        // The retry has a ticket of its own.
+        let retry = request.clone();
+        self.requests.push(retry);
+        self.schedule(now + pause, Event::Arrive(self.requests.len() - 1));
+    }
+
+    fn reach(&mut self, index: usize, now: u64) {
+        let request = &self.requests[index];
+        let server = &mut self.servers[request.target];
+        if server.running < self.service.slots {
+            self.start(index, now);
+        } else if server.waiting.len() < QUEUE_PER_SLOT * self.service.slots {
+            server.waiting.push_back(index);
+        } else {
+            self.totals.refused_by_targets += 1;
+            let report = self.report(request.target, now);
+            let event = Event::Respond(index, message::Outcome::NotRun, report);
+            self.schedule(now + TRIP_MICROS, event);
+        }
+    }
+
+    fn start(&mut self, index: usize, now: u64) {
+        let request = &mut self.requests[index];
+        request.started = now;
+        let server = &mut self.servers[request.target];
+        server.running += 1;
+        server.begun += 1;
+        let is_warm = server.warm.contains(&request.object);
+        server.warm.retain(|known| *known != request.object);
+        server.warm.push(request.object);
+        if server.warm.len() > server.capacity {
+            server.warm.remove(0);
+        }
+        self.totals.runs += 1;
+        self.totals.cold_runs += u32::from(!is_warm);
+        let cold_seconds = self.service.kinds[request.kind].cold_seconds;
+        let fraction = if is_warm { WARM_FRACTION } else { 1.0 };
+        let tail = if request.is_tail { TAIL_FACTOR } else { 1.0 };
+        let end = server.end_of(now, cold_seconds * fraction * tail);
+        self.schedule(end, Event::Done(index));
+    }
+
+    fn report(&self, target: usize, now: u64) -> LoadReport {
+        let server = &self.servers[target];
+        // The usual pace varies a little.
+        let percent = if server.is_slow(now) {
+            300
+        } else {
+            100
+        };
+        let is_told = self.policy != Policy::Alone { uses_pace: false };
+        LoadReport {
+            running: server.running as u32,
+            waiting: server.waiting.len() as u32,
+            slots: self.service.slots as u32,
+            pace: is_told.then(|| Pace::from_percent(percent as u32)),
+        }
+    }
+
+    fn done(&mut self, index: usize, now: u64) {
+        let target = self.requests[index].target;
+        self.servers[target].running -= 1;
+        if let Some(next) = self.servers[target].waiting.pop_front() {
+            self.start(next, now);
+        }
+        let report = self.report(target, now);
+        let event = Event::Respond(index, message::Outcome::Answered, report);
+        self.schedule(now + TRIP_MICROS, event);
+    }
+
+    fn respond(&mut self, index: usize, outcome: message::Outcome, report: LoadReport, now: u64) {
+        let request = self.requests[index].clone();
+        let is_answered = outcome == message::Outcome::Answered;
+        let waited = request.started.saturating_sub(request.sent + TRIP_MICROS);
+        let seconds = (now - request.started.max(request.sent)) as f64 / 1e6;
+        let is_measured = is_answered && waited == 0;
+        let pool = &mut self.pools[request.instance];
+        let id = name(&format!("t{}", request.target));
+        if is_measured {
+            let work = &mut self.work[request.instance][request.kind];
+            let expected_seconds = work.expected_work_seconds(request.is_warm);
+            if !request.is_warm && request.is_home {
+                work.record_highest_ranked(seconds);
+            }
+            work.record(seconds, request.is_warm);
+            pool.record_work(seconds);
+            if let Some(member) = pool.member_mut(&id) {
+                member.record_speed(seconds, expected_seconds, at(now));
+            }
+        }
+        if request.is_granted {
+            let end = message::End {
+                outcome,
+                report: Some(report),
+                work: is_measured.then(|| span(seconds)),
+            };
+            self.totals.messages += 1;
+            self.schedule(now + TRIP_MICROS, Event::End(index, end));
+        } else {
+            pool.record_report(&id, report, at(now));
+            let ended = match is_answered {
+                true => TargetOutcome::Answered,
+                false => TargetOutcome::Shed,
+            };
+            let senders = self.service.instances;
+            pool.record_end(&id, ended, senders, at(now));
+        }
+        match is_answered {
+            true => self.count_answer(index, now),
+            false => self.try_next(index, id, now),
+        }
+    }
+
+    fn count_answer(&mut self, index: usize, now: u64) {
+        let request = &self.requests[index];
+        let kind = self.service.kinds[request.kind];
+        let seconds = (now - request.arrived) as f64 / 1e6;
+        let counts = self.counts(index);
+        counts.served += u32::from(seconds <= kind.deadline_seconds);
+        counts.within_objective += u32::from(seconds <= kind.objective_seconds);
+    }
+
+    /// Sends a request that a target refused to a second one, chosen by the instance.
+    fn try_next(&mut self, index: usize, refused: id::Target, now: u64) {
+        let mut next = self.requests[index].clone();
+        if !next.tried.is_empty() {
+            return;
+        }
+        next.tried.push(refused);
+        next.is_granted = false;
+        self.requests.push(next);
+        self.choose(self.requests.len() - 1, now);
+    }
+
+    fn share_loads(&mut self, now: u64) {
+        for index in 0..self.servers.len() {
+            let report = self.report(index, now);
+            let id: id::Target = name(&format!("t{index}"));
+            for pool in &mut self.pools {
+                pool.record_report(&id, report, at(now));
+            }
+        }
+    }
+}
+
+fn ticket(index: usize) -> Ticket {
+    Ticket {
+        sender: Incarnation::new(1),
+        number: index as u64,
+    }
+}
--- a/crates/sg-place/src/candidate.rs
+++ b/crates/sg-place/src/candidate.rs
@@ -163,7 +163,8 @@
         let round_trip_seconds = self.location.round_trip_seconds(&member.target);
         let queue_wait_seconds = self.queue_wait_seconds(member, load);
         let work_seconds = self.work_seconds(member, is_warm, is_highest_ranked);
-        let work_seconds = self.paced_seconds(member, work_seconds, queue_wait_seconds);
+        let work_seconds = work_seconds
+            + self.pace_seconds(member, is_warm, is_highest_ranked, queue_wait_seconds);
         let penalty_seconds = self.utilization_penalty_seconds(member, load)
             + self.bias_seconds(member)
             + member.excess_failure_rate(query.now) * FAILURE_PENALTY * query.cold_work_seconds;
@@ -223,11 +224,29 @@
         work * member.slowness(query.now) * cold_factor
     }
 
-    /// Returns the time that `work_seconds` of usual work take at the pace of the target's machine.
-    fn paced_seconds(&self, member: &Member, work_seconds: f64, wait_seconds: f64) -> f64 {
-        let now = self.query.now;
-        self.pace_persistence
-            .expected_seconds(member.pace(), work_seconds, wait_seconds, now)
+    /// Returns the time by which the pace of the target's machine is expected to extend the work.
+    fn pace_seconds(
+        &self,
+        member: &Member,
+        is_warm: bool,
+        is_highest_ranked: bool,
+        wait_seconds: f64,
+    ) -> f64 {
+        let query = self.query;
+        let usual_seconds = match (is_warm, is_highest_ranked) {
+            (true, _) => query.warm_work_seconds,
+            (false, true) => {
+                query.warm_work_seconds + query.saved_by_warmth_seconds() * query.cold_fraction
+            }
+            (false, false) => query.cold_work_seconds,
+        };
+        let paced_seconds = self.pace_persistence.expected_seconds(
+            member.pace(),
+            usual_seconds,
+            wait_seconds,
+            query.now,
+        );
+        paced_seconds - usual_seconds
     }
 
     fn utilization_penalty_seconds(&self, member: &Member, load: f64) -> f64 {
--- a/crates/sg-place/src/pace.rs
+++ b/crates/sg-place/src/pace.rs
@@ -10,6 +10,10 @@
 /// Interval between two reports of a target below which they count as one observation, because a
 /// target's machine changes its pace more slowly than concurrent responses arrive.
 const MIN_INTERVAL_SECONDS: f64 = 0.01;
+/// Deviation from the usual pace up to which a pace counts as the usual one. Work varies by more than that
+/// by itself, and if such differences decided, requests about one object would spread over targets where it
+/// is cold.
+const TOLERANCE: f64 = 0.25;
 /// Weight of observations from which older ones are forgotten, so that the persistence follows changes
 /// of the machines.
 const MAX_WEIGHT: f64 = 200.0;
@@ -31,10 +35,14 @@
         }
     }
 
-    /// Returns the factor by which work takes longer than usual.
+    /// Returns the factor by which work takes longer than usual; 1 for small deviations.
     #[must_use]
     pub fn factor(self) -> f64 {
-        f64::from(self.0) / f64::from(Self::USUAL.0)
+        let factor = f64::from(self.0) / f64::from(Self::USUAL.0);
+        if (factor - 1.0).abs() <= TOLERANCE {
+            return 1.0;
+        }
+        factor
     }
 }
 
@@ -70,7 +78,7 @@
 /// How long a deviation from the usual pace lasts, as observed between consecutive reports of targets.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Persistence {
-    /// Weight of the deviations that were observed.
+    /// Weight of the deviations that held between two reports.
     weight: f64,
     /// Rate at which the observed deviations ended, times their weight, per second.
     end_rate: f64,
@@ -78,8 +86,8 @@
 
 impl Persistence {
     /// Records two consecutive reports of one target. A pair is weighted by its deviation, because a small
-    /// one says little. Rates are averaged rather than lengths: reports that lie far apart show
-    /// only an upper bound of the length.
+    /// one says little. Rates are averaged rather than lengths, and a deviation that has ended adds no length:
+    /// reports that lie far apart show only that deviations are shorter.
     pub fn record(&mut self, earlier: Sample, later: Sample) {
         let seconds = later.at.since(earlier.at).as_secs_f64();
         let deviation = earlier.pace.factor() - 1.0;
@@ -92,7 +100,7 @@
             self.end_rate /= 2.0;
         }
         let weight = deviation.abs();
-        self.weight += weight * (1.0 + left) / 2.0;
+        self.weight += weight * left;
         self.end_rate += weight * (1.0 - left) / seconds;
     }
 
@@ -122,7 +130,7 @@
         now: Instant,
     ) -> f64 {
         let lasts = self.seconds();
-        let deviating = sample.filter(|sample| sample.pace != Pace::USUAL);
+        let deviating = sample.filter(|sample| sample.pace.factor() != 1.0);
         let Some(sample) = deviating.filter(|_| lasts > 0.0) else {
             return work_seconds;
         };
@@ -142,7 +150,7 @@
         measured_seconds: f64,
         now: Instant,
     ) -> f64 {
-        let Some(sample) = sample.filter(|sample| sample.pace != Pace::USUAL) else {
+        let Some(sample) = sample.filter(|sample| sample.pace.factor() != 1.0) else {
             return measured_seconds;
         };
         let age = now.since(sample.at).as_secs_f64();
