feat(sg-dispatch): usual demand of accounts in requests; simulated loads

Cause: usual demand counted in work varies with how many objects are warm, so that an account at six times its usual was not recognised. Change: count requests, and learn a rise slowly.

--- a/crates/sg-dispatch/src/room/fairness.rs
+++ b/crates/sg-dispatch/src/room/fairness.rs
@@ -6,10 +6,10 @@
 
 /// Ratio of a route's or account's served fraction to that of all requests below which its requests go
 /// first. The ratio that callers are owed is a quarter; the rest covers the delay of the observation.
-const LEAST_RATIO: f64 = 0.35;
+const LEAST_RATIO: f64 = 0.3;
 /// Ratio of the time over which an account's usual demand is observed to the time over which the present
 /// demand is observed.
-const USUAL_FACTOR: f64 = 10.0;
+const USUAL_FACTOR: f64 = 30.0;
 /// Ratio of an account's present to its usual demand from which the account is in excess. Demand varies by
 /// about a half without a change of behaviour.
 const EXCESS_RATIO: f64 = 2.0;
@@ -55,13 +55,34 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Demand {
     counts: Counts,
-    /// Work offered recently.
-    present_seconds: Decaying,
-    /// Work taken recently.
-    taken_seconds: Decaying,
-    /// Work offered over a longer time.
-    usual_seconds: Decaying,
-    first_offer: Option<Instant>,
+    /// Requests offered over a longer time, of which only a part counts while the account asks for more.
+    usual: Decaying,
+    first_offer: Instant,
+}
+
+impl Demand {
+    /// Returns the mean rate of `sum` over the last `horizon`, or since the first offer.
+    fn rate(&self, sum: &Decaying, horizon: Span, now: Instant) -> f64 {
+        let age = now.since(self.first_offer).as_secs_f64();
+        let horizon_seconds = horizon.as_secs_f64();
+        let weight = horizon_seconds * (1.0 - (-age / horizon_seconds).exp());
+        if weight > 0.0 {
+            sum.value(horizon, now) / weight
+        } else {
+            0.0
+        }
+    }
+
+    /// Returns the ratio of the present to the usual demand, or 1 while the usual demand is unknown.
+    fn rise(&self, horizon: Span, usual_horizon: Span, now: Instant) -> f64 {
+        let usual_rate = self.rate(&self.usual, usual_horizon, now);
+        let is_known = now.since(self.first_offer) > horizon && usual_rate > 0.0;
+        if is_known {
+            self.rate(&self.counts.offered, horizon, now) / usual_rate
+        } else {
+            1.0
+        }
+    }
 }
 
 /// Service of routes and accounts.
@@ -90,12 +111,14 @@
 
     pub(super) fn record_offer(&mut self, bid: &Bid, now: Instant) {
         let (horizon, usual) = (self.horizon, self.usual_horizon());
-        let work = bid.work.as_secs_f64();
-        let demand = self.accounts.entry(bid.account.clone()).or_default();
-        demand.first_offer.get_or_insert(now);
+        let account = bid.account.clone();
+        let demand = self.accounts.entry(account).or_insert_with(|| Demand {
+            first_offer: now,
+            ..Demand::default()
+        });
         demand.counts.offered.add(1.0, horizon, now);
-        demand.present_seconds.add(work, horizon, now);
-        demand.usual_seconds.add(work, usual, now);
+        let counted = 1.0 / demand.rise(horizon, usual, now).max(EXCESS_RATIO) * EXCESS_RATIO;
+        demand.usual.add(counted, usual, now);
         // The demand beyond an account's usual does not count as unserved demand of its route.
         if !self.is_excess(&bid.account, now) {
             let route = self.routes.entry(bid.route.clone()).or_default();
@@ -108,9 +131,6 @@
         let horizon = self.horizon;
         if let Some(demand) = self.accounts.get_mut(&bid.account) {
             demand.counts.taken.add(1.0, horizon, now);
-            demand
-                .taken_seconds
-                .add(bid.work.as_secs_f64(), horizon, now);
         }
         if !self.is_excess(&bid.account, now) {
             let route = self.routes.entry(bid.route.clone()).or_default();
@@ -121,26 +141,12 @@
 
     /// Returns whether the account asks for more than usual and has already got its usual share.
     fn is_excess(&self, account: &Option<id::Account>, now: Instant) -> bool {
-        let Some(demand) = self.accounts.get(account) else {
-            return false;
-        };
-        let Some(first_offer) = demand.first_offer else {
-            return false;
-        };
-        // What each sum would be at a constant demand of one, since the first offer.
-        let weight = |horizon: Span| {
-            let age = now.since(first_offer).as_secs_f64() / horizon.as_secs_f64();
-            horizon.as_secs_f64() * (1.0 - (-age).exp())
-        };
-        let usual = self.usual_horizon();
-        let present_weight = weight(self.horizon);
-        if present_weight <= 0.0 {
-            return false;
-        }
-        let usual_rate = demand.usual_seconds.value(usual, now) / weight(usual);
-        let present_rate = demand.present_seconds.value(self.horizon, now) / present_weight;
-        let taken_rate = demand.taken_seconds.value(self.horizon, now) / present_weight;
-        present_rate > usual_rate * EXCESS_RATIO && taken_rate > usual_rate
+        let (horizon, usual) = (self.horizon, self.usual_horizon());
+        self.accounts.get(account).is_some_and(|demand| {
+            let taken_rate = demand.rate(&demand.counts.taken, horizon, now);
+            demand.rise(horizon, usual, now) > EXCESS_RATIO
+                && taken_rate > demand.rate(&demand.usual, usual, now)
+        })
     }
 
     /// Returns how the account and the route of `bid` were treated recently.
--- a/crates/sg-dispatch/tests/dispatch/main.rs
+++ b/crates/sg-dispatch/tests/dispatch/main.rs
@@ -1,3 +1,6 @@
 //! Tests of the assignment of slots on simulated loads, without a network.
 
+mod loads;
+mod play;
+mod policies;
 mod room;
