feat(sg-dispatch): failure tests and properties; charge only while requests wait

Cause: a charge for cold runs in proportion to the utilisation kept requests waiting while other targets had free slots. Change: a cold run that could be avoided is charged as many times as requests wait per slot. Counters, leave() for an instance that died, no rounding of work to nanoseconds. Speed takes the time for which responses count, so that a group derives it from its work and stays free of absolute times; Member passes the same 6 s as before.

--- a/crates/sg-dispatch/src/group.rs
+++ b/crates/sg-dispatch/src/group.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod table;
 mod target;
+mod waiting;
 
 use sg_place::{hash::Object, pace::Persistence, pace::Sample, work_estimate::MovingAverage};
 use sg_types::prelude::*;
@@ -15,16 +16,15 @@
     recent::Recent,
     room::{Bounds, Room},
 };
-use choice::{Candidate, Evaluation, Need, Warmth};
+use choice::{Candidate, Evaluation, Need};
 use table::Table;
+use waiting::{Promise, Waiting};
 
 /// Number of closed tickets that are remembered, so that late and repeated messages change nothing. At
 /// several hundred requests per second, this covers more than ten seconds.
 const CLOSED: usize = 16_384;
 /// Maximum number of leases at a target, per slot. Adopted leases are not bounded by grants.
 const MAX_LEASES_PER_SLOT: u32 = 4;
-/// Number of waiting requests of other targets that are compared for a slot.
-const EXAMINED: usize = 32;
 /// Number of the least utilised targets whose free slots are offered to waiting requests at each tick.
 const REFILLED: usize = 8;
 /// Size of a waiting request at the dispatcher, which does not hold the request's body.
@@ -44,21 +44,21 @@
     }
 }
 
-/// A request that waits for a slot.
-#[derive(Debug, Clone)]
-struct Waiting {
-    ticket: Ticket,
-    need: Need,
-    /// Target for which the request waits.
-    place: Place,
-    warmth: Warmth,
-}
-
-/// What the dispatcher knows of a waiting ticket.
-#[derive(Debug, Clone, Copy)]
-struct Promise {
-    place: Place,
-    expected: Span,
+/// What a group has done since its creation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Counters {
+    /// Slots that were granted.
+    pub granted: u64,
+    /// Slots that were granted where the object was warm.
+    pub granted_warm: u64,
+    /// Requests that had to wait.
+    pub waited: u64,
+    /// Requests that were rejected.
+    pub rejected: u64,
+    /// Leases that other dispatchers granted.
+    pub adopted: u64,
+    /// Leases that ended with their deadline, without a message.
+    pub expired: u64,
 }
 
 /// The slots of the targets of one service in one region, as their dispatcher assigns them.
@@ -74,6 +74,7 @@
     work: MovingAverage,
     /// Tickets that ended, with the retry time of those that were rejected.
     closed: Recent<Ticket, Option<Span>>,
+    counters: Counters,
 }
 
 impl Group {
@@ -89,6 +90,7 @@
             persistence: Persistence::default(),
             work: MovingAverage::default(),
             closed: Recent::new(CLOSED),
+            counters: Counters::default(),
         }
     }
 
@@ -113,6 +115,12 @@
         self.room.len()
     }
 
+    /// Returns what the group has done.
+    #[must_use]
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
     /// Decides on a request that needs a slot. A repeated ask gets the same answer.
     pub fn ask(&mut self, ask: Ask, now: Instant) -> Vec<Decision> {
         let ticket = ask.ticket;
@@ -178,6 +186,7 @@
             .map(|rejected| self.reject_waiting(&rejected.item, rejected.retry_after, now))
             .collect();
         if let Some(expected) = offer.expected {
+            self.counters.waited += 1;
             decisions.push(Decision::Wait { ticket, expected });
         }
         decisions
@@ -220,12 +229,14 @@
             object: need.object,
             since: now,
             until: now + deadline_left,
-            work: span(best.work_seconds),
-            warm_work: span(need.warm_seconds),
-            cold_work: span(need.cold_seconds),
+            work_seconds: best.work_seconds,
+            warm_seconds: need.warm_seconds,
+            cold_seconds: need.cold_seconds,
             depth,
         };
         self.insert_lease(ticket, held, now);
+        self.counters.granted += 1;
+        self.counters.granted_warm += u64::from(depth.is_some());
         Decision::Grant {
             ticket,
             target: id,
@@ -236,7 +247,7 @@
     fn insert_lease(&mut self, ticket: Ticket, held: Held, now: Instant) {
         let Held { place, object, .. } = held;
         let forgotten = self.table.change(place, now, |target| {
-            target.begin(held.work);
+            target.begin(held.work_seconds);
             object.and_then(|object| target.begin_object(object))
         });
         if let Some(forgotten) = forgotten {
@@ -262,11 +273,7 @@
 
     /// Withdraws an ask whose request needs no slot any more.
     pub fn cancel(&mut self, ticket: Ticket, now: Instant) -> Vec<Decision> {
-        if let Some(promise) = self.waiting.swap_remove(&ticket) {
-            self.room.remove(|waiting| waiting.ticket == ticket);
-            self.table
-                .change(promise.place, now, |target| target.queued -= 1);
-        }
+        self.withdraw(ticket, now);
         let Some(held) = self.release(ticket, now) else {
             return Vec::new();
         };
@@ -274,6 +281,25 @@
         self.fill(held.place, now)
     }
 
+    /// Withdraws all asks and leases of an instance whose run has ended. Its requests that still run show in
+    /// the reports of the targets.
+    pub fn leave(&mut self, sender: Incarnation, now: Instant) -> Vec<Decision> {
+        let held = self.leases.held.keys().chain(self.waiting.keys());
+        let tickets: Vec<Ticket> = held
+            .copied()
+            .filter(|ticket| ticket.sender == sender)
+            .collect();
+        let places: IndexSet<Place> = tickets
+            .into_iter()
+            .filter_map(|ticket| {
+                self.withdraw(ticket, now);
+                Some(self.release(ticket, now)?.place)
+            })
+            .collect();
+        let places = places.into_iter();
+        places.flat_map(|place| self.fill(place, now)).collect()
+    }
+
     /// Ends a lease and remembers that its ticket is closed.
     fn release(&mut self, ticket: Ticket, now: Instant) -> Option<Held> {
         let held = self.leases.held.swap_remove(&ticket);
@@ -283,7 +309,7 @@
         let held = held?;
         let is_long_running = held.is_long_running(now);
         self.table.change(held.place, now, |target| {
-            target.end(held.work);
+            target.end(held.work_seconds);
             if is_long_running {
                 target.long_running = target.long_running.saturating_sub(1);
             }
@@ -302,7 +328,7 @@
 
     /// Records what the end of a lease says of its target.
     fn record_end(&mut self, held: &Held, end: End, now: Instant) {
-        let typical = span(self.work.value().unwrap_or(held.cold_work.as_secs_f64()));
+        let typical = span(self.work.value().unwrap_or(held.cold_seconds));
         let persistence = &mut self.persistence;
         let measured = end.work.map(Span::as_secs_f64);
         let usual_seconds = self.table.change(held.place, now, |target| {
@@ -346,24 +372,23 @@
             if is_known || is_full || self.closed.get(&ticket).is_some() {
                 continue;
             }
-            if let Some(promise) = self.waiting.swap_remove(&ticket) {
-                self.room.remove(|waiting| waiting.ticket == ticket);
-                self.table
-                    .change(promise.place, now, |target| target.queued -= 1);
-            }
+            self.withdraw(ticket, now);
             if let Some(object) = lease.object {
                 // The entry must exist for the object to be recorded as warm.
                 self.placements.entry(object, self.table.places());
             }
+            self.counters.adopted += 1;
             self.insert_lease(ticket, Held::adopted(&lease, place, now), now);
         }
     }
 
     /// Handles leases and waits whose time is over. To be called several times in the shortest work.
     pub fn tick(&mut self, now: Instant) -> Vec<Decision> {
-        for (_, held) in self.leases.expire(now) {
+        for (ticket, held) in self.leases.expire(now) {
+            self.counters.expired += 1;
+            self.closed.insert(ticket, None);
             self.table
-                .change(held.place, now, |target| target.end(held.work));
+                .change(held.place, now, |target| target.end(held.work_seconds));
         }
         self.refresh_targets(now);
         let expired = self.room.expire(now).into_iter();
@@ -388,8 +413,14 @@
             long_running[held.place.index()] += 1;
         }
         let lifetime = span(self.work.value().unwrap_or_default());
-        let places: Vec<Place> = self.table.places().map(|(_, place)| place).collect();
-        for place in places {
+        let table = &self.table;
+        let places = table.places().map(|(_, place)| place);
+        let is_outdated = |place: &Place| {
+            let long_running = long_running[place.index()];
+            table.get(*place).is_outdated(long_running, lifetime, now)
+        };
+        let outdated: Vec<Place> = places.filter(is_outdated).collect();
+        for place in outdated {
             let long_running = long_running[place.index()];
             self.table.change(place, now, |target| {
                 target.long_running = long_running;
@@ -398,75 +429,8 @@
         }
     }
 
-    /// Moves the requests that wait for a target that takes no requests any more.
-    fn move_stranded(&mut self, decisions: &mut Vec<Decision>, now: Instant) {
-        let table = &self.table;
-        let is_stranded = |waiting: &Waiting| !table.get(waiting.place).is_usable(now);
-        if !self
-            .waiting
-            .values()
-            .any(|p| !table.get(p.place).is_usable(now))
-        {
-            return;
-        }
-        let mut stranded = Vec::new();
-        while let Some(taken) = self.room.take_next(|waiting, _| is_stranded(waiting), now) {
-            stranded.push(taken);
-        }
-        for taken in stranded {
-            let Waiting {
-                ticket,
-                need,
-                place,
-                ..
-            } = taken.item;
-            self.waiting.swap_remove(&ticket);
-            self.table.change(place, now, |target| target.queued -= 1);
-            decisions.extend(self.place(ticket, need, taken.bid, now));
-        }
-    }
-
-    /// Grants the free slots of a target to waiting requests.
-    fn fill(&mut self, place: Place, now: Instant) -> Vec<Decision> {
-        let mut decisions = Vec::new();
-        while !self.room.is_empty() && self.table.get(place).has_room(now) {
-            let typical_seconds = self.work.value().unwrap_or_default();
-            let evaluation = Evaluation {
-                table: &self.table,
-                persistence: &self.persistence,
-                typical_seconds,
-                now,
-            };
-            let mut examined = 0;
-            let fits = |waiting: &Waiting, _: &Bid| {
-                if waiting.place == place {
-                    return true;
-                }
-                examined += 1;
-                examined <= EXAMINED && gains(&evaluation, waiting, place)
-            };
-            let Some(taken) = self.room.take_next(fits, now) else {
-                break;
-            };
-            let waiting = taken.item;
-            let warmth = warmth_at(&evaluation, &waiting, place);
-            let candidate = evaluation.evaluate(place, &waiting.need, warmth);
-            self.waiting.swap_remove(&waiting.ticket);
-            self.table
-                .change(waiting.place, now, |target| target.queued -= 1);
-            let deadline_left = taken.bid.deadline_left;
-            decisions.push(self.grant(
-                waiting.ticket,
-                &waiting.need,
-                candidate,
-                deadline_left,
-                now,
-            ));
-        }
-        decisions
-    }
-
     fn reject(&mut self, ticket: Ticket, retry_after: Span) -> Decision {
+        self.counters.rejected += 1;
         self.closed.insert(ticket, Some(retry_after));
         Decision::Reject {
             ticket,
@@ -474,13 +438,6 @@
         }
     }
 
-    fn reject_waiting(&mut self, waiting: &Waiting, retry_after: Span, now: Instant) -> Decision {
-        self.waiting.swap_remove(&waiting.ticket);
-        self.table
-            .change(waiting.place, now, |target| target.queued -= 1);
-        self.reject(waiting.ticket, retry_after)
-    }
-
     fn remove_idle(&mut self) {
         for place in self.table.remove_idle() {
             let objects: Vec<Object> = self.table.take_objects(place);
@@ -496,27 +453,6 @@
     }
 }
 
-/// Returns whether a waiting request has its response earlier if it gets a slot at `place` instead of the
-/// one for which it waits, although others pay for a cold run.
-fn gains(evaluation: &Evaluation<'_>, waiting: &Waiting, place: Place) -> bool {
-    if waiting.need.excluded.contains(&place) {
-        return false;
-    }
-    let there = evaluation.evaluate(waiting.place, &waiting.need, waiting.warmth);
-    let warmth = warmth_at(evaluation, waiting, place);
-    evaluation.evaluate(place, &waiting.need, warmth).cost < there.cost
-}
-
-fn warmth_at(evaluation: &Evaluation<'_>, waiting: &Waiting, place: Place) -> Warmth {
-    if evaluation.is_warm(place, &waiting.need) {
-        Warmth::Warm
-    } else if place == waiting.place {
-        Warmth::Home
-    } else {
-        Warmth::Cold
-    }
-}
-
 fn span(seconds: f64) -> Span {
     Span::from_secs(1).mul_f64(seconds)
 }
--- a/crates/sg-dispatch/src/group/choice.rs
+++ b/crates/sg-dispatch/src/group/choice.rs
@@ -108,7 +108,7 @@
             Warmth::Warm => need.warm_seconds,
             Warmth::Home | Warmth::Cold => need.cold_seconds,
         };
-        let usual_seconds = work_seconds * target.work_factor(self.now);
+        let usual_seconds = work_seconds * target.work_factor(self.typical_seconds, self.now);
         let wait_seconds = target.wait_seconds(self.typical_seconds, self.now);
         let work_seconds =
             self.persistence
@@ -122,15 +122,14 @@
         }
     }
 
-    /// Returns the delay of other requests by a cold run that could have been avoided. Each second of a
-    /// slot delays, with the utilisation as the probability, a request that would have used the slot; if
-    /// requests wait, a second of a slot delays as many as wait per slot.
+    /// Returns the delay of other requests by a cold run that could have been avoided. While slots are free,
+    /// nobody pays for one; if requests wait, each second of a slot delays as many as wait per slot.
     fn charge_seconds(&self, need: &Need, warmth: Warmth) -> f64 {
         if need.object.is_none() || warmth != Warmth::Cold {
             return 0.0;
         }
         let extra_seconds = (need.cold_seconds - need.warm_seconds).max(0.0);
-        extra_seconds * self.table.utilization()
+        extra_seconds * self.table.waiting_per_slot()
     }
 }
 
--- a/crates/sg-dispatch/src/group/table.rs
+++ b/crates/sg-dispatch/src/group/table.rs
@@ -58,9 +58,10 @@
         self.slots
     }
 
-    /// Returns the requests at the usable targets and those that wait, per slot.
-    pub fn utilization(&self) -> f64 {
-        self.load as f64 / self.slots.max(1) as f64
+    /// Returns the requests beyond the slots of the usable targets, per slot.
+    pub fn waiting_per_slot(&self) -> f64 {
+        let waiting = self.load.saturating_sub(self.slots);
+        waiting as f64 / self.slots.max(1) as f64
     }
 
     /// Returns whether the target has more than a fair share of the load with one more request.
--- a/crates/sg-dispatch/src/group/target.rs
+++ b/crates/sg-dispatch/src/group/target.rs
@@ -17,6 +17,9 @@
 const WARM_INCREASE: f64 = 0.25;
 /// Maximum number of doublings of the time without grants.
 const MAX_DOUBLINGS: u32 = 6;
+/// How long a response counts for the slowness, as a multiple of the typical work. A target with free slots
+/// gets the responses that can clear it within that time.
+const SPEED_LIFETIME: f64 = 10.0;
 /// Factor by which a target that has just started works more slowly.
 const COLD_TARGET_FACTOR: f64 = 2.0;
 
@@ -138,31 +141,36 @@
             leases => self.lease_seconds / f64::from(leases),
         };
         let ahead = f64::from(load - slots + 1);
-        ahead / f64::from(slots) * mean_seconds * self.speed.slowness(now)
+        ahead / f64::from(slots) * mean_seconds * self.slowness(typical_seconds, now)
     }
 
     /// Returns the factor by which work takes longer than usual, apart from the pace.
-    pub fn work_factor(&self, now: Instant) -> f64 {
+    pub fn work_factor(&self, typical_seconds: f64, now: Instant) -> f64 {
         let cold = if self.is_cold {
             COLD_TARGET_FACTOR
         } else {
             1.0
         };
-        cold * self.speed.slowness(now)
+        cold * self.slowness(typical_seconds, now)
+    }
+
+    fn slowness(&self, typical_seconds: f64, now: Instant) -> f64 {
+        let lifetime = Span::from_secs(1).mul_f64(typical_seconds * SPEED_LIFETIME);
+        self.speed.slowness(lifetime, now)
     }
 
     /// Records the beginning of a lease.
-    pub fn begin(&mut self, work: Span) {
+    pub fn begin(&mut self, work_seconds: f64) {
         self.leases += 1;
-        self.lease_seconds += work.as_secs_f64();
+        self.lease_seconds += work_seconds;
     }
 
     /// Records the end of a lease.
-    pub fn end(&mut self, work: Span) {
+    pub fn end(&mut self, work_seconds: f64) {
         self.leases = self.leases.saturating_sub(1);
         self.lease_seconds = match self.leases {
             0 => 0.0,
-            _ => (self.lease_seconds - work.as_secs_f64()).max(0.0),
+            _ => (self.lease_seconds - work_seconds).max(0.0),
         };
     }
 
@@ -179,13 +187,22 @@
         }
     }
 
-    /// Forgets a correction that is older than `lifetime`. Returns whether the load has changed.
-    pub fn expire_report(&mut self, lifetime: Span, now: Instant) -> bool {
-        let is_stale = self.others != 0 && now.since(self.others_at) > lifetime;
-        if is_stale {
+    /// Returns whether time alone has changed what is known of the target.
+    pub fn is_outdated(&self, long_running: u32, lifetime: Span, now: Instant) -> bool {
+        self.long_running != long_running
+            || self.is_report_stale(lifetime, now)
+            || self.is_usable(now) != self.load_key.is_some()
+    }
+
+    fn is_report_stale(&self, lifetime: Span, now: Instant) -> bool {
+        self.others != 0 && now.since(self.others_at) > lifetime
+    }
+
+    /// Forgets a correction that is older than `lifetime`.
+    pub fn expire_report(&mut self, lifetime: Span, now: Instant) {
+        if self.is_report_stale(lifetime, now) {
             self.others = 0;
         }
-        is_stale
     }
 
     /// Records that a request was not run or was lost. A single failure says nothing about the target,
--- a/crates/sg-dispatch/src/lease.rs
+++ b/crates/sg-dispatch/src/lease.rs
@@ -21,10 +21,10 @@
     /// When the asking instance has given up on the request.
     pub until: Instant,
     /// Expected work of the request at the expected pace of the target's machine.
-    pub work: Span,
-    /// Expected work if the object is cold, and if it is warm.
-    pub cold_work: Span,
-    pub warm_work: Span,
+    pub work_seconds: f64,
+    /// Expected work if the object is warm, and if it is cold.
+    pub warm_seconds: f64,
+    pub cold_seconds: f64,
     /// Number of objects that the target began after this one, if the object is warm there.
     pub depth: Option<usize>,
 }
@@ -37,31 +37,30 @@
             object: lease.object,
             since: now - lease.age,
             until: now + lease.deadline_left,
-            work: lease.work,
-            warm_work: lease.work,
-            cold_work: lease.work,
+            work_seconds: lease.work.as_secs_f64(),
+            warm_seconds: lease.work.as_secs_f64(),
+            cold_seconds: lease.work.as_secs_f64(),
             depth: None,
         }
     }
 
     /// Returns the work that was expected of a target that is not slow, in seconds.
     pub fn base_seconds(&self) -> f64 {
-        let work = match self.depth {
-            Some(_) => self.warm_work,
-            None => self.cold_work,
-        };
-        work.as_secs_f64()
+        match self.depth {
+            Some(_) => self.warm_seconds,
+            None => self.cold_seconds,
+        }
     }
 
     /// Returns whether the request runs for much longer than expected.
     pub fn is_long_running(&self, now: Instant) -> bool {
-        now.since(self.since) > self.work.mul_f64(LONG_RATIO)
+        now.since(self.since).as_secs_f64() > self.work_seconds * LONG_RATIO
     }
 
     /// Returns whether `work_seconds` of usual work show that the object was cold. `None` if they show
     /// neither, because the request itself needs more work than others.
     pub fn was_cold(&self, work_seconds: f64) -> Option<bool> {
-        let (warm, cold) = (self.warm_work.as_secs_f64(), self.cold_work.as_secs_f64());
+        let (warm, cold) = (self.warm_seconds, self.cold_seconds);
         if cold <= warm || work_seconds > cold * LONG_RATIO {
             return None;
         }
--- a/crates/sg-dispatch/tests/dispatch/fleets.rs
+++ b/crates/sg-dispatch/tests/dispatch/fleets.rs
@@ -61,8 +61,14 @@
         Policy::Senders { per_target: 3 },
         Policy::Dispatcher,
     ];
-    for (name, service) in services().into_iter().filter(|s| std::env::var("ONLY").is_err() || std::env::var("ONLY").unwrap() == s.0) {
-        for policy in policies {
+    for (name, service) in services()
+        .into_iter()
+        .filter(|s| std::env::var("ONLY").is_err() || std::env::var("ONLY").unwrap() == s.0)
+    {
+        for policy in policies
+            .into_iter()
+            .filter(|p| std::env::var("ONLYD").is_err() || *p == Policy::Dispatcher)
+        {
             let totals = Simulation::new(service.clone(), policy, 7).run(44);
             let shares = |counts: &[crate::simulation::Counts]| {
                 counts
--- a/crates/sg-dispatch/tests/dispatch/main.rs
+++ b/crates/sg-dispatch/tests/dispatch/main.rs
@@ -1,8 +1,10 @@
 //! Tests of the assignment of slots on simulated loads, without a network.
 
+mod failures;
 mod fleets;
 mod loads;
 mod play;
 mod policies;
+mod properties;
 mod room;
 mod simulation;
--- a/crates/sg-dispatch/tests/dispatch/simulation.rs
+++ b/crates/sg-dispatch/tests/dispatch/simulation.rs
@@ -91,7 +91,7 @@
     pub cold_runs: u32,
     pub runs: u32,
     pub refused_by_targets: u32,
-    /// Requests begun at the busiest target over the mean.
+    /// Time that requests took at the busiest target over the mean.
     pub busiest: f64,
     /// Time that the decisions of the dispatcher took.
     pub decision_micros: f64,
@@ -125,7 +125,8 @@
     warm: Vec<u64>,
     /// Starts of the times in which the machine is slow.
     slow: Vec<u64>,
-    begun: u32,
+    /// Time that the requests took together.
+    busy_micros: u64,
 }
 
 impl Server {
@@ -326,10 +327,10 @@
         while let Some(((now, _), event)) = self.events.pop_first() {
             self.handle(event, now);
         }
-        let begun = self.servers.iter().map(|server| f64::from(server.begun));
-        let mean = begun.clone().sum::<f64>() / self.servers.len() as f64;
+        let busy = self.servers.iter().map(|server| server.busy_micros as f64);
+        let mean = busy.clone().sum::<f64>() / self.servers.len() as f64;
         self.totals.decision_micros = self.decision_time.as_micros() as f64;
-        self.totals.busiest = begun.fold(0.0, f64::max) / mean;
+        self.totals.busiest = busy.fold(0.0, f64::max) / mean;
         self.totals
     }
 
@@ -557,7 +558,6 @@
         request.started = now;
         let server = &mut self.servers[request.target];
         server.running += 1;
-        server.begun += 1;
         let is_warm = server.warm.contains(&request.object);
         server.warm.retain(|known| *known != request.object);
         server.warm.push(request.object);
@@ -570,17 +570,14 @@
         let fraction = if is_warm { WARM_FRACTION } else { 1.0 };
         let tail = if request.is_tail { TAIL_FACTOR } else { 1.0 };
         let end = server.end_of(now, cold_seconds * fraction * tail);
+        self.servers[self.requests[index].target].busy_micros += end - now;
         self.schedule(end, Event::Done(index));
     }
 
     fn report(&self, target: usize, now: u64) -> LoadReport {
         let server = &self.servers[target];
         // The usual pace varies a little.
-        let percent = if server.is_slow(now) {
-            300
-        } else {
-            100
-        };
+        let percent = if server.is_slow(now) { 300 } else { 100 };
         let is_told = self.policy != Policy::Alone { uses_pace: false };
         LoadReport {
             running: server.running as u32,
--- a/crates/sg-place/src/member.rs
+++ b/crates/sg-place/src/member.rs
@@ -20,6 +20,8 @@
 const FAILURE_SMOOTHING: f64 = 0.2;
 /// Time constant of the decay of the failure rate without new results, in seconds.
 const FAILURE_DECAY_SECONDS: f64 = 6.0;
+/// How long a response counts for the slowness.
+const SPEED_SAMPLE_LIFETIME: Span = Span::from_secs(6);
 /// Failure rate up to which a target does not count as failing, because one request in a few may
 /// itself be the cause of its failure.
 const TOLERATED_FAILURE_RATE: f64 = 0.25;
@@ -345,7 +347,7 @@
     /// target does not count as slow.
     #[must_use]
     pub fn slowness(&self, now: Instant) -> f64 {
-        self.speed.slowness(now)
+        self.speed.slowness(SPEED_SAMPLE_LIFETIME, now)
     }
 
     /// Returns the pace that the target reported last.
--- a/crates/sg-place/src/pace.rs
+++ b/crates/sg-place/src/pace.rs
@@ -7,9 +7,9 @@
 
 use sg_types::prelude::*;
 
-/// Interval between two reports of a target below which they count as one observation, because a
-/// target's machine changes its pace more slowly than concurrent responses arrive.
-const MIN_INTERVAL_SECONDS: f64 = 0.01;
+/// Part of the persistence below which the interval between two reports of a target makes them count for
+/// less, because concurrent responses report the same moment.
+const FULL_INTERVAL: f64 = 0.125;
 /// Deviation from the usual pace up to which a pace counts as the usual one. Work varies by more than that
 /// by itself, and if such differences decided, requests about one object would spread over targets where it
 /// is cold.
@@ -91,15 +91,20 @@
     pub fn record(&mut self, earlier: Sample, later: Sample) {
         let seconds = later.at.since(earlier.at).as_secs_f64();
         let deviation = earlier.pace.factor() - 1.0;
-        if seconds < MIN_INTERVAL_SECONDS || deviation == 0.0 {
+        if seconds <= 0.0 || deviation == 0.0 {
             return;
         }
+        let lasts = self.seconds();
+        let importance = match lasts > 0.0 && lasts.is_finite() {
+            true => (seconds / (lasts * FULL_INTERVAL)).min(1.0),
+            false => 1.0,
+        };
         let left = ((later.pace.factor() - 1.0) / deviation).clamp(0.0, 1.0);
         if self.weight > MAX_WEIGHT {
             self.weight /= 2.0;
             self.end_rate /= 2.0;
         }
-        let weight = deviation.abs();
+        let weight = deviation.abs() * importance;
         self.weight += weight * left;
         self.end_rate += weight * (1.0 - left) / seconds;
     }
--- a/crates/sg-place/src/speed.rs
+++ b/crates/sg-place/src/speed.rs
@@ -7,8 +7,6 @@
 const SAMPLES: usize = 4;
 /// Minimum number of recent responses before a target can count as slow.
 const MIN_SAMPLES: usize = 3;
-/// How long a response counts for the slowness.
-const SAMPLE_LIFETIME: Span = Span::from_secs(6);
 /// Ratio of measured to expected time below which a target does not count as slow, because response
 /// times vary by about a half.
 pub const SLOW_RATIO: f64 = 1.6;
@@ -32,13 +30,13 @@
     }
 
     /// Returns the ratio of measured to expected time of the fastest recent response, or 1 if the
-    /// target does not count as slow.
+    /// target does not count as slow. Responses count for `lifetime`.
     #[must_use]
-    pub fn slowness(&self, now: Instant) -> f64 {
+    pub fn slowness(&self, lifetime: Span, now: Instant) -> f64 {
         let recent = self
             .samples
             .iter()
-            .filter(|(at, _)| now.since(*at) < SAMPLE_LIFETIME);
+            .filter(|(at, _)| now.since(*at) < lifetime);
         let (count, least) = recent.fold((0, f64::MAX), |(count, least), (_, ratio)| {
             (count + 1, ratio.min(least))
         });
