--- a/crates/sg-dispatch/src/lib.rs
+++ b/crates/sg-dispatch/src/lib.rs
@@ -8,21 +8,25 @@
 //! - [`message`] holds what the asking instances and the dispatcher tell each other.
 //! - [`exchange`] holds the messages in which they do so, and [`duty`] names the dispatcher.
 //! - [`order`] compares requests by what a rejection would cost their callers.
+//! - [`price`] decides about requests of an instance that has no waiting room.
 //! - [`room`] holds the requests that wait for a slot.
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
 pub mod duty;
 pub mod exchange;
+mod fairness;
 pub mod group;
 mod lease;
 pub mod message;
 pub mod order;
 mod placement;
+pub mod price;
 mod recent;
 pub mod room;
 
 pub use group::Group;
 pub use message::{Ask, Decision, Ticket};
 pub use order::Bid;
+pub use price::Price;
 pub use room::Room;
