fix(sg-proxy): a request that is quarantined while it waits for a slot is not sent

Cause: the quarantine was checked only before the ask, and a wait lasts up to seconds. Change: the quarantine is checked again with the grant; instances that are cut off do not ask.

--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -191,7 +191,7 @@
         .ok_or(Refusal::not_run(Reason::NoRoute))
 }
 
-fn check_quarantine<D: Dialect>(core: &Core<D>, call: &Call<'_>) -> Result<(), Refusal> {
+pub(crate) fn check_quarantine<D: Dialect>(core: &Core<D>, call: &Call<'_>) -> Result<(), Refusal> {
     let now = core.timer.now();
     let state = core.state.lock();
     let remaining = state
--- a/crates/sg-proxy/src/slots/assign.rs
+++ b/crates/sg-proxy/src/slots/assign.rs
@@ -43,6 +43,8 @@
     let Ok(choice) = attempt::check_stop(core, choice) else {
         return Ok(None);
     };
+    // The request may have been quarantined while it waited.
+    attempt::check_quarantine(core, call)?;
     core.state.lock().off_plan.record_request();
     attempt::record_send(core, call, service, &choice, false);
     Ok(Some(Granted { choice, slot }))
@@ -55,7 +57,7 @@
     service: &id::Service,
     arrived: Instant,
 ) -> Result<Option<Granted>, Refusal> {
-    let is_on = call.catalog.has_large_responses() && !core.is_draining();
+    let is_on = call.catalog.has_large_responses() && !core.is_draining() && !core.is_cut_off();
     let Some(mut ask) = is_on
         .then(|| prepare(core, call, service, arrived))
         .flatten()
