fix(sg-place): a stale pace does not count

A pace that was dozens of persistences old still changed the work by less than a nanosecond, which decided between equal works. Change: a pace older than four persistences is not used; works are rounded to the nearest nanosecond.

--- a/crates/sg-dispatch/src/group.rs
+++ b/crates/sg-dispatch/src/group.rs
@@ -30,6 +30,8 @@
 /// Size of a waiting request at the dispatcher, which does not hold the request's body.
 const WAITING_SIZE: Bytes = Bytes::new(512);
 
+const NANOS_PER_SECOND: f64 = 1e9;
+
 /// A target of a group, by number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct Place(u32);
@@ -155,7 +157,7 @@
     /// Grants a slot to a request, or lets it wait for the best target.
     fn place(&mut self, ticket: Ticket, need: Need, bid: Bid, now: Instant) -> Vec<Decision> {
         let Some(best) = self.choose(&need, now) else {
-            let retry_after = Span::from_secs(1).mul_f64(self.typical_seconds(&need));
+            let retry_after = span(self.typical_seconds(&need));
             return vec![self.reject(ticket, retry_after)];
         };
         if self.table.get(best.place).has_room(now) {
@@ -453,6 +455,7 @@
     }
 }
 
+/// Returns the nearest span. Rounding down would make equal works differ.
 fn span(seconds: f64) -> Span {
-    Span::from_secs(1).mul_f64(seconds)
+    Span::from_nanos((seconds * NANOS_PER_SECOND).round() as u64)
 }
--- a/crates/sg-place/src/pace.rs
+++ b/crates/sg-place/src/pace.rs
@@ -10,6 +10,9 @@
 /// Part of the persistence below which the interval between two reports of a target makes them count for
 /// less, because concurrent responses report the same moment.
 const FULL_INTERVAL: f64 = 0.125;
+/// Age of a reported pace, as a multiple of the persistence, from which the pace is not used: one in fifty
+/// deviations lasts that long.
+const STALE_PERSISTENCES: f64 = 4.0;
 /// Deviation from the usual pace up to which a pace counts as the usual one. Work varies by more than that
 /// by itself, and if such differences decided, requests about one object would spread over targets where it
 /// is cold.
@@ -140,6 +143,9 @@
             return work_seconds;
         };
         let age = now.since(sample.at).as_secs_f64() + wait_seconds;
+        if age > lasts * STALE_PERSISTENCES {
+            return work_seconds;
+        }
         let still_holds = (-age / lasts).exp();
         let factor = sample.pace.factor();
         let slowed = held_seconds(work_seconds * factor, lasts);
