--- a/crates/sg-dispatch/tests/dispatch/main.rs
+++ b/crates/sg-dispatch/tests/dispatch/main.rs
@@ -1,3 +1,11 @@
 //! Tests of the assignment of slots on simulated loads, without a network.
 
+mod duty;
+mod failures;
+mod fleets;
+mod loads;
+mod play;
+mod policies;
+mod properties;
 mod room;
+mod simulation;
--- a/crates/sg-gateway/src/slots.rs
+++ b/crates/sg-gateway/src/slots.rs
@@ -36,7 +36,7 @@
 const WAITING_BOUNDS: Bounds = Bounds {
     requests: 4_096,
     bytes: Bytes::new(2 << 20),
-    time: Span::from_secs(10),
+    time: Span::from_secs(20),
 };
 
 /// The state of the assignment of slots.
@@ -52,8 +52,8 @@
 #[derive(Debug, Default)]
 struct Dispatch {
     desks: IndexMap<ServiceKey, Desk>,
-    /// The addresses of asking instances.
-    senders: IndexMap<Incarnation, SocketAddr>,
+    /// The addresses of asking instances, and when each sent its last message.
+    senders: IndexMap<Incarnation, (SocketAddr, Instant)>,
 }
 
 /// The group of a service.
@@ -198,7 +198,7 @@
     }
     let mut dispatch = context.slots.dispatch.lock();
     if let Link::Remote(address) = from {
-        dispatch.senders.insert(ticket.sender, address);
+        dispatch.senders.insert(ticket.sender, (address, now));
     }
     let begins = matches!(message, Message::Ask(_) | Message::Adopt(_));
     if begins && !dispatch.desks.contains_key(&service) {
@@ -274,7 +274,7 @@
             let sender = decision.ticket().sender;
             let to = match sender == context.incarnation {
                 true => Link::Local,
-                false => Link::Remote(*self.senders.get(&sender)?),
+                false => Link::Remote(self.senders.get(&sender)?.0),
             };
             Some(Post {
                 to,
@@ -286,6 +286,34 @@
     }
 }
 
+impl Dispatch {
+    /// Takes back the slots of instances whose run has ended, and returns whom they go to.
+    fn remove_gone<D, I, S>(&mut self, context: &Context<D, I, S>, now: Instant) -> Vec<Post> {
+        if self.senders.is_empty() {
+            return Vec::new();
+        }
+        let members = context.members.lock();
+        let alive = members.alive(now);
+        let alive: IndexSet<Incarnation> = alive.map(|member| member.beacon.incarnation).collect();
+        drop(members);
+        let gone = self.senders.extract_if(.., |run, (_, last)| {
+            !alive.contains(run) && now.since(*last) > SILENCE_TIMEOUT
+        });
+        let gone: Vec<Incarnation> = gone.map(|(run, _)| run).collect();
+        let mut answers = Vec::new();
+        for run in gone {
+            let desks = self.desks.iter_mut();
+            let decisions: Vec<_> = desks
+                .map(|(key, desk)| (*key, desk.group.leave(run, now)))
+                .collect();
+            for (service, decisions) in decisions {
+                answers.extend(self.address(context, service, decisions));
+            }
+        }
+        answers
+    }
+}
+
 impl Desk {
     /// Creates a group for the service with the key `key`, if this instance may dispatch it.
     fn open<D, I, S>(context: &Context<D, I, S>, key: ServiceKey, now: Instant) -> Option<Self> {
@@ -349,10 +377,9 @@
         desk.update_targets(context, now);
         desk.report(&context.slots.metrics);
     }
-    if dispatch.desks.is_empty() {
-        dispatch.senders.clear();
-    }
+    let answers = dispatch.remove_gone(context, now);
     drop(dispatch);
+    send_answers(context, answers, now);
     context.core.slots.set_dispatchers(dispatchers, now);
 }
 
