feat(sg-dispatch): usual demand of accounts compared with the others; properties

Cause: an account at six times its usual was learned as usual within seconds when little was known of it. Change: the present time doesn't count as usual, and a rise counts only against the other accounts. Requests past their objective wait for a quarter of their slack at most.

--- a/crates/sg-dispatch/src/fairness.rs
+++ b/crates/sg-dispatch/src/fairness.rs
@@ -51,37 +51,50 @@
     }
 }
 
-/// Demand of an account.
+/// Demand of an account, or of all.
 #[derive(Debug, Clone, Copy, Default)]
 struct Demand {
     counts: Counts,
     /// Requests offered over a longer time, of which only a part counts while the account asks for more.
     usual: Decaying,
+    /// The same over the present time, which doesn't count as usual yet.
+    unsettled: Decaying,
     first_offer: Instant,
 }
 
+/// Rates of a demand, in requests per second.
+#[derive(Debug, Clone, Copy)]
+struct Rates {
+    usual: f64,
+    present: f64,
+    taken: f64,
+}
+
 impl Demand {
-    /// Returns the mean rate of `sum` over the last `horizon`, or since the first offer.
-    fn rate(&self, sum: &Decaying, horizon: Span, now: Instant) -> f64 {
+    /// Returns the rates of the demand without that of `part`, or `None` while the usual rate is unknown.
+    fn rates(&self, part: &Self, horizon: Span, now: Instant) -> Option<Rates> {
+        let usual_horizon = horizon.mul_f64(USUAL_FACTOR);
         let age = now.since(self.first_offer).as_secs_f64();
-        let horizon_seconds = horizon.as_secs_f64();
-        let weight = horizon_seconds * (1.0 - (-age / horizon_seconds).exp());
-        if weight > 0.0 {
-            sum.value(horizon, now) / weight
-        } else {
-            0.0
-        }
-    }
-
-    /// Returns the ratio of the present to the usual demand, or 1 while the usual demand is unknown.
-    fn rise(&self, horizon: Span, usual_horizon: Span, now: Instant) -> f64 {
-        let usual_rate = self.rate(&self.usual, usual_horizon, now);
-        let is_known = now.since(self.first_offer) > horizon && usual_rate > 0.0;
-        if is_known {
-            self.rate(&self.counts.offered, horizon, now) / usual_rate
-        } else {
-            1.0
-        }
+        // Time that a decaying sum covers.
+        let covered = |horizon: Span| {
+            let seconds = horizon.as_secs_f64();
+            seconds * (1.0 - (-age / seconds).exp())
+        };
+        let present = covered(horizon);
+        let settled = covered(usual_horizon) - present;
+        let value = |sum: &Decaying, part: &Decaying, horizon| {
+            (sum.value(horizon, now) - part.value(horizon, now)).max(0.0)
+        };
+        let usual = value(&self.usual, &part.usual, usual_horizon)
+            - value(&self.unsettled, &part.unsettled, horizon);
+        let offered = value(&self.counts.offered, &part.counts.offered, horizon);
+        let taken = value(&self.counts.taken, &part.counts.taken, horizon);
+        let is_known = now.since(self.first_offer) > horizon && usual > LEAST_OFFERS;
+        is_known.then(|| Rates {
+            usual: usual / settled,
+            present: offered / present,
+            taken: taken / present,
+        })
     }
 }
 
@@ -90,6 +103,7 @@
 pub(crate) struct Fairness {
     horizon: Span,
     all: Counts,
+    demand: Demand,
     routes: IndexMap<id::Route, Counts>,
     accounts: IndexMap<Option<id::Account>, Demand>,
 }
@@ -100,6 +114,7 @@
         Self {
             horizon,
             all: Counts::default(),
+            demand: Demand::default(),
             routes: IndexMap::new(),
             accounts: IndexMap::new(),
         }
@@ -111,42 +126,60 @@
 
     pub(crate) fn record_offer(&mut self, bid: &Bid, now: Instant) {
         let (horizon, usual) = (self.horizon, self.usual_horizon());
-        let account = bid.account.clone();
-        let demand = self.accounts.entry(account).or_insert_with(|| Demand {
+        // The demand beyond an account's usual is learned slowly.
+        let rise = self.rise(&bid.account, now).map_or(1.0, |(rise, _)| rise);
+        let counted = EXCESS_RATIO / rise.max(EXCESS_RATIO);
+        let account = self.accounts.entry(bid.account.clone());
+        let new = Demand {
             first_offer: now,
             ..Demand::default()
-        });
-        demand.counts.offered.add(1.0, horizon, now);
-        let counted = 1.0 / demand.rise(horizon, usual, now).max(EXCESS_RATIO) * EXCESS_RATIO;
-        demand.usual.add(counted, usual, now);
-        // The demand beyond an account's usual does not count as unserved demand of its route.
-        if !self.is_excess(&bid.account, now) {
-            let route = self.routes.entry(bid.route.clone()).or_default();
-            route.offered.add(1.0, horizon, now);
-            self.all.offered.add(1.0, horizon, now);
+        };
+        if self.all.offered.sum == 0.0 {
+            self.demand = new;
+        }
+        for demand in [account.or_insert(new), &mut self.demand] {
+            demand.counts.offered.add(1.0, horizon, now);
+            demand.usual.add(counted, usual, now);
+            demand.unsettled.add(counted, horizon, now);
         }
+        self.count(bid, now, |counts| &mut counts.offered);
     }
 
     pub(crate) fn record_taken(&mut self, bid: &Bid, now: Instant) {
         let horizon = self.horizon;
-        if let Some(demand) = self.accounts.get_mut(&bid.account) {
+        let account = self.accounts.get_mut(&bid.account);
+        for demand in account.into_iter().chain([&mut self.demand]) {
             demand.counts.taken.add(1.0, horizon, now);
         }
+        self.count(bid, now, |counts| &mut counts.taken);
+    }
+
+    /// Counts a request for its route, unless it is beyond the usual demand of its account.
+    fn count(&mut self, bid: &Bid, now: Instant, of: impl Fn(&mut Counts) -> &mut Decaying) {
         if !self.is_excess(&bid.account, now) {
             let route = self.routes.entry(bid.route.clone()).or_default();
-            route.taken.add(1.0, horizon, now);
-            self.all.taken.add(1.0, horizon, now);
+            of(route).add(1.0, self.horizon, now);
+            of(&mut self.all).add(1.0, self.horizon, now);
         }
     }
 
+    /// Returns the ratio of the account's present to its usual demand, and that of its taken to its usual
+    /// demand, each compared with the other accounts. Demand that rises for all accounts is thus no excess.
+    fn rise(&self, account: &Option<id::Account>, now: Instant) -> Option<(f64, f64)> {
+        let demand = self.accounts.get(account)?;
+        let own = demand.rates(&Demand::default(), self.horizon, now)?;
+        let others = self.demand.rates(demand, self.horizon, now)?;
+        let compared = |own_rate: f64, others_rate: f64| {
+            own_rate / own.usual / (others_rate / others.usual).max(f64::MIN_POSITIVE)
+        };
+        let rise = compared(own.present, others.present);
+        Some((rise, compared(own.taken, others.taken)))
+    }
+
     /// Returns whether the account asks for more than usual and has already got its usual share.
     fn is_excess(&self, account: &Option<id::Account>, now: Instant) -> bool {
-        let (horizon, usual) = (self.horizon, self.usual_horizon());
-        self.accounts.get(account).is_some_and(|demand| {
-            let taken_rate = demand.rate(&demand.counts.taken, horizon, now);
-            demand.rise(horizon, usual, now) > EXCESS_RATIO
-                && taken_rate > demand.rate(&demand.usual, usual, now)
-        })
+        let rise = self.rise(account, now);
+        rise.is_some_and(|(rise, taken)| rise > EXCESS_RATIO && taken > 1.0)
     }
 
     /// Returns how the account and the route of `bid` were treated recently.
--- a/crates/sg-dispatch/src/room.rs
+++ b/crates/sg-dispatch/src/room.rs
@@ -20,6 +20,9 @@
 const PAUSE_SPREAD: f64 = 1.0 / 3.0;
 /// Fractional part of the golden ratio. Its multiples modulo 1 are evenly spread for any number of them.
 const SPREAD_STEP: f64 = 0.618_033_988_749_895;
+/// Largest part of the time until its latest start that a request waits once it can't meet its objective. A
+/// longer queue serves no more requests but all of them later, and leaves a rejected caller no time to retry.
+const MAX_WAIT_FRACTION: f64 = 0.25;
 /// Time for which the standings of the waiting classes are reused, as a fraction of the time over which they
 /// are observed. They can't change much within this time.
 const STANDING_FRACTION: f64 = 0.01;
@@ -42,7 +45,7 @@
     Outbid,
     /// A request that precedes this one took its place.
     Displaced,
-    /// The request can't be served in time.
+    /// The request can't be served in time, or no slot is expected within a useful wait.
     Hopeless,
     /// The room closed.
     Closed,
@@ -104,9 +107,9 @@
 }
 
 impl<T> Entry<T> {
-    /// Returns the latest time at which the request can start and be in time.
-    fn latest_start(&self) -> Instant {
-        self.offered_at + self.bid.deadline_left.saturating_sub(self.bid.work)
+    /// Returns the end of the request's longest useful wait.
+    fn wait_ends(&self) -> Instant {
+        self.offered_at + longest_wait(&self.bid)
     }
 
     fn is_late(&self, now: Instant) -> bool {
@@ -115,7 +118,7 @@
     }
 
     fn is_servable(&self, now: Instant) -> bool {
-        self.bid.is_servable_after(now.since(self.offered_at))
+        self.bid.work <= self.bid.deadline_left && now <= self.wait_ends()
     }
 }
 
@@ -129,11 +132,18 @@
 /// What the requests of a class have in common.
 type ClassKey = (u32, id::Route, Option<id::Account>);
 
+/// Returns the longest useful wait of a request: until it misses its objective, or for a part of its slack.
+fn longest_wait(bid: &Bid) -> Span {
+    let slack = bid.deadline_left.saturating_sub(bid.work);
+    let slack = slack.mul_f64(MAX_WAIT_FRACTION);
+    slack.max(bid.objective_left.saturating_sub(bid.work))
+}
+
 fn class_key(bid: &Bid) -> ClassKey {
     (bid.priority, bid.route.clone(), bid.account.clone())
 }
 
-/// Order among waiting requests: by rank, then by the latest start, then by arrival.
+/// Order among waiting requests: by rank, then by the end of the wait, then by arrival.
 type Place = (Rank, Instant, u64);
 
 /// The waiting requests of one group of slots.
@@ -191,8 +201,8 @@
         Bytes::new(self.bytes)
     }
 
-    /// Offers a request that holds `size` bytes while it waits. A request that can't be served in time is
-    /// rejected at once; if the room is full, the requests of the greatest rank are.
+    /// Offers a request that holds `size` bytes while it waits. A request that would wait longer than is useful
+    /// is rejected at once; if the room is full, the requests of the greatest rank are.
     pub fn offer(&mut self, bid: Bid, size: Bytes, item: T, now: Instant) -> Offer<T> {
         self.advance(now);
         self.fairness.record_offer(&bid, now);
@@ -210,7 +220,10 @@
             None => self.fairness.standing(&entry.bid, now),
         };
         let expected = self.expected_wait(entry.bid.rank(standing), now);
-        if expected > self.bounds.time || !entry.bid.is_servable_after(expected) {
+        if expected > self.bounds.time
+            || expected > longest_wait(&entry.bid)
+            || entry.bid.work > entry.bid.deadline_left
+        {
             let rejected = self.reject(entry, Cause::Hopeless, expected, now);
             return Offer {
                 expected: None,
@@ -257,7 +270,7 @@
         })
     }
 
-    /// Removes the requests that can't be served in time any more or have waited for the longest time. To
+    /// Removes the requests whose longest useful wait is over. To
     /// be called at least several times in the shortest time that a caller has left.
     pub fn expire(&mut self, now: Instant) -> Vec<Rejected<T>> {
         self.advance(now);
@@ -320,7 +333,7 @@
             let entries = waiting.entries.iter().enumerate();
             entries.map(move |(index, entry)| {
                 let rank = entry.bid.rank_with(standing, entry.is_late(now));
-                ((rank, entry.latest_start(), entry.number), class, index)
+                ((rank, entry.wait_ends(), entry.number), class, index)
             })
         })
     }
--- a/crates/sg-dispatch/tests/dispatch/main.rs
+++ b/crates/sg-dispatch/tests/dispatch/main.rs
@@ -3,4 +3,5 @@
 mod loads;
 mod play;
 mod policies;
+mod properties;
 mod room;
