feat(sg-proxy): refuse by price where a route has large responses

Cause: the margin of a tenth of the remaining time per priority level gives the most urgent kind the smallest share of its worth. Change: with a route with large responses in the catalog, a request that would wait is admitted by its place among recent bids; the admitted part falls as expected waits exceed what objectives leave. Counter by reason and priority, one log line when refusing starts and stops.

--- a/crates/sg-catalog/src/catalog.rs
+++ b/crates/sg-catalog/src/catalog.rs
@@ -75,6 +75,7 @@
     pub accounts: IndexMap<id::Account, Arc<Account>>,
     accounts_by_key: IndexMap<KeyDigest, id::Account>,
     routes_by_host: IndexMap<Arc<str>, Vec<Arc<Route>>>,
+    has_large_responses: bool,
 }
 
 impl Default for Limits {
@@ -141,6 +142,7 @@
         if route.services.iter().all(|weighted| weighted.weight == 0) {
             return Err(Error::NoWeightedService { route: route.name });
         }
+        self.has_large_responses |= route.large_responses;
         let routes = self.routes_by_host.entry(host.into()).or_default();
         routes.push(Arc::new(route));
         routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
@@ -156,6 +158,12 @@
             .find(|route| path.starts_with(route.path_prefix.as_ref()))
     }
 
+    /// Returns whether any route has large responses.
+    #[must_use]
+    pub fn has_large_responses(&self) -> bool {
+        self.has_large_responses
+    }
+
     /// Returns the account that has the key with the digest `key`.
     #[must_use]
     pub fn account_by_key(&self, key: &KeyDigest) -> Option<&Arc<Account>> {
--- a/crates/sg-dispatch/src/price.rs
+++ b/crates/sg-dispatch/src/price.rs
@@ -24,7 +24,7 @@
 pub enum Change {
     /// The first requests are refused by price.
     Started,
-    /// No request is refused by price any more.
+    /// No request was refused by price for the whole horizon.
     Stopped,
 }
 
@@ -41,7 +41,9 @@
     room: f64,
     refused_fraction: f64,
     judged: u64,
-    is_refusing: bool,
+    /// Time of the last refusal, while requests are refused.
+    refused_at: Option<Instant>,
+    horizon: Span,
     change: Option<Change>,
 }
 
@@ -56,7 +58,8 @@
             room: 0.0,
             refused_fraction: 0.0,
             judged: 0,
-            is_refusing: false,
+            refused_at: None,
+            horizon,
             change: None,
         }
     }
@@ -67,7 +70,8 @@
         self.refused_fraction
     }
 
-    /// Returns the latest change of whether requests are refused, once.
+    /// Returns the latest change of whether requests are refused, once. Changes to refusing are at least a
+    /// horizon apart.
     pub fn take_change(&mut self) -> Option<Change> {
         self.change.take()
     }
@@ -82,15 +86,23 @@
         if self.recent.len() == RECENT {
             self.recent.pop_front();
         }
+        if self.judged.is_multiple_of(RECENT as u64) {
+            self.fairness.prune(now);
+        }
         self.recent.push_back((rank, bid.work.as_secs_f64()));
         let is_admitted = wait == Span::ZERO || position <= 1.0 - self.refused_fraction;
         if is_admitted {
             self.fairness.record_taken(bid, now);
         }
-        self.record_change(is_admitted);
+        self.record_change(is_admitted, now);
         is_admitted
     }
 
+    /// Records a request that no target can serve in time, whatever the price.
+    pub fn record_late(&mut self, bid: &Bid, now: Instant) {
+        self.fairness.record_offer(bid, now);
+    }
+
     /// Moves the price by the expected wait of a request.
     fn observe(&mut self, bid: &Bid, wait: Span) {
         let work = bid.work.as_secs_f64();
@@ -128,12 +140,16 @@
         }
     }
 
-    fn record_change(&mut self, is_admitted: bool) {
-        if !is_admitted && !self.is_refusing {
-            self.is_refusing = true;
-            self.change = Some(Change::Started);
-        } else if self.is_refusing && self.refused_fraction <= 0.0 {
-            self.is_refusing = false;
+    fn record_change(&mut self, is_admitted: bool, now: Instant) {
+        if !is_admitted {
+            if self.refused_at.replace(now).is_none() {
+                self.change = Some(Change::Started);
+            }
+        } else if self
+            .refused_at
+            .is_some_and(|at| now.since(at) > self.horizon)
+        {
+            self.refused_at = None;
             self.change = Some(Change::Stopped);
         }
     }
--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -18,6 +18,7 @@
     Body, Core, Dialect,
     core::Signal,
     dialect::Refusal,
+    price,
     send::{self, SendOutcome},
     trace::{SendRecord, Trace},
 };
@@ -31,12 +32,6 @@
 /// time. Capacity frees up over time, but with a fraction of a quarter the retries outlast a burst
 /// of requests and shift the burst's traffic to the region of the retries.
 const RETRY_AFTER_FRACTION: f64 = 0.12;
-/// Fraction of a request's remaining time that must be unused when its response is expected, per
-/// priority level. Less urgent requests are thus refused first, while there is still room for the
-/// others.
-const PRIORITY_MARGIN_FRACTION: f64 = 0.1;
-/// Greatest priority level. Requests with a greater priority number are treated like this level.
-const MAX_PRIORITY: u32 = 5;
 /// Time that a request may take while the instance drains, as a multiple of the expected time, because
 /// the duration of work varies by about a half.
 const DRAIN_TIME_FACTOR: f64 = 1.5;
@@ -66,7 +61,7 @@
 impl Call<'_> {
     /// Returns the priority of the request, 0 being the most urgent. The priority of the account
     /// takes precedence over that of the route.
-    fn priority(&self) -> u32 {
+    pub fn priority(&self) -> u32 {
         let account = self.account.as_ref().and_then(|account| account.priority);
         account.unwrap_or(self.route.priority)
     }
@@ -75,7 +70,8 @@
     /// remaining time, because capacity frees up over time and the retry needs time for a response.
     fn retry_after(&self, now: Instant) -> Span {
         let until = self.caller_deadline.unwrap_or(self.deadline);
-        until.since(now).mul_f64(RETRY_AFTER_FRACTION)
+        let fraction = RETRY_AFTER_FRACTION * price::retry_spread(self, now);
+        until.since(now).mul_f64(fraction)
     }
 
     /// Returns the region where the request has to run, or the most likely one of several: `own` if it
@@ -127,7 +123,7 @@
     record_demand(core, call, &service);
     let mut history = History::default();
     loop {
-        let choice = match reserve_target(core, call, &service, &history) {
+        let choice = match reserve_target(core, call, &service, &history, trace.arrived) {
             Ok(choice) => choice,
             Err(refusal) => return history.into_result(call, refusal, core.timer.now()),
         };
@@ -261,9 +257,14 @@
     call: &Call<'_>,
     service: &id::Service,
     history: &History,
+    arrived: Instant,
 ) -> Result<Choice, Refusal> {
     let choice = choose_target(core, call, service, &history.tried)
         .and_then(|choice| check_stop(core, choice));
+    let choice = match history.tried.is_empty() {
+        true => price::check(core, call, service, arrived, choice),
+        false => choice,
+    };
     let now = core.timer.now();
     let mut state = core.state.lock();
     if choice.as_ref().is_ok_and(|choice| choice.leaves_region) {
@@ -322,9 +323,7 @@
         return Err(Refusal::not_run(Reason::Deadline));
     }
     let remaining_seconds = call.deadline.since(now).as_secs_f64() - RESPONSE_OVERHEAD_SECONDS;
-    let priority = call.priority().min(MAX_PRIORITY);
-    let remaining_seconds =
-        remaining_seconds * (1.0 - PRIORITY_MARGIN_FRACTION * f64::from(priority));
+    let remaining_seconds = remaining_seconds * price::usable_fraction(call);
     let services = &call.catalog.services;
     let cold_rate = services.get(service).map_or(0.0, |s| s.cold_rate);
     let account_home_regions = call
--- a/crates/sg-proxy/src/lib.rs
+++ b/crates/sg-proxy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod dialect;
 pub mod metrics;
 pub mod planning;
+mod price;
 mod rate_limits;
 mod reach;
 mod relay;
--- a/crates/sg-proxy/src/metrics.rs
+++ b/crates/sg-proxy/src/metrics.rs
@@ -44,6 +44,7 @@
     rate_limit_changes: IntCounterVec,
     relays: IntCounterVec,
     departures: IntCounterVec,
+    refusals: IntCounterVec,
     cut_responses: IntCounterVec,
     latency: HistogramVec,
     /// Pauses that targets asked for.
@@ -113,6 +114,11 @@
                 "Requests passed on to other instances.",
                 &["end"],
             )?,
+            refusals: counters(
+                "sg_refusals_total",
+                "Requests refused before their first send, where an order of refusal is on.",
+                &["reason", "priority"],
+            )?,
             departures: counters(
                 "sg_target_departures_total",
                 "Targets that say that they are leaving, by who told of it.",
@@ -174,6 +180,12 @@
         self.departures.with_label_values(&[source]).inc();
     }
 
+    /// Records a request that is refused before its first send; `reason` is the label of the reason.
+    pub fn record_refusal(&self, reason: &str, priority: u32) {
+        let labels = [reason, &priority.to_string()];
+        self.refusals.with_label_values(&labels).inc();
+    }
+
     /// Records a response that was cut off; `cause` is the label of the cause.
     pub fn record_cut_response(&self, cause: &str) {
         self.cut_responses.with_label_values(&[cause]).inc();
--- a/crates/sg-proxy/src/state.rs
+++ b/crates/sg-proxy/src/state.rs
@@ -1,6 +1,7 @@
 //! State on which the decisions of the request path are based, behind one lock that is never held
 //! across an await point.
 
+use sg_dispatch::Price;
 use sg_place::{
     Pool, Target,
     departure::{Departures, Run},
@@ -123,6 +124,8 @@
     pub location: Location,
     /// Statistics by route.
     pub routes: IndexMap<id::Route, RouteStats>,
+    /// Prices of slots by service.
+    pub prices: IndexMap<id::Service, Price>,
     /// Retry budgets by service.
     pub retry_budgets: IndexMap<id::Service, Budget>,
     /// Quota shares by client account.
@@ -162,6 +165,7 @@
             location,
             initial_cold_fraction,
             routes: IndexMap::new(),
+            prices: IndexMap::new(),
             retry_budgets: IndexMap::new(),
             shares: IndexMap::new(),
             budget_fraction: 0.0,
