--- a/crates/sg-proxy/src/metrics.rs
+++ b/crates/sg-proxy/src/metrics.rs
@@ -206,6 +206,13 @@
         self.rate_limit_changes.with_label_values(&labels).inc();
     }
 
+    /// Returns the number of requests refused so far for this reason and priority.
+    #[must_use]
+    pub fn refusals(&self, reason: &str, priority: u32) -> u64 {
+        let labels = [reason, &priority.to_string()];
+        self.refusals.with_label_values(&labels).get()
+    }
+
     /// Returns the number of responses so far with this outcome and reason.
     #[must_use]
     pub fn responses(&self, outcome: Outcome, reason: Reason) -> u64 {
