--- a/crates/sg-dispatch/tests/dispatch/main.rs
+++ b/crates/sg-dispatch/tests/dispatch/main.rs
@@ -4,6 +4,7 @@
 mod failures;
 mod fleets;
 mod loads;
+mod order_properties;
 mod play;
 mod policies;
 mod properties;
--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -18,6 +18,7 @@
     Body, Core, Dialect,
     dialect::Refusal,
     history::{self, History},
+    price,
     send::{self, SendOutcome},
     slots::{self, Granted},
     trace::{SendRecord, Trace},
@@ -32,12 +33,6 @@
 /// time. Capacity frees up over time, but with a fraction of a quarter the retries outlast a burst
 /// of requests and shift the burst's traffic to the region of the retries.
 const RETRY_AFTER_FRACTION: f64 = 0.12;
-/// Fraction of a request's remaining time that must be unused when its response is expected, per
-/// priority level. Less urgent requests are thus refused first, while there is still room for the
-/// others.
-const PRIORITY_MARGIN_FRACTION: f64 = 0.1;
-/// Greatest priority level. Requests with a greater priority number are treated like this level.
-const MAX_PRIORITY: u32 = 5;
 /// Time that a request may take while the instance drains, as a multiple of the expected time, because
 /// the duration of work varies by about a half.
 const DRAIN_TIME_FACTOR: f64 = 1.5;
@@ -76,7 +71,8 @@
     /// remaining time, because capacity frees up over time and the retry needs time for a response.
     pub fn retry_after(&self, now: Instant) -> Span {
         let until = self.caller_deadline.unwrap_or(self.deadline);
-        until.since(now).mul_f64(RETRY_AFTER_FRACTION)
+        let fraction = RETRY_AFTER_FRACTION * price::retry_spread(self, now);
+        until.since(now).mul_f64(fraction)
     }
 
     /// Returns the region where the request has to run, or the most likely one of several: `own` if it
@@ -123,7 +119,7 @@
         };
         let (choice, slot) = match granted {
             Some(Granted { choice, slot }) => (choice, Some(slot)),
-            None => match reserve_target(core, call, &service, &history) {
+            None => match reserve_target(core, call, &service, &history, trace.arrived) {
                 Ok(choice) => (choice, None),
                 Err(refusal) => return history.into_result(call, refusal, core.timer.now()),
             },
@@ -228,10 +224,15 @@
     call: &Call<'_>,
     service: &id::Service,
     history: &History,
+    arrived: Instant,
 ) -> Result<Choice, Refusal> {
     let choice = choose_target(core, call, service, &history.tried)
-        .and_then(|choice| check_stop(core, choice))
-        .inspect_err(|refusal| record_refusal(core, call, service, refusal))?;
+        .and_then(|choice| check_stop(core, choice));
+    let choice = match history.tried.is_empty() {
+        true => price::check(core, call, service, arrived, choice),
+        false => choice,
+    };
+    let choice = choice.inspect_err(|refusal| record_refusal(core, call, service, refusal))?;
     record_send(core, call, service, &choice, !history.tried.is_empty());
     Ok(choice)
 }
@@ -346,9 +347,7 @@
 ) -> Option<T> {
     let remaining_seconds =
         call.deadline.since(now).as_secs_f64() - RESPONSE_OVERHEAD.as_secs_f64();
-    let priority = call.priority().min(MAX_PRIORITY);
-    let remaining_seconds =
-        remaining_seconds * (1.0 - PRIORITY_MARGIN_FRACTION * f64::from(priority));
+    let remaining_seconds = remaining_seconds * price::usable_fraction(call);
     let services = &call.catalog.services;
     let cold_rate = services.get(service).map_or(0.0, |s| s.cold_rate);
     let account_home_regions = call.account.as_ref().map(|a| a.home_regions.clone());
--- a/crates/sg-proxy/src/lib.rs
+++ b/crates/sg-proxy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod pipeline;
 pub mod planning;
 pub mod policy;
+mod price;
 mod rate_limits;
 mod reach;
 mod relay;
--- a/crates/sg-proxy/tests/proxy/main.rs
+++ b/crates/sg-proxy/tests/proxy/main.rs
@@ -7,6 +7,7 @@
 mod harness;
 mod limits;
 mod pipelines;
+mod prices;
 mod rate_limits;
 mod relays;
 mod responses;
