fix(sg-proxy): let targets read large requests slowly

TCP_USER_TIMEOUT of 1.5 s on connections to targets reset a large request whose target paused for longer, because the kernel counts the time of a closed window.

--- a/crates/sg-proxy/src/connections.rs
+++ b/crates/sg-proxy/src/connections.rs
@@ -11,21 +11,23 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
+use http_body::Body as _;
 use http_body_util::Full;
 use hyper::{
     body::Incoming,
     client::conn::http1::{Builder, SendRequest},
 };
-use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use sg_clock::Timer;
 use sg_types::prelude::*;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpSocket, task::AbortHandle};
 
-/// Time for which sent data may stay unacknowledged before the kernel closes the connection. The
-/// timeout detects a connection whose state was lost by a device in between, and is long enough for
-/// a link that loses a packet or two to recover.
+use crate::target_stream::{RequestSize, TargetStream};
+
+/// Time for which sent data may stay unacknowledged before the kernel closes the connection to a target,
+/// unless a large request is sent. The timeout detects a connection whose state was lost by a device in
+/// between, and is long enough for a link that loses a packet or two to recover.
 pub const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Idle time before the kernel sends a keepalive probe, and interval between probes.
 pub const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -79,6 +81,7 @@
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    size: RequestSize,
     since: Instant,
     timeout: Span,
 }
@@ -169,6 +172,7 @@
     connect_time: Option<Span>,
     sender: Option<SendRequest<Full<Bytes>>>,
     task: AbortHandle,
+    size: RequestSize,
 }
 
 impl Drop for Connection {
@@ -263,6 +267,7 @@
         let idle = IdleConnection {
             sender,
             task: connection.task.clone(),
+            size: connection.size.clone(),
             since: self.timer.now(),
             timeout: stated_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |stated| {
                 stated.mul_f64(IDLE_TIMEOUT_FRACTION)
@@ -308,6 +313,7 @@
                     connect_time: None,
                     sender: Some(idle.sender),
                     task: idle.task,
+                    size: idle.size,
                 });
             }
             idle.task.abort();
@@ -330,9 +336,10 @@
         let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         let connect_time = self.timer.now().since(started);
         self.opened.inc();
+        let size = RequestSize::default();
         let handshake = Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TargetStream::new(stream, size.clone()))
             .await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
@@ -345,6 +352,7 @@
             connect_time: Some(connect_time),
             sender: Some(sender),
             task: task.abort_handle(),
+            size,
         })
     }
 }
@@ -384,6 +392,7 @@
             .sender
             .as_mut()
             .expect("sender is only taken when the connection returns to the pool");
+        self.size.set(request.body().size_hint().exact());
         sender.try_send_request(request).await.map_err(|mut error| {
             let unsent = error.take_message();
             (error.into_error(), unsent)
--- a/crates/sg-proxy/src/lib.rs
+++ b/crates/sg-proxy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod server;
 mod state;
 pub mod stream;
+mod target_stream;
 mod trace;
 
 pub use body::Body;
