fix(sg-proxy): keep refusals apart from the response before them

A request whose time is used up behind another one is refused at once.

Refusals of requests that were sent behind another one now follow the response before by 20 ms, which also bounds the processor time that a pipeline of refused requests takes. The body guard wakes the connection, so that a body whose end is seen after the last flush does not hold back the next request.

--- a/crates/sg-proxy/src/serve.rs
+++ b/crates/sg-proxy/src/serve.rs
@@ -70,7 +70,9 @@
             let id = (!trace.id.is_empty()).then_some(trace.id.as_ref());
             let response = core.dialect.refusal_response(&refusal, id);
             trace.finish(refusal.outcome, refusal.reason, response.status().as_u16());
-            response.map(Body::buffered)
+            let mut response = response.map(Body::buffered);
+            response.extensions_mut().insert(server::Refused);
+            response
         }
     };
     if let Some(deadline) = trace.deadline {
--- a/crates/sg-proxy/src/server.rs
+++ b/crates/sg-proxy/src/server.rs
@@ -27,6 +27,10 @@
 /// Time between the start of a stop's last phase and the end of idle connections, in which requests that have
 /// arrived are read.
 const CLOSING_DELAY: Span = Span::from_millis(100);
+/// Minimum time between a response and the refusal of a request that was sent behind its request. A caller
+/// may discard what it reads together with the end of a response, and refusals in a row without a pause would
+/// take processor time from other callers.
+const REFUSAL_SPACING: Span = Span::from_millis(20);
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1024;
 
@@ -48,6 +52,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Arrived(pub Instant);
 
+/// Response extension that marks the refusal of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refused;
+
 /// Response extension that states until when the caller may take to read the response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Until(pub Instant);
@@ -240,15 +248,20 @@
         F: Fn(Request<Incoming>) -> R,
         R: Future<Output = Response<Body>>,
     {
-        let arrived = self
-            .socket
-            .start_request(request.body().size_hint().exact());
-        request.extensions_mut().insert(Arrived(arrived));
+        let length = request.body().size_hint().exact();
+        let arrival = self.socket.start_request(length);
+        request.extensions_mut().insert(Arrived(arrival.read_at));
         self.slot.set_busy();
         if self.is_refused {
             request.extensions_mut().insert(Overloaded);
         }
         let mut response = handler(request).await;
+        if let Some(last_response) = arrival.behind
+            && response.extensions().get::<Refused>().is_some()
+        {
+            let until = last_response + REFUSAL_SPACING;
+            self.timer.sleep_until(until).await;
+        }
         let until = response.extensions_mut().remove::<Until>();
         let delivery = self.socket.start_response(until.map(|until| until.0));
         let load = self.slot.set_idle(self.timer.now());
--- a/crates/sg-proxy/src/stream/mod.rs
+++ b/crates/sg-proxy/src/stream/mod.rs
@@ -24,7 +24,7 @@
 use socket2::SockRef;
 use tokio::{io::Interest, net::TcpStream};
 
-pub use progress::Ending;
+pub use progress::{Arrival, Ending};
 use progress::{Check, End, Progress};
 
 /// Maximum number of bytes that are read ahead of the HTTP library. The library holds one head or a piece of
@@ -56,7 +56,7 @@
 #[derive(Debug)]
 struct State {
     progress: Progress,
-    /// Waker of the HTTP library while it waits for bytes that it may not have yet.
+    /// Waker of the task of the connection since the HTTP library last waited for bytes.
     reader: Option<Waker>,
 }
 
@@ -76,9 +76,9 @@
     }
 
     /// Records that the HTTP library handed over a request whose body has `length` bytes, if that is known.
-    /// Returns the time at which the request's head was read.
-    pub fn start_request(&self, length: Option<u64>) -> Instant {
-        self.state.lock().progress.start_request(length)
+    pub fn start_request(&self, length: Option<u64>) -> Arrival {
+        let now = self.timer.now();
+        self.state.lock().progress.start_request(length, now)
     }
 
     /// Records that the response is ready. The caller may take until `until` to read it.
@@ -256,7 +256,12 @@
 
 impl Drop for Delivery {
     fn drop(&mut self) {
-        self.0.state.lock().progress.end_body();
+        let mut state = self.0.state.lock();
+        state.progress.end_body();
+        // The library may have flushed the last bytes before it saw the end of the body.
+        if let Some(reader) = &state.reader {
+            reader.wake_by_ref();
+        }
     }
 }
 
@@ -317,9 +322,9 @@
         let now = self.0.timer.now();
         let mut state = self.0.state.lock();
         if state.progress.end_response(now)
-            && let Some(reader) = state.reader.take()
+            && let Some(reader) = &state.reader
         {
-            reader.wake();
+            reader.wake_by_ref();
         }
         Poll::Ready(Ok(()))
     }
--- a/crates/sg-proxy/src/stream/progress.rs
+++ b/crates/sg-proxy/src/stream/progress.rs
@@ -35,6 +35,15 @@
     }
 }
 
+/// Arrival of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Arrival {
+    /// Time at which the head of the request was read from the socket.
+    pub read_at: Instant,
+    /// Time at which the response before was complete, if the request had arrived by then.
+    pub behind: Option<Instant>,
+}
+
 /// What happens at the time of the next check.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Check {
@@ -114,9 +123,13 @@
         is_next_taken && (self.is_cut || self.end.is_some() && self.ahead.is_empty())
     }
 
-    /// Records the start of a request, whose body has `length` bytes if that is known. Returns the time at
-    /// which its head was read.
-    pub fn start_request(&mut self, length: Option<u64>) -> Instant {
+    /// Records the start of a request, whose body has `length` bytes if that is known.
+    pub fn start_request(&mut self, length: Option<u64>, now: Instant) -> Arrival {
+        let read_at = self.ahead.last_taken();
+        let behind = match self.phase {
+            Phase::Idle(since) => Some(since).filter(|since| read_at < *since),
+            Phase::Busy | Phase::Flushing => Some(now),
+        };
         self.phase = Phase::Busy;
         self.is_cut |= self.end.is_some();
         self.written = 0;
@@ -125,7 +138,7 @@
             Some(length) => Part::Body(length),
             None => Part::ChunkedBody,
         });
-        self.ahead.last_taken()
+        Arrival { read_at, behind }
     }
 
     /// Records that the response is ready. The caller may take until `until` to read it.
