--- a/crates/sg-proxy/tests/proxy/harness.rs
+++ b/crates/sg-proxy/tests/proxy/harness.rs
@@ -36,6 +36,8 @@
 
 pub const SERVICE: &str = "portal";
 pub const KEY: &str = "plain-key";
+/// Size of a send buffer that does not take a whole large response.
+const SMALL_SEND_BUFFER: usize = 32 << 10;
 
 /// Behaviour of a scripted target for one request.
 #[derive(Debug, Clone)]
@@ -300,14 +302,21 @@
 
     /// Starts an instance that serves the requests of at most `max_connections` connections.
     pub async fn start_limited(targets: &[&ScriptedTarget], max_connections: usize) -> Self {
-        let instance = Self::start_empty(max_connections).await;
+        let instance = Self::start_empty(max_connections, None).await;
+        instance.load(targets);
+        instance
+    }
+
+    /// Starts an instance whose sockets to callers buffer little.
+    pub async fn start_with_small_buffers(targets: &[&ScriptedTarget]) -> Self {
+        let instance = Self::start_empty(1_000, Some(SMALL_SEND_BUFFER)).await;
         instance.load(targets);
         instance
     }
 
     /// Starts an instance without a catalog and targets.
     pub async fn start_unloaded() -> Self {
-        Self::start_empty(1_000).await
+        Self::start_empty(1_000, None).await
     }
 
     /// Gives the instance its catalog and targets.
@@ -320,7 +329,7 @@
         self.core.set_loaded();
     }
 
-    async fn start_empty(max_connections: usize) -> Self {
+    async fn start_empty(max_connections: usize, send_buffer: Option<usize>) -> Self {
         let timer = Timer::new();
         let instance: id::Instance = "front-1".parse().expect("a name");
         let location = Location {
@@ -360,6 +369,11 @@
             ..Fleet::default()
         });
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        if let Some(size) = send_buffer {
+            // Accepted sockets take over the size of the listener.
+            let buffer_size = socket2::SockRef::from(&listener).set_send_buffer_size(size);
+            buffer_size.expect("a buffer size");
+        }
         let address = listener.local_addr().expect("an address");
         let (phase, phase_receiver) = watch::channel(Phase::Open);
         let options = server::Options {
--- a/crates/sg-proxy/tests/proxy/main.rs
+++ b/crates/sg-proxy/tests/proxy/main.rs
@@ -2,11 +2,15 @@
 
 mod callers;
 mod dialect;
+mod disconnects;
 mod endings;
 mod endless;
 mod harness;
 mod limits;
+mod lingering;
+mod pipelines;
 mod rate_limits;
 mod relays;
 mod responses;
 mod self_reports;
+mod slow_peers;
