--- a/crates/sg-proxy/src/lib.rs
+++ b/crates/sg-proxy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod connections;
 pub mod core;
 pub mod dialect;
+pub mod memory;
 pub mod metrics;
 pub mod planning;
 mod rate_limits;
--- a/crates/sg-proxy/tests/proxy/main.rs
+++ b/crates/sg-proxy/tests/proxy/main.rs
@@ -6,6 +6,7 @@
 mod endless;
 mod harness;
 mod limits;
+mod memory;
 mod rate_limits;
 mod relays;
 mod responses;
