feat(sg-proxy): request bodies and responses in segments within one memory budget

Change: bodies and responses are copied into segments charged to the budget until they are dropped. A body over the limit is refused from its head, a body without a byte for the head timeout with 408, and one without memory with 503 if all others made more progress. A body that can't be buffered and arrives fast enough is sent to one target while it is read; its failure is 502.

--- a/crates/sg-gateway/src/daemon.rs
+++ b/crates/sg-gateway/src/daemon.rs
@@ -205,7 +205,9 @@
         version = env!("CARGO_PKG_VERSION"),
         descriptors = budget.descriptors,
         max_callers = budget.callers,
-        max_idle_targets = budget.idle_targets;
+        max_idle_targets = budget.idle_targets,
+        base_bytes = budget.base.get(),
+        max_buffered_bytes = budget.buffered.get();
         "started"
     );
     stop_signals.wait(&context).await;
@@ -245,7 +247,7 @@
             ),
         },
         max_idle_connections: budget.idle_targets,
-        max_received: budget.received,
+        max_buffered: budget.buffered,
         source: settings.source,
     }
 }
--- a/crates/sg-gateway/src/health.rs
+++ b/crates/sg-gateway/src/health.rs
@@ -2,11 +2,10 @@
 
 use std::net::SocketAddr;
 
-use bytes::Bytes;
 use http::{Request, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use sg_place::Target;
-use sg_proxy::connections::ReusePolicy;
+use sg_proxy::{connections::ReusePolicy, content::Outgoing};
 use sg_store::Store;
 use sg_types::prelude::*;
 use tokio::task::JoinSet;
@@ -113,7 +112,7 @@
     address: SocketAddr,
     path: &str,
 ) -> Option<HealthReport> {
-    let mut request = Request::new(Full::new(Bytes::new()));
+    let mut request = Request::new(Outgoing::empty());
     *request.uri_mut() = path.parse::<Uri>().ok()?;
     *request.headers_mut() = context.core.dialect.health_check_headers();
     let host = http::HeaderValue::from_str(&address.to_string()).ok()?;
--- a/crates/sg-gateway/src/servers.rs
+++ b/crates/sg-gateway/src/servers.rs
@@ -66,12 +66,24 @@
     let mut servers = JoinSet::new();
     let listener = server::bind(settings.serve)?;
     let core = context.core.clone();
+    if let Some(bytes) = budget.receive_buffer {
+        server::limit_receive_buffer(&listener, bytes)?;
+    }
+    let memory = core.memory.clone();
     let handle = move |request| {
         let core = core.clone();
         async move { sg_proxy::serve(&core, request).await }
     };
     let (timer, phase) = (context.timer.clone(), phases.callers.subscribe());
-    servers.spawn(server::run(listener, timer, options, phase, handle));
+    let caller_memory = memory.clone();
+    servers.spawn(server::run_within(
+        caller_memory,
+        listener,
+        timer,
+        options,
+        phase,
+        handle,
+    ));
     let options = server::Options {
         max_connections: budget.auxiliary,
         ..options
@@ -89,7 +101,10 @@
             let response = handler(&context, &request).map(Body::buffered);
             async move { response }
         };
-        servers.spawn(server::run(listener, timer, options, phase, handle));
+        let memory = memory.clone();
+        servers.spawn(server::run_within(
+            memory, listener, timer, options, phase, handle,
+        ));
     }
     Ok(servers)
 }
@@ -165,6 +180,10 @@
         *response.status_mut() = StatusCode::NOT_FOUND;
         return response;
     }
+    context
+        .core
+        .metrics
+        .record_memory(&context.core.memory.usage());
     let mut text = Vec::new();
     let encoded = TextEncoder::new().encode(&context.registry.gather(), &mut text);
     if let Err(error) = encoded {
--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -2,7 +2,6 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use bytes::Bytes;
 use http::{Response, request};
 use sg_catalog::{Account, Catalog, Route};
 use sg_place::{
@@ -16,6 +15,7 @@
 
 use crate::{
     Body, Core, Dialect,
+    content::Content,
     core::Signal,
     dialect::Refusal,
     send::{self, SendOutcome},
@@ -47,7 +47,7 @@
     pub head: &'a request::Parts,
     pub id: Arc<str>,
     /// Body of the request.
-    pub content: Bytes,
+    pub content: Content,
     pub object: Option<Object>,
     /// Key by which the placement plan assigns a region to the request.
     pub placement_key: Object,
@@ -162,7 +162,10 @@
             }
             SendOutcome::Unsent | SendOutcome::Withdrawn => history.connect_failures += 1,
             SendOutcome::Shed | SendOutcome::Misdirected => history.sends += 1,
-            SendOutcome::Lost | SendOutcome::TimedOut | SendOutcome::Abandoned => {
+            SendOutcome::Lost
+            | SendOutcome::BodyBroken
+            | SendOutcome::TimedOut
+            | SendOutcome::Abandoned => {
                 history.sends += 1;
                 history.may_have_run = true;
             }
@@ -412,7 +415,10 @@
     history: &History,
 ) -> Instant {
     let now = core.timer.now();
-    if !call.route.idempotent || history.sends + 1 >= call.route.max_targets {
+    if !call.route.idempotent
+        || call.content.is_streamed()
+        || history.sends + 1 >= call.route.max_targets
+    {
         return call.deadline;
     }
     let remaining_seconds = call.deadline.since(now).as_secs_f64();
@@ -439,7 +445,7 @@
     if history.connect_failures > MAX_CONNECT_FAILURES || core.is_cut_off() {
         return Err(Reason::ConnectFailed);
     }
-    if history.sends >= call.route.max_targets {
+    if history.sends >= call.route.max_targets || call.content.is_spent() {
         return Err(Reason::Shed);
     }
     check_quarantine(core, call).map_err(|refusal| refusal.reason)?;
@@ -487,6 +493,6 @@
         SendOutcome::Shed => TargetOutcome::Shed,
         SendOutcome::Unsent | SendOutcome::Misdirected | SendOutcome::Lost => TargetOutcome::Lost,
         SendOutcome::TimedOut | SendOutcome::Abandoned => TargetOutcome::Late,
-        SendOutcome::Withdrawn => TargetOutcome::Unknown,
+        SendOutcome::Withdrawn | SendOutcome::BodyBroken => TargetOutcome::Unknown,
     }
 }
--- a/crates/sg-proxy/src/body.rs
+++ b/crates/sg-proxy/src/body.rs
@@ -1,14 +1,14 @@
 //! Bodies of responses to callers.
 
 use std::{
+    collections::VecDeque,
     pin::Pin,
-    sync::atomic::{AtomicBool, AtomicUsize, Ordering},
+    sync::atomic::{AtomicBool, Ordering},
     task::{Context, Poll},
 };
 
 use bytes::Bytes;
 use http_body::{Frame, SizeHint};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use sg_clock::Timer;
 use sg_types::prelude::*;
@@ -66,11 +66,31 @@
 #[derive(Debug)]
 pub enum Body {
     /// Completely received body.
-    Buffered(Full<Bytes>),
+    Buffered(Buffered),
     /// Body whose remainder is still arriving from a target.
     Streamed(Box<Streamed>),
 }
 
+/// Segments of a body that are in memory.
+#[derive(Debug, Default)]
+pub struct Buffered {
+    segments: VecDeque<Bytes>,
+    length: u64,
+}
+
+impl Buffered {
+    fn new(segments: VecDeque<Bytes>) -> Self {
+        let length = segments.iter().map(|segment| segment.len() as u64).sum();
+        Self { segments, length }
+    }
+
+    fn next(&mut self) -> Option<Bytes> {
+        let segment = self.segments.pop_front()?;
+        self.length -= segment.len() as u64;
+        Some(segment)
+    }
+}
+
 /// State of a stream that its watch reads.
 #[derive(Debug, Default)]
 struct Progress {
@@ -83,7 +103,7 @@
 #[derive(Debug)]
 pub struct Streamed {
     /// Data that was received before forwarding began.
-    received: Option<Bytes>,
+    received: Buffered,
     remainder: Incoming,
     /// Connection to the target, which is closed if the caller disconnects.
     connection: Option<Connection>,
@@ -98,7 +118,7 @@
     /// Creates the rest of a body of which `received` has arrived, and cuts the body off at `deadline`.
     /// `on_cut` is called if that happens, or if the body is too long.
     pub(crate) fn new(
-        received: Bytes,
+        received: VecDeque<Bytes>,
         remainder: Incoming,
         connection: Connection,
         timer: Timer,
@@ -121,11 +141,12 @@
             target_task.abort();
             on_cut(cut);
         });
+        let received = Buffered::new(received);
         let is_declared = http_body::Body::size_hint(&remainder).exact().is_some();
         Self {
             undeclared_left: (!is_declared)
-                .then(|| MAX_UNDECLARED_BYTES.saturating_sub(received.len() as u64)),
-            received: Some(received),
+                .then(|| MAX_UNDECLARED_BYTES.saturating_sub(received.length)),
+            received,
             remainder,
             connection: Some(connection),
             progress,
@@ -180,7 +201,14 @@
     /// Returns a body with all of its data in memory.
     #[must_use]
     pub fn buffered(bytes: Bytes) -> Self {
-        Self::Buffered(Full::new(bytes))
+        let is_empty = bytes.is_empty();
+        Self::segmented(std::iter::once(bytes).filter(|_| !is_empty).collect())
+    }
+
+    /// Returns a body with all of its data in memory, in segments.
+    #[must_use]
+    pub(crate) fn segmented(segments: VecDeque<Bytes>) -> Self {
+        Self::Buffered(Buffered::new(segments))
     }
 }
 
@@ -193,10 +221,10 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         match self.get_mut() {
-            Self::Buffered(buffered) => Pin::new(buffered)
-                .poll_frame(cx)
-                .map_err(|never| match never {}),
-            Self::Streamed(streamed) => match streamed.received.take() {
+            Self::Buffered(buffered) => {
+                Poll::Ready(buffered.next().map(|segment| Ok(Frame::data(segment))))
+            }
+            Self::Streamed(streamed) => match streamed.received.next() {
                 Some(received) => Poll::Ready(Some(Ok(Frame::data(received)))),
                 None => streamed.poll_remainder(cx),
             },
@@ -205,19 +233,16 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Buffered(buffered) => buffered.is_end_stream(),
+            Self::Buffered(buffered) => buffered.segments.is_empty(),
             Self::Streamed(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Buffered(buffered) => buffered.size_hint(),
+            Self::Buffered(buffered) => SizeHint::with_exact(buffered.length),
             Self::Streamed(streamed) => {
-                let received = streamed
-                    .received
-                    .as_ref()
-                    .map_or(0, |received| received.len() as u64);
+                let received = streamed.received.length;
                 match streamed.remainder.size_hint().exact() {
                     Some(remainder) => SizeHint::with_exact(received + remainder),
                     None => SizeHint::default(),
@@ -226,49 +251,3 @@
         }
     }
 }
-
-/// Memory for the responses that are being received, shared by all requests.
-#[derive(Debug)]
-pub(crate) struct ReceiveBudget {
-    used: AtomicUsize,
-    limit: usize,
-}
-
-impl ReceiveBudget {
-    pub fn new(limit: usize) -> Self {
-        Self {
-            used: AtomicUsize::new(0),
-            limit,
-        }
-    }
-
-    /// Starts a reservation of no bytes.
-    pub fn reserve(&self) -> Reservation<'_> {
-        Reservation {
-            budget: self,
-            bytes: 0,
-        }
-    }
-}
-
-/// Part of a [`ReceiveBudget`], which is released on drop.
-#[derive(Debug)]
-pub(crate) struct Reservation<'a> {
-    budget: &'a ReceiveBudget,
-    bytes: usize,
-}
-
-impl Reservation<'_> {
-    /// Reserves `bytes` more. Returns whether the budget allows them; they count in either case, because
-    /// they have arrived.
-    pub fn grow(&mut self, bytes: usize) -> bool {
-        self.bytes += bytes;
-        self.budget.used.fetch_add(bytes, Ordering::Relaxed) + bytes <= self.budget.limit
-    }
-}
-
-impl Drop for Reservation<'_> {
-    fn drop(&mut self) {
-        self.budget.used.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
--- a/crates/sg-proxy/src/connections.rs
+++ b/crates/sg-proxy/src/connections.rs
@@ -9,9 +9,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::{
     body::Incoming,
     client::conn::http1::{Builder, SendRequest},
@@ -23,6 +21,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpSocket, task::AbortHandle};
 
+use crate::content::Outgoing;
+
 /// Time for which sent data may stay unacknowledged before the kernel closes the connection. The
 /// timeout detects a connection whose state was lost by a device in between, and is long enough for
 /// a link that loses a packet or two to recover.
@@ -77,7 +77,7 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Outgoing>,
     task: AbortHandle,
     since: Instant,
     timeout: Span,
@@ -167,7 +167,7 @@
     address: SocketAddr,
     /// Time that it took to open the connection; `None` if the connection is reused.
     connect_time: Option<Span>,
-    sender: Option<SendRequest<Full<Bytes>>>,
+    sender: Option<SendRequest<Outgoing>>,
     task: AbortHandle,
 }
 
@@ -217,7 +217,7 @@
     pub async fn send(
         &self,
         address: SocketAddr,
-        mut request: Request<Full<Bytes>>,
+        mut request: Request<Outgoing>,
         reuse: ReusePolicy,
         connect_timeout: Span,
         may_send: impl Fn() -> bool,
@@ -363,12 +363,12 @@
     socket.set_tcp_keepalive(&keepalive)
 }
 
-type Unsent = Option<Request<Full<Bytes>>>;
+type Unsent = Option<Request<Outgoing>>;
 
 impl Connection {
     async fn try_send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<Outgoing>,
     ) -> Result<Response<Incoming>, (hyper::Error, Unsent)> {
         let sender = self
             .sender
--- a/crates/sg-proxy/src/core.rs
+++ b/crates/sg-proxy/src/core.rs
@@ -17,8 +17,8 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::{
-    body::ReceiveBudget,
     connections::{self, ConnectionPool},
+    memory::Budget,
     metrics::Metrics,
     state::State,
     trace::LogLimiter,
@@ -48,9 +48,8 @@
     pub location: Location,
     /// Maximum number of idle connections to all targets together.
     pub max_idle_connections: usize,
-    /// Memory for responses that are being received. Beyond it, responses are forwarded while they
-    /// arrive.
-    pub max_received: Bytes,
+    /// Memory for everything that is buffered for callers and targets.
+    pub max_buffered: Bytes,
     /// Address that connections to targets come from; the system's choice if `None`.
     pub source: Option<IpAddr>,
 }
@@ -79,10 +78,11 @@
     pub timer: Timer,
     /// Metrics of the request path.
     pub metrics: Metrics,
+    /// Memory for everything that is buffered for callers and targets.
+    pub memory: Arc<Budget>,
     /// Connections to targets.
     pub connections: ConnectionPool,
     pub(crate) options: Options,
-    pub(crate) receive_budget: ReceiveBudget,
     pub(crate) state: Mutex<State>,
     pub(crate) log_limiter: Arc<LogLimiter>,
     catalog: ArcSwapOption<Catalog>,
@@ -129,13 +129,13 @@
                 },
                 metrics.connections_opened.clone(),
             ),
+            memory: Budget::new(options.max_buffered, timer.clone()),
             timer,
             metrics,
             state: Mutex::new(State::new(
                 options.location.clone(),
                 options.initial_cold_fraction,
             )),
-            receive_budget: ReceiveBudget::new(options.max_received.as_len()),
             options,
             log_limiter: Arc::default(),
             catalog: ArcSwapOption::empty(),
--- a/crates/sg-proxy/src/lib.rs
+++ b/crates/sg-proxy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod body;
 pub mod callers;
 pub mod connections;
+pub mod content;
 pub mod core;
 pub mod dialect;
 pub mod memory;
--- a/crates/sg-proxy/src/memory.rs
+++ b/crates/sg-proxy/src/memory.rs
@@ -13,8 +13,11 @@
 
 use self::victim::{Candidate, Progress};
 
+pub mod segments;
 pub mod victim;
 
+pub use segments::Segments;
+
 /// Fraction of the budget that only small holds may use, so that small requests are still served while
 /// large ones use up the rest.
 const SMALL_FRACTION: f64 = 0.125;
@@ -140,8 +143,11 @@
     /// Creates a hold of no bytes.
     #[must_use]
     pub fn hold(self: &Arc<Self>, usage: Use) -> Hold {
+        self.hold_for(usage, Arc::default())
+    }
+
+    fn hold_for(self: &Arc<Self>, usage: Use, evicted: Arc<Notify>) -> Hold {
         let now = self.timer.now();
-        let evicted = Arc::new(Notify::new());
         let mut table = self.table.lock();
         let key = table.next_key;
         table.next_key += 1;
@@ -189,8 +195,9 @@
         (self.limit as f64 * SMALL_FRACTION) as u64
     }
 
-    /// Charges `bytes` to the hold `key` if there is room, and otherwise tells others to give up bytes.
-    fn try_grow(&self, key: u64, bytes: u64) -> Growth {
+    /// Charges `bytes` to the hold `key` if there is room. Otherwise tells others to give up bytes if
+    /// `evicts` is set.
+    fn try_grow(&self, key: u64, bytes: u64, evicts: bool) -> Growth {
         let now = self.timer.now();
         let mut table = self.table.lock();
         let Some(entry) = table.entries.get(&key) else {
@@ -207,7 +214,7 @@
             table.charge(key, bytes);
             return Growth::Granted;
         }
-        if table.evict(key, excess, now) {
+        if evicts && table.evict(key, excess, now) {
             return Growth::Awaited;
         }
         table.refusals[usage as usize] += 1;
@@ -283,13 +290,19 @@
 }
 
 impl Hold {
-    /// Charges `bytes` more, which counts as progress.
+    /// Creates a hold of no bytes with the owner of this one, who is told if either has to give up its
+    /// bytes.
+    #[must_use]
+    pub fn sibling(&self, usage: Use) -> Self {
+        self.budget.hold_for(usage, self.evicted.clone())
+    }
+
+    /// Charges `bytes` more if the budget has room at this moment.
     ///
     /// # Errors
-    /// Returns [`Exhausted`] if the budget has no room at this moment, or if this hold was told to give
-    /// up its bytes.
+    /// Returns [`Exhausted`] if it has none, or if this hold was told to give up its bytes.
     pub fn grow(&self, bytes: Bytes) -> Result<(), Exhausted> {
-        match self.budget.try_grow(self.key, bytes.get()) {
+        match self.budget.try_grow(self.key, bytes.get(), false) {
             Growth::Granted => Ok(()),
             Growth::Awaited | Growth::Refused => Err(Exhausted),
         }
@@ -305,7 +318,7 @@
             let released = self.budget.released.notified();
             let mut released = std::pin::pin!(released);
             released.as_mut().enable();
-            match self.budget.try_grow(self.key, bytes.get()) {
+            match self.budget.try_grow(self.key, bytes.get(), true) {
                 Growth::Granted => return Ok(()),
                 Growth::Refused => return Err(Exhausted),
                 Growth::Awaited => tokio::select! {
--- a/crates/sg-proxy/src/metrics.rs
+++ b/crates/sg-proxy/src/metrics.rs
@@ -1,11 +1,13 @@
 //! Metrics of the request path.
 
 use prometheus::{
-    Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, core::Collector,
+    Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, core::Collector,
 };
 use sg_types::prelude::*;
 
+use crate::memory;
+
 /// Upper bounds of the latency buckets, in seconds: from a warm response nearby to the longest
 /// deadline.
 const LATENCY_BUCKETS_SECONDS: [f64; 12] =
@@ -46,6 +48,11 @@
     departures: IntCounterVec,
     cut_responses: IntCounterVec,
     latency: HistogramVec,
+    body_refusals: IntCounterVec,
+    memory_bytes: IntGaugeVec,
+    memory_evictions: IntCounterVec,
+    /// Requests whose body was sent while it was read.
+    pub streamed_requests: IntCounter,
     /// Pauses that targets asked for.
     pub target_pauses: IntCounter,
     /// Requests per second that this instance may send to all targets that state a rate limit.
@@ -123,6 +130,27 @@
                 "Responses without an end that were cut off.",
                 &["cause"],
             )?,
+            body_refusals: counters(
+                "sg_bodies_refused_total",
+                "Request bodies that were not received, by why.",
+                &["reason"],
+            )?,
+            memory_bytes: registered(
+                registry,
+                IntGaugeVec::new(
+                    Opts::new("sg_memory_bytes", "Buffered bytes by use."),
+                    &["use"],
+                ),
+            )?,
+            memory_evictions: counters(
+                "sg_memory_evictions_total",
+                "Buffers given up for lack of memory, by use.",
+                &["use"],
+            )?,
+            streamed_requests: counter(
+                "sg_requests_streamed_total",
+                "Requests whose body was sent while it was read.",
+            )?,
             target_pauses: counter("sg_target_pauses_total", "Pauses that targets asked for.")?,
             paused_targets: gauge(
                 "sg_paused_targets",
@@ -174,6 +202,22 @@
         self.departures.with_label_values(&[source]).inc();
     }
 
+    /// Records a request body that was not received; `reason` is the label of why.
+    pub fn record_body_refusal(&self, reason: &str) {
+        self.body_refusals.with_label_values(&[reason]).inc();
+    }
+
+    /// Updates the metrics of the memory budget.
+    pub fn record_memory(&self, usage: &memory::Usage) {
+        for use_ in memory::Use::ALL {
+            let (label, index) = ([use_.as_str()], use_ as usize);
+            let held = i64::try_from(usage.held[index]).unwrap_or(i64::MAX);
+            self.memory_bytes.with_label_values(&label).set(held);
+            let evictions = self.memory_evictions.with_label_values(&label);
+            evictions.inc_by(usage.evictions[index].saturating_sub(evictions.get()));
+        }
+    }
+
     /// Records a response that was cut off; `cause` is the label of the cause.
     pub fn record_cut_response(&self, cause: &str) {
         self.cut_responses.with_label_values(&[cause]).inc();
--- a/crates/sg-proxy/src/relay.rs
+++ b/crates/sg-proxy/src/relay.rs
@@ -4,7 +4,6 @@
 //! and chooses a target. A request is passed on once; an instance that gets it this way and is cut off
 //! itself rejects it.
 
-use bytes::Bytes;
 use http::{Response, request};
 use rand::seq::IndexedRandom;
 use sg_catalog::{Account, Route};
@@ -15,6 +14,7 @@
     Body, Core, Dialect,
     body::Cut,
     connections::SendError,
+    content::Content,
     dialect::{Refusal, RequestInfo},
     send::{self, CONNECT_TIMEOUT, ReceivedFrom},
     trace::{RelayEnd, RelayRecord, Trace},
@@ -29,7 +29,7 @@
 pub(crate) struct Relayed<'a> {
     head: &'a request::Parts,
     id: &'a str,
-    content: Bytes,
+    content: Content,
     is_idempotent: bool,
     home_regions: &'a [id::Region],
     account_home_regions: &'a [id::Region],
@@ -45,7 +45,7 @@
         request_info: &RequestInfo<'a>,
         route: &'a Route,
         account: Option<&'a Account>,
-        content: Bytes,
+        content: Content,
         deadline: Instant,
     ) -> Self {
         Self {
@@ -62,7 +62,7 @@
 
     /// Returns whether the request may be passed to one more instance.
     fn may_continue(&self, tried: usize, now: Instant) -> bool {
-        !self.was_relayed && tried < MAX_PEERS && now < self.deadline
+        !self.was_relayed && tried < MAX_PEERS && now < self.deadline && !self.content.is_spent()
     }
 }
 
@@ -139,7 +139,7 @@
     let headers = core
         .dialect
         .relayed_headers(&relayed.head.headers, remaining);
-    let request = send::build_request(relayed.head, relayed.content.clone(), headers);
+    let request = send::build_request(relayed.head, relayed.content.outgoing(), headers);
     let reuse = send::reuse_policy(relayed.is_idempotent);
     let sent = core
         .connections
@@ -164,7 +164,7 @@
         log::debug!(other:% = peer.instance; "rejected by an older configuration");
         return Err(Failure::Outdated);
     }
-    let received = send::receive_body(core, body).await;
+    let received = send::receive_body(core, relayed.head, body).await;
     let received = received.map_err(|error| {
         log::debug!(other:% = peer.instance, error:% = error; "connection lost");
         Failure::Lost
@@ -173,7 +173,7 @@
     core.dialect.strip_hop_by_hop_headers(&mut head.headers);
     let from = ReceivedFrom {
         connection,
-        closes: closes_connection,
+        closes: closes_connection || relayed.content.is_incomplete(),
         keep_alive_timeout: None,
     };
     let metrics = core.metrics.clone();
--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -1,8 +1,10 @@
 //! Sends a request to one target.
 
-use bytes::{Bytes, BytesMut};
+use std::collections::VecDeque;
+
+use bytes::Bytes;
 use http::{HeaderMap, Request, Response, Uri, Version, request};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sg_place::{Target, member::TargetOutcome, pool::Choice};
 use sg_types::prelude::*;
@@ -12,7 +14,9 @@
     attempt::{self, Call},
     body::{Cut, Streamed},
     connections::{Connection, ReusePolicy, SendError},
+    content::Outgoing,
     dialect::{ForwardInfo, Verdict},
+    memory::{Hold, Segments, Stage, Use},
     state::State,
 };
 
@@ -22,7 +26,7 @@
 /// target can't have closed the connection for idleness after so short a time.
 const NON_IDEMPOTENT_MAX_IDLE: Span = Span::from_millis(1_500);
 /// Maximum size of a response that is buffered until it is complete. A larger one is streamed.
-const MAX_BUFFERED_BYTES: usize = 1 << 20;
+const MAX_BUFFERED_BYTES: u64 = 1 << 20;
 
 /// Outcome of a send to one target.
 #[derive(Debug)]
@@ -41,6 +45,8 @@
     Misdirected,
     /// The connection or the response broke off; the request may have run.
     Lost,
+    /// The caller did not send the rest of a body that was being sent; the request may have run.
+    BodyBroken,
     /// No response arrived in time; the request may have run.
     TimedOut,
     /// The request abandoned the target for another one; the request may have run.
@@ -71,6 +77,7 @@
             Self::Shed => "shed",
             Self::Misdirected => "misdirected",
             Self::Lost => "lost",
+            Self::BodyBroken => "body-broken",
             Self::TimedOut => "late",
             Self::Abandoned => Self::ABANDONED,
         }
@@ -123,6 +130,12 @@
             result.unwrap_or(SendOutcome::TimedOut)
         }
     };
+    let outcome = match outcome {
+        // The target is not responsible for what the caller did not send.
+        SendOutcome::Lost if call.content.is_broken() => SendOutcome::BodyBroken,
+        SendOutcome::TimedOut if call.content.is_incomplete() => SendOutcome::BodyBroken,
+        outcome => outcome,
+    };
     in_flight.outcome = attempt::target_outcome(&outcome);
     drop(in_flight);
     record_outcome(core, call, service, choice, &outcome, started);
@@ -236,18 +249,21 @@
     let headers = core
         .dialect
         .forwarded_headers(&call.head.headers, &forward_info);
-    let request = build_request(call.head, call.content.clone(), headers);
+    let request = build_request(call.head, call.content.outgoing(), headers);
     let reuse = reuse_policy(call.route.idempotent);
-    let sent = core
-        .connections
-        .send(
-            choice.target.address,
-            request,
-            reuse,
-            CONNECT_TIMEOUT,
-            || core.may_send(&choice.target),
-        )
-        .await;
+    let sent = core.connections.send(
+        choice.target.address,
+        request,
+        reuse,
+        CONNECT_TIMEOUT,
+        || core.may_send(&choice.target),
+    );
+    let sent = tokio::select! {
+        sent = sent => sent,
+        () = call.content.stalled(call.catalog.limits.head_timeout) => {
+            return SendOutcome::BodyBroken;
+        }
+    };
     let (response, connection) = match sent {
         Ok(sent) => sent,
         Err(SendError::NotSent(error)) => {
@@ -258,7 +274,9 @@
         Err(SendError::Withdrawn) => return SendOutcome::Withdrawn,
         Err(SendError::Lost { cause, is_new }) => {
             log::debug!(target_id:% = choice.target.id, error:% = cause; "connection lost");
-            core.record_unanswered(&choice.target, is_new);
+            if !call.content.is_broken() {
+                core.record_unanswered(&choice.target, is_new);
+            }
             return SendOutcome::Lost;
         }
     };
@@ -290,12 +308,12 @@
 /// Returns a copy of the caller's request with other headers.
 pub(crate) fn build_request(
     head: &request::Parts,
-    content: Bytes,
+    content: Outgoing,
     headers: HeaderMap,
-) -> Request<Full<Bytes>> {
+) -> Request<Outgoing> {
     let path = head.uri.path_and_query().cloned();
     let uri = path.map_or_else(Uri::default, Uri::from);
-    let mut request = Request::new(Full::new(content));
+    let mut request = Request::new(content);
     *request.method_mut() = head.method.clone();
     *request.uri_mut() = uri;
     *request.version_mut() = Version::HTTP_11;
@@ -305,34 +323,59 @@
 
 /// Body of a response, as far as it was received before it is forwarded.
 pub(crate) struct ReceivedBody {
-    data: Bytes,
+    data: VecDeque<Bytes>,
+    hold: Arc<Hold>,
+    /// Whether nobody can be told to give up the memory.
+    is_kept: bool,
     /// Rest of a body that is larger than [`MAX_BUFFERED_BYTES`].
     remainder: Option<Incoming>,
 }
 
-/// Receives a body: completely, or, if it is larger than [`MAX_BUFFERED_BYTES`] or the memory for
-/// responses is used up, a first part.
+/// Returns a hold for a response to the request of `head`. If the response has to give up its memory while
+/// the caller reads it, the caller's connection closes.
+fn response_hold<D>(core: &Core<D>, head: &request::Parts) -> Hold {
+    match head.extensions.get::<Arc<Hold>>() {
+        Some(connection) => {
+            let hold = connection.sibling(Use::Response);
+            hold.set_stage(Stage::Forwarded);
+            hold
+        }
+        None => {
+            let hold = core.memory.hold(Use::Response);
+            hold.set_stage(Stage::Kept);
+            hold
+        }
+    }
+}
+
+/// Receives the body of a response to the request of `head`: completely, or, if it is larger than
+/// [`MAX_BUFFERED_BYTES`] or the memory is used up, a first part.
 pub(crate) async fn receive_body<D>(
     core: &Core<D>,
+    head: &request::Parts,
     mut body: Incoming,
 ) -> Result<ReceivedBody, hyper::Error> {
-    let mut buffered = BytesMut::new();
-    let mut reservation = core.receive_budget.reserve();
+    let hold = Arc::new(response_hold(core, head));
+    let mut segments = Segments::new(hold.clone());
+    let mut remainder = None;
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else {
             continue;
         };
-        buffered.extend_from_slice(&data);
-        if !reservation.grow(data.len()) || buffered.len() > MAX_BUFFERED_BYTES {
-            return Ok(ReceivedBody {
-                data: buffered.freeze(),
-                remainder: Some(body),
-            });
+        let is_full = segments.append(&data).is_err();
+        if is_full {
+            segments.append_over(&data);
+        }
+        if is_full || segments.length() > MAX_BUFFERED_BYTES {
+            remainder = Some(body);
+            break;
         }
     }
     Ok(ReceivedBody {
-        data: buffered.freeze(),
-        remainder: None,
+        data: segments.into_list(),
+        hold,
+        is_kept: head.extensions.get::<Arc<Hold>>().is_none(),
+        remainder,
     })
 }
 
@@ -367,7 +410,11 @@
         core.connections
             .put_back(connection, from.keep_alive_timeout);
     }
-    Body::buffered(received.data)
+    // The target's work is done; what the caller does not read may be given up.
+    if !received.is_kept {
+        received.hold.set_stage(Stage::Open);
+    }
+    Body::segmented(received.data)
 }
 
 /// Records that a response of `target` was cut off. Only a target that sent too much, or too late, is held
@@ -423,13 +470,13 @@
     if states_rate {
         core.record_rate_limit(&choice.target.id, self_report.rate_limit, sent_at);
     }
-    let Ok(received) = receive_body(core, body).await else {
+    let Ok(received) = receive_body(core, call.head, body).await else {
         return SendOutcome::Lost;
     };
     core.dialect.strip_hop_by_hop_headers(&mut head.headers);
     let from = ReceivedFrom {
         connection,
-        closes: response_info.closes_connection,
+        closes: response_info.closes_connection || call.content.is_incomplete(),
         keep_alive_timeout: response_info.keep_alive_timeout,
     };
     let (cutting, target) = (core.clone(), choice.target.clone());
--- a/crates/sg-proxy/src/serve.rs
+++ b/crates/sg-proxy/src/serve.rs
@@ -2,9 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use bytes::Bytes;
 use http::{Request, Response, header, request};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use sg_catalog::{Account, Catalog, Route};
 use sg_place::hash::Object;
@@ -13,8 +11,10 @@
 use crate::{
     Body, Core, Dialect,
     attempt::{self, Call},
+    content::{self, Content, FINGERPRINTED_BYTES},
     core,
     dialect::{Refusal, RequestInfo},
+    memory::{Segments, Use},
     relay::{self, Relayed},
     server,
     trace::{QuotaSnapshot, Trace},
@@ -71,7 +71,7 @@
             response.map(Body::buffered)
         }
     };
-    if core.is_draining() {
+    if core.is_draining() || trace.is_body_unread {
         let close = header::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -187,18 +187,20 @@
     trace.account = account.as_ref().map(|account| account.name.clone());
     let deadline = deadline(&route, &request_info, trace.arrived);
     if core.is_cut_off() {
-        let content = read_body(core, &catalog, body, deadline).await?;
         let account = account.as_deref();
+        let (content, _) =
+            read_body(core, &catalog, (head, account), body, deadline, trace).await?;
         let relayed = Relayed::new(head, &request_info, &route, account, content, deadline);
         return relay::run(core, &relayed, trace).await;
     }
     let token = QuotaToken::take(core, account.clone(), trace).await?;
-    let content = read_body(core, &catalog, body, deadline).await?;
+    let named = (head, account.as_deref());
+    let (content, fingerprint) = read_body(core, &catalog, named, body, deadline, trace).await?;
     trace.object = object(&route, &request_info).map_or(0, |o| o.score(0u8));
     let call = Call {
         object: object(&route, &request_info),
         placement_key: placement_key(&route, &request_info),
-        fingerprint: fingerprint(account.as_deref(), head, &content),
+        fingerprint,
         head,
         id: trace.id.clone(),
         content,
@@ -209,7 +211,8 @@
         route,
         catalog,
     };
-    let result = attempt::run(core, &call, trace).await;
+    call.content.set_forwarded();
+    let result = run(core, &call, trace).await;
     if !result.as_ref().is_err_and(Refusal::is_unreached) {
         return result;
     }
@@ -262,9 +265,34 @@
     }
 }
 
-/// Returns a hash of everything that may make a request crash its target: account, method, path and
-/// body.
-fn fingerprint(account: Option<&Account>, head: &request::Parts, content: &Bytes) -> Fingerprint {
+/// Runs the request unless it has to give up its memory.
+async fn run<D: Dialect>(
+    core: &Arc<Core<D>>,
+    call: &Call<'_>,
+    trace: &mut Trace,
+) -> Result<Response<Body>, Refusal> {
+    let result = tokio::select! {
+        biased;
+        result = attempt::run(core, call, trace) => Some(result),
+        () = call.content.evicted() => None,
+    };
+    result.unwrap_or_else(|| {
+        core.metrics.record_body_refusal("evicted");
+        match trace.may_have_run() {
+            true => Err(Refusal::may_have_run(Reason::Overloaded)),
+            false => Err(memory_refusal()),
+        }
+    })
+}
+
+/// Returns the refusal of a request that did not run because its body found no memory.
+fn memory_refusal() -> Refusal {
+    Refusal::not_run(Reason::Overloaded).with_retry_after(OVERLOAD_RETRY_AFTER)
+}
+
+/// Returns the start of a hash of everything that may make a request crash its target: account, method,
+/// path and body.
+fn fingerprint_start(account: Option<&Account>, head: &request::Parts) -> blake3::Hasher {
     let mut hasher = blake3::Hasher::new();
     let account = account.map_or("", |account| account.name.as_str());
     let path = head.uri.path_and_query().map_or("", |path| path.as_str());
@@ -272,28 +300,52 @@
         hasher.update(part.as_bytes());
         hasher.update(&[0]);
     }
-    hasher.update(content);
-    let mut bytes = [0; 16];
-    bytes.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
-    Fingerprint::new(u128::from_be_bytes(bytes))
+    hasher
 }
 
+/// Receives the body of a request, and returns it with the fingerprint of the request. The body of a long
+/// request takes part in the fingerprint by its first part and its declared length.
 async fn read_body<D: Dialect>(
     core: &Core<D>,
     catalog: &Catalog,
+    (head, account): (&request::Parts, Option<&Account>),
     body: Incoming,
     deadline: Instant,
-) -> Result<Bytes, Refusal> {
-    let limited = Limited::new(body, catalog.limits.max_body.as_len());
-    let collected = core.timer.until(deadline, limited.collect()).await;
-    match collected {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(Refusal::not_run(Reason::BodyTooLarge))
+    trace: &mut Trace,
+) -> Result<(Content, Fingerprint), Refusal> {
+    let declared = http_body::Body::size_hint(&body).exact();
+    let limits = content::Limits {
+        max_bytes: catalog.limits.max_body,
+        max_buffered: core.memory.largest_hold(),
+        stall: catalog.limits.head_timeout,
+        deadline,
+    };
+    let segments = Segments::new(Arc::new(core.memory.hold(Use::Request)));
+    let mut hasher = fingerprint_start(account, head);
+    let hash = |part: &[u8]| {
+        hasher.update(part);
+    };
+    let received = content::receive(body, segments, limits, &core.timer, hash).await;
+    let content = received.map_err(|failure| {
+        trace.is_body_unread = true;
+        core.metrics.record_body_refusal(failure.as_str());
+        match failure {
+            content::Failure::TooLarge => Refusal::not_run(Reason::BodyTooLarge),
+            content::Failure::Broken => Refusal::not_run(Reason::BodyIncomplete),
+            content::Failure::Stalled => Refusal::not_run(Reason::BodyStalled),
+            content::Failure::Late => Refusal::not_run(Reason::Deadline),
+            content::Failure::Exhausted => memory_refusal(),
         }
-        Ok(Err(_)) => Err(Refusal::not_run(Reason::BodyIncomplete)),
-        Err(_) => Err(Refusal::not_run(Reason::Deadline)),
+    })?;
+    if content.is_streamed() {
+        core.metrics.streamed_requests.inc();
+    }
+    if let Some(length) = declared.filter(|length| *length > FINGERPRINTED_BYTES) {
+        hasher.update(&length.to_be_bytes());
     }
+    let mut bytes = [0; 16];
+    bytes.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+    Ok((content, Fingerprint::new(u128::from_be_bytes(bytes))))
 }
 
 /// Token of a client account's quota. Dropping the guard returns the token unless it was spent.
--- a/crates/sg-proxy/src/server.rs
+++ b/crates/sg-proxy/src/server.rs
@@ -14,6 +14,7 @@
     Body,
     callers::{Admission, Load, SHORT_IDLE_TIMEOUT, Slot, Table},
     connections,
+    memory::{Budget, Hold, Stage, Use},
 };
 
 /// Delay after the system failed to accept a connection, most likely for lack of file descriptors.
@@ -23,6 +24,9 @@
 /// Time between the start of a stop's last phase and the end of idle connections, in which requests that have
 /// arrived are read.
 const CLOSING_DELAY: Span = Span::from_millis(100);
+/// Memory of an open connection of a caller with its buffers, as measured with idle connections and heads of
+/// ordinary size.
+pub const CONNECTION_BYTES: Bytes = Bytes::new(24 << 10);
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1024;
 
@@ -69,9 +73,34 @@
     TcpListener::from_std(socket.into())
 }
 
-/// Serves connections until `phase` becomes [`Phase::Closing`], then waits until all of them have
-/// ended. Dropping the future aborts the remaining connections.
+/// Limits the bytes that the system receives for each connection of `listener` before they are read.
+///
+/// # Errors
+/// Returns the error of the system.
+pub fn limit_receive_buffer(listener: &TcpListener, bytes: Bytes) -> std::io::Result<()> {
+    SockRef::from(listener).set_recv_buffer_size(bytes.as_len())
+}
+
+/// Serves connections as [`run_within`] does, without a limit on memory.
 pub async fn run<F, R>(
+    listener: TcpListener,
+    timer: Timer,
+    options: Options,
+    phase: watch::Receiver<Phase>,
+    handler: F,
+) where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Response<Body>> + Send + 'static,
+{
+    let budget = Budget::new(Bytes::new(u64::MAX), timer.clone());
+    run_within(budget, listener, timer, options, phase, handler).await;
+}
+
+/// Serves connections until `phase` becomes [`Phase::Closing`], then waits until all of them have
+/// ended. Dropping the future aborts the remaining connections. The memory of the connections is charged to
+/// `budget`.
+pub async fn run_within<F, R>(
+    budget: Arc<Budget>,
     listener: TcpListener,
     timer: Timer,
     options: Options,
@@ -100,6 +129,7 @@
                     let connection = Connection {
                         stream,
                         slot,
+                        hold: Arc::new(connection_hold(&budget)),
                         is_refused,
                         timer: timer.clone(),
                         options,
@@ -121,6 +151,15 @@
     while connections.join_next().await.is_some() {}
 }
 
+/// Returns a hold for a connection. The connection itself is never evicted, but the response that its caller
+/// reads may be.
+fn connection_hold(budget: &Arc<Budget>) -> Hold {
+    let hold = budget.hold(Use::Connection);
+    hold.set_stage(Stage::Kept);
+    hold.grow_over(CONNECTION_BYTES);
+    hold
+}
+
 /// Waits until the phase is [`Phase::Closing`].
 async fn wait_for_closing(phase: &mut watch::Receiver<Phase>) {
     // The wait fails if the sender was dropped with the daemon. All connections end then, too.
@@ -131,6 +170,7 @@
 struct Connection {
     stream: tokio::net::TcpStream,
     slot: Slot,
+    hold: Arc<Hold>,
     /// Whether the first request is refused.
     is_refused: bool,
     timer: Timer,
@@ -147,6 +187,7 @@
         let Self {
             stream,
             slot,
+            hold,
             is_refused,
             timer,
             options,
@@ -154,8 +195,10 @@
         } = self;
         let slot = Arc::new(slot);
         let (request_slot, request_timer) = (slot.clone(), timer.clone());
+        let request_hold = hold.clone();
         let service = service_fn(move |mut request: Request<Incoming>| {
             request_slot.set_busy();
+            request.extensions_mut().insert(request_hold.clone());
             if is_refused {
                 request.extensions_mut().insert(Overloaded);
             }
@@ -192,6 +235,7 @@
                     }
                 }
             }
+            () = hold.evicted() => return,
             () = slot.wait_for_end() => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
--- a/crates/sg-proxy/src/trace.rs
+++ b/crates/sg-proxy/src/trace.rs
@@ -155,6 +155,8 @@
     pub relays: Vec<RelayRecord>,
     /// Whether another instance passed the request on.
     pub is_relayed: bool,
+    /// Whether the body of the request was not received, so that the connection closes.
+    pub is_body_unread: bool,
     /// What the response of another instance says of the request.
     pub relayed_outcome: Option<Outcome>,
     /// State of the account's quota if the quota refused the request.
@@ -201,6 +203,7 @@
             sends: Vec::new(),
             relays: Vec::new(),
             is_relayed: false,
+            is_body_unread: false,
             relayed_outcome: None,
             quota: None,
             timer,
--- a/crates/sg-proxy/tests/proxy/harness.rs
+++ b/crates/sg-proxy/tests/proxy/harness.rs
@@ -342,7 +342,7 @@
             initial_cold_fraction: 1.0,
             location,
             max_idle_connections: 64,
-            max_received: Bytes::new(8 << 20),
+            max_buffered: Bytes::new(8 << 20),
             source: None,
         };
         let metrics = Metrics::register(&prometheus::Registry::new()).expect("counters");
--- a/crates/sg-proxy/tests/proxy/self_reports.rs
+++ b/crates/sg-proxy/tests/proxy/self_reports.rs
@@ -158,7 +158,7 @@
         source: None,
     };
     let pool = ConnectionPool::new(Timer::new(), options, opened);
-    let request = http::Request::new(http_body_util::Full::default());
+    let request = http::Request::new(sg_proxy::content::Outgoing::empty());
     let timeout = Span::from_secs(1);
     let sent = pool
         .send(target.address, request, ReusePolicy::ANY, timeout, || false)
--- a/crates/sg-types/src/outcome.rs
+++ b/crates/sg-types/src/outcome.rs
@@ -122,6 +122,8 @@
     BodyTooLarge = "body-too-large", 413;
     /// The body ended before its declared length, or arrived too slowly.
     BodyIncomplete = "body-incomplete", 400;
+    /// The caller sent nothing of the body for too long.
+    BodyStalled = "body-stalled", 408;
     /// The request is malformed, or carries its key in a place where keys are not allowed.
     Malformed = "malformed", 400;
     /// Requests of the route may not be repeated, and the request has no ticket.
