--- a/crates/sg-gateway/src/budget.rs
+++ b/crates/sg-gateway/src/budget.rs
@@ -20,6 +20,10 @@
 const IDLE_TARGET_FRACTION: f64 = 0.2;
 /// Fraction of the memory for connections of callers.
 const CALLER_MEMORY_FRACTION: f64 = 0.25;
+/// Fraction of the memory for responses of targets, part of that for buffers.
+const RECEIVED_MEMORY_FRACTION: f64 = 0.125;
+/// Memory for responses of targets, if the settings don't limit the memory.
+const DEFAULT_RECEIVED: Bytes = Bytes::new(64 << 20);
 /// Memory beyond that of the start for the state of targets, instances, accounts and the store, with
 /// hundreds of each.
 const STATE_BYTES: u64 = 20 << 20;
@@ -56,6 +60,8 @@
     pub base: Bytes,
     /// Memory for everything that is buffered for callers and targets, with their connections.
     pub buffered: Bytes,
+    /// Part of that memory for responses of targets.
+    pub received: Bytes,
     /// Receive buffer of each caller's socket; the system's choice if `None`.
     pub receive_buffer: Option<Bytes>,
 }
@@ -101,6 +107,10 @@
                 let least = (memory as f64 * MIN_BUFFERED_FRACTION) as u64;
                 Bytes::new(memory.saturating_sub(other + free).max(least))
             }),
+            received: limits.memory_mb.map_or(DEFAULT_RECEIVED, |megabytes| {
+                let bytes = (megabytes << 20) as f64 * RECEIVED_MEMORY_FRACTION;
+                Bytes::new(bytes as u64)
+            }),
             receive_buffer: limits.memory_mb.map(|megabytes| {
                 let bytes = (megabytes << 20) as f64 * RECEIVE_BUFFER_FRACTION;
                 let each = bytes as u64 / callers as u64;
--- a/crates/sg-gateway/src/daemon.rs
+++ b/crates/sg-gateway/src/daemon.rs
@@ -17,6 +17,7 @@
 use sg_proxy::{
     Core,
     core::{self, Signal},
+    memory,
     metrics::Metrics,
 };
 use sg_store::Store;
@@ -247,7 +248,10 @@
             ),
         },
         max_idle_connections: budget.idle_targets,
-        max_buffered: budget.buffered,
+        memory: memory::Limits {
+            total: budget.buffered,
+            responses: budget.received,
+        },
         source: settings.source,
     }
 }
--- a/crates/sg-proxy/src/core.rs
+++ b/crates/sg-proxy/src/core.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     connections::{self, ConnectionPool},
-    memory::Budget,
+    memory::{self, Budget},
     metrics::Metrics,
     state::State,
     trace::LogLimiter,
@@ -49,7 +49,7 @@
     /// Maximum number of idle connections to all targets together.
     pub max_idle_connections: usize,
     /// Memory for everything that is buffered for callers and targets.
-    pub max_buffered: Bytes,
+    pub memory: memory::Limits,
     /// Address that connections to targets come from; the system's choice if `None`.
     pub source: Option<IpAddr>,
 }
@@ -129,7 +129,7 @@
                 },
                 metrics.connections_opened.clone(),
             ),
-            memory: Budget::new(options.max_buffered, timer.clone()),
+            memory: Budget::with_limits(options.memory, timer.clone()),
             timer,
             metrics,
             state: Mutex::new(State::new(
--- a/crates/sg-proxy/src/memory.rs
+++ b/crates/sg-proxy/src/memory.rs
@@ -70,10 +70,20 @@
 #[error("the memory budget is used up; raise memory-mb or send less at once")]
 pub struct Exhausted;
 
+/// Limits of a budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of all uses.
+    pub total: Bytes,
+    /// Part of them for responses. Beyond it, responses are forwarded while they arrive.
+    pub responses: Bytes,
+}
+
 /// Number of bytes that the process may buffer, shared by all holds.
 pub struct Budget {
     timer: Timer,
     limit: u64,
+    response_limit: u64,
     table: Mutex<Table>,
     released: Notify,
 }
@@ -132,9 +142,20 @@
     /// Creates a budget of `limit` bytes.
     #[must_use]
     pub fn new(limit: Bytes, timer: Timer) -> Arc<Self> {
+        let limits = Limits {
+            total: limit,
+            responses: limit,
+        };
+        Self::with_limits(limits, timer)
+    }
+
+    /// Creates a budget with a limit on responses.
+    #[must_use]
+    pub fn with_limits(limits: Limits, timer: Timer) -> Arc<Self> {
         Arc::new(Self {
             timer,
-            limit: limit.get(),
+            limit: limits.total.get(),
+            response_limit: limits.responses.get(),
             table: Mutex::default(),
             released: Notify::new(),
         })
@@ -209,6 +230,11 @@
         let usage = entry.usage;
         let is_small = entry.bytes + bytes <= SMALL_BYTES;
         let limit = self.limit - if is_small { 0 } else { self.small_reserve() };
+        let used_by = table.used_by[usage as usize];
+        if usage == Use::Response && used_by + bytes > self.response_limit {
+            table.refusals[usage as usize] += 1;
+            return Growth::Refused;
+        }
         let excess = (table.used + bytes).saturating_sub(limit);
         if excess == 0 {
             table.charge(key, bytes);
@@ -235,6 +261,9 @@
             entry.bytes += bytes;
             self.used += bytes;
             self.used_by[entry.usage as usize] += bytes;
+            if entry.is_evicted {
+                self.awaited += bytes;
+            }
         }
     }
 
--- a/crates/sg-proxy/tests/proxy/harness.rs
+++ b/crates/sg-proxy/tests/proxy/harness.rs
@@ -22,6 +22,7 @@
 use sg_proxy::{
     Core,
     core::{Fleet, Options},
+    memory,
     metrics::Metrics,
     server::{self, Phase},
 };
@@ -342,7 +343,10 @@
             initial_cold_fraction: 1.0,
             location,
             max_idle_connections: 64,
-            max_buffered: Bytes::new(8 << 20),
+            memory: memory::Limits {
+                total: Bytes::new(16 << 20),
+                responses: Bytes::new(8 << 20),
+            },
             source: None,
         };
         let metrics = Metrics::register(&prometheus::Registry::new()).expect("counters");
