feat(sg-proxy): counters of the memory budget, and log lines of memory pressure

Cause: an operator could not see that requests are refused for lack of memory. Change: counters by use, and a warning when memory for buffers is used up, with an information line when less than half of it has been held for five seconds without a refusal.

--- a/crates/sg-proxy/src/memory.rs
+++ b/crates/sg-proxy/src/memory.rs
@@ -24,6 +24,12 @@
 /// Largest size of a small hold.
 const SMALL_BYTES: u64 = 64 << 10;
 
+/// Fraction of the budget below which a time of memory pressure ends.
+const CALM_FRACTION: f64 = 0.5;
+/// Time without an eviction or refusal after which a time of memory pressure ends, so that its log lines are
+/// few.
+const CALM_AFTER: Span = Span::from_secs(5);
+
 /// What held bytes are used for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Use {
@@ -98,6 +104,16 @@
     awaited: u64,
     evictions: [u64; Use::ALL.len()],
     refusals: [u64; Use::ALL.len()],
+    pressure: Option<Pressure>,
+}
+
+/// A time in which bytes were refused or given up.
+#[derive(Clone, Copy)]
+struct Pressure {
+    started: Instant,
+    last: Instant,
+    evictions: u64,
+    refusals: u64,
 }
 
 struct Entry {
@@ -240,11 +256,13 @@
             table.charge(key, bytes);
             return Growth::Granted;
         }
-        if evicts && table.evict(key, excess, now) {
-            return Growth::Awaited;
+        let is_awaited = evicts && table.evict(key, excess, now);
+        table.refusals[usage as usize] += u64::from(!is_awaited);
+        table.record_pressure(self.limit, now);
+        match is_awaited {
+            true => Growth::Awaited,
+            false => Growth::Refused,
         }
-        table.refusals[usage as usize] += 1;
-        Growth::Refused
     }
 }
 
@@ -279,6 +297,39 @@
         }
     }
 
+    /// Records that bytes were refused or given up, and logs the start of a time of pressure.
+    fn record_pressure(&mut self, limit: u64, now: Instant) {
+        let (evictions, refusals) = (self.evictions.iter().sum(), self.refusals.iter().sum());
+        if self.pressure.is_none() {
+            log::warn!(held = self.used, limit; "memory for buffers used up");
+        }
+        let pressure = self.pressure.get_or_insert(Pressure {
+            started: now,
+            last: now,
+            evictions,
+            refusals,
+        });
+        pressure.last = now;
+    }
+
+    /// Logs the end of a time of pressure.
+    fn check_calm(&mut self, limit: u64, now: Instant) {
+        let Some(pressure) = self.pressure else {
+            return;
+        };
+        let is_low = (self.used as f64) < limit as f64 * CALM_FRACTION;
+        if !is_low || now.since(pressure.last) < CALM_AFTER {
+            return;
+        }
+        self.pressure = None;
+        let evictions = self.evictions.iter().sum::<u64>() - pressure.evictions;
+        let refusals = self.refusals.iter().sum::<u64>() - pressure.refusals;
+        log::info!(
+            held = self.used, limit, after_ms = now.since(pressure.started).as_millis(), evictions, refusals;
+            "memory for buffers available again"
+        );
+    }
+
     /// Tells holds to give up bytes until `excess` bytes are awaited. Returns whether they are, without
     /// the hold `asking`, which may not take the bytes of a hold with more progress.
     fn evict(&mut self, asking: u64, excess: u64, now: Instant) -> bool {
@@ -400,9 +451,11 @@
 
 impl Drop for Hold {
     fn drop(&mut self) {
+        let now = self.budget.timer.now();
         let mut table = self.budget.table.lock();
         table.release(self.key, u64::MAX);
         table.entries.swap_remove(&self.key);
+        table.check_calm(self.budget.limit, now);
         drop(table);
         self.budget.released.notify_waiters();
     }
--- a/crates/sg-proxy/src/metrics.rs
+++ b/crates/sg-proxy/src/metrics.rs
@@ -51,6 +51,7 @@
     body_refusals: IntCounterVec,
     memory_bytes: IntGaugeVec,
     memory_evictions: IntCounterVec,
+    memory_refusals: IntCounterVec,
     /// Requests whose body was sent while it was read.
     pub streamed_requests: IntCounter,
     /// Pauses that targets asked for.
@@ -147,6 +148,11 @@
                 "Buffers given up for lack of memory, by use.",
                 &["use"],
             )?,
+            memory_refusals: counters(
+                "sg_memory_refusals_total",
+                "Buffers that found no memory, by use.",
+                &["use"],
+            )?,
             streamed_requests: counter(
                 "sg_requests_streamed_total",
                 "Requests whose body was sent while it was read.",
@@ -215,6 +221,8 @@
             self.memory_bytes.with_label_values(&label).set(held);
             let evictions = self.memory_evictions.with_label_values(&label);
             evictions.inc_by(usage.evictions[index].saturating_sub(evictions.get()));
+            let refusals = self.memory_refusals.with_label_values(&label);
+            refusals.inc_by(usage.refusals[index].saturating_sub(refusals.get()));
         }
     }
 
