--- a/crates/sg-gateway/src/daemon.rs
+++ b/crates/sg-gateway/src/daemon.rs
@@ -17,6 +17,7 @@
 use sg_proxy::{
     Core,
     core::{self, Signal},
+    memory,
     metrics::Metrics,
 };
 use sg_store::Store;
@@ -205,7 +206,9 @@
         version = env!("CARGO_PKG_VERSION"),
         descriptors = budget.descriptors,
         max_callers = budget.callers,
-        max_idle_targets = budget.idle_targets;
+        max_idle_targets = budget.idle_targets,
+        base_bytes = budget.base.get(),
+        max_buffered_bytes = budget.buffered.get();
         "started"
     );
     stop_signals.wait(&context).await;
@@ -245,7 +248,10 @@
             ),
         },
         max_idle_connections: budget.idle_targets,
-        max_received: budget.received,
+        memory: memory::Limits {
+            total: budget.buffered,
+            responses: budget.received,
+        },
         source: settings.source,
     }
 }
--- a/crates/sg-proxy/src/connections.rs
+++ b/crates/sg-proxy/src/connections.rs
@@ -9,10 +9,8 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use http::{Request, Response};
 use http_body::Body as _;
-use http_body_util::Full;
 use hyper::{
     body::Incoming,
     client::conn::http1::{Builder, SendRequest},
@@ -23,7 +21,10 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpSocket, task::AbortHandle};
 
-use crate::target_stream::{RequestSize, TargetStream};
+use crate::{
+    content::Outgoing,
+    target_stream::{RequestSize, TargetStream},
+};
 
 /// Time for which sent data may stay unacknowledged before the kernel closes the connection to a target,
 /// unless a large request is sent. The timeout detects a connection whose state was lost by a device in
@@ -79,7 +80,7 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Outgoing>,
     task: AbortHandle,
     size: RequestSize,
     since: Instant,
@@ -170,7 +171,7 @@
     address: SocketAddr,
     /// Time that it took to open the connection; `None` if the connection is reused.
     connect_time: Option<Span>,
-    sender: Option<SendRequest<Full<Bytes>>>,
+    sender: Option<SendRequest<Outgoing>>,
     task: AbortHandle,
     size: RequestSize,
 }
@@ -221,7 +222,7 @@
     pub async fn send(
         &self,
         address: SocketAddr,
-        mut request: Request<Full<Bytes>>,
+        mut request: Request<Outgoing>,
         reuse: ReusePolicy,
         connect_timeout: Span,
         may_send: impl Fn() -> bool,
@@ -381,12 +382,12 @@
     socket.set_tcp_keepalive(&keepalive)
 }
 
-type Unsent = Option<Request<Full<Bytes>>>;
+type Unsent = Option<Request<Outgoing>>;
 
 impl Connection {
     async fn try_send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<Outgoing>,
     ) -> Result<Response<Incoming>, (hyper::Error, Unsent)> {
         let sender = self
             .sender
--- a/crates/sg-proxy/src/server.rs
+++ b/crates/sg-proxy/src/server.rs
@@ -17,6 +17,7 @@
     body::Delivered,
     callers::{Admission, Load, SHORT_IDLE_TIMEOUT, Slot, Table},
     connections,
+    memory::{Budget, Hold, Stage, Use},
     stream::{Ending, Socket, Stream},
 };
 
@@ -31,6 +32,9 @@
 /// may discard what it reads together with the end of a response, and refusals in a row without a pause would
 /// take processor time from other callers.
 const REFUSAL_SPACING: Span = Span::from_millis(20);
+/// Memory of an open connection of a caller with its buffers, as measured with idle connections and heads of
+/// ordinary size.
+pub const CONNECTION_BYTES: Bytes = Bytes::new(24 << 10);
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1024;
 
@@ -45,6 +49,8 @@
     pub max_connections: usize,
     /// Counts the connections that ended early, by cause.
     pub early_ends: IntCounterVec,
+    /// Memory budget that the connections are charged to.
+    pub budget: Arc<Budget>,
 }
 
 /// Request extension that states when the head of the request was read from the socket. A request may have
@@ -92,6 +98,14 @@
     TcpListener::from_std(socket.into())
 }
 
+/// Limits the bytes that the system receives for each connection of `listener` before they are read.
+///
+/// # Errors
+/// Returns the error of the system.
+pub fn limit_receive_buffer(listener: &TcpListener, bytes: Bytes) -> std::io::Result<()> {
+    SockRef::from(listener).set_recv_buffer_size(bytes.as_len())
+}
+
 /// Serves connections until `phase` becomes [`Phase::Closing`], then waits until all of them have
 /// ended. `head_timeout` returns the time in which the head of a request has to be complete once its first
 /// byte was read. Dropping the future aborts the remaining connections.
@@ -124,7 +138,11 @@
                         log::debug!(error:% = error; "caller's socket not configured");
                     }
                     let connection = Connection {
-                        socket: Socket::new(stream, timer.clone()),
+                        socket: Socket::new(
+                            stream,
+                            Arc::new(connection_hold(&options.budget)),
+                            timer.clone(),
+                        ),
                         slot: Arc::new(slot),
                         is_refused,
                         timer: timer.clone(),
@@ -147,6 +165,15 @@
     while connections.join_next().await.is_some() {}
 }
 
+/// Returns a hold for a connection. The connection itself is never evicted, but the response that its caller
+/// reads may be.
+fn connection_hold(budget: &Arc<Budget>) -> Hold {
+    let hold = budget.hold(Use::Connection);
+    hold.set_stage(Stage::Kept);
+    hold.grow_over(CONNECTION_BYTES);
+    hold
+}
+
 /// Waits until the phase is [`Phase::Closing`].
 async fn wait_for_closing(phase: &mut watch::Receiver<Phase>) {
     // The wait fails if the sender was dropped with the daemon. All connections end then, too.
@@ -175,6 +202,7 @@
             biased;
             () = self.serve(handler) => None,
             ending = self.socket.watch(head_timeout) => Some(ending),
+            () = self.socket.hold().evicted() => Some(Ending::Evicted),
         };
         if let Some(ending) = ending {
             let ended = self
@@ -185,7 +213,7 @@
         }
         match ending {
             Some(Ending::Gone) => return,
-            Some(Ending::Stalled) => return self.socket.reset_on_close(),
+            Some(Ending::Stalled | Ending::Evicted) => return self.socket.reset_on_close(),
             Some(Ending::LateHead) | None => {}
         }
         // The connection keeps its place while it lingers, and ends early if its place is needed.
@@ -193,6 +221,7 @@
         tokio::select! {
             () = self.socket.linger() => {}
             () = self.slot.wait_for_end() => {}
+            () = self.socket.hold().evicted() => {}
         }
     }
 
@@ -251,6 +280,7 @@
         let length = request.body().size_hint().exact();
         let arrival = self.socket.start_request(length);
         request.extensions_mut().insert(Arrived(arrival.read_at));
+        request.extensions_mut().insert(self.socket.hold().clone());
         self.slot.set_busy();
         if self.is_refused {
             request.extensions_mut().insert(Overloaded);
--- a/crates/sg-proxy/src/stream/mod.rs
+++ b/crates/sg-proxy/src/stream/mod.rs
@@ -24,12 +24,16 @@
 use socket2::SockRef;
 use tokio::{io::Interest, net::TcpStream};
 
+use crate::memory::Hold;
+
 pub use progress::{Arrival, Ending};
 use progress::{Check, End, Progress};
 
 /// Maximum number of bytes that are read ahead of the HTTP library. The library holds one head or a piece of
 /// a body besides.
 const MAX_READ_AHEAD: usize = 32 << 10;
+/// Bytes that are read ahead on every connection, part of the memory that each connection is charged with.
+const UNCHARGED_READ_AHEAD: usize = 4 << 10;
 /// Maximum number of bytes per read.
 const READ_SIZE: usize = 16 << 10;
 /// Time without bytes from the caller after which a lingering connection closes: some round trips between
@@ -49,6 +53,7 @@
 #[derive(Debug)]
 pub struct Socket {
     stream: TcpStream,
+    hold: Arc<Hold>,
     timer: Timer,
     state: Mutex<State>,
 }
@@ -56,25 +61,35 @@
 #[derive(Debug)]
 struct State {
     progress: Progress,
+    /// Bytes that the buffer is charged with beyond those of every connection.
+    charged: Bytes,
     /// Waker of the task of the connection since the HTTP library last waited for bytes.
     reader: Option<Waker>,
 }
 
 impl Socket {
-    /// Creates the socket of a connection that was just accepted.
+    /// Creates the socket of a connection that was just accepted and whose memory is charged to `hold`.
     #[must_use]
-    pub fn new(stream: TcpStream, timer: Timer) -> Arc<Self> {
+    pub fn new(stream: TcpStream, hold: Arc<Hold>, timer: Timer) -> Arc<Self> {
         let state = State {
             progress: Progress::new(timer.now()),
+            charged: Bytes::new(0),
             reader: None,
         };
         Arc::new(Self {
             stream,
+            hold,
             timer,
             state: Mutex::new(state),
         })
     }
 
+    /// Returns the hold that the memory of the connection is charged to.
+    #[must_use]
+    pub fn hold(&self) -> &Arc<Hold> {
+        &self.hold
+    }
+
     /// Records that the HTTP library handed over a request whose body has `length` bytes, if that is known.
     pub fn start_request(&self, length: Option<u64>) -> Arrival {
         let now = self.timer.now();
@@ -131,6 +146,7 @@
         let (is_over, patient_until) = {
             let mut state = self.state.lock();
             state.progress.ahead.clear();
+            self.hold.shrink(std::mem::take(&mut state.charged));
             let progress = &state.progress;
             let is_large = progress.written() >= LARGE_RESPONSE_BYTES;
             (progress.end.is_some(), is_large.then(|| progress.until()))
@@ -178,7 +194,7 @@
     fn poll_read_ahead(&self, state: &mut State, cx: &mut Context<'_>) {
         let progress = &mut state.progress;
         while progress.end.is_none() {
-            let room = MAX_READ_AHEAD.saturating_sub(progress.ahead.len());
+            let room = self.room(progress.ahead.len(), &mut state.charged);
             progress.is_full = room == 0;
             if progress.is_full {
                 return;
@@ -199,6 +215,28 @@
         }
     }
 
+    /// Returns how many bytes may be read to those that the buffer has. A full buffer is charged to the memory
+    /// budget while it has more bytes than every connection may have.
+    fn room(&self, length: usize, charged: &mut Bytes) -> usize {
+        if length < UNCHARGED_READ_AHEAD {
+            if charged.get() > 0 && length == 0 {
+                self.hold.shrink(*charged);
+                *charged = Bytes::new(0);
+            }
+            if charged.get() == 0 {
+                return UNCHARGED_READ_AHEAD - length;
+            }
+        } else if charged.get() == 0 {
+            // Without memory, the socket is checked at an interval as if the buffer was full.
+            let bytes = Bytes::new(MAX_READ_AHEAD as u64);
+            if self.hold.grow(bytes).is_err() {
+                return 0;
+            }
+            *charged = bytes;
+        }
+        MAX_READ_AHEAD.saturating_sub(length)
+    }
+
     /// Checks whether the caller has closed its side behind bytes that do not fit into the buffer.
     fn probe(&self) {
         let is_reset = !matches!(self.stream.take_error(), Ok(None));
--- a/crates/sg-proxy/src/stream/progress.rs
+++ b/crates/sg-proxy/src/stream/progress.rs
@@ -21,6 +21,8 @@
     Stalled,
     /// The head of a request is not complete in time.
     LateHead,
+    /// The memory of the connection is needed.
+    Evicted,
 }
 
 impl Ending {
@@ -31,6 +33,7 @@
             Self::Gone => "gone",
             Self::Stalled => "stalled",
             Self::LateHead => "late-head",
+            Self::Evicted => "evicted",
         }
     }
 }
--- a/crates/sg-proxy/tests/proxy/harness.rs
+++ b/crates/sg-proxy/tests/proxy/harness.rs
@@ -22,6 +22,7 @@
 use sg_proxy::{
     Core,
     core::{Fleet, Options},
+    memory,
     metrics::Metrics,
     server::{self, Phase},
 };
@@ -351,7 +352,10 @@
             initial_cold_fraction: 1.0,
             location,
             max_idle_connections: 64,
-            max_received: Bytes::new(8 << 20),
+            memory: memory::Limits {
+                total: Bytes::new(16 << 20),
+                responses: Bytes::new(8 << 20),
+            },
             source: None,
         };
         let metrics = Metrics::register(&prometheus::Registry::new()).expect("counters");
@@ -381,6 +385,7 @@
             header_timeout: Duration::from_secs(20),
             max_connections,
             early_ends: core.metrics.early_ends.clone(),
+            budget: core.memory.clone(),
         };
         let limits_core = core.clone();
         let head_timeout = move || {
--- a/crates/sg-proxy/tests/proxy/main.rs
+++ b/crates/sg-proxy/tests/proxy/main.rs
@@ -8,6 +8,7 @@
 mod harness;
 mod limits;
 mod lingering;
+mod memory;
 mod pipelines;
 mod rate_limits;
 mod relays;
