--- a/crates/sg-gateway/src/servers.rs
+++ b/crates/sg-gateway/src/servers.rs
@@ -64,6 +64,7 @@
         max_connections: budget.callers,
         early_ends: context.core.metrics.early_ends.clone(),
         started_early: context.core.metrics.started_early.clone(),
+        budget: context.core.memory.clone(),
     };
     let settings = &context.settings;
     let policy = policy::Callers(context.core.clone());
@@ -72,6 +73,9 @@
     let mut servers = JoinSet::new();
     let listener = server::bind(settings.serve)?;
     let core = context.core.clone();
+    if let Some(bytes) = budget.receive_buffer {
+        server::limit_receive_buffer(&listener, bytes)?;
+    }
     let handle = move |request| {
         let core = core.clone();
         async move { sg_proxy::serve(&core, request).await }
@@ -180,6 +184,10 @@
         *response.status_mut() = StatusCode::NOT_FOUND;
         return response;
     }
+    context
+        .core
+        .metrics
+        .record_memory(&context.core.memory.usage());
     let mut text = Vec::new();
     let encoded = TextEncoder::new().encode(&context.registry.gather(), &mut text);
     if let Err(error) = encoded {
--- a/crates/sg-proxy/src/connections.rs
+++ b/crates/sg-proxy/src/connections.rs
@@ -9,23 +9,26 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
+use http_body::Body as _;
 use hyper::{
     body::Incoming,
     client::conn::http1::{Builder, SendRequest},
 };
-use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use sg_clock::Timer;
 use sg_types::prelude::*;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpSocket, task::AbortHandle};
 
-/// Time for which sent data may stay unacknowledged before the kernel closes the connection. The
-/// timeout detects a connection whose state was lost by a device in between, and is long enough for
-/// a link that loses a packet or two to recover.
+use crate::{
+    content::Outgoing,
+    target_stream::{RequestSize, TargetStream},
+};
+
+/// Time for which sent data may stay unacknowledged before the kernel closes the connection to a target,
+/// unless a large request is sent. The timeout detects a connection whose state was lost by a device in
+/// between, and is long enough for a link that loses a packet or two to recover.
 pub const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Idle time before the kernel sends a keepalive probe, and interval between probes.
 pub const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -77,8 +80,9 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Outgoing>,
     task: AbortHandle,
+    size: RequestSize,
     since: Instant,
     timeout: Span,
 }
@@ -167,8 +171,9 @@
     address: SocketAddr,
     /// Time that it took to open the connection; `None` if the connection is reused.
     connect_time: Option<Span>,
-    sender: Option<SendRequest<Full<Bytes>>>,
+    sender: Option<SendRequest<Outgoing>>,
     task: AbortHandle,
+    size: RequestSize,
 }
 
 impl Drop for Connection {
@@ -217,7 +222,7 @@
     pub async fn send(
         &self,
         address: SocketAddr,
-        mut request: Request<Full<Bytes>>,
+        mut request: Request<Outgoing>,
         reuse: ReusePolicy,
         connect_timeout: Span,
         may_send: impl Fn() -> bool,
@@ -263,6 +268,7 @@
         let idle = IdleConnection {
             sender,
             task: connection.task.clone(),
+            size: connection.size.clone(),
             since: self.timer.now(),
             timeout: stated_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |stated| {
                 stated.mul_f64(IDLE_TIMEOUT_FRACTION)
@@ -308,6 +314,7 @@
                     connect_time: None,
                     sender: Some(idle.sender),
                     task: idle.task,
+                    size: idle.size,
                 });
             }
             idle.task.abort();
@@ -330,9 +337,10 @@
         let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         let connect_time = self.timer.now().since(started);
         self.opened.inc();
+        let size = RequestSize::default();
         let handshake = Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TargetStream::new(stream, size.clone()))
             .await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
@@ -345,6 +353,7 @@
             connect_time: Some(connect_time),
             sender: Some(sender),
             task: task.abort_handle(),
+            size,
         })
     }
 }
@@ -373,17 +382,18 @@
     socket.set_tcp_keepalive(&keepalive)
 }
 
-type Unsent = Option<Request<Full<Bytes>>>;
+type Unsent = Option<Request<Outgoing>>;
 
 impl Connection {
     async fn try_send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<Outgoing>,
     ) -> Result<Response<Incoming>, (hyper::Error, Unsent)> {
         let sender = self
             .sender
             .as_mut()
             .expect("sender is only taken when the connection returns to the pool");
+        self.size.set(request.body().size_hint().exact());
         sender.try_send_request(request).await.map_err(|mut error| {
             let unsent = error.take_message();
             (error.into_error(), unsent)
--- a/crates/sg-proxy/src/core.rs
+++ b/crates/sg-proxy/src/core.rs
@@ -17,8 +17,8 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::{
-    body::ReceiveBudget,
     connections::{self, ConnectionPool},
+    memory::{self, Budget},
     metrics::Metrics,
     slots::Requester,
     state::State,
@@ -49,9 +49,8 @@
     pub location: Location,
     /// Maximum number of idle connections to all targets together.
     pub max_idle_connections: usize,
-    /// Memory for responses that are being received. Beyond it, responses are forwarded while they
-    /// arrive.
-    pub max_received: Bytes,
+    /// Memory for everything that is buffered for callers and targets.
+    pub memory: memory::Limits,
     /// Address that connections to targets come from; the system's choice if `None`.
     pub source: Option<IpAddr>,
 }
@@ -80,12 +79,13 @@
     pub timer: Timer,
     /// Metrics of the request path.
     pub metrics: Metrics,
+    /// Memory for everything that is buffered for callers and targets.
+    pub memory: Arc<Budget>,
     /// Connections to targets.
     pub connections: ConnectionPool,
     /// Asks for slots of targets.
     pub slots: Arc<Requester>,
     pub(crate) options: Options,
-    pub(crate) receive_budget: ReceiveBudget,
     pub(crate) state: Mutex<State>,
     pub(crate) log_limiter: Arc<LogLimiter>,
     catalog: ArcSwapOption<Catalog>,
@@ -132,6 +132,7 @@
                 },
                 metrics.connections_opened.clone(),
             ),
+            memory: Budget::with_limits(options.memory, timer.clone()),
             timer,
             slots: Arc::new(Requester::new(metrics.slots.clone())),
             metrics,
@@ -139,7 +140,6 @@
                 options.location.clone(),
                 options.initial_cold_fraction,
             )),
-            receive_budget: ReceiveBudget::new(options.max_received.as_len()),
             options,
             log_limiter: Arc::default(),
             catalog: ArcSwapOption::empty(),
--- a/crates/sg-proxy/src/server.rs
+++ b/crates/sg-proxy/src/server.rs
@@ -18,8 +18,9 @@
     body::{Delivered, RequestBody},
     callers::{Admission, Load, SHORT_IDLE_TIMEOUT, Slot, Table},
     connections,
+    memory::{Budget, Hold, Stage, Use},
     pipeline::{Head, Pipeline},
-    stream::{Ending, Socket, Stream},
+    stream::{Arrival, Ending, Socket, Stream},
 };
 
 /// Delay after the system failed to accept a connection, most likely for lack of file descriptors.
@@ -29,6 +30,13 @@
 /// Time between the start of a stop's last phase and the end of idle connections, in which requests that have
 /// arrived are read.
 const CLOSING_DELAY: Span = Span::from_millis(100);
+/// Minimum time between a response and the refusal of a request that was sent behind its request. A caller
+/// may discard what it reads together with the end of a response, and refusals in a row without a pause would
+/// take processor time from other callers.
+const REFUSAL_SPACING: Span = Span::from_millis(20);
+/// Memory of an open connection of a caller with its buffers, as measured with idle connections and heads of
+/// ordinary size.
+pub const CONNECTION_BYTES: Bytes = Bytes::new(24 << 10);
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1024;
 
@@ -45,6 +53,8 @@
     pub early_ends: IntCounterVec,
     /// Counts the requests that were started while earlier responses of their connection were due.
     pub started_early: IntCounter,
+    /// Memory budget that the connections are charged to.
+    pub budget: Arc<Budget>,
 }
 
 /// Decisions about callers' connections that depend on the configuration.
@@ -77,6 +87,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Arrived(pub Instant);
 
+/// Response extension that marks the refusal of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refused;
+
 /// Response extension that states until when the caller may take to read the response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Until(pub Instant);
@@ -113,6 +127,14 @@
     TcpListener::from_std(socket.into())
 }
 
+/// Limits the bytes that the system receives for each connection of `listener` before they are read.
+///
+/// # Errors
+/// Returns the error of the system.
+pub fn limit_receive_buffer(listener: &TcpListener, bytes: Bytes) -> std::io::Result<()> {
+    SockRef::from(listener).set_recv_buffer_size(bytes.as_len())
+}
+
 /// Serves connections until `phase` becomes [`Phase::Closing`], then waits until all of them have
 /// ended. Dropping the future aborts the remaining connections.
 pub async fn run<F, R, P>(
@@ -144,7 +166,11 @@
                         log::debug!(error:% = error; "caller's socket not configured");
                     }
                     let connection = Connection {
-                        socket: Socket::new(stream, timer.clone()),
+                        socket: Socket::new(
+                            stream,
+                            Arc::new(connection_hold(&options.budget)),
+                            timer.clone(),
+                        ),
                         slot: Arc::new(slot),
                         is_refused,
                         timer: timer.clone(),
@@ -169,6 +195,15 @@
     while connections.join_next().await.is_some() {}
 }
 
+/// Returns a hold for a connection. The connection itself is never evicted, but the response that its caller
+/// reads may be.
+fn connection_hold(budget: &Arc<Budget>) -> Hold {
+    let hold = budget.hold(Use::Connection);
+    hold.set_stage(Stage::Kept);
+    hold.grow_over(CONNECTION_BYTES);
+    hold
+}
+
 /// Waits until the phase is [`Phase::Closing`].
 async fn wait_for_closing(phase: &mut watch::Receiver<Phase>) {
     // The wait fails if the sender was dropped with the daemon. All connections end then, too.
@@ -200,6 +235,7 @@
             biased;
             () = self.serve(handler) => None,
             ending = self.socket.watch(|| self.policy.head_timeout()) => Some(ending),
+            () = self.socket.hold().evicted() => Some(Ending::Evicted),
         };
         if let Some(ending) = ending {
             let ended = self
@@ -210,7 +246,7 @@
         }
         match ending {
             Some(Ending::Gone) => return,
-            Some(Ending::Stalled) => return self.socket.reset_on_close(),
+            Some(Ending::Stalled | Ending::Evicted) => return self.socket.reset_on_close(),
             Some(Ending::LateHead) | None => {}
         }
         // The connection keeps its place while it lingers, and ends early if its place is needed.
@@ -218,6 +254,7 @@
         tokio::select! {
             () = self.socket.linger() => {}
             () = self.slot.wait_for_end() => {}
+            () = self.socket.hold().evicted() => {}
         }
     }
 
@@ -234,10 +271,9 @@
         };
         let service = service_fn(|request: Request<Incoming>| {
             // Recorded before the library reads on, so that it takes nothing of the next request.
-            let arrived = self
-                .socket
-                .start_request(request.body().size_hint().exact());
-            self.handle(request, arrived, &handler)
+            let length = request.body().size_hint().exact();
+            let arrival = self.socket.start_request(length);
+            self.handle(request, arrival, &handler)
         });
         let connection = Builder::new()
             .timer(TokioTimer::new())
@@ -272,7 +308,7 @@
     async fn handle<F, R>(
         &self,
         request: Request<Incoming>,
-        arrived: Instant,
+        arrival: Arrival,
         handler: &F,
     ) -> Result<Response<Delivered>, Infallible>
     where
@@ -282,9 +318,15 @@
         self.slot.set_busy();
         let mut response = tokio::select! {
             biased;
-            response = self.respond(request, arrived, handler) => response,
+            response = self.respond(request, arrival.read_at, handler) => response,
             never = self.start_waiting(handler) => match never {},
         };
+        if let Some(last_response) = arrival.behind
+            && response.extensions().get::<Refused>().is_some()
+        {
+            let until = last_response + REFUSAL_SPACING;
+            self.timer.sleep_until(until).await;
+        }
         let until = response.extensions_mut().remove::<Until>();
         let delivery = self.socket.start_response(until.map(|until| until.0));
         if self.pipeline.lock().is_empty() {
@@ -320,7 +362,7 @@
             return response;
         }
         let mut request = request.map(RequestBody::Received);
-        request.extensions_mut().insert(Arrived(read_at));
+        self.mark(&mut request, read_at);
         if self.is_refused {
             request.extensions_mut().insert(Overloaded);
         }
@@ -328,6 +370,13 @@
         Box::pin(handler(request)).await
     }
 
+    /// Tells the handler when the request was read, and what its connection holds.
+    fn mark<B>(&self, request: &mut Request<B>, read_at: Instant) {
+        let extensions = request.extensions_mut();
+        extensions.insert(Arrived(read_at));
+        extensions.insert(self.socket.hold().clone());
+    }
+
     /// Starts the requests that were read behind the one in progress, as far as the policy allows.
     async fn start_waiting<F, R>(&self, handler: &F) -> Infallible
     where
@@ -364,7 +413,7 @@
             return false;
         }
         let mut request = request.map(|()| RequestBody::Empty);
-        request.extensions_mut().insert(Arrived(read_at));
+        self.mark(&mut request, read_at);
         self.options.started_early.inc();
         pipeline.push(head, length, tokio::spawn(handler(request)));
         true
--- a/crates/sg-proxy/tests/proxy/harness.rs
+++ b/crates/sg-proxy/tests/proxy/harness.rs
@@ -22,6 +22,7 @@
 use sg_proxy::{
     Core,
     core::{Fleet, Options},
+    memory,
     metrics::Metrics,
     policy,
     server::{self, Phase},
@@ -37,6 +38,8 @@
 
 pub const SERVICE: &str = "portal";
 pub const KEY: &str = "plain-key";
+/// Size of a send buffer that does not take a whole large response.
+const SMALL_SEND_BUFFER: usize = 32 << 10;
 
 /// Behaviour of a scripted target for one request.
 #[derive(Debug, Clone)]
@@ -312,14 +315,21 @@
 
     /// Starts an instance that serves the requests of at most `max_connections` connections.
     pub async fn start_limited(targets: &[&ScriptedTarget], max_connections: usize) -> Self {
-        let instance = Self::start_empty(max_connections).await;
+        let instance = Self::start_empty(max_connections, None).await;
+        instance.load(targets);
+        instance
+    }
+
+    /// Starts an instance whose sockets to callers buffer little.
+    pub async fn start_with_small_buffers(targets: &[&ScriptedTarget]) -> Self {
+        let instance = Self::start_empty(1_000, Some(SMALL_SEND_BUFFER)).await;
         instance.load(targets);
         instance
     }
 
     /// Starts an instance without a catalog and targets.
     pub async fn start_unloaded() -> Self {
-        Self::start_empty(1_000).await
+        Self::start_empty(1_000, None).await
     }
 
     /// Gives the instance its catalog and targets.
@@ -332,7 +342,7 @@
         self.core.set_loaded();
     }
 
-    async fn start_empty(max_connections: usize) -> Self {
+    async fn start_empty(max_connections: usize, send_buffer: Option<usize>) -> Self {
         let timer = Timer::new();
         let instance: id::Instance = "front-1".parse().expect("a name");
         let location = Location {
@@ -354,7 +364,10 @@
             initial_cold_fraction: 1.0,
             location,
             max_idle_connections: 64,
-            max_received: Bytes::new(8 << 20),
+            memory: memory::Limits {
+                total: Bytes::new(16 << 20),
+                responses: Bytes::new(8 << 20),
+            },
             source: None,
         };
         let metrics = Metrics::register(&prometheus::Registry::new()).expect("counters");
@@ -372,6 +385,11 @@
             ..Fleet::default()
         });
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        if let Some(size) = send_buffer {
+            // Accepted sockets take over the size of the listener.
+            let buffer_size = socket2::SockRef::from(&listener).set_send_buffer_size(size);
+            buffer_size.expect("a buffer size");
+        }
         let address = listener.local_addr().expect("an address");
         let (phase, phase_receiver) = watch::channel(Phase::Open);
         let options = server::Options {
@@ -380,6 +398,7 @@
             max_connections,
             early_ends: core.metrics.early_ends.clone(),
             started_early: core.metrics.started_early.clone(),
+            budget: core.memory.clone(),
         };
         let policy = policy::Callers(core.clone());
         let handler_core = core.clone();
--- a/crates/sg-proxy/tests/proxy/main.rs
+++ b/crates/sg-proxy/tests/proxy/main.rs
@@ -2,10 +2,13 @@
 
 mod callers;
 mod dialect;
+mod disconnects;
 mod endings;
 mod endless;
 mod harness;
 mod limits;
+mod lingering;
+mod memory;
 mod pipelines;
 mod prices;
 mod rate_limits;
@@ -13,3 +16,5 @@
 mod responses;
 mod self_reports;
 mod slots;
+mod slow_peers;
+mod started_early;
