fix(sg-platform): read the configuration part by part

Change: each part is decoded by itself. A route of which too little can be read keeps its place and its requests are refused with 503, so that they do not fall through to a shorter prefix; without a readable prefix the place is all of the host that no route with a longer prefix than "/" matches. Keys of an account without a readable name and keys that two accounts share are valid for nobody, and a list of accounts of which none can be read still demands keys. The log tells the number of unread parts and the first one, sg_config_unread_parts_total counts them.

The held routes leave their requests no time (timeout 0), because the request path has no reason of its own for them yet: the log shows reason "deadline" and the route "unreadable".

--- a/crates/sg-catalog/src/catalog.rs
+++ b/crates/sg-catalog/src/catalog.rs
@@ -2,7 +2,7 @@
 
 use sg_types::prelude::*;
 
-use crate::{Account, KeyDigest, Route};
+use crate::{Account, KeyDigest, Route, Unread};
 
 /// The properties that all targets of a service share.
 #[derive(Debug, Clone, PartialEq)]
@@ -52,7 +52,7 @@
         /// The route.
         route: id::Route,
     },
-    /// Two accounts share a key.
+    /// Two accounts share a key, which neither of them may use.
     #[error("accounts {first} and {second} share a key; give each account its own key")]
     SharedKey {
         /// The account that was added first.
@@ -73,8 +73,22 @@
     pub services: IndexMap<id::Service, Service>,
     /// Client accounts by name.
     pub accounts: IndexMap<id::Account, Arc<Account>>,
-    accounts_by_key: IndexMap<KeyDigest, id::Account>,
+    /// The parts of the configuration that could not be read.
+    pub unread: Unread,
+    owners: IndexMap<KeyDigest, Owner>,
     routes_by_host: IndexMap<Arc<str>, Vec<Arc<Route>>>,
+    /// The places of routes that can't be read.
+    held_by_host: IndexMap<Arc<str>, Vec<Arc<Route>>>,
+    /// The place of all hosts that the catalog does not name.
+    held_hosts: Option<Arc<Route>>,
+}
+
+/// The account that has a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Owner {
+    account: id::Account,
+    /// Whether another account has the key as well.
+    is_shared: bool,
 }
 
 impl Default for Limits {
@@ -104,25 +118,59 @@
         self.services.insert(service.name.clone(), service);
     }
 
-    /// Adds a client account with its keys.
+    /// Adds a client account with its keys. A key of several accounts identifies none of them, because
+    /// nothing tells whose quota and regions its requests have to keep to.
     ///
     /// # Errors
-    /// Returns [`Error::SharedKey`] if another account has one of the keys.
+    /// Returns [`Error::SharedKey`] if another account has one of the keys. The account is added
+    /// nonetheless, with its other keys.
     pub fn add_account(
         &mut self,
         account: Account,
         keys: impl IntoIterator<Item = KeyDigest>,
     ) -> Result<(), Error> {
+        let mut shared_with = None;
         for key in keys {
-            let previous = self.accounts_by_key.insert(key, account.name.clone());
-            if let Some(first) = previous.filter(|previous| *previous != account.name) {
-                let second = account.name;
-                return Err(Error::SharedKey { first, second });
+            let owner = self.owners.entry(key).or_insert_with(|| Owner {
+                account: account.name.clone(),
+                is_shared: false,
+            });
+            if owner.account != account.name {
+                owner.is_shared = true;
+                shared_with.get_or_insert_with(|| owner.account.clone());
             }
         }
+        let second = account.name.clone();
         self.accounts
             .insert(account.name.clone(), Arc::new(account));
-        Ok(())
+        shared_with.map_or(Ok(()), |first| Err(Error::SharedKey { first, second }))
+    }
+
+    /// Keeps the keys of an account that can't be read from being valid for another account.
+    pub fn hold_keys(&mut self, keys: impl IntoIterator<Item = KeyDigest>) {
+        let account: id::Account = Route::HELD.parse().expect("the name is valid");
+        for key in keys {
+            let owner = self.owners.entry(key).or_insert_with(|| Owner {
+                account: account.clone(),
+                is_shared: true,
+            });
+            owner.is_shared = true;
+        }
+    }
+
+    /// Makes all routes that are not open require a key although no account could be read. Without any
+    /// account, requests would need no key.
+    pub fn hold_accounts(&mut self) {
+        let name: id::Account = Route::HELD.parse().expect("the name is valid");
+        self.accounts.entry(name.clone()).or_insert_with(|| {
+            Arc::new(Account {
+                name,
+                rate: None,
+                burst: 0,
+                priority: None,
+                home_regions: Arc::from([]),
+            })
+        });
     }
 
     /// Adds a route to `host`.
@@ -141,24 +189,64 @@
         if route.services.iter().all(|weighted| weighted.weight == 0) {
             return Err(Error::NoWeightedService { route: route.name });
         }
-        let routes = self.routes_by_host.entry(host.into()).or_default();
-        routes.push(Arc::new(route));
-        routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        insert_by_prefix(&mut self.routes_by_host, host.into(), route);
         Ok(())
     }
 
+    /// Keeps the place of a route of `host` that can't be read, so that its requests are refused rather than
+    /// run by a route with a shorter prefix. Precedes a route with the same prefix.
+    pub fn hold_route(&mut self, host: impl Into<Arc<str>>, path_prefix: impl Into<Arc<str>>) {
+        let route = Route::held(path_prefix.into());
+        insert_by_prefix(&mut self.held_by_host, host.into(), route);
+    }
+
+    /// Keeps the place of hosts whose names can't be read: requests for hosts that the catalog does not name
+    /// are refused in the same way.
+    pub fn hold_hosts(&mut self) {
+        self.held_hosts = Some(Arc::new(Route::held("".into())));
+    }
+
     /// Returns the route of `host` with the longest prefix that matches `path`.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let routes = self.routes_by_host.get(host)?;
-        routes
-            .iter()
-            .find(|route| path.starts_with(route.path_prefix.as_ref()))
+        let route = longest_match(self.routes_by_host.get(host), path);
+        let held = longest_match(self.held_by_host.get(host), path);
+        match (route, held) {
+            (Some(route), Some(held)) if route.path_prefix.len() > held.path_prefix.len() => {
+                Some(route)
+            }
+            (route, held) => held.or(route).or_else(|| self.held_host(host)),
+        }
+    }
+
+    /// Returns the place that is kept for `host`, if the catalog does not name it.
+    fn held_host(&self, host: &str) -> Option<&Arc<Route>> {
+        let is_named =
+            self.routes_by_host.contains_key(host) || self.held_by_host.contains_key(host);
+        self.held_hosts.as_ref().filter(|_| !is_named)
     }
 
     /// Returns the account that has the key with the digest `key`.
     #[must_use]
     pub fn account_by_key(&self, key: &KeyDigest) -> Option<&Arc<Account>> {
-        self.accounts.get(self.accounts_by_key.get(key)?)
+        let owner = self.owners.get(key).filter(|owner| !owner.is_shared)?;
+        self.accounts.get(&owner.account)
     }
 }
+
+/// Adds `route` to the routes of `host`, which are sorted by the length of their prefix, longest first.
+fn insert_by_prefix(
+    routes_by_host: &mut IndexMap<Arc<str>, Vec<Arc<Route>>>,
+    host: Arc<str>,
+    route: Route,
+) {
+    let routes = routes_by_host.entry(host).or_default();
+    routes.push(Arc::new(route));
+    routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+}
+
+/// Returns the first of `routes` that matches `path`.
+fn longest_match<'a>(routes: Option<&'a Vec<Arc<Route>>>, path: &str) -> Option<&'a Arc<Route>> {
+    let matches = |route: &&Arc<Route>| path.starts_with(route.path_prefix.as_ref());
+    routes?.iter().find(matches)
+}
--- a/crates/sg-catalog/src/lib.rs
+++ b/crates/sg-catalog/src/lib.rs
@@ -8,7 +8,9 @@
 pub mod account;
 pub mod catalog;
 pub mod route;
+pub mod unread;
 
 pub use account::{Account, KeyDigest};
 pub use catalog::Catalog;
 pub use route::Route;
+pub use unread::Unread;
--- a/crates/sg-catalog/src/route.rs
+++ b/crates/sg-catalog/src/route.rs
@@ -39,3 +39,28 @@
     /// The services that run the route's requests, at least one.
     pub services: Arc<[WeightedService]>,
 }
+
+impl Route {
+    /// The name of all routes that are held, and of their service, in logs and metrics.
+    pub const HELD: &str = "unreadable";
+
+    /// Creates a route that keeps the place of one that can't be read. It leaves its requests no time, so
+    /// that each is refused as not run, whatever its key, before its body is awaited or passed on.
+    pub(crate) fn held(path_prefix: Arc<str>) -> Self {
+        let service = Self::HELD.parse().expect("the name is valid");
+        Self {
+            name: Self::HELD.parse().expect("the name is valid"),
+            path_prefix,
+            idempotent: false,
+            large_responses: false,
+            max_targets: 1,
+            timeout: Some(Span::ZERO),
+            latency_objective: Span::ZERO,
+            priority: 0,
+            allows_anonymous: true,
+            session_affinity: false,
+            home_regions: Arc::from([]),
+            services: Arc::from([WeightedService { service, weight: 1 }]),
+        }
+    }
+}
--- a/crates/sg-catalog/tests/catalog/main.rs
+++ b/crates/sg-catalog/tests/catalog/main.rs
@@ -100,3 +100,58 @@
     let shared = catalog.add_account(account("two"), [key]);
     assert!(matches!(shared, Err(Error::SharedKey { .. })));
 }
+
+/// Guards against a key that is charged to one of two accounts, whichever was added last.
+#[test]
+fn a_shared_key_identifies_no_account_and_the_other_keys_stay_valid() {
+    let mut catalog = catalog();
+    let key = |text: &str| KeyDigest::from_key(text);
+    assert_eq!(
+        catalog.add_account(account("one"), [key("both"), key("first")]),
+        Ok(())
+    );
+    let shared = catalog.add_account(account("two"), [key("both"), key("second")]);
+    assert!(matches!(shared, Err(Error::SharedKey { .. })));
+    assert!(
+        catalog
+            .add_account(account("three"), [key("both")])
+            .is_err()
+    );
+    let name = |text: &str| {
+        let account = catalog.account_by_key(&key(text));
+        account.map(|account| account.name.to_string())
+    };
+    assert_eq!(name("both"), None);
+    assert_eq!(name("first").as_deref(), Some("one"));
+    assert_eq!(name("second").as_deref(), Some("two"));
+}
+
+/// Guards against requests of a route that can't be read being run by a route with a shorter prefix.
+#[test]
+fn the_place_of_a_route_that_cannot_be_read_precedes_shorter_prefixes() {
+    let mut catalog = catalog();
+    for (name, prefix) in [("a", "/x/"), ("b", "/x/y/z/"), ("c", "/w/")] {
+        let added = catalog.add_route("h.example", route(name, prefix, "portal", 1));
+        assert_eq!(added, Ok(()));
+    }
+    catalog.hold_route("h.example", "/x/y/");
+    catalog.hold_route("h.example", "/w/");
+    let found = |host: &str, path: &str| {
+        let route = catalog.route(host, path);
+        route.map(|route| (route.name.to_string(), route.timeout == Some(Span::ZERO)))
+    };
+    let held = Some((Route::HELD.to_owned(), true));
+    assert_eq!(found("h.example", "/x/y/1"), held);
+    assert_eq!(found("h.example", "/w/1"), held);
+    assert_eq!(found("h.example", "/x/1"), Some(("a".to_owned(), false)));
+    assert_eq!(
+        found("h.example", "/x/y/z/1"),
+        Some(("b".to_owned(), false))
+    );
+    assert_eq!(found("h.example", "/"), None);
+    assert_eq!(found("other.example", "/x/y/1"), None);
+    catalog.hold_hosts();
+    let found = |host: &str| catalog.route(host, "/").map(|route| route.name.to_string());
+    assert_eq!(found("other.example").as_deref(), Some(Route::HELD));
+    assert_eq!(found("h.example"), None);
+}
--- a/crates/sg-gateway/src/daemon.rs
+++ b/crates/sg-gateway/src/daemon.rs
@@ -103,6 +103,8 @@
     pub registry: prometheus::Registry,
     /// The era of the store.
     pub era_gauge: prometheus::IntGauge,
+    /// Parts of configurations that this build can't read.
+    pub unread_parts: prometheus::IntCounter,
 }
 
 impl<D, I, S> Context<D, I, S> {
@@ -155,6 +157,11 @@
     let metrics = Metrics::register(&registry)?;
     let era_gauge = prometheus::IntGauge::new("sg_store_era", "Era of the platform's store")?;
     registry.register(Box::new(era_gauge.clone()))?;
+    let unread_parts = prometheus::IntCounter::new(
+        "sg_config_unread_parts_total",
+        "Parts of configurations that this build can't read",
+    )?;
+    registry.register(Box::new(unread_parts.clone()))?;
     let (signal_sender, signal_receiver) = mpsc::unbounded_channel();
     let core = Core::new(
         dialect,
@@ -185,6 +192,7 @@
         changed: Notify::new(),
         registry,
         era_gauge,
+        unread_parts,
     });
     let phases = Phases::default();
     let mut servers = servers::start(&context, &phases, &budget)?;
--- a/crates/sg-gateway/src/updates.rs
+++ b/crates/sg-gateway/src/updates.rs
@@ -1,5 +1,6 @@
 //! Applies changes of the store to the request path.
 
+use sg_catalog::Catalog;
 use sg_mesh::{follower::Update, mirror::Change};
 use sg_store::Store;
 use sg_types::prelude::*;
@@ -91,11 +92,7 @@
         }
     };
     match value {
-        StoreValue::Catalog(catalog) => {
-            let revision = catalog.revision.get();
-            let adopted = context.core.replace_catalog(*catalog);
-            log::info!(revision, version, adopted; "configuration read");
-        }
+        StoreValue::Catalog(catalog) => adopt_catalog(context, *catalog, version),
         StoreValue::Target(target) => {
             let target = *target;
             let draining = target.draining;
@@ -117,6 +114,22 @@
     }
 }
 
+/// Puts a configuration into force, unless the known one is at least as new, and reports the parts that
+/// could not be read.
+fn adopt_catalog<D: Protocol, I: Interpreter, S: Store>(
+    context: &Context<D, I, S>,
+    catalog: Catalog,
+    version: &str,
+) {
+    let (revision, unread) = (catalog.revision.get(), catalog.unread.count());
+    context.unread_parts.inc_by(unread);
+    if let Some(first) = catalog.unread.first() {
+        log::warn!(revision, version, unread, first; "parts of the configuration not read");
+    }
+    let adopted = context.core.replace_catalog(catalog);
+    log::info!(revision, version, adopted, unread; "configuration read");
+}
+
 /// Removes a target whose entry is gone: at once while the store is reachable, and after
 /// [`REENTRY_GRACE`] if the entry may have expired only because of an outage of the store. A target
 /// whose entry exists again by then stays.
