fix(sg-gateway): entries that name no usable target leave the last one in force

Cause: an entry below the targets' prefix without born, sequence or coldRemainingS named a target to use, so another writer of the store could draw requests to any address. An entry with a service that no configuration names moved its target out of its service until a newer entry came.

An entry with a service that the configuration does not name is kept aside; it is used once a configuration names the service, and the target's last good entry holds until then. Each key of the targets' prefix is logged once until it can be read again; sg_unread_values_total counts all such values.

--- a/crates/sg-gateway/src/daemon.rs
+++ b/crates/sg-gateway/src/daemon.rs
@@ -105,6 +105,8 @@
     pub era_gauge: prometheus::IntGauge,
     /// Parts of configurations that this build can't read.
     pub unread_parts: prometheus::IntCounter,
+    /// Values of the store that this build can't read.
+    pub unread_values: prometheus::IntCounter,
 }
 
 impl<D, I, S> Context<D, I, S> {
@@ -157,11 +159,16 @@
     let metrics = Metrics::register(&registry)?;
     let era_gauge = prometheus::IntGauge::new("sg_store_era", "Era of the platform's store")?;
     registry.register(Box::new(era_gauge.clone()))?;
-    let unread_parts = prometheus::IntCounter::new(
+    let unread_parts = counter(
+        &registry,
         "sg_config_unread_parts_total",
         "Parts of configurations that this build can't read",
     )?;
-    registry.register(Box::new(unread_parts.clone()))?;
+    let unread_values = counter(
+        &registry,
+        "sg_unread_values_total",
+        "Values of the platform's store that this build can't read",
+    )?;
     let (signal_sender, signal_receiver) = mpsc::unbounded_channel();
     let core = Core::new(
         dialect,
@@ -193,6 +200,7 @@
         registry,
         era_gauge,
         unread_parts,
+        unread_values,
     });
     let phases = Phases::default();
     let mut servers = servers::start(&context, &phases, &budget)?;
@@ -224,6 +232,17 @@
     Ok(())
 }
 
+/// Registers a counter and returns it.
+fn counter(
+    registry: &prometheus::Registry,
+    name: &str,
+    help: &str,
+) -> Result<prometheus::IntCounter, prometheus::Error> {
+    let counter = prometheus::IntCounter::new(name, help)?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
+
 /// Returns the options of the request path.
 fn core_options(settings: &Settings, budget: &Budget) -> core::Options {
     let bounds = &settings.bounds;
--- a/crates/sg-gateway/src/lib.rs
+++ b/crates/sg-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod budget;
 pub mod daemon;
 mod digests;
+mod entries;
 mod exchange;
 mod following;
 mod health;
--- a/crates/sg-gateway/src/updates.rs
+++ b/crates/sg-gateway/src/updates.rs
@@ -2,6 +2,7 @@
 
 use sg_catalog::Catalog;
 use sg_mesh::{follower::Update, mirror::Change};
+use sg_place::Target;
 use sg_store::Store;
 use sg_types::prelude::*;
 use tokio::sync::mpsc;
@@ -9,6 +10,7 @@
 use crate::{
     Interpreter, Protocol, StoreValue,
     daemon::{Context, INSTANCE_INDEX, TARGET_INDEX},
+    entries::Entries,
     exchange, registry,
 };
 
@@ -53,6 +55,7 @@
 ) {
     exchange::fetch_retained(&context).await;
     let mut are_targets_known = false;
+    let mut entries = Entries::default();
     while let Some(update) = updates.recv().await {
         if !update.changes.is_empty() && context.replica.is_following() {
             context.changed.notify_one();
@@ -62,7 +65,7 @@
             continue;
         }
         for change in update.changes {
-            apply_change(&context, update.index, &change);
+            apply_change(&context, &mut entries, update.index, &change);
         }
         are_targets_known |= update.index == TARGET_INDEX;
         if are_targets_known && context.core.catalog().is_some() {
@@ -75,35 +78,38 @@
 /// nothing.
 fn apply_change<D: Protocol, I: Interpreter, S: Store>(
     context: &Arc<Context<D, I, S>>,
+    entries: &mut Entries,
     index: usize,
     change: &Change,
 ) {
     let version = change.version.to_string();
     let version = version.as_str();
     let key = change.key.as_ref();
-    let value = match context
+    let value = context
         .interpreter
-        .interpret(&change.key, change.value.as_deref())
-    {
+        .interpret(&change.key, change.value.as_deref());
+    let is_changed = entries.record_readable(&change.key, value.is_ok());
+    let value = match value {
         Ok(value) => value,
         Err(error) => {
-            log::warn!(key, version, error:% = error; "value not used");
+            context.unread_values.inc();
+            // Other writers of the targets' prefix may write such a value again and again.
+            if is_changed || index != TARGET_INDEX {
+                log::warn!(key, version, error:% = error; "value not used");
+            }
             return;
         }
     };
     match value {
-        StoreValue::Catalog(catalog) => adopt_catalog(context, *catalog, version),
+        StoreValue::Catalog(catalog) => adopt_catalog(context, entries, *catalog, version),
         StoreValue::Target(target) => {
-            let target = *target;
-            let draining = target.draining;
-            if context.core.upsert_target(target.clone()) || draining {
-                log::info!(
-                    target_id:% = target.id, service:% = target.service, domain:% = target.domain,
-                    slots = target.slots, draining, version; "target read"
-                );
+            let catalog = context.core.catalog();
+            if let Some(target) = entries.admit(*target, catalog.as_deref(), version) {
+                upsert_target(context, target, version);
             }
         }
         StoreValue::TargetRemoved(target) => {
+            entries.remove(&target);
             expire_target(context, index, target, change.key.clone());
         }
         StoreValue::DomainOrder { domain, closed } => {
@@ -114,10 +120,26 @@
     }
 }
 
-/// Puts a configuration into force, unless the known one is at least as new, and reports the parts that
-/// could not be read.
+/// Adds a target or updates the known one.
+fn upsert_target<D: Protocol, I: Interpreter, S: Store>(
+    context: &Context<D, I, S>,
+    target: Target,
+    version: &str,
+) {
+    let draining = target.draining;
+    if context.core.upsert_target(target.clone()) || draining {
+        log::info!(
+            target_id:% = target.id, service:% = target.service, domain:% = target.domain,
+            slots = target.slots, draining, version; "target read"
+        );
+    }
+}
+
+/// Puts a configuration into force, unless the known one is at least as new, with the targets whose services
+/// it names. Reports the parts that could not be read.
 fn adopt_catalog<D: Protocol, I: Interpreter, S: Store>(
     context: &Context<D, I, S>,
+    entries: &mut Entries,
     catalog: Catalog,
     version: &str,
 ) {
@@ -128,6 +150,10 @@
     }
     let adopted = context.core.replace_catalog(catalog);
     log::info!(revision, version, adopted, unread; "configuration read");
+    let catalog = context.core.catalog();
+    for target in catalog.map_or_else(Vec::new, |catalog| entries.release(&catalog)) {
+        upsert_target(context, target, version);
+    }
 }
 
 /// Removes a target whose entry is gone: at once while the store is reachable, and after
