fix(sg-mesh): changes after a position between two listings are not complete

Cause: a mirror that lists the store again, after a 410 or from another instance's listing, does not see the keys that came and went since its position before. It still reported changes after any later position as complete, so an instance that had learned such a key elsewhere kept it, and a target that is gone was used on.

Change: a mirror remembers the versions between its position and the listing. An instance that asks from one of them gets a listing; from the two ends, changes suffice as before. The range goes with the state that is passed on, as an optional field of the relay's response: earlier builds ignore it and don't send it.

--- a/crates/sg-mesh/src/mirror.rs
+++ b/crates/sg-mesh/src/mirror.rs
@@ -41,12 +41,39 @@
     changed_at: Version,
     /// The version from which all deletions are known. A first listing shows none of those before.
     deletions_since: Version,
+    /// The versions after that from which not all deletions are known.
+    gap: Option<Gap>,
     /// The number of records without a value, which stand for deleted keys.
     tombstones: usize,
     /// Values of earlier eras that the current era has not caught up with.
     retained: IndexMap<Arc<str>, Record>,
 }
 
+/// The versions between two listings, both excluded. A listing does not show the keys that came and went
+/// since the mirror's position before, so the changes after such a version are not complete: an instance
+/// that knows the prefix up to that version may have learned one of these keys.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Gap {
+    /// The position before the listing.
+    pub after: Version,
+    /// The version of the listing.
+    pub before: Version,
+}
+
+impl Gap {
+    fn contains(self, version: Version) -> bool {
+        self.after < version && version < self.before
+    }
+
+    /// Returns a gap that contains all versions of both.
+    fn joined(self, other: Self) -> Self {
+        Self {
+            after: self.after.min(other.after),
+            before: self.before.max(other.before),
+        }
+    }
+}
+
 /// The complete state of a mirror, as passed to another instance.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Snapshot {
@@ -58,6 +85,8 @@
     pub retained: Vec<Change>,
     /// The version up to which the changes are complete.
     pub position: Version,
+    /// The versions from which the changes would not have been complete.
+    pub gap: Option<Gap>,
 }
 
 impl Mirror {
@@ -120,6 +149,11 @@
         }
         if self.position == Version::default() {
             self.deletions_since = page.version;
+        } else if page.version > self.position {
+            self.add_gap(Some(Gap {
+                after: self.position,
+                before: page.version,
+            }));
         }
         let listed: IndexSet<Arc<str>> = page.entries.iter().map(|e| e.key.clone()).collect();
         let missing: Vec<Arc<str>> = self
@@ -171,12 +205,22 @@
         self.position = page.version;
         self.changed_at = page.version;
         self.deletions_since = page.version;
+        self.gap = None;
         let entries = page.entries.into_iter().map(Change::from);
         entries
             .filter_map(|change| self.apply_change(change))
             .collect()
     }
 
+    /// Records that not all deletions after the versions of `gap` are known.
+    fn add_gap(&mut self, gap: Option<Gap>) {
+        let joined = match (self.gap, gap) {
+            (Some(known), Some(gap)) => Some(known.joined(gap)),
+            (known, gap) => known.or(gap),
+        };
+        self.gap = joined.filter(|gap| gap.before > self.deletions_since);
+    }
+
     /// Ends the retention of a key once the current era has its value again or deletes the key.
     fn release_if_caught_up(&mut self, change: &Change) {
         let is_caught_up = self
@@ -223,7 +267,9 @@
     /// instance knows a newer era or a version from which this mirror doesn't know all deletions.
     #[must_use]
     pub fn snapshot_after(&self, version: Version) -> Snapshot {
-        let is_known = version.era() <= self.position.era() && version >= self.deletions_since;
+        let is_known = version.era() <= self.position.era()
+            && version >= self.deletions_since
+            && !self.gap.is_some_and(|gap| gap.contains(version));
         let version = if is_known {
             version
         } else {
@@ -234,6 +280,7 @@
             is_listing: !is_known,
             retained: self.retained(),
             position: self.position,
+            gap: self.gap,
         }
     }
 
@@ -263,6 +310,7 @@
             is_listing,
             retained,
             position,
+            gap,
         } = snapshot;
         if position.era() < self.position.era() {
             return Vec::new();
@@ -274,9 +322,11 @@
             self.apply_listing(listing(changes, position))
         } else {
             let changes = changes.into_iter();
-            changes
+            let applied = changes
                 .filter_map(|change| self.apply_change(change))
-                .collect()
+                .collect();
+            self.add_gap(gap.filter(|gap| gap.before > self.position));
+            applied
         };
         self.position = self.position.max(position);
         applied.extend(
--- a/crates/sg-mesh/src/relay.rs
+++ b/crates/sg-mesh/src/relay.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     follower::Replica,
-    mirror::{Change, Snapshot},
+    mirror::{Change, Gap, Snapshot},
 };
 
 /// The time limit of one exchange. An exchange between two instances takes about 100 ms; one that takes
@@ -50,6 +50,10 @@
     /// Values of earlier eras that the sender retains.
     #[serde(default)]
     retained: Vec<EncodedChange>,
+    /// The revisions between which the changes would not have been complete, of the same era. Earlier
+    /// releases don't tell them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    gap: Option<(u64, u64)>,
     /// The time since the sender last reached the store again after a failure, in milliseconds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     recovered_ms: Option<u64>,
@@ -159,11 +163,16 @@
     let decode = |encoded: Vec<EncodedChange>| -> Result<Vec<Change>, Error> {
         encoded.into_iter().map(Change::try_from).collect()
     };
+    let at = |revision| Version::at(Era::new(response.era), revision);
     Ok(Snapshot {
         changes: decode(response.changes)?,
         is_listing: response.listing,
         retained: decode(response.retained)?,
-        position: Version::at(Era::new(response.era), response.position),
+        position: at(response.position),
+        gap: response.gap.map(|(after, before)| Gap {
+            after: at(after),
+            before: at(before),
+        }),
     })
 }
 
@@ -234,6 +243,9 @@
         changes: encode(snapshot.changes),
         listing: snapshot.is_listing,
         retained: encode(snapshot.retained),
+        gap: snapshot
+            .gap
+            .map(|gap| (gap.after.revision(), gap.before.revision())),
         recovered_ms: replica
             .contact(request.index)
             .last_recovery
--- a/crates/sg-mesh/tests/mesh/mirror.rs
+++ b/crates/sg-mesh/tests/mesh/mirror.rs
@@ -1,7 +1,7 @@
 //! Mirrors whose changes arrive in any order, from the store and from other instances.
 
 use bytes::Bytes;
-use quickcheck::quickcheck;
+use quickcheck::{QuickCheck, quickcheck};
 use sg_mesh::{Mirror, mirror::Change};
 use sg_store::{Changes, Entry, Event, Page, Version};
 use sg_types::prelude::*;
@@ -143,6 +143,39 @@
     assert_eq!(keys, [&Arc::from("kept")]);
 }
 
+/// Guards against a target that has left being used on: a mirror that had to list the store again does not
+/// know of the keys that came and went in between, while another instance knows of one.
+#[test]
+fn keys_that_came_and_went_before_a_second_listing_are_removed() {
+    let mut far = Mirror::default();
+    let mut near = Mirror::default();
+    for mirror in [&mut far, &mut near] {
+        mirror.apply_listing(page(vec![entry("kept", 1)], 2));
+    }
+    let batch = |event: Event, version| Changes {
+        events: vec![event],
+        version: Version::new(version),
+    };
+    near.apply_watch(batch(Event::Put(entry("brief", 3)), 3));
+    // The key is deleted at version 4, and the history is gone by version 5.
+    far.apply_listing(page(vec![entry("kept", 1)], 5));
+    let mut third = Mirror::default();
+    third.apply_listing(page(vec![entry("kept", 1)], 2));
+    // A mirror that got its state from this one doesn't know of the key either.
+    third.merge(far.snapshot_after(third.position()));
+    let mut other = near.clone();
+    let applied = near.merge(far.snapshot_after(near.position()));
+    assert_eq!(applied.len(), 1);
+    assert_eq!((&*applied[0].key, &applied[0].value), ("brief", &None));
+    other.merge(third.snapshot_after(other.position()));
+    let keys: Vec<&str> = other.values().map(|(key, _)| &**key).collect();
+    assert_eq!(keys, ["kept"]);
+    // Mirrors that know the prefix up to either listing need no listing.
+    assert!(!far.snapshot_after(Version::new(2)).is_listing);
+    assert!(!far.snapshot_after(Version::new(5)).is_listing);
+    assert!(far.snapshot_after(Version::new(4)).is_listing);
+}
+
 quickcheck! {
     /// All mirrors that received all changes are equal, in whatever order and however often the changes
     /// arrived.
@@ -231,6 +264,67 @@
     }
 }
 
+/// Mirrors that watch, list and merge from each other in any order never report changes as complete that
+/// leave another mirror with a value that the store no longer has. There is one key, so that short sequences
+/// of steps suffice.
+#[test]
+fn merges_between_mirrors_that_list_at_any_time_are_complete() {
+    QuickCheck::new()
+        .tests(3_000)
+        .quickcheck(are_merges_complete as fn(Vec<(u8, u8)>) -> bool);
+}
+
+fn are_merges_complete(steps: Vec<(u8, u8)>) -> bool {
+    let mut store = Mirror::default();
+    let mut history: Vec<Changes> = Vec::new();
+    let mut mirrors = vec![Mirror::default(); 3];
+    for (step, mirror) in steps {
+        let (mirror, other) = (usize::from(mirror) % 3, usize::from(mirror / 3) % 3);
+        let version = history.len() as u64;
+        match step % 5 {
+            kind @ 0..2 => {
+                let event = match kind {
+                    0 => Event::Put(entry("k", version + 1)),
+                    _ => Event::Removed {
+                        key: "k".into(),
+                        version: Version::new(version + 1),
+                    },
+                };
+                let batch = Changes {
+                    events: vec![event],
+                    version: Version::new(version + 1),
+                };
+                store.apply_watch(batch.clone());
+                history.push(batch);
+            }
+            2 if mirrors[mirror].position() > Version::default() => {
+                let known = mirrors[mirror].position().revision() as usize;
+                for batch in &history[known..] {
+                    mirrors[mirror].apply_watch(batch.clone());
+                }
+            }
+            3 if version > 0 => {
+                mirrors[mirror].apply_listing(listing_of(&store, version));
+            }
+            4 if mirrors[other].position() > mirrors[mirror].position() => {
+                let snapshot = mirrors[other].snapshot_after(mirrors[mirror].position());
+                mirrors[mirror].merge(snapshot);
+            }
+            _ => {}
+        }
+        let current = mirrors
+            .iter()
+            .filter(|mirror| mirror.position() == store.position());
+        if current
+            .clone()
+            .any(|mirror| values(mirror) != values(&store))
+        {
+            return false;
+        }
+    }
+    true
+}
+
 /// Returns the values of a mirror in order of their keys.
 fn values(mirror: &Mirror) -> Vec<(Arc<str>, Bytes)> {
     let values = mirror.values();
