fix(sg-mesh): drop removed targets at once after a short cut from the store

Cause: any failure of a call to the store, also a waiting watch that was cut for a moment, let a target whose entry was removed be used for REENTRY_GRACE (2.2 s) after the watch was back, and so did a removal that came from another instance that had reached the store all along.

Change: only a recovery from an outage in which entries may have lapsed counts, which is one of at least 1.5 s: owners renew their entries about every 1.5 s, and an entry outlives the renewal that is due. A watch that ended later than the store ends it counts as silent since its start, and an instance that takes up following counts its first failure as long. The recovery is recorded before the changes that came with it are applied. An instance that can't reach the store goes by the recovery of the instance that it got the removal from.

Left: an outage between about 0.7 s and 1.5 s can count as long, because its end is noticed only at the next retry.

--- a/crates/sg-gateway/src/updates.rs
+++ b/crates/sg-gateway/src/updates.rs
@@ -156,26 +156,24 @@
     }
 }
 
-/// Removes a target whose entry is gone: at once while the store is reachable, and after
-/// [`REENTRY_GRACE`] if the entry may have expired only because of an outage of the store. A target
-/// whose entry exists again by then stays.
+/// Removes a target whose entry is gone: at once, unless the store has just come back from an outage in which
+/// the entry may have lapsed although the target runs. Then the target has until [`REENTRY_GRACE`] after the
+/// outage to write its entry again.
+///
+/// Instances that can't reach the store learn of a removal from one that does, with that one's recovery.
 fn expire_target<D: Protocol, I: Interpreter, S: Store>(
     context: &Arc<Context<D, I, S>>,
     index: usize,
     target: id::Target,
     key: Arc<str>,
 ) {
-    let contact = context.replica.contact(index);
+    let recovered_at = context.replica.contact(index).last_recovery;
     let now = context.timer.now();
-    let since_recovery = contact.last_recovery.map(|at| now.since(at));
-    let wait = match (contact.failing_since, since_recovery) {
-        (Some(_), _) => REENTRY_GRACE,
-        (None, Some(since)) if since < REENTRY_GRACE => REENTRY_GRACE.saturating_sub(since),
-        _ => {
-            remove_target(context, &target);
-            return;
-        }
-    };
+    let wait = recovered_at.map_or(Span::ZERO, |at| REENTRY_GRACE.saturating_sub(now.since(at)));
+    if wait == Span::ZERO {
+        remove_target(context, &target);
+        return;
+    }
     let context = context.clone();
     tokio::spawn(async move {
         context.timer.sleep(wait).await;
--- a/crates/sg-mesh/src/follower.rs
+++ b/crates/sg-mesh/src/follower.rs
@@ -18,6 +18,10 @@
 /// be in force.
 const MAX_RETRY_DELAY: Span = Span::from_millis(1_200);
 
+/// The shortest outage of the store in which entries may lapse. Their owners renew them about every 1.5 s, and
+/// an entry outlives the renewal that is due.
+const MIN_LAPSE_OUTAGE: Span = Span::from_millis(1_500);
+
 /// The longest delay before a prefix is listed again in a new era, which spreads the listings.
 const MAX_RELIST_DELAY: Span = Span::from_millis(300);
 
@@ -48,7 +52,9 @@
     pub last_success: Option<Instant>,
     /// The time since which calls fail; `None` if the last call succeeded.
     pub failing_since: Option<Instant>,
-    /// The time at which calls last succeeded again after a failure.
+    /// The earliest time since which the store may not have been reachable; `None` if the last call succeeded.
+    pub outage_since: Option<Instant>,
+    /// The time at which calls last succeeded again after an outage in which entries may have lapsed.
     pub last_recovery: Option<Instant>,
 }
 
@@ -109,16 +115,22 @@
         });
         if has_changed && !is_following {
             for contact in &self.contacts {
-                contact.lock().failing_since = None;
+                let mut contact = contact.lock();
+                contact.failing_since = None;
+                contact.outage_since = None;
             }
         }
         has_changed
     }
 
-    /// Records when the instance that this one follows could reach the store again.
+    /// Records when the instance that this one gets its changes from could reach the store again. An instance
+    /// that reaches the store goes by its own contact.
     pub fn record_relayed_recovery(&self, index: usize, at: Instant) {
-        if let Some(contact) = self.contacts.get(index).filter(|_| !self.is_following()) {
-            let mut contact = contact.lock();
+        let Some(contact) = self.contacts.get(index) else {
+            return;
+        };
+        let mut contact = contact.lock();
+        if !self.is_following() || contact.failing_since.is_some() {
             contact.last_recovery = contact.last_recovery.max(Some(at));
         }
     }
@@ -237,16 +249,28 @@
     fn record_success(&self, index: usize, prefix: &str, now: Instant) {
         let mut contact = self.contacts[index].lock();
         contact.last_success = Some(now);
-        if let Some(failing_since) = contact.failing_since.take() {
+        let outage_since = contact.outage_since.take();
+        if outage_since.is_some_and(|since| now.since(since) >= MIN_LAPSE_OUTAGE) {
             contact.last_recovery = Some(now);
+        }
+        if let Some(failing_since) = contact.failing_since.take() {
             log::info!(prefix, after_ms = now.since(failing_since).as_millis(); "store regained");
         }
     }
 
-    fn record_failure(&self, index: usize, prefix: &str, error: &Error, now: Instant) {
+    /// Records a failed call. The store may not have been reachable since `outage_since`.
+    fn record_failure(
+        &self,
+        index: usize,
+        prefix: &str,
+        error: &Error,
+        outage_since: Instant,
+        now: Instant,
+    ) {
         let mut contact = self.contacts[index].lock();
         if contact.failing_since.is_none() {
             contact.failing_since = Some(now);
+            contact.outage_since = Some(outage_since);
             log::warn!(prefix, error:% = error; "store lost");
         }
     }
@@ -280,14 +304,20 @@
             } else {
                 options.watch_timeout
             };
-            watch_prefix(&replica, &store, index, &options.prefix, timeout).await
+            let changes = watch_prefix(&replica, &store, index, &options.prefix, timeout).await;
+            changes.map(Reply::Changes)
         } else {
-            list_prefix(&replica, &store, index, &options).await
+            store.list(&options.prefix).await.map(Reply::Listing)
         };
         let now = timer.now();
         match result {
-            Ok(()) => {
+            Ok(reply) => {
+                // Whoever applies the changes needs to know of the recovery.
                 replica.record_success(index, &options.prefix, now);
+                match reply {
+                    Reply::Listing(page) => replica.apply_listing(index, page),
+                    Reply::Changes(changes) => replica.apply_watch(index, changes),
+                }
                 is_probe = false;
                 retry_delay = INITIAL_RETRY_DELAY;
                 if listed {
@@ -310,7 +340,15 @@
                 log::debug!(prefix:% = options.prefix, error:% = error; "last watch failed");
             }
             Err(error) => {
-                replica.record_failure(index, &options.prefix, &error, now);
+                let outage_since = if is_probe {
+                    // This instance has just taken up following the store, or knows the time already.
+                    Instant::START
+                } else if now.since(started) >= options.watch_timeout {
+                    started
+                } else {
+                    now
+                };
+                replica.record_failure(index, &options.prefix, &error, outage_since, now);
                 is_probe = true;
                 let jitter = rand::rng().random_range(0.6..1.2);
                 timer.sleep(retry_delay.mul_f64(jitter)).await;
@@ -320,24 +358,20 @@
     }
 }
 
-async fn list_prefix<S: Store>(
-    replica: &Replica,
-    store: &S,
-    index: usize,
-    options: &Options,
-) -> Result<(), Error> {
-    let page = store.list(&options.prefix).await?;
-    replica.apply_listing(index, page);
-    Ok(())
+/// What the store returned.
+enum Reply {
+    Listing(Page),
+    Changes(Changes),
 }
 
+/// Waits for changes of the mirror's era.
 async fn watch_prefix<S: Store>(
     replica: &Replica,
     store: &S,
     index: usize,
     prefix: &str,
     timeout: Span,
-) -> Result<(), Error> {
+) -> Result<Changes, Error> {
     let after = replica.position(index);
     let mut era = replica.subscribe_era();
     let watch = store.watch(prefix, after, timeout);
@@ -348,6 +382,5 @@
     if changes.version.era() != after.era() {
         return Err(Error::EraEnded);
     }
-    replica.apply_watch(index, changes);
-    Ok(())
+    Ok(changes)
 }
--- a/crates/sg-mesh/tests/mesh/follower.rs
+++ b/crates/sg-mesh/tests/mesh/follower.rs
@@ -143,3 +143,56 @@
     let snapshot = replica.snapshot_after(0, Version::default());
     snapshot.expect("a followed prefix")
 }
+
+/// Guards against entries that count as lapsed although the store was away too shortly for that: targets that
+/// were removed meanwhile would be used for seconds.
+#[tokio::test(start_paused = true)]
+async fn only_a_long_outage_counts_as_one_in_which_entries_may_have_lapsed() {
+    let down = memory::Fault {
+        down: true,
+        ..memory::Fault::default()
+    };
+    for (outage, has_lapsed) in [(300, false), (3_000, true)] {
+        let timer = Timer::new();
+        let store = memory::Store::new(timer.clone());
+        write(&store, "t/a", "one").await;
+        let (replica, mut updates) = start(&store, &timer);
+        next_changes(&mut updates).await;
+        store.set_fault(down);
+        while replica.contact(0).failing_since.is_none() {
+            timer.sleep(Span::from_millis(10)).await;
+        }
+        timer.sleep(Span::from_millis(outage)).await;
+        store.set_fault(memory::Fault::default());
+        while replica.contact(0).failing_since.is_some() {
+            timer.sleep(Span::from_millis(10)).await;
+        }
+        let contact = replica.contact(0);
+        assert_eq!(
+            contact.last_recovery.is_some(),
+            has_lapsed,
+            "{outage} ms: {contact:?}"
+        );
+    }
+}
+
+/// Guards against changes that are applied before the recovery that they came with is known.
+#[tokio::test(start_paused = true)]
+async fn recovery_is_known_when_its_changes_arrive() {
+    let timer = Timer::new();
+    let store = memory::Store::new(timer.clone());
+    let operator = store.connect();
+    write(&store, "t/a", "one").await;
+    let (replica, mut updates) = start(&store, &timer);
+    next_changes(&mut updates).await;
+    let down = memory::Fault {
+        down: true,
+        ..memory::Fault::default()
+    };
+    store.set_fault(down);
+    timer.sleep(Span::from_secs(5)).await;
+    write(&operator, "t/a", "two").await;
+    store.set_fault(memory::Fault::default());
+    next_changes(&mut updates).await;
+    assert!(replica.contact(0).last_recovery.is_some());
+}
