--- a/crates/sg-gateway/src/updates.rs
+++ b/crates/sg-gateway/src/updates.rs
@@ -105,7 +105,7 @@
         StoreValue::Target(target) => {
             let catalog = context.core.catalog();
             if let Some(target) = entries.admit(*target, catalog.as_deref(), version) {
-                upsert_target(context, target, version);
+                upsert_target(context, &target, version);
             }
         }
         StoreValue::TargetRemoved(target) => {
@@ -123,7 +123,7 @@
 /// Adds a target or updates the known one.
 fn upsert_target<D: Protocol, I: Interpreter, S: Store>(
     context: &Context<D, I, S>,
-    target: Target,
+    target: &Target,
     version: &str,
 ) {
     let draining = target.draining;
@@ -152,7 +152,7 @@
     log::info!(revision, version, adopted, unread; "configuration read");
     let catalog = context.core.catalog();
     for target in catalog.map_or_else(Vec::new, |catalog| entries.release(&catalog)) {
-        upsert_target(context, target, version);
+        upsert_target(context, &target, version);
     }
 }
 
