--- a/crates/sg-gateway/src/updates.rs
+++ b/crates/sg-gateway/src/updates.rs
@@ -1,6 +1,8 @@
 //! Applies changes of the store to the request path.
 
+use sg_catalog::Catalog;
 use sg_mesh::{follower::Update, mirror::Change};
+use sg_place::Target;
 use sg_store::Store;
 use sg_types::prelude::*;
 use tokio::sync::mpsc;
@@ -8,6 +10,7 @@
 use crate::{
     Interpreter, Protocol, StoreValue,
     daemon::{Context, INSTANCE_INDEX, TARGET_INDEX},
+    entries::Entries,
     exchange, registry,
 };
 
@@ -52,6 +55,7 @@
 ) {
     exchange::fetch_retained(&context).await;
     let mut are_targets_known = false;
+    let mut entries = Entries::default();
     while let Some(update) = updates.recv().await {
         if !update.changes.is_empty() && context.replica.is_following() {
             context.changed.notify_one();
@@ -61,7 +65,7 @@
             continue;
         }
         for change in update.changes {
-            apply_change(&context, update.index, &change);
+            apply_change(&context, &mut entries, update.index, &change);
         }
         are_targets_known |= update.index == TARGET_INDEX;
         if are_targets_known && context.core.catalog().is_some() {
@@ -74,39 +78,38 @@
 /// nothing.
 fn apply_change<D: Protocol, I: Interpreter, S: Store>(
     context: &Arc<Context<D, I, S>>,
+    entries: &mut Entries,
     index: usize,
     change: &Change,
 ) {
     let version = change.version.to_string();
     let version = version.as_str();
     let key = change.key.as_ref();
-    let value = match context
+    let value = context
         .interpreter
-        .interpret(&change.key, change.value.as_deref())
-    {
+        .interpret(&change.key, change.value.as_deref());
+    let is_changed = entries.record_readable(&change.key, value.is_ok());
+    let value = match value {
         Ok(value) => value,
         Err(error) => {
-            log::warn!(key, version, error:% = error; "value not used");
+            context.unread_values.inc();
+            // Other writers of the targets' prefix may write such a value again and again.
+            if is_changed || index != TARGET_INDEX {
+                log::warn!(key, version, error:% = error; "value not used");
+            }
             return;
         }
     };
     match value {
-        StoreValue::Catalog(catalog) => {
-            let revision = catalog.revision.get();
-            let adopted = context.core.replace_catalog(*catalog);
-            log::info!(revision, version, adopted; "configuration read");
-        }
+        StoreValue::Catalog(catalog) => adopt_catalog(context, entries, *catalog, version),
         StoreValue::Target(target) => {
-            let target = *target;
-            let draining = target.draining;
-            if context.core.upsert_target(target.clone()) || draining {
-                log::info!(
-                    target_id:% = target.id, service:% = target.service, domain:% = target.domain,
-                    slots = target.slots, draining, version; "target read"
-                );
+            let catalog = context.core.catalog();
+            if let Some(target) = entries.admit(*target, catalog.as_deref(), version) {
+                upsert_target(context, &target, version);
             }
         }
         StoreValue::TargetRemoved(target) => {
+            entries.remove(&target);
             expire_target(context, index, target, change.key.clone());
         }
         StoreValue::DomainOrder { domain, closed } => {
@@ -117,26 +120,60 @@
     }
 }
 
-/// Removes a target whose entry is gone: at once while the store is reachable, and after
-/// [`REENTRY_GRACE`] if the entry may have expired only because of an outage of the store. A target
-/// whose entry exists again by then stays.
+/// Adds a target or updates the known one.
+fn upsert_target<D: Protocol, I: Interpreter, S: Store>(
+    context: &Context<D, I, S>,
+    target: &Target,
+    version: &str,
+) {
+    let draining = target.draining;
+    if context.core.upsert_target(target.clone()) || draining {
+        log::info!(
+            target_id:% = target.id, service:% = target.service, domain:% = target.domain,
+            slots = target.slots, draining, version; "target read"
+        );
+    }
+}
+
+/// Puts a configuration into force, unless the known one is at least as new, with the targets whose services
+/// it names. Reports the parts that could not be read.
+fn adopt_catalog<D: Protocol, I: Interpreter, S: Store>(
+    context: &Context<D, I, S>,
+    entries: &mut Entries,
+    catalog: Catalog,
+    version: &str,
+) {
+    let (revision, unread) = (catalog.revision.get(), catalog.unread.count());
+    context.unread_parts.inc_by(unread);
+    if let Some(first) = catalog.unread.first() {
+        log::warn!(revision, version, unread, first; "parts of the configuration not read");
+    }
+    let adopted = context.core.replace_catalog(catalog);
+    log::info!(revision, version, adopted, unread; "configuration read");
+    let catalog = context.core.catalog();
+    for target in catalog.map_or_else(Vec::new, |catalog| entries.release(&catalog)) {
+        upsert_target(context, &target, version);
+    }
+}
+
+/// Removes a target whose entry is gone: at once, unless the store has just come back from an outage in which
+/// the entry may have lapsed although the target runs. Then the target has until [`REENTRY_GRACE`] after the
+/// outage to write its entry again.
+///
+/// Instances that can't reach the store learn of a removal from one that does, with that one's recovery.
 fn expire_target<D: Protocol, I: Interpreter, S: Store>(
     context: &Arc<Context<D, I, S>>,
     index: usize,
     target: id::Target,
     key: Arc<str>,
 ) {
-    let contact = context.replica.contact(index);
+    let recovered_at = context.replica.contact(index).last_recovery;
     let now = context.timer.now();
-    let since_recovery = contact.last_recovery.map(|at| now.since(at));
-    let wait = match (contact.failing_since, since_recovery) {
-        (Some(_), _) => REENTRY_GRACE,
-        (None, Some(since)) if since < REENTRY_GRACE => REENTRY_GRACE.saturating_sub(since),
-        _ => {
-            remove_target(context, &target);
-            return;
-        }
-    };
+    let wait = recovered_at.map_or(Span::ZERO, |at| REENTRY_GRACE.saturating_sub(now.since(at)));
+    if wait == Span::ZERO {
+        remove_target(context, &target);
+        return;
+    }
     let context = context.clone();
     tokio::spawn(async move {
         context.timer.sleep(wait).await;
