test(sg-proxy): bodies that stall, are too long, or are streamed

Cause: the outcomes of bodies that are refused or sent while they are read had no test. Change: seven tests: 408 for a stalled body, 413 from the head, no charge for what is announced, chunks of a byte, a body over the budget served once, 502 without a second send when it stalls, 503 when the target proves that it did not run the request.

--- a/crates/sg-proxy/tests/proxy/harness.rs
+++ b/crates/sg-proxy/tests/proxy/harness.rs
@@ -267,6 +267,11 @@
         max_body: Bytes::new(64),
         ..Limits::default()
     };
+    catalog_with(revision, limits)
+}
+
+/// Returns the catalog with other limits.
+pub fn catalog_with(revision: u64, limits: Limits) -> Catalog {
     let mut catalog = Catalog::new(Revision::new(revision), limits);
     catalog.add_service(service());
     let account = Account {
--- a/crates/sg-proxy/tests/proxy/main.rs
+++ b/crates/sg-proxy/tests/proxy/main.rs
@@ -1,5 +1,6 @@
 //! Tests what callers and targets see of the request path, over real connections.
 
+mod bodies;
 mod callers;
 mod dialect;
 mod endings;
