feat(sg-proxy): charge responses that are forwarded while they arrive

Cause: the buffers of a forwarded response, up to 128 KiB on its two connections, were not charged, so that many slow readers could exceed the budget. Change: such a response charges its buffers; beyond the budget the holds with the least progress give up their bytes, which closes the connections of the slowest readers. A response whose target is done may be given up like a body that is read.

--- a/crates/sg-proxy/src/body.rs
+++ b/crates/sg-proxy/src/body.rs
@@ -11,10 +11,10 @@
 use http_body::{Frame, SizeHint};
 use hyper::body::Incoming;
 use sg_clock::Timer;
-use sg_types::prelude::*;
+use sg_types::prelude::{Arc, Bytes as Size, Instant};
 use tokio::sync::oneshot;
 
-use crate::connections::Connection;
+use crate::{connections::Connection, memory::Hold};
 
 /// Maximum size of a body that is streamed and whose response does not declare a length. Such a body may
 /// have no end.
@@ -110,6 +110,7 @@
     /// Bytes that may still arrive, if the response declares no length.
     undeclared_left: Option<u64>,
     progress: Arc<Progress>,
+    hold: Arc<Hold>,
     /// Tells the watch that the body is too long. Dropping the sender ends the watch.
     too_long: Option<oneshot::Sender<()>>,
 }
@@ -121,6 +122,7 @@
         received: VecDeque<Bytes>,
         remainder: Incoming,
         connection: Connection,
+        hold: Arc<Hold>,
         timer: Timer,
         deadline: Instant,
         on_cut: impl FnOnce(Cut) + Send + 'static,
@@ -150,6 +152,7 @@
             remainder,
             connection: Some(connection),
             progress,
+            hold,
             too_long: Some(too_long),
         }
     }
@@ -182,6 +185,7 @@
     /// Counts the bytes of `frame` if the body declares no length.
     fn count(&mut self, frame: Frame<Bytes>) -> Result<Frame<Bytes>, Error> {
         let length = frame.data_ref().map_or(0, |data| data.len() as u64);
+        self.hold.record_progress(Size::new(length));
         let Some(left) = &mut self.undeclared_left else {
             return Ok(frame);
         };
--- a/crates/sg-proxy/src/content.rs
+++ b/crates/sg-proxy/src/content.rs
@@ -17,7 +17,7 @@
 use sg_clock::Timer;
 use sg_types::prelude::{Arc, Bytes as Size, Instant, Span};
 
-use crate::memory::{Exhausted, Hold, Segments, Stage};
+use crate::memory::{Exhausted, FORWARDED_BYTES, Hold, Segments, Stage};
 
 /// Length of the first part of a body that its fingerprint is taken from. A body that is longer is
 /// fingerprinted by this part and its declared length, because the rest may not be known when the request
@@ -200,6 +200,7 @@
 
     fn streamed(segments: Segments, body: Incoming, left: u64, timer: Timer) -> Self {
         let (length, hold) = (segments.length(), segments.hold().clone());
+        hold.grow_over(FORWARDED_BYTES);
         let rest = Rest {
             segments: segments.into_list(),
             body,
--- a/crates/sg-proxy/src/memory.rs
+++ b/crates/sg-proxy/src/memory.rs
@@ -24,6 +24,9 @@
 /// Largest size of a small hold.
 const SMALL_BYTES: u64 = 64 << 10;
 
+/// Memory of a body that is forwarded while it arrives: the read buffer of one connection, 64 KiB, and as much
+/// in the write queue of the other.
+pub const FORWARDED_BYTES: Bytes = Bytes::new(128 << 10);
 /// Fraction of the budget below which a time of memory pressure ends.
 const CALM_FRACTION: f64 = 0.5;
 /// Time without an eviction or refusal after which a time of memory pressure ends, so that its log lines are
@@ -349,16 +352,19 @@
         let Some(victims) = victim::choose(&candidates, asking, excess - self.awaited) else {
             return false;
         };
-        for key in victims {
-            if let Some(entry) = self.entries.get_mut(&key) {
-                entry.is_evicted = true;
-                self.awaited += entry.bytes;
-                self.evictions[entry.usage as usize] += 1;
-                entry.evicted.notify_one();
-            }
-        }
+        victims.into_iter().for_each(|key| self.evict_one(key));
         true
     }
+
+    fn evict_one(&mut self, key: u64) {
+        let entry = self.entries.get_mut(&key);
+        if let Some(entry) = entry.filter(|entry| !entry.is_evicted && entry.stage != Stage::Kept) {
+            entry.is_evicted = true;
+            self.awaited += entry.bytes;
+            self.evictions[entry.usage as usize] += 1;
+            entry.evicted.notify_one();
+        }
+    }
 }
 
 /// Bytes that one owner holds of a [`Budget`], released on drop.
@@ -409,6 +415,21 @@
         }
     }
 
+    /// Charges [`FORWARDED_BYTES`] for a response that is forwarded while it arrives. If the budget has no
+    /// room, the holds with the least progress are told to give up their bytes, perhaps this one.
+    pub fn grow_to_forward(&self) {
+        let now = self.budget.timer.now();
+        let mut table = self.budget.table.lock();
+        table.charge(self.key, FORWARDED_BYTES.get());
+        let excess = table.used.saturating_sub(self.budget.limit);
+        if excess > 0 && !table.evict(self.key, excess, now) {
+            table.evict_one(self.key);
+        }
+        if excess > 0 {
+            table.record_pressure(self.budget.limit, now);
+        }
+    }
+
     /// Charges `bytes` more whether or not the budget has room, because they have already arrived.
     pub fn grow_over(&self, bytes: Bytes) {
         self.budget.table.lock().charge(self.key, bytes.get());
@@ -428,9 +449,11 @@
         }
     }
 
-    /// Records how far the request of this hold has come.
+    /// Records how far the request of this hold has come. A kept hold stays so.
     pub fn set_stage(&self, stage: Stage) {
-        if let Some(entry) = self.budget.table.lock().entries.get_mut(&self.key) {
+        let mut table = self.budget.table.lock();
+        let entry = table.entries.get_mut(&self.key);
+        if let Some(entry) = entry.filter(|entry| entry.stage != Stage::Kept) {
             entry.stage = stage;
         }
     }
--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -325,8 +325,6 @@
 pub(crate) struct ReceivedBody {
     data: VecDeque<Bytes>,
     hold: Arc<Hold>,
-    /// Whether nobody can be told to give up the memory.
-    is_kept: bool,
     /// Rest of a body that is larger than [`MAX_BUFFERED_BYTES`].
     remainder: Option<Incoming>,
 }
@@ -374,7 +372,6 @@
     Ok(ReceivedBody {
         data: segments.into_list(),
         hold,
-        is_kept: head.extensions.get::<Arc<Hold>>().is_none(),
         remainder,
     })
 }
@@ -398,10 +395,21 @@
     on_cut: impl FnOnce(Cut) + Send + 'static,
 ) -> Body {
     let connection = from.connection;
+    // The target's work is done; what the caller does not read may be given up.
+    received.hold.set_stage(Stage::Open);
     if let Some(remainder) = received.remainder {
+        received.hold.grow_to_forward();
         let timer = core.timer.clone();
         let data = received.data;
-        let streamed = Streamed::new(data, remainder, connection, timer, deadline, on_cut);
+        let streamed = Streamed::new(
+            data,
+            remainder,
+            connection,
+            received.hold,
+            timer,
+            deadline,
+            on_cut,
+        );
         return Body::Streamed(Box::new(streamed));
     }
     if from.closes {
@@ -410,10 +418,6 @@
         core.connections
             .put_back(connection, from.keep_alive_timeout);
     }
-    // The target's work is done; what the caller does not read may be given up.
-    if !received.is_kept {
-        received.hold.set_stage(Stage::Open);
-    }
     Body::segmented(received.data)
 }
 
--- a/crates/sg-proxy/tests/proxy/memory.rs
+++ b/crates/sg-proxy/tests/proxy/memory.rs
@@ -2,7 +2,7 @@
 
 use sg_clock::Timer;
 use sg_proxy::memory::{
-    Budget, Exhausted, Stage, Use,
+    self, Budget, Exhausted, Stage, Use,
     victim::{self, Candidate, Progress},
 };
 use sg_types::prelude::*;
@@ -88,3 +88,17 @@
     large.shrink(Bytes::new(4 << 10));
     assert_eq!(large.grow(Bytes::new(1)), Err(Exhausted));
 }
+
+/// Guards against callers that do not read large responses exceeding the budget together.
+#[tokio::test]
+async fn forwarded_responses_beyond_the_budget_give_up_the_least_progress() {
+    let limit = memory::FORWARDED_BYTES.get() * 5 / 2;
+    let budget = Budget::new(Bytes::new(limit), Timer::new());
+    let holds: Vec<_> = (0..4).map(|_| budget.hold(Use::Response)).collect();
+    for hold in &holds {
+        hold.record_progress(Bytes::new(1 << 20));
+        hold.grow_to_forward();
+    }
+    let evictions = budget.usage().evictions[Use::Response as usize];
+    assert_eq!(evictions, 2);
+}
