refactor(sg-proxy): no kind of hold for frames between instances

Cause: nothing charges frames, whose sizes are bounded and which the allowance for state covers; the gauge would always show 0. Change: Use::Frame is gone.

--- a/crates/sg-proxy/src/memory.rs
+++ b/crates/sg-proxy/src/memory.rs
@@ -42,13 +42,11 @@
     Request,
     /// Responses of targets.
     Response,
-    /// Frames and listings of other instances and the store.
-    Frame,
 }
 
 impl Use {
     /// All uses.
-    pub const ALL: [Self; 4] = [Self::Connection, Self::Request, Self::Response, Self::Frame];
+    pub const ALL: [Self; 3] = [Self::Connection, Self::Request, Self::Response];
 
     /// Returns the label in metrics and log lines.
     #[must_use]
@@ -57,7 +55,6 @@
             Self::Connection => "connection",
             Self::Request => "request",
             Self::Response => "response",
-            Self::Frame => "frame",
         }
     }
 }
