--- a/crates/sg-catalog/src/catalog.rs
+++ b/crates/sg-catalog/src/catalog.rs
@@ -191,9 +191,6 @@
             return Err(Error::NoWeightedService { route: route.name });
         }
         self.has_large_responses |= route.large_responses;
-        let routes = self.routes_by_host.entry(host.into()).or_default();
-        routes.push(Arc::new(route));
-        routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         insert_by_prefix(&mut self.routes_by_host, host.into(), route);
         Ok(())
     }
--- a/crates/sg-proxy/src/content.rs
+++ b/crates/sg-proxy/src/content.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     body::RequestBody,
-    memory::{Exhausted, Hold, Segments, Stage},
+    memory::{Exhausted, FORWARDED_BYTES, Hold, Segments, Stage},
 };
 
 /// Length of the first part of a body that its fingerprint is taken from. A body that is longer is
@@ -202,6 +202,7 @@
 
     fn streamed(segments: Segments, body: RequestBody, left: u64, timer: Timer) -> Self {
         let (length, hold) = (segments.length(), segments.hold().clone());
+        hold.grow_over(FORWARDED_BYTES);
         let rest = Rest {
             segments: segments.into_list(),
             body,
