test(sg-dispatch): fleets with and without a dispatcher, and its replacement; paces in sg-place

Cause: a new dispatcher knew only the objects of the leases in flight, so objects were run cold again. Change: an adopted lease without time left tells where its object is warm. Instances that decide alone do not leave the highest-ranked target for its pace to run a cold object elsewhere. Tests compare all services of the two fleets, replace the dispatcher three times, lose ends, and check the persistence of paces.

--- a/crates/sg-dispatch/src/group.rs
+++ b/crates/sg-dispatch/src/group.rs
@@ -248,17 +248,22 @@
 
     fn insert_lease(&mut self, ticket: Ticket, held: Held, now: Instant) {
         let Held { place, object, .. } = held;
-        let forgotten = self.table.change(place, now, |target| {
-            target.begin(held.work_seconds);
-            object.and_then(|object| target.begin_object(object))
-        });
-        if let Some(forgotten) = forgotten {
+        self.table
+            .change(place, now, |target| target.begin(held.work_seconds));
+        self.begin_object(object, place, now);
+        self.leases.held.insert(ticket, held);
+    }
+
+    /// Records that an object becomes warm at a target.
+    fn begin_object(&mut self, object: Option<Object>, place: Place, now: Instant) {
+        let Some(object) = object else {
+            return;
+        };
+        let begin = |target: &mut target::Target| target.begin_object(object);
+        if let Some(forgotten) = self.table.change(place, now, begin) {
             self.placements.evict(forgotten, place);
         }
-        if let Some(object) = object {
-            self.placements.begin(object, place);
-        }
-        self.leases.held.insert(ticket, held);
+        self.placements.begin(object, place);
     }
 
     /// Records the end of the use of a slot, and grants the slot to a waiting request.
@@ -361,29 +366,38 @@
     }
 
     /// Takes over slots that another dispatcher granted. Leases that are known or have ended, and those at
-    /// unknown targets, are ignored.
+    /// unknown targets, are ignored. A lease without time left is not in use any more and only tells that its
+    /// object is warm at its target; senders list the oldest of these first.
     pub fn adopt(&mut self, leases: impl IntoIterator<Item = Lease>, now: Instant) {
         for lease in leases {
-            let ticket = lease.ticket;
-            let is_known = self.leases.held.contains_key(&ticket);
             let Some(place) = self.table.place(&lease.target) else {
                 continue;
             };
-            let target = self.table.get(place);
-            let is_full = target.leases >= target.slots() * MAX_LEASES_PER_SLOT;
-            if is_known || is_full || self.closed.get(&ticket).is_some() {
-                continue;
-            }
-            self.withdraw(ticket, now);
             if let Some(object) = lease.object {
                 // The entry must exist for the object to be recorded as warm.
                 self.placements.entry(object, self.table.places());
             }
-            self.counters.adopted += 1;
-            self.insert_lease(ticket, Held::adopted(&lease, place, now), now);
+            if lease.deadline_left == Span::ZERO {
+                self.begin_object(lease.object, place, now);
+            } else {
+                self.adopt_lease(&lease, place, now);
+            }
         }
     }
 
+    fn adopt_lease(&mut self, lease: &Lease, place: Place, now: Instant) {
+        let ticket = lease.ticket;
+        let target = self.table.get(place);
+        let is_full = target.leases >= target.slots() * MAX_LEASES_PER_SLOT;
+        let is_known = self.leases.held.contains_key(&ticket);
+        if is_known || is_full || self.closed.get(&ticket).is_some() {
+            return;
+        }
+        self.withdraw(ticket, now);
+        self.counters.adopted += 1;
+        self.insert_lease(ticket, Held::adopted(lease, place, now), now);
+    }
+
     /// Handles leases and waits whose time is over. To be called several times in the shortest work.
     pub fn tick(&mut self, now: Instant) -> Vec<Decision> {
         for (ticket, held) in self.leases.expire(now) {
--- a/crates/sg-dispatch/tests/dispatch/simulation.rs
+++ b/crates/sg-dispatch/tests/dispatch/simulation.rs
@@ -33,7 +33,15 @@
 const OBJECTS_PER_TARGET: usize = 10;
 const POPULARITY_EXPONENT: f64 = 0.8;
 const TICK_MICROS: u64 = 50_000;
-pub const BEACON_MICROS: u64 = 250_000;
+const BEACON_MICROS: u64 = 250_000;
+
+/// Slots that were used last, of which each instance tells a new dispatcher.
+const TOLD: usize = 32;
+const BOUNDS: Bounds = Bounds {
+    requests: 4_096,
+    bytes: Bytes::new(4 << 20),
+    time: Span::from_secs(20),
+};
 
 /// Requests of one route.
 #[derive(Debug, Clone, Copy)]
@@ -93,6 +101,8 @@
     pub refused_by_targets: u32,
     /// Time that requests took at the busiest target over the mean.
     pub busiest: f64,
+    /// Part of its slots that the requests used at the busiest target.
+    pub busiest_utilization: f64,
     /// Time that the decisions of the dispatcher took.
     pub decision_micros: f64,
     /// Messages between instances and the dispatcher.
@@ -115,6 +125,10 @@
     is_home: bool,
     is_granted: bool,
     is_tail: bool,
+    /// Whether an ask awaits its grant or rejection.
+    is_asking: bool,
+    /// Whether a granted slot is in use.
+    is_running: bool,
 }
 
 #[derive(Default)]
@@ -162,6 +176,8 @@
 enum Event {
     Arrive(usize),
     Ask(usize),
+    /// An ask at a new dispatcher, unless the old one has answered.
+    AskAgain(usize),
     Decided(Decision),
     Reach(usize),
     Done(usize),
@@ -169,12 +185,14 @@
     End(usize, message::End),
     Tick,
     Beacon,
+    /// Another instance takes over as the dispatcher.
+    Replace,
 }
 
 pub struct Simulation {
     service: Service,
     policy: Policy,
-    pub group: Group,
+    group: Group,
     pools: Vec<Pool>,
     locations: Vec<Location>,
     work: Vec<Vec<WorkEstimate>>,
@@ -187,7 +205,11 @@
     limiter: ShiftLimiter,
     totals: Totals,
     /// Time that the dispatcher's decisions took.
-    pub decision_time: std::time::Duration,
+    decision_time: std::time::Duration,
+    /// Fraction of the ends of leases that get lost.
+    pub lost_ends: f64,
+    /// Times at which the dispatcher dies and is replaced, in seconds.
+    pub replaced_at: Vec<u64>,
 }
 
 fn at(micros: u64) -> Instant {
@@ -237,17 +259,12 @@
             sum += ((rank + 1) as f64).powf(-POPULARITY_EXPONENT);
             sum
         });
-        let bounds = Bounds {
-            requests: 4_096,
-            bytes: Bytes::new(4 << 20),
-            time: Span::from_secs(20),
-        };
         let estimates = service.kinds.iter();
         let estimates = estimates.map(|kind| WorkEstimate::new(span(kind.objective_seconds), 1.0));
         let estimates: Vec<WorkEstimate> = estimates.collect();
         let mut simulation = Self {
             policy,
-            group: Group::new(bounds, at(0)),
+            group: Group::new(BOUNDS, at(0)),
             pools: vec![Pool::default(); service.instances],
             locations: (0..service.instances)
                 .map(|index| location(index, service.instances))
@@ -266,6 +283,8 @@
                 ..Totals::default()
             },
             decision_time: std::time::Duration::ZERO,
+            lost_ends: 0.0,
+            replaced_at: Vec::new(),
             service,
         };
         simulation.add_targets();
@@ -298,13 +317,59 @@
         for pool in &mut self.pools {
             pool.set_sender_ratio(ratio as f64);
         }
-        let views = targets.iter().map(|target| message::TargetView {
-            id: target.id.clone(),
-            slots: target.slots,
+        self.list_targets(0);
+    }
+
+    fn list_targets(&mut self, now: u64) {
+        let slots = self.service.slots as u32;
+        let views = (0..self.service.targets).map(|index| message::TargetView {
+            id: name(&format!("t{index}")),
+            slots,
             is_usable: true,
             is_cold: false,
         });
-        self.group.set_targets(views, at(0));
+        self.group.set_targets(views, at(now));
+    }
+
+    fn lease(&self, index: usize, request: &Request, now: u64) -> message::Lease {
+        let kind = self.service.kinds[request.kind];
+        let left = if request.is_running {
+            kind.deadline_seconds
+        } else {
+            0.0
+        };
+        message::Lease {
+            ticket: ticket(index),
+            target: name(&format!("t{}", request.target)),
+            object: Some(self.object(index)),
+            work: span(kind.cold_seconds * WARM_FRACTION),
+            age: Span::from_micros(now - request.sent),
+            deadline_left: span(left),
+        }
+    }
+
+    /// Begins a dispatcher that knows only what the instances tell it.
+    fn replace_dispatcher(&mut self, now: u64) {
+        self.group = Group::new(BOUNDS, at(now));
+        self.list_targets(now);
+        // Each instance tells its slots in use and the last slots that it used.
+        let granted = self.requests.iter().enumerate();
+        let granted = granted.filter(|(_, request)| request.is_granted);
+        let mut told = vec![0; self.service.instances];
+        let told = granted.rev().filter(|(_, request)| {
+            told[request.instance] += 1;
+            request.is_running || told[request.instance] <= TOLD
+        });
+        let mut leases: Vec<message::Lease> = told
+            .map(|(index, request)| self.lease(index, request, now))
+            .collect();
+        leases.reverse();
+        self.group.adopt(leases, at(now));
+        for index in 0..self.requests.len() {
+            if self.requests[index].is_asking {
+                self.schedule(now + TRIP_MICROS, Event::AskAgain(index));
+            }
+        }
     }
 
     /// Returns a random number below 1.
@@ -329,8 +394,10 @@
         }
         let busy = self.servers.iter().map(|server| server.busy_micros as f64);
         let mean = busy.clone().sum::<f64>() / self.servers.len() as f64;
+        let most = busy.fold(0.0, f64::max);
+        self.totals.busiest = most / mean;
+        self.totals.busiest_utilization = most / (end as f64 * self.service.slots as f64);
         self.totals.decision_micros = self.decision_time.as_micros() as f64;
-        self.totals.busiest = busy.fold(0.0, f64::max) / mean;
         self.totals
     }
 
@@ -358,6 +425,9 @@
         for micros in (0..end).step_by(BEACON_MICROS as usize) {
             self.schedule(micros, Event::Beacon);
         }
+        for seconds in self.replaced_at.clone() {
+            self.schedule(seconds * 1_000_000, Event::Replace);
+        }
     }
 
     fn add_request(&mut self, kind: usize, arrived: u64) {
@@ -380,6 +450,8 @@
             is_home: false,
             is_granted: false,
             is_tail,
+            is_asking: false,
+            is_running: false,
         });
         self.counts(self.requests.len() - 1).sent += 1;
         self.schedule(arrived, Event::Arrive(self.requests.len() - 1));
@@ -399,7 +471,8 @@
                 self.schedule(now + TRIP_MICROS, Event::Ask(index));
             }
             Event::Arrive(index) => self.choose(index, now),
-            Event::Ask(index) => {
+            Event::AskAgain(index) if !self.requests[index].is_asking => {}
+            Event::Ask(index) | Event::AskAgain(index) => {
                 let ask = self.ask(index, now);
                 self.decide(now, |group| group.ask(ask, at(now)));
             }
@@ -414,6 +487,7 @@
                 self.decide(now, |group| group.tick(at(now)));
             }
             Event::Beacon if self.policy == Policy::Beacons => self.share_loads(now),
+            Event::Replace => self.replace_dispatcher(now),
             Event::Tick | Event::Beacon => {}
         }
     }
@@ -434,6 +508,7 @@
 
     fn ask(&mut self, index: usize, now: u64) -> Ask {
         self.totals.messages += 1;
+        self.requests[index].is_asking = true;
         let request = &self.requests[index];
         let kind = self.service.kinds[request.kind];
         let work = &self.work[request.instance][request.kind];
@@ -464,7 +539,12 @@
                 is_warm,
             } => {
                 let index = ticket.number as usize;
-                self.requests[index].is_granted = true;
+                let request = &mut self.requests[index];
+                // A grant of the dispatcher that was replaced, to a request that has asked again.
+                if !std::mem::take(&mut request.is_asking) {
+                    return;
+                }
+                (request.is_granted, request.is_running) = (true, true);
                 self.send(index, &target, is_warm, false, now);
             }
             Decision::Wait { .. } => {}
@@ -472,7 +552,10 @@
                 ticket,
                 retry_after,
             } => {
-                self.refuse(ticket.number as usize, retry_after.as_secs_f64(), now);
+                let index = ticket.number as usize;
+                if std::mem::take(&mut self.requests[index].is_asking) {
+                    self.refuse(index, retry_after.as_secs_f64(), now);
+                }
             }
         }
     }
@@ -577,7 +660,10 @@
     fn report(&self, target: usize, now: u64) -> LoadReport {
         let server = &self.servers[target];
         // The usual pace varies a little.
-        let percent = if server.is_slow(now) { 300 } else { 100 };
+        let percent = match server.is_slow(now) {
+            true => 300,
+            false => 97 + now / 77 % 7,
+        };
         let is_told = self.policy != Policy::Alone { uses_pace: false };
         LoadReport {
             running: server.running as u32,
@@ -604,9 +690,9 @@
         let waited = request.started.saturating_sub(request.sent + TRIP_MICROS);
         let seconds = (now - request.started.max(request.sent)) as f64 / 1e6;
         let is_measured = is_answered && waited == 0;
-        let pool = &mut self.pools[request.instance];
         let id = name(&format!("t{}", request.target));
         if is_measured {
+            let pool = &mut self.pools[request.instance];
             let work = &mut self.work[request.instance][request.kind];
             let expected_seconds = work.expected_work_seconds(request.is_warm);
             if !request.is_warm && request.is_home {
@@ -625,8 +711,12 @@
                 work: is_measured.then(|| span(seconds)),
             };
             self.totals.messages += 1;
-            self.schedule(now + TRIP_MICROS, Event::End(index, end));
+            self.requests[index].is_running = false;
+            if self.lost_ends == 0.0 || self.next_random() >= self.lost_ends {
+                self.schedule(now + TRIP_MICROS, Event::End(index, end));
+            }
         } else {
+            let pool = &mut self.pools[request.instance];
             pool.record_report(&id, report, at(now));
             let ended = match is_answered {
                 true => TargetOutcome::Answered,
--- a/crates/sg-place/src/candidate.rs
+++ b/crates/sg-place/src/candidate.rs
@@ -224,7 +224,9 @@
         work * member.slowness(query.now) * cold_factor
     }
 
-    /// Returns the time by which the pace of the target's machine is expected to extend the work.
+    /// Returns the time by which the pace of the target's machine is expected to extend the work. The
+    /// highest-ranked target counts as warm: a pace that lasts for less than the work is no reason to run a
+    /// cold object elsewhere, because the next request about the object would find it cold there again.
     fn pace_seconds(
         &self,
         member: &Member,
@@ -233,12 +235,9 @@
         wait_seconds: f64,
     ) -> f64 {
         let query = self.query;
-        let usual_seconds = match (is_warm, is_highest_ranked) {
-            (true, _) => query.warm_work_seconds,
-            (false, true) => {
-                query.warm_work_seconds + query.saved_by_warmth_seconds() * query.cold_fraction
-            }
-            (false, false) => query.cold_work_seconds,
+        let usual_seconds = match is_warm || is_highest_ranked {
+            true => query.warm_work_seconds,
+            false => query.cold_work_seconds,
         };
         let paced_seconds = self.pace_persistence.expected_seconds(
             member.pace(),
--- a/crates/sg-place/tests/place/main.rs
+++ b/crates/sg-place/tests/place/main.rs
@@ -7,6 +7,7 @@
 mod limited_fleet;
 mod load;
 mod overload;
+mod paces;
 mod plans;
 mod properties;
 mod rate_limits;
