--- a/crates/sg-dispatch/tests/dispatch/main.rs
+++ b/crates/sg-dispatch/tests/dispatch/main.rs
@@ -2,6 +2,7 @@
 
 mod failures;
 mod fleets;
+mod invariants;
 mod loads;
 mod play;
 mod policies;
