--- a/crates/sg-dispatch/tests/dispatch/main.rs
+++ b/crates/sg-dispatch/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the assignment of slots on simulated loads, without a network.
 
+mod duty;
 mod failures;
 mod fleets;
 mod invariants;
