--- a/crates/sg-proxy/src/memory/victim.rs
+++ b/crates/sg-proxy/src/memory/victim.rs
@@ -15,6 +15,10 @@
 /// Age below which holds count as equally old, so that a hold isn't favoured for being new.
 const MIN_AGE: Span = Span::from_millis(100);
 
+/// Least ratio of the progress of a hold to that of one that gives up bytes for it. Callers with about the same
+/// progress would otherwise displace each other in turn, and what they sent would be lost.
+const MIN_ADVANTAGE: f64 = 2.0;
+
 /// Recent progress of a hold, in bytes, of which older ones count less.
 #[derive(Debug, Clone, Copy)]
 pub struct Progress {
@@ -67,6 +71,15 @@
         self.progress / (self.bytes.max(1) as f64 * self.age.max(MIN_AGE).as_secs_f64())
     }
 
+    /// Returns whether this hold gives up its bytes for `asking`.
+    fn yields_to(&self, asking: &Self) -> bool {
+        match self.stage.cmp(&asking.stage) {
+            Ordering::Less => true,
+            Ordering::Equal => self.merit() * MIN_ADVANTAGE < asking.merit(),
+            Ordering::Greater => false,
+        }
+    }
+
     /// Orders candidates by who gives up bytes first.
     fn cmp_order(&self, other: &Self) -> Ordering {
         let by_merit = || self.merit().total_cmp(&other.merit());
@@ -75,7 +88,7 @@
 }
 
 /// Returns the keys of the holds that give up at least `needed` bytes to the hold `asking`, least progress
-/// first, or `None` if the holds with less progress than that one have fewer bytes.
+/// first, or `None` if the holds with much less progress than that one have fewer bytes.
 #[must_use]
 pub fn choose(candidates: &[Candidate], asking: u64, needed: u64) -> Option<Vec<u64>> {
     let own = candidates
@@ -84,7 +97,7 @@
     let mut others: Vec<_> = candidates
         .iter()
         .filter(|other| other.stage != Stage::Kept && other.bytes > 0)
-        .filter(|other| other.key != asking && other.cmp_order(own) == Ordering::Less)
+        .filter(|other| other.key != asking && other.yields_to(own))
         .collect();
     others.sort_unstable_by(|a, b| a.cmp_order(b).then(a.key.cmp(&b.key)));
     let mut freed = 0;
--- a/crates/sg-proxy/tests/proxy/memory.rs
+++ b/crates/sg-proxy/tests/proxy/memory.rs
@@ -30,6 +30,19 @@
     assert_eq!(victim::choose(&all, 2, 1), None);
 }
 
+/// Guards against callers of about the same speed displacing each other until none completes.
+#[test]
+fn holds_with_about_the_same_progress_keep_their_bytes() {
+    let own = candidate(1, Stage::Open, 16 << 20, 4, 8e6);
+    let similar = candidate(2, Stage::Open, 16 << 20, 4, 5e6);
+    let stalled = candidate(3, Stage::Open, 16 << 20, 4, 3e6);
+    assert_eq!(victim::choose(&[own, similar], 1, 1), None);
+    assert_eq!(
+        victim::choose(&[own, similar, stalled], 1, 1),
+        Some(vec![3])
+    );
+}
+
 /// Guards against losing work at targets, or never evicting it when nothing else is left.
 #[test]
 fn forwarded_requests_come_last_and_kept_holds_never() {
