--- a/crates/sg-proxy/tests/proxy/bodies.rs
+++ b/crates/sg-proxy/tests/proxy/bodies.rs
@@ -137,6 +137,15 @@
     assert!((3..=4_096).contains(&held), "{held}");
 }
 
+/// Guards against a head of legal size costing many times its size as fields.
+#[tokio::test]
+async fn thousands_of_fields_are_refused() {
+    let instance = start(&[]).await;
+    let fields = "a:b\r\n".repeat(2_000);
+    let request = format!("GET /once/x HTTP/1.1\r\nhost: h\r\nid: a\r\n{fields}\r\n");
+    assert_eq!(status(&instance.send(&request).await), 431);
+}
+
 /// Guards against chunks of a byte keeping the buffers alive that they were read into.
 #[tokio::test]
 async fn chunks_of_a_byte_cost_about_their_bytes() {
--- a/crates/sg-proxy/tests/proxy/harness.rs
+++ b/crates/sg-proxy/tests/proxy/harness.rs
@@ -381,7 +381,8 @@
             let core = handler_core.clone();
             async move { sg_proxy::serve(&core, request).await }
         };
-        tokio::spawn(server::run(
+        tokio::spawn(server::run_within(
+            core.memory.clone(),
             listener,
             timer,
             options,
