--- a/crates/sg-proxy/src/server.rs
+++ b/crates/sg-proxy/src/server.rs
@@ -53,6 +53,28 @@
     pub budget: Arc<Budget>,
 }
 
+impl Options {
+    /// Returns options without a limit on memory, whose counter no registry has.
+    ///
+    /// # Panics
+    /// Never, because the name of the counter is valid.
+    #[must_use]
+    pub fn unlimited(
+        max_head_bytes: usize,
+        header_timeout: Duration,
+        max_connections: usize,
+    ) -> Self {
+        let name = prometheus::Opts::new("early_ends", "Connections that ended early.");
+        Self {
+            max_head_bytes,
+            header_timeout,
+            max_connections,
+            early_ends: IntCounterVec::new(name, &["cause"]).expect("a valid name"),
+            budget: Budget::new(Bytes::new(u64::MAX), Timer::new()),
+        }
+    }
+}
+
 /// Request extension that states when the head of the request was read from the socket. A request may have
 /// waited since then for the responses to requests before it on the connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -293,7 +315,9 @@
             self.timer.sleep_until(until).await;
         }
         let until = response.extensions_mut().remove::<Until>();
-        let delivery = self.socket.start_response(until.map(|until| until.0));
+        let until = until.map(|until| until.0);
+        let is_received = response.body().is_received();
+        let delivery = self.socket.start_response(until, is_received);
         let load = self.slot.set_idle(self.timer.now());
         limit_reuse(
             &mut response,
--- a/crates/sg-proxy/tests/proxy/lingering.rs
+++ b/crates/sg-proxy/tests/proxy/lingering.rs
@@ -44,7 +44,7 @@
 async fn last_response_of_a_stop_arrives_whole_before_further_requests() {
     let step = Step::RespondAfter(200, large_response(LARGE));
     let target = ScriptedTarget::start(vec![step]).await;
-    let instance = Instance::start_with_small_buffers(&[&target]).await;
+    let instance = Instance::start(&[&target]).await;
     let mut caller = connect_slowly(&instance).await;
     let first = kept_get("/safe/x", "a0");
     caller.write_all(first.as_bytes()).await.expect("a write");
@@ -68,7 +68,7 @@
 #[tokio::test]
 async fn closing_connection_waits_for_a_caller_that_pauses() {
     let target = ScriptedTarget::start(vec![Step::Respond(large_response(LARGE))]).await;
-    let instance = Instance::start_with_small_buffers(&[&target]).await;
+    let instance = Instance::start(&[&target]).await;
     let mut caller = connect_slowly(&instance).await;
     let request = get("/safe/x", "a0").replace("deadline: 1000", "deadline: 9000");
     caller.write_all(request.as_bytes()).await.expect("a write");
