--- a/crates/sg-proxy/src/body.rs
+++ b/crates/sg-proxy/src/body.rs
@@ -240,6 +240,12 @@
 }
 
 impl Body {
+    /// Returns whether all of the data is in memory.
+    #[must_use]
+    pub fn is_received(&self) -> bool {
+        matches!(self, Self::Buffered(_))
+    }
+
     /// Returns a body with all of its data in memory.
     #[must_use]
     pub fn buffered(bytes: Bytes) -> Self {
--- a/crates/sg-proxy/src/server.rs
+++ b/crates/sg-proxy/src/server.rs
@@ -57,6 +57,30 @@
     pub budget: Arc<Budget>,
 }
 
+impl Options {
+    /// Returns options without a limit on memory, whose counters no registry has.
+    ///
+    /// # Panics
+    /// Never, because the names of the counters are valid.
+    #[must_use]
+    pub fn unlimited(
+        max_head_bytes: usize,
+        header_timeout: Duration,
+        max_connections: usize,
+    ) -> Self {
+        let name = prometheus::Opts::new("early_ends", "Connections that ended early.");
+        Self {
+            max_head_bytes,
+            header_timeout,
+            max_connections,
+            early_ends: IntCounterVec::new(name, &["cause"]).expect("a valid name"),
+            started_early: IntCounter::new("started_early", "Requests that were started early.")
+                .expect("a valid name"),
+            budget: Budget::new(Bytes::new(u64::MAX), Timer::new()),
+        }
+    }
+}
+
 /// Decisions about callers' connections that depend on the configuration.
 pub trait Policy: Clone + Send + Sync + 'static {
     /// Returns the time in which the head of a request has to be complete once its first byte was read.
@@ -328,7 +352,9 @@
             self.timer.sleep_until(until).await;
         }
         let until = response.extensions_mut().remove::<Until>();
-        let delivery = self.socket.start_response(until.map(|until| until.0));
+        let until = until.map(|until| until.0);
+        let is_received = response.body().is_received();
+        let delivery = self.socket.start_response(until, is_received);
         if self.pipeline.lock().is_empty() {
             let load = self.slot.set_idle(self.timer.now());
             limit_reuse(
--- a/crates/sg-proxy/src/stream/mod.rs
+++ b/crates/sg-proxy/src/stream/mod.rs
@@ -39,7 +39,8 @@
 /// Time without bytes from the caller after which a lingering connection closes: some round trips between
 /// regions, in which the caller sees the end of the stream and closes its side.
 const LINGER_IDLE: Span = Span::from_secs(1);
-/// Maximum time for which a connection lingers while the caller still sends.
+/// Maximum time for which a connection lingers while the caller still sends, or reads a large response, unless
+/// the time of its request is longer.
 const LINGER_TIME: Span = Span::from_secs(5);
 /// Maximum number of bytes that a lingering connection discards.
 const LINGER_BYTES: usize = 16 << 20;
@@ -96,11 +97,13 @@
         self.state.lock().progress.start_request(length, now)
     }
 
-    /// Records that the response is ready. The caller may take until `until` to read it.
+    /// Records that the response is ready, and whether it is in memory. The caller may take until `until` to
+    /// read it.
     #[must_use]
-    pub fn start_response(self: &Arc<Self>, until: Option<Instant>) -> Delivery {
+    pub fn start_response(self: &Arc<Self>, until: Option<Instant>, is_received: bool) -> Delivery {
         let until = until.unwrap_or_else(|| self.timer.now());
-        self.state.lock().progress.start_response(until);
+        let progress = &mut self.state.lock().progress;
+        progress.start_response(until, is_received);
         Delivery(self.clone())
     }
 
@@ -171,7 +174,7 @@
         let mut bytes_left = LINGER_BYTES;
         loop {
             let idle_limit = (self.timer.now() + LINGER_IDLE).min(limit);
-            let wait_limit = patient_until.map_or(idle_limit, |until| until.max(idle_limit));
+            let wait_limit = patient_until.map_or(idle_limit, |until| until.max(limit));
             let readable = self.timer.until(wait_limit, self.stream.readable()).await;
             if !matches!(readable, Ok(Ok(()))) || !self.discard(&mut bytes_left) {
                 return;
--- a/crates/sg-proxy/src/stream/progress.rs
+++ b/crates/sg-proxy/src/stream/progress.rs
@@ -70,8 +70,10 @@
 enum Phase {
     /// Waits for a request since a time.
     Idle(Instant),
-    /// Handles a request, or takes its response.
+    /// Handles a request, or takes its response while that arrives.
     Busy,
+    /// Takes a response that is in memory.
+    Delivering,
     /// Writes the rest of a response to the socket.
     Flushing,
 }
@@ -131,7 +133,7 @@
         let read_at = self.ahead.last_taken();
         let behind = match self.phase {
             Phase::Idle(since) => Some(since).filter(|since| read_at < *since),
-            Phase::Busy | Phase::Flushing => Some(now),
+            Phase::Busy | Phase::Delivering | Phase::Flushing => Some(now),
         };
         self.phase = Phase::Busy;
         self.is_cut |= self.end.is_some();
@@ -144,9 +146,13 @@
         Arrival { read_at, behind }
     }
 
-    /// Records that the response is ready. The caller may take until `until` to read it.
-    pub fn start_response(&mut self, until: Instant) {
+    /// Records that the response is ready, and whether it is in memory, so that a caller that has closed its
+    /// side still gets it. The caller may take until `until` to read it.
+    pub fn start_response(&mut self, until: Instant, is_received: bool) {
         self.until = until;
+        if is_received {
+            self.phase = Phase::Delivering;
+        }
     }
 
     /// Records that the HTTP library has taken the response completely.
@@ -198,7 +204,7 @@
                 let late_at = started.max(since) + head_timeout();
                 (late_at, Check::End(Ending::LateHead))
             }),
-            Phase::Busy | Phase::Flushing => None,
+            Phase::Busy | Phase::Delivering | Phase::Flushing => None,
         };
         let stall = self.stalled_since.map(|since| {
             let stalled_at = self.until.max(since + STALL_TIME);
