fix(sg-mesh): an unreadable beacon leaves the others of its digest readable

Cause: a digest was decoded as one list, so the beacon of one instance that this build can't read discarded those of its whole failure domain, whose instances then counted as gone.

Change: each beacon of a digest is decoded by itself; one that can't be read is left out with a debug line.

Measured: beacon_that_cannot_be_read_leaves_the_others_readable fails on the source before and passes now; the 23 tests of digest::, compat:: and store:: of sg-mesh pass.

--- a/crates/sg-mesh/src/digest.rs
+++ b/crates/sg-mesh/src/digest.rs
@@ -8,6 +8,7 @@
 
 use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use sg_types::prelude::*;
 
 use crate::frame::{Beacon, MAX_FRAME_BYTES};
@@ -96,16 +97,24 @@
         Ok(digests)
     }
 
-    /// Returns the beacons.
+    /// Returns the beacons. One that this build can't read is left out, because it must not hold back those of
+    /// the other instances of its failure domain.
     ///
     /// # Errors
-    /// Returns [`Error`] if the content is damaged or has another form.
+    /// Returns [`Error`] if the content is damaged or no list.
     pub fn unpack(&self) -> Result<Vec<Heard>, Error> {
         let mut json = Vec::new();
         DeflateDecoder::new(self.content.as_slice())
             .take(MAX_CONTENT_BYTES)
             .read_to_end(&mut json)?;
-        Ok(serde_json::from_slice(&json)?)
+        let beacons: Vec<&RawValue> = serde_json::from_slice(&json)?;
+        let read = beacons.into_iter().filter_map(|beacon| {
+            let heard = serde_json::from_str(beacon.get());
+            heard
+                .inspect_err(|error| log::debug!(error:% = error; "beacon skipped"))
+                .ok()
+        });
+        Ok(read.collect())
     }
 
     /// Returns the bytes of the datagram.
--- a/crates/sg-mesh/tests/mesh/digest.rs
+++ b/crates/sg-mesh/tests/mesh/digest.rs
@@ -1,5 +1,8 @@
 //! Digests carry all beacons, in datagrams that fit, and are read once.
 
+use std::io::Write as _;
+
+use flate2::{Compression, write::DeflateEncoder};
 use quickcheck::quickcheck;
 use sg_mesh::{
     Members,
@@ -80,6 +83,24 @@
     assert!(Frame::decode(&bytes).is_err());
 }
 
+/// Guards against all instances of a failure domain counting as gone because of the beacon of one, of a later
+/// build.
+#[test]
+fn beacon_that_cannot_be_read_leaves_the_others_readable() {
+    let beacons = heard(3);
+    let mut json = serde_json::to_value(&beacons).expect("JSON");
+    json[1]["beacon"]["rates"] = serde_json::json!("none");
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder
+        .write_all(json.to_string().as_bytes())
+        .expect("a buffer");
+    let content = encoder.finish().expect("a buffer");
+    let header = pack(&beacons)[0].encode()[..18].to_vec();
+    let digest = Digest::decode(&[header, content].concat()).expect("a digest");
+    let read = digest.unpack().expect("beacons");
+    assert_eq!(read, [beacons[0].clone(), beacons[2].clone()]);
+}
+
 /// A digest may arrive after a beacon that its sender did not have yet.
 #[test]
 fn older_beacon_from_a_digest_does_not_replace_a_newer_one() {
