--- a/crates/sg-dispatch/tests/dispatch/fleets.rs
+++ b/crates/sg-dispatch/tests/dispatch/fleets.rs
@@ -1,6 +1,9 @@
 //! What callers get with and without a dispatcher.
 
-use crate::simulation::{Counts, Kind, Policy, Service, Simulation, Totals};
+use crate::{
+    service::{Counts, Kind, Policy, Service, Totals},
+    simulation::Simulation,
+};
 
 const fn kind(per_second: f64, cold: f64, objective: f64, deadline: f64, priority: u32) -> Kind {
     Kind {
--- a/crates/sg-dispatch/tests/dispatch/main.rs
+++ b/crates/sg-dispatch/tests/dispatch/main.rs
@@ -8,4 +8,5 @@
 mod policies;
 mod properties;
 mod room;
+mod service;
 mod simulation;
--- a/crates/sg-dispatch/tests/dispatch/simulation.rs
+++ b/crates/sg-dispatch/tests/dispatch/simulation.rs
@@ -1,33 +1,32 @@
 //! Simulates the instances and the targets of one service in one region.
 
-use std::collections::{BTreeMap, VecDeque};
+mod alone;
+mod dispatched;
 
-use sg_dispatch::{Ask, Bid, Decision, Group, Ticket, message, room::Bounds};
+use std::collections::BTreeMap;
+
+use sg_dispatch::{Decision, Group, Ticket, message, room::Bounds};
 use sg_place::{
     Pool, Target,
     hash::Object,
     location::{Location, RoundTrips},
     member::{LoadReport, TargetOutcome},
     pace::Pace,
-    pool::{Query, Rejection},
     shift_limit::ShiftLimiter,
     work_estimate::WorkEstimate,
 };
 use sg_types::prelude::*;
 
+use crate::service::{
+    Counts, Policy, SLOW_EVERY_MICROS, SLOW_MICROS, Server, Service, TAIL_FACTOR, Totals,
+    WARM_FRACTION,
+};
+
 /// One-way time between two machines of the region.
 const TRIP_MICROS: u64 = 1_000;
 /// Period of the arrivals, and how far they vary around their mean.
 const PERIOD_MICROS: f64 = 36e6;
 const VARIATION: f64 = 0.55;
-/// How long a machine stays slow, the mean time between, and the factor.
-const SLOW_MICROS: u64 = 600_000;
-const SLOW_EVERY_MICROS: f64 = 6e6;
-const SLOW_FACTOR: f64 = 3.0;
-/// Fraction of the work that a request about a warm object needs.
-const WARM_FRACTION: f64 = 0.3;
-/// A tail request takes this many times the work.
-const TAIL_FACTOR: f64 = 7.0;
 /// Requests that wait at a target at most, per slot.
 const QUEUE_PER_SLOT: usize = 1;
 const OBJECTS_PER_TARGET: usize = 10;
@@ -43,72 +42,6 @@
     time: Span::from_secs(20),
 };
 
-/// Requests of one route.
-#[derive(Debug, Clone, Copy)]
-pub struct Kind {
-    pub per_second: f64,
-    pub cold_seconds: f64,
-    pub objective_seconds: f64,
-    pub deadline_seconds: f64,
-    pub priority: u32,
-    /// Fraction of requests that need far more work.
-    pub tail: f64,
-}
-
-/// A service in one region.
-#[derive(Debug, Clone)]
-pub struct Service {
-    pub instances: usize,
-    pub targets: usize,
-    pub slots: usize,
-    pub kinds: Vec<Kind>,
-}
-
-/// Who decides, and on what knowledge.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Policy {
-    /// Each instance, from its own responses.
-    Alone { uses_pace: bool },
-    /// Each instance, with the loads of all targets in beacons.
-    Beacons,
-    /// Each instance, for the targets that it ranks highest for only.
-    Senders { per_target: usize },
-    /// The dispatcher.
-    Dispatcher,
-}
-
-/// What the callers of a kind got.
-#[derive(Debug, Default, Clone, Copy)]
-pub struct Counts {
-    pub sent: u32,
-    pub within_objective: u32,
-    pub served: u32,
-}
-
-impl Counts {
-    pub fn share(&self) -> f64 {
-        f64::from(self.within_objective) / f64::from(self.sent.max(1))
-    }
-}
-
-#[derive(Debug, Default)]
-pub struct Totals {
-    /// Counts by kind, of requests that arrived in the first 8 s and later.
-    pub start: Vec<Counts>,
-    pub later: Vec<Counts>,
-    pub cold_runs: u32,
-    pub runs: u32,
-    pub refused_by_targets: u32,
-    /// Time that requests took at the busiest target over the mean.
-    pub busiest: f64,
-    /// Part of its slots that the requests used at the busiest target.
-    pub busiest_utilization: f64,
-    /// Time that the decisions of the dispatcher took.
-    pub decision_micros: f64,
-    /// Messages between instances and the dispatcher.
-    pub messages: u32,
-}
-
 #[derive(Clone)]
 struct Request {
     kind: usize,
@@ -131,48 +64,6 @@
     is_running: bool,
 }
 
-#[derive(Default)]
-struct Server {
-    running: usize,
-    waiting: VecDeque<usize>,
-    capacity: usize,
-    warm: Vec<u64>,
-    /// Starts of the times in which the machine is slow.
-    slow: Vec<u64>,
-    /// Time that the requests took together.
-    busy_micros: u64,
-}
-
-impl Server {
-    fn is_slow(&self, at: u64) -> bool {
-        self.slow_end(at).is_some()
-    }
-
-    fn slow_end(&self, at: u64) -> Option<u64> {
-        let index = self.slow.partition_point(|from| *from <= at);
-        let from = self.slow.get(index.checked_sub(1)?)?;
-        (from + SLOW_MICROS > at).then_some(from + SLOW_MICROS)
-    }
-
-    /// Returns when work that begins at `at` ends.
-    fn end_of(&self, at: u64, seconds: f64) -> u64 {
-        let (mut now, mut left) = (at, seconds * 1e6);
-        loop {
-            let slow_end = self.slow_end(now);
-            let index = self.slow.partition_point(|from| *from <= now);
-            let next_slow = self.slow.get(index).copied().unwrap_or(u64::MAX);
-            let until = slow_end.map_or(next_slow, |end| end.min(next_slow));
-            let factor = if slow_end.is_some() { SLOW_FACTOR } else { 1.0 };
-            let possible = (until - now) as f64 / factor;
-            if possible >= left {
-                return now + (left * factor) as u64;
-            }
-            left -= possible;
-            now = until;
-        }
-    }
-}
-
 enum Event {
     Arrive(usize),
     Ask(usize),
@@ -320,58 +211,6 @@
         self.list_targets(0);
     }
 
-    fn list_targets(&mut self, now: u64) {
-        let slots = self.service.slots as u32;
-        let views = (0..self.service.targets).map(|index| message::TargetView {
-            id: name(&format!("t{index}")),
-            slots,
-            is_usable: true,
-            is_cold: false,
-        });
-        self.group.set_targets(views, at(now));
-    }
-
-    fn lease(&self, index: usize, request: &Request, now: u64) -> message::Lease {
-        let kind = self.service.kinds[request.kind];
-        let left = if request.is_running {
-            kind.deadline_seconds
-        } else {
-            0.0
-        };
-        message::Lease {
-            ticket: ticket(index),
-            target: name(&format!("t{}", request.target)),
-            object: Some(self.object(index)),
-            work: span(kind.cold_seconds * WARM_FRACTION),
-            age: Span::from_micros(now - request.sent),
-            deadline_left: span(left),
-        }
-    }
-
-    /// Begins a dispatcher that knows only what the instances tell it.
-    fn replace_dispatcher(&mut self, now: u64) {
-        self.group = Group::new(BOUNDS, at(now));
-        self.list_targets(now);
-        // Each instance tells its slots in use and the last slots that it used.
-        let granted = self.requests.iter().enumerate();
-        let granted = granted.filter(|(_, request)| request.is_granted);
-        let mut told = vec![0; self.service.instances];
-        let told = granted.rev().filter(|(_, request)| {
-            told[request.instance] += 1;
-            request.is_running || told[request.instance] <= TOLD
-        });
-        let mut leases: Vec<message::Lease> = told
-            .map(|(index, request)| self.lease(index, request, now))
-            .collect();
-        leases.reverse();
-        self.group.adopt(leases, at(now));
-        for index in 0..self.requests.len() {
-            if self.requests[index].is_asking {
-                self.schedule(now + TRIP_MICROS, Event::AskAgain(index));
-            }
-        }
-    }
-
     /// Returns a random number below 1.
     fn next_random(&mut self) -> f64 {
         self.random ^= self.random << 13;
@@ -492,111 +331,10 @@
         }
     }
 
-    fn decide(&mut self, now: u64, decide: impl FnOnce(&mut Group) -> Vec<Decision>) {
-        let began = std::time::Instant::now();
-        let decisions = decide(&mut self.group);
-        self.decision_time += began.elapsed();
-        self.totals.messages += decisions.len() as u32;
-        for decision in decisions {
-            self.schedule(now + TRIP_MICROS, Event::Decided(decision));
-        }
-    }
-
     fn object(&self, index: usize) -> Object {
         Object::new("objects", self.requests[index].object)
     }
 
-    fn ask(&mut self, index: usize, now: u64) -> Ask {
-        self.totals.messages += 1;
-        self.requests[index].is_asking = true;
-        let request = &self.requests[index];
-        let kind = self.service.kinds[request.kind];
-        let work = &self.work[request.instance][request.kind];
-        let waited = (now - request.arrived) as f64 / 1e6;
-        Ask {
-            ticket: ticket(index),
-            object: Some(self.object(index)),
-            bid: Bid {
-                priority: kind.priority,
-                objective_left: span(kind.objective_seconds - waited),
-                deadline_left: span(kind.deadline_seconds - waited),
-                work: span(work.expected_work_seconds(false)),
-                waited: span(waited),
-                account: None,
-                route: name(&format!("route-{}", request.kind)),
-            },
-            warm_work: span(work.expected_work_seconds(true)),
-            cold_work: span(work.expected_work_seconds(false)),
-            excluded: request.tried.clone(),
-        }
-    }
-
-    fn follow(&mut self, decision: Decision, now: u64) {
-        match decision {
-            Decision::Grant {
-                ticket,
-                target,
-                is_warm,
-            } => {
-                let index = ticket.number as usize;
-                let request = &mut self.requests[index];
-                // A grant of the dispatcher that was replaced, to a request that has asked again.
-                if !std::mem::take(&mut request.is_asking) {
-                    return;
-                }
-                (request.is_granted, request.is_running) = (true, true);
-                self.send(index, &target, is_warm, false, now);
-            }
-            Decision::Wait { .. } => {}
-            Decision::Reject {
-                ticket,
-                retry_after,
-            } => {
-                let index = ticket.number as usize;
-                if std::mem::take(&mut self.requests[index].is_asking) {
-                    self.refuse(index, retry_after.as_secs_f64(), now);
-                }
-            }
-        }
-    }
-
-    /// Chooses a target as an instance that decides alone.
-    fn choose(&mut self, index: usize, now: u64) {
-        let request = &self.requests[index];
-        let kind = self.service.kinds[request.kind];
-        let work = &self.work[request.instance][request.kind];
-        let object = self.object(index);
-        let query = Query {
-            object: Some(object),
-            placement_key: object,
-            may_leave_region: false,
-            warm_work_seconds: work.expected_work_seconds(true),
-            cold_work_seconds: work.expected_work_seconds(false),
-            cold_fraction: work.cold_fraction(),
-            typical_work_seconds: work.typical_work_seconds(),
-            tried: &request.tried,
-            home_regions: &[],
-            account_home_regions: &[],
-            cold_rate: 0.0,
-            remaining_seconds: kind.deadline_seconds - (now - request.arrived) as f64 / 1e6,
-            shift_limiter: &self.limiter,
-            now: at(now),
-        };
-        let instance = request.instance;
-        let pool = &mut self.pools[instance];
-        match pool.choose(&query, &self.locations[instance], &IndexSet::new()) {
-            Ok(choice) => {
-                pool.record_send(&choice.target.id, Some(object), at(now));
-                let is_home = choice.is_highest_ranked;
-                self.send(index, &choice.target.id, choice.warm, is_home, now);
-            }
-            Err(Rejection::NoRoom(seconds) | Rejection::Paused(seconds)) => {
-                self.refuse(index, seconds, now);
-            }
-            Err(Rejection::NoTarget) => {}
-        }
-    }
-
     fn send(&mut self, index: usize, target: &id::Target, warm: bool, home: bool, now: u64) {
         let request = &mut self.requests[index];
         request.target = target.as_str()[1..].parse().expect("a number");
@@ -604,23 +342,6 @@
         self.schedule(now + TRIP_MICROS, Event::Reach(index));
     }
 
-    /// Tells the caller to retry, once.
-    fn refuse(&mut self, index: usize, retry_after_seconds: f64, now: u64) {
-        let request = &mut self.requests[index];
-        let deadline_seconds = self.service.kinds[request.kind].deadline_seconds;
-        let left = deadline_seconds - (now - request.arrived) as f64 / 1e6;
-        if request.is_retry || retry_after_seconds > left / 3.0 {
-            return;
-        }
-        request.is_retry = true;
-        request.tried.clear();
-        let pause = (retry_after_seconds * 1e6) as u64;
-        // The retry has a ticket of its own.
-        let retry = request.clone();
-        self.requests.push(retry);
-        self.schedule(now + pause, Event::Arrive(self.requests.len() - 1));
-    }
-
     fn reach(&mut self, index: usize, now: u64) {
         let request = &self.requests[index];
         let server = &mut self.servers[request.target];
@@ -739,28 +460,6 @@
         counts.served += u32::from(seconds <= kind.deadline_seconds);
         counts.within_objective += u32::from(seconds <= kind.objective_seconds);
     }
-
-    /// Sends a request that a target refused to a second one, chosen by the instance.
-    fn try_next(&mut self, index: usize, refused: id::Target, now: u64) {
-        let mut next = self.requests[index].clone();
-        if !next.tried.is_empty() {
-            return;
-        }
-        next.tried.push(refused);
-        next.is_granted = false;
-        self.requests.push(next);
-        self.choose(self.requests.len() - 1, now);
-    }
-
-    fn share_loads(&mut self, now: u64) {
-        for index in 0..self.servers.len() {
-            let report = self.report(index, now);
-            let id: id::Target = name(&format!("t{index}"));
-            for pool in &mut self.pools {
-                pool.record_report(&id, report, at(now));
-            }
-        }
-    }
 }
 
 fn ticket(index: usize) -> Ticket {
