fix(sg-dispatch): forget the plan of an object whose waiting request is gone

Cause: after the waiting request for a cold object was rejected or cancelled, its target still counted as the place where the object would be warm, so the next request expected warm work there. Change: the plan ends with the wait.

--- a/crates/sg-dispatch/src/group/waiting.rs
+++ b/crates/sg-dispatch/src/group/waiting.rs
@@ -35,7 +35,9 @@
     /// Removes a request that needs no slot any more.
     pub(super) fn withdraw(&mut self, ticket: Ticket, now: Instant) {
         if let Some(promise) = self.waiting.swap_remove(&ticket) {
-            self.room.remove(|waiting| waiting.ticket == ticket);
+            if let Some(waiting) = self.room.remove(|waiting| waiting.ticket == ticket) {
+                self.placements.unplan(waiting.need.object, waiting.place);
+            }
             self.table
                 .change(promise.place, now, |target| target.queued -= 1);
         }
@@ -116,6 +118,7 @@
         now: Instant,
     ) -> Decision {
         self.waiting.swap_remove(&waiting.ticket);
+        self.placements.unplan(waiting.need.object, waiting.place);
         self.table
             .change(waiting.place, now, |target| target.queued -= 1);
         self.reject(waiting.ticket, retry_after)
--- a/crates/sg-dispatch/src/placement.rs
+++ b/crates/sg-dispatch/src/placement.rs
@@ -90,6 +90,13 @@
         }
     }
 
+    /// Records that a request about `object` does not wait for `place` any more.
+    pub fn unplan(&mut self, object: Option<Object>, place: Place) {
+        if let Some(entry) = object.and_then(|object| self.objects.get(&object)) {
+            entry.planned = entry.planned.filter(|planned| *planned != place);
+        }
+    }
+
     /// Records that `object` is no longer warm at `place`.
     pub fn evict(&mut self, object: Object, place: Place) {
         if let Some(entry) = self.objects.get(&object) {
