--- a/crates/sg-dispatch/tests/dispatch/main.rs
+++ b/crates/sg-dispatch/tests/dispatch/main.rs
@@ -9,4 +9,5 @@
 mod policies;
 mod properties;
 mod room;
+mod service;
 mod simulation;
