feat(sg-dispatch): price from the wait and what the objectives leave

Cause: an average of what objectives leave lets the requests with long objectives set the wait of all, and a price that integrates over time overshoots when waits are known a second late. Change: average of the inverse; the refused part is a half where the wait is what objectives leave.

--- a/crates/sg-dispatch/src/price.rs
+++ b/crates/sg-dispatch/src/price.rs
@@ -11,11 +11,14 @@
 
 /// Number of recent requests whose bids are compared. One in a hundred of their work can be told apart.
 const RECENT: usize = 128;
+/// Least time that a request is taken to have, against a division by zero.
+const LEAST_SECONDS: f64 = 1e-9;
 /// Weight of a request in the averages of waits and times left.
 const SMOOTHING: f64 = 1.0 / 32.0;
 /// Fraction of the time left that a wait may take where the work alone exceeds the objective. Such requests
-/// gain nothing from a queue, but without any wait the price could never fall while all objects are cold.
-const FALLBACK_FRACTION: f64 = 0.005;
+/// gain little from a queue, but with a shorter wait the order of the requests would hardly matter: those
+/// that find a free slot by chance would get it. At a tenth, callers get less of the worth in simulation.
+const FALLBACK_FRACTION: f64 = 0.03;
 /// Fractional part of the golden ratio. Its multiples modulo 1 are evenly spread for any number of them.
 const SPREAD_STEP: f64 = 0.618_033_988_749_895;
 
@@ -28,17 +31,18 @@
     Stopped,
 }
 
-/// Price of a slot: the fraction of the recent demand, last in the order, that is refused. The fraction that
-/// is admitted falls in proportion as expected waits exceed what the objectives leave, so it depends on
-/// nothing but the recent requests and doesn't overshoot when the waits are known late.
+/// Price of a slot: the fraction of the recent demand, last in the order, that is refused. The fraction is a
+/// half when the expected wait is what the objectives leave, and rises and falls with the wait. It depends on
+/// nothing but the recent requests, so it doesn't overshoot when waits are known late.
 #[derive(Debug, Clone)]
 pub struct Price {
     fairness: Fairness,
     recent: VecDeque<(Rank, f64)>,
     /// Average expected wait, in seconds.
     wait: f64,
-    /// Average time that the requests can wait, in seconds.
-    room: f64,
+    /// Average of the inverse of the time that each request can wait. Requests share one queue, so those that
+    /// can wait least count most.
+    urgency: f64,
     refused_fraction: f64,
     judged: u64,
     /// Time of the last refusal, while requests are refused.
@@ -55,7 +59,7 @@
             fairness: Fairness::new(horizon),
             recent: VecDeque::with_capacity(RECENT),
             wait: 0.0,
-            room: 0.0,
+            urgency: 0.0,
             refused_fraction: 0.0,
             judged: 0,
             refused_at: None,
@@ -112,12 +116,9 @@
         let weight = if self.judged == 0 { 1.0 } else { SMOOTHING };
         self.judged += 1;
         self.wait += (wait.as_secs_f64() - self.wait) * weight;
-        self.room += (room - self.room) * weight;
-        self.refused_fraction = if self.wait > self.room {
-            1.0 - self.room / self.wait
-        } else {
-            0.0
-        };
+        self.urgency += (1.0 / room.max(LEAST_SECONDS) - self.urgency) * weight;
+        let ratio = self.wait * self.urgency;
+        self.refused_fraction = ratio / (ratio + 1.0);
     }
 
     /// Returns the part of the recent demand that precedes a request of this rank. Among requests of equal
