--- a/crates/sg-dispatch/src/order.rs
+++ b/crates/sg-dispatch/src/order.rs
@@ -51,6 +51,14 @@
         self.rank_with(standing, self.is_late())
     }
 
+    /// Returns a rank that no request of the same priority and standing precedes.
+    pub(crate) fn least_rank(&self, standing: Standing) -> Rank {
+        Rank {
+            work: Span::ZERO,
+            ..self.rank_with(standing, false)
+        }
+    }
+
     /// Returns the place of the request, given whether it would miss its objective.
     pub(crate) fn rank_with(&self, standing: Standing, is_late: bool) -> Rank {
         Rank {
--- a/crates/sg-dispatch/src/room.rs
+++ b/crates/sg-dispatch/src/room.rs
@@ -327,17 +327,39 @@
 
     /// Returns the places of all waiting requests, with their class and index.
     fn places(&self, now: Instant) -> impl Iterator<Item = (Place, usize, usize)> + '_ {
-        let classes = self.classes.values().enumerate();
-        classes.flat_map(move |(class, waiting)| {
-            let standing = waiting.standing;
-            let entries = waiting.entries.iter().enumerate();
-            entries.map(move |(index, entry)| {
-                let rank = entry.bid.rank_with(standing, entry.is_late(now));
-                ((rank, entry.wait_ends(), entry.number), class, index)
-            })
+        let classes = 0..self.classes.len();
+        classes.flat_map(move |class| self.places_in(class, now))
+    }
+
+    /// Returns the places of the waiting requests of one class.
+    fn places_in(
+        &self,
+        class: usize,
+        now: Instant,
+    ) -> impl Iterator<Item = (Place, usize, usize)> + '_ {
+        let waiting = &self.classes[class];
+        let entries = waiting.entries.iter().enumerate();
+        entries.map(move |(index, entry)| {
+            let rank = entry.bid.rank_with(waiting.standing, entry.is_late(now));
+            ((rank, entry.wait_ends(), entry.number), class, index)
         })
     }
 
+    /// Returns the first servable request. Classes are passed over if all of their requests come later.
+    fn first(&self, now: Instant) -> Option<(Place, usize, usize)> {
+        let mut first: Option<(Place, usize, usize)> = None;
+        for (class, waiting) in self.classes.values().enumerate() {
+            let least = waiting.entries[0].bid.least_rank(waiting.standing);
+            if first.is_some_and(|((rank, ..), ..)| rank < least) {
+                continue;
+            }
+            let servable = self.places_in(class, now);
+            let servable = servable.filter(|(place, ..)| now <= place.1);
+            first = servable.chain(first).min_by_key(|(place, ..)| *place);
+        }
+        first
+    }
+
     /// Returns the class and index of the first servable request for which `fits` returns true. The requests
     /// are sorted only if the first one doesn't fit.
     fn first_fitting(
@@ -346,7 +368,7 @@
         now: Instant,
     ) -> Option<(usize, usize)> {
         let servable = || self.places(now).filter(|(place, ..)| now <= place.1);
-        let (first, class, index) = servable().min_by_key(|(place, ..)| *place)?;
+        let (first, class, index) = self.first(now)?;
         if fits(&self.classes[class].entries[index]) {
             return Some((class, index));
         }
