--- a/crates/sg-proxy/src/slots/assign.rs
+++ b/crates/sg-proxy/src/slots/assign.rs
@@ -27,7 +27,7 @@
 /// this instance has to decide alone, or refuse the request because it stops too soon.
 ///
 /// # Errors
-/// Returns a refusal if the dispatcher rejects the request.
+/// Returns a refusal if the dispatcher rejects the request or no slot is free in time.
 pub(crate) async fn acquire<D: Dialect>(
     core: &Core<D>,
     call: &Call<'_>,
@@ -64,7 +64,8 @@
     else {
         return Ok(None);
     };
-    // Without enough time for the work, this instance decides as usual.
+    // A request that gets no slot in time for its work is refused: in the same state, a send without a slot would
+    // only take the time of other requests.
     let limit = call.deadline - attempt::RESPONSE_OVERHEAD - ask.warm_work;
     let metrics = &core.slots.metrics;
     let mut reason = "moved";
@@ -108,8 +109,9 @@
                 break;
             }
             Answer::Expired => {
-                reason = "expired";
-                break;
+                metrics.record_ask("expired");
+                let refusal = Refusal::not_run(Reason::RegionFull);
+                return Err(refusal.with_retry_after(call.retry_after(core.timer.now())));
             }
             Answer::Draining => {
                 reason = "draining";
--- a/crates/sg-proxy/src/slots/metrics.rs
+++ b/crates/sg-proxy/src/slots/metrics.rs
@@ -55,7 +55,7 @@
             )?,
             wait: histogram(
                 "sg_slot_wait_seconds",
-                "Time that requests waited for a slot, if they did.",
+                "Time that requests waited for a slot, if they waited longer than for the first answer.",
                 &WAIT_BUCKETS_SECONDS,
             )?,
         };
@@ -67,7 +67,7 @@
         Ok(metrics)
     }
 
-    /// Records the result of an ask: `granted`, `rejected` or `fallback`.
+    /// Records the result of an ask: `granted`, `rejected`, `expired` or `fallback`.
     pub(super) fn record_ask(&self, result: &str) {
         self.asks.with_label_values(&[result]).inc();
     }
--- a/crates/sg-proxy/tests/proxy/slots.rs
+++ b/crates/sg-proxy/tests/proxy/slots.rs
@@ -208,6 +208,20 @@
     assert_eq!(scene.next_end(1).await.outcome, Outcome::Answered);
 }
 
+/// Without a slot in time, a send would miss the deadline and take a slot from others.
+#[tokio::test]
+async fn request_that_waits_in_vain_is_refused_and_never_sent() {
+    let mut scene = Scene::start().await;
+    let request = scene.request("a1");
+    let ticket = scene.next_ask().await;
+    scene.wait(ticket);
+    let response = request.await.expect("a response");
+    assert_eq!(status(&response), 503, "{response}");
+    assert!(header(&response, "retry-after").is_some());
+    assert_eq!(scene.next(1).await, Message::Cancel { ticket });
+    assert_eq!(scene.sends(), 0);
+}
+
 /// A dispatcher that dies while requests wait there must not cost them their whole time.
 #[tokio::test]
 async fn waiting_requests_are_decided_alone_when_the_dispatcher_falls_silent_or_moves() {
@@ -230,7 +244,9 @@
 async fn silent_dispatcher_is_not_asked_for_a_second() {
     let mut scene = Scene::start().await;
     for id in ["a1", "a2", "a3"] {
+        assert!(scene.instance.core.slots.silent_at(link(1)).is_none());
         assert_eq!(status(&scene.request(id).await.expect("a response")), 200);
+        sleep(Duration::from_millis(100)).await;
     }
     assert!(scene.instance.core.slots.silent_at(link(1)).is_some());
     assert_eq!(scene.fallbacks("backing-off"), 0);
