refactor(sg-mesh): keep the functions of the follower and the daemon short

The start of an outage is a function of its own, the replica applies a listing or changes in one place, and the two counters of unread values are registered together. No change of behaviour.

--- a/crates/sg-gateway/src/daemon.rs
+++ b/crates/sg-gateway/src/daemon.rs
@@ -103,10 +103,35 @@
     pub registry: prometheus::Registry,
     /// The era of the store.
     pub era_gauge: prometheus::IntGauge,
-    /// Parts of configurations that this build can't read.
-    pub unread_parts: prometheus::IntCounter,
-    /// Values of the store that this build can't read.
-    pub unread_values: prometheus::IntCounter,
+    pub unread: UnreadCounters,
+}
+
+/// Counters of what this build can't read.
+pub(crate) struct UnreadCounters {
+    /// Parts of configurations.
+    pub parts: prometheus::IntCounter,
+    /// Values of the store.
+    pub values: prometheus::IntCounter,
+}
+
+impl UnreadCounters {
+    fn register(registry: &prometheus::Registry) -> Result<Self, prometheus::Error> {
+        let counter = |name: &str, help: &str| {
+            let counter = prometheus::IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        Ok(Self {
+            parts: counter(
+                "sg_config_unread_parts_total",
+                "Parts of configurations that this build can't read",
+            )?,
+            values: counter(
+                "sg_unread_values_total",
+                "Values of the platform's store that this build can't read",
+            )?,
+        })
+    }
 }
 
 impl<D, I, S> Context<D, I, S> {
@@ -159,16 +184,7 @@
     let metrics = Metrics::register(&registry)?;
     let era_gauge = prometheus::IntGauge::new("sg_store_era", "Era of the platform's store")?;
     registry.register(Box::new(era_gauge.clone()))?;
-    let unread_parts = counter(
-        &registry,
-        "sg_config_unread_parts_total",
-        "Parts of configurations that this build can't read",
-    )?;
-    let unread_values = counter(
-        &registry,
-        "sg_unread_values_total",
-        "Values of the platform's store that this build can't read",
-    )?;
+    let unread = UnreadCounters::register(&registry)?;
     let (signal_sender, signal_receiver) = mpsc::unbounded_channel();
     let core = Core::new(
         dialect,
@@ -199,8 +215,7 @@
         changed: Notify::new(),
         registry,
         era_gauge,
-        unread_parts,
-        unread_values,
+        unread,
     });
     let phases = Phases::default();
     let mut servers = servers::start(&context, &phases, &budget)?;
@@ -232,17 +247,6 @@
     Ok(())
 }
 
-/// Registers a counter and returns it.
-fn counter(
-    registry: &prometheus::Registry,
-    name: &str,
-    help: &str,
-) -> Result<prometheus::IntCounter, prometheus::Error> {
-    let counter = prometheus::IntCounter::new(name, help)?;
-    registry.register(Box::new(counter.clone()))?;
-    Ok(counter)
-}
-
 /// Returns the options of the request path.
 fn core_options(settings: &Settings, budget: &Budget) -> core::Options {
     let bounds = &settings.bounds;
--- a/crates/sg-gateway/src/updates.rs
+++ b/crates/sg-gateway/src/updates.rs
@@ -92,7 +92,7 @@
     let value = match value {
         Ok(value) => value,
         Err(error) => {
-            context.unread_values.inc();
+            context.unread.values.inc();
             // Other writers of the targets' prefix may write such a value again and again.
             if is_changed || index != TARGET_INDEX {
                 log::warn!(key, version, error:% = error; "value not used");
@@ -144,7 +144,7 @@
     version: &str,
 ) {
     let (revision, unread) = (catalog.revision.get(), catalog.unread.count());
-    context.unread_parts.inc_by(unread);
+    context.unread.parts.inc_by(unread);
     if let Some(first) = catalog.unread.first() {
         log::warn!(revision, version, unread, first; "parts of the configuration not read");
     }
--- a/crates/sg-mesh/src/follower.rs
+++ b/crates/sg-mesh/src/follower.rs
@@ -231,12 +231,11 @@
         });
     }
 
-    fn apply_watch(&self, index: usize, changes: Changes) {
-        self.update(index, |mirror| mirror.apply_watch(changes));
-    }
-
-    fn apply_listing(&self, index: usize, page: Page) {
-        self.update(index, |mirror| mirror.apply_listing(page));
+    fn apply(&self, index: usize, reply: Reply) {
+        self.update(index, |mirror| match reply {
+            Reply::Listing(page) => mirror.apply_listing(page),
+            Reply::Changes(changes) => mirror.apply_watch(changes),
+        });
     }
 
     /// Sends an update, even without changes, because the update may announce the first listing of an
@@ -314,10 +313,7 @@
             Ok(reply) => {
                 // Whoever applies the changes needs to know of the recovery.
                 replica.record_success(index, &options.prefix, now);
-                match reply {
-                    Reply::Listing(page) => replica.apply_listing(index, page),
-                    Reply::Changes(changes) => replica.apply_watch(index, changes),
-                }
+                replica.apply(index, reply);
                 is_probe = false;
                 retry_delay = INITIAL_RETRY_DELAY;
                 if listed {
@@ -340,14 +336,8 @@
                 log::debug!(prefix:% = options.prefix, error:% = error; "last watch failed");
             }
             Err(error) => {
-                let outage_since = if is_probe {
-                    // This instance has just taken up following the store, or knows the time already.
-                    Instant::START
-                } else if now.since(started) >= options.watch_timeout {
-                    started
-                } else {
-                    now
-                };
+                let call = (started, now);
+                let outage_since = outage_start(call, options.watch_timeout, is_probe);
                 replica.record_failure(index, &options.prefix, &error, outage_since, now);
                 is_probe = true;
                 let jitter = rand::rng().random_range(0.6..1.2);
@@ -364,6 +354,20 @@
     Changes(Changes),
 }
 
+/// Returns the earliest time since which the store may not have been reachable, after the first call that
+/// failed began and ended at the times `call`. A call that outlasts a watch was silent from its start. With
+/// `is_first`, the instance has just taken up following the store and knows nothing of the time before.
+fn outage_start(call: (Instant, Instant), watch_timeout: Span, is_first: bool) -> Instant {
+    let (started, ended) = call;
+    if is_first {
+        return Instant::START;
+    }
+    match ended.since(started) >= watch_timeout {
+        true => started,
+        false => ended,
+    }
+}
+
 /// Waits for changes of the mirror's era.
 async fn watch_prefix<S: Store>(
     replica: &Replica,
