fix(sg-gateway): requests of all instances get slots alike, whatever their estimates of work

Cause: waiting requests of one priority are ordered by their work, and each instance states its own estimate. In an overload, instances did not learn the work at all. Change: the dispatcher uses the average of the stated work by route, in steps of a tenth. Work of granted requests is also learned if they waited shortly at the target. Two new tests pass.

--- a/crates/sg-dispatch/src/lib.rs
+++ b/crates/sg-dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`group`] assigns the slots of one service in one region.
 //! - [`message`] holds what the asking instances and the dispatcher tell each other.
+//! - [`estimates`] makes the estimates of all instances comparable.
 //! - [`exchange`] holds the messages in which they do so, and [`duty`] names the dispatcher.
 //! - [`order`] compares requests by what a rejection would cost their callers.
 //! - [`price`] decides about requests of an instance that has no waiting room.
@@ -14,6 +15,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 
 pub mod duty;
+pub mod estimates;
 pub mod exchange;
 mod fairness;
 pub mod group;
--- a/crates/sg-dispatch/tests/dispatch/main.rs
+++ b/crates/sg-dispatch/tests/dispatch/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the assignment of slots on simulated loads, without a network.
 
 mod duty;
+mod estimates;
 mod failures;
 mod fleets;
 mod loads;
--- a/crates/sg-gateway/src/slots.rs
+++ b/crates/sg-gateway/src/slots.rs
@@ -10,6 +10,7 @@
 use sg_dispatch::{
     Decision, Group,
     duty::{self, Candidate},
+    estimates::Estimates,
     exchange::{Message, ServiceKey},
     room::Bounds,
 };
@@ -61,6 +62,7 @@
 struct Desk {
     service: id::Service,
     group: Group,
+    estimates: Estimates,
     /// Whether this instance is the dispatcher by its own view. Other instances may see another one for a moment,
     /// so that this one answers anyway.
     is_named: bool,
@@ -213,7 +215,10 @@
     desk.last_used = now;
     let decisions = match message {
         // Without targets, nothing is known of the service yet, and the asking instance decides alone.
-        Message::Ask(ask) if desk.has_targets => desk.group.ask(ask, now),
+        Message::Ask(mut ask) if desk.has_targets => {
+            desk.estimates.equalize(&mut ask);
+            desk.group.ask(ask, now)
+        }
         Message::End { end, .. } => desk.group.end(ticket, end, now),
         Message::Cancel { .. } => desk.group.cancel(ticket, now),
         Message::Adopt(lease) => {
@@ -326,6 +331,7 @@
         let mut desk = Self {
             service: service.clone(),
             group: Group::new(WAITING_BOUNDS, now),
+            estimates: Estimates::default(),
             is_named: false,
             has_targets: false,
             last_used: now,
--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -143,7 +143,7 @@
         let may_abandon = || may_abandon(core, call, &service, &history.tried);
         let outcome = send::send(core, call, &service, &choice, until, may_abandon).await;
         if let Some(slot) = slot {
-            slot.finish(core, &service, &choice, &outcome);
+            slot.finish(core, call, &service, &choice, &outcome);
         }
         trace.sends[index].outcome = outcome.as_str();
         core.metrics.record_attempt(&service, outcome.as_str());
--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -197,8 +197,8 @@
         .record_sample(seconds.clamp(warm, cold));
 }
 
-/// Records the processing time of a request that did not wait at the target.
-fn record_work(
+/// Records the processing time of a request, without the time that it waited at the target.
+pub(crate) fn record_work(
     state: &mut State,
     call: &Call<'_>,
     service: &id::Service,
--- a/crates/sg-proxy/src/slots/lease.rs
+++ b/crates/sg-proxy/src/slots/lease.rs
@@ -8,7 +8,11 @@
 use sg_types::prelude::*;
 
 use super::{Link, Post, Requester};
-use crate::{Core, send::SendOutcome};
+use crate::{
+    Core,
+    attempt::Call,
+    send::{self, SendOutcome},
+};
 
 /// A slot that a dispatcher granted.
 #[derive(Debug)]
@@ -58,19 +62,29 @@
     pub fn finish<D>(
         mut self,
         core: &Core<D>,
+        call: &Call<'_>,
         service: &id::Service,
         choice: &Choice,
         outcome: &SendOutcome,
     ) {
+        let now = core.timer.now();
+        let work = matches!(outcome, SendOutcome::Answered(_))
+            .then(|| measured_work(choice, now))
+            .flatten();
         let mut state = core.state.lock();
         let member = state.pool(service).member_mut(&choice.target.id);
         let report = member.and_then(|member| member.report_since(choice.chosen_at));
+        // Requests without a wait are recorded after each send. In an overload there are none.
+        if let Some(work) = work.filter(|_| choice.queue_wait_seconds > 0.0) {
+            let seconds = work.as_secs_f64();
+            send::record_work(&mut state, call, service, choice, seconds, now);
+        }
         drop(state);
         self.end = Some(match outcome {
             SendOutcome::Answered(_) => End {
                 outcome: Outcome::Answered,
                 report,
-                work: measured_work(choice, core.timer.now()),
+                work,
             },
             SendOutcome::Failed(_) => End {
                 outcome: Outcome::Answered,
@@ -92,7 +106,7 @@
 }
 
 /// Returns how long the target worked on a request whose response is complete now. The expected wait at the target
-/// is not counted.
+/// is not counted. It is short and well known, because the dispatcher grants at most one request beyond the slots.
 fn measured_work(choice: &Choice, now: Instant) -> Option<Span> {
     let elapsed = now.since(choice.chosen_at).as_secs_f64();
     let seconds = elapsed - choice.round_trip_seconds - choice.queue_wait_seconds;
