--- a/crates/sg-dispatch/tests/dispatch/properties.rs
+++ b/crates/sg-dispatch/tests/dispatch/properties.rs
@@ -1,162 +1,173 @@
-//! Decisions do not depend on the scale of a deployment's times.
+//! Properties of the order and of the waiting room, on random requests.
 
-use quickcheck::quickcheck;
+use quickcheck::{Arbitrary, Gen, QuickCheck, quickcheck};
 use sg_dispatch::{
-    Ask, Bid, Decision, Group, Ticket,
-    message::{End, Outcome, TargetView},
-    room::Bounds,
+    Bid, Room,
+    room::{Bounds, Cause},
 };
-use sg_place::{hash::Object, member::LoadReport, pace::Pace};
 use sg_types::prelude::*;
 
-const SLOTS: u32 = 2;
+use crate::{
+    loads::{load, run},
+    play::{Kind, Load, share},
+    room::bid,
+};
 
-/// One ask: object, work, whether it is urgent, and the time since the one before, in 10 ms.
-type Step = (u8, u8, bool, u8);
+/// A request and the time in milliseconds after which the next one arrives.
+#[derive(Debug, Clone)]
+struct Arrival {
+    bid: Bid,
+    gap: u64,
+}
 
-struct Fleet {
-    group: Group,
-    scale: u64,
-    decisions: Vec<Decision>,
-    /// Requests in use of a slot, by the time of their end.
-    running: Vec<(u64, Ticket, id::Target)>,
+impl Arbitrary for Arrival {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let mut below = |most: u64| u64::arbitrary(g) % most;
+        let mut bid = bid(below(4) as u32, 50 + below(3_000), 500 + below(12_000));
+        bid.objective_left = Span::from_millis(below(4_000));
+        bid.account = id::Account::new(format!("account-{}", below(3))).ok();
+        let gap = below(200);
+        Self { bid, gap }
+    }
 }
 
-impl Fleet {
-    fn new(targets: usize, scale: u64) -> Self {
-        let bounds = Bounds {
-            requests: 12,
-            bytes: Bytes::new(1 << 20),
-            time: Span::from_millis(20_000 * scale),
+/// What became of a request: its number, the cause if it was rejected, and its pause in milliseconds.
+type Fate = (usize, Option<Cause>, u64);
+
+/// Offers the requests one after another and takes the next one after every third, with all times
+/// multiplied by `scale`.
+fn fates(arrivals: &[Arrival], bounds: Bounds, slots: u32, scale: u64) -> Vec<Fate> {
+    let scaled = |span: Span| Span::from_nanos(span.as_nanos() * scale);
+    let time = scaled(bounds.time);
+    let mut now = Instant::START;
+    let mut room = Room::new(Bounds { time, ..bounds }, now);
+    room.set_slots(slots);
+    let mut fates = Vec::new();
+    for (number, Arrival { bid, gap }) in arrivals.iter().enumerate() {
+        let bid = Bid {
+            objective_left: scaled(bid.objective_left),
+            deadline_left: scaled(bid.deadline_left),
+            work: scaled(bid.work),
+            ..bid.clone()
         };
-        let mut group = Group::new(bounds, Instant::START);
-        let views = (0..targets).map(|index| TargetView {
-            id: format!("t{index}").parse().expect("a name"),
-            slots: SLOTS,
-            is_usable: true,
-            is_cold: index == 3,
-        });
-        group.set_targets(views, Instant::START);
-        Self {
-            group,
-            scale,
-            decisions: Vec::new(),
-            running: Vec::new(),
+        let mut rejected = room.expire(now);
+        rejected.extend(room.offer(bid, Bytes::new(1), number, now).rejected);
+        fates.extend(rejected.iter().map(|rejected| {
+            let pause = rejected.retry_after.as_nanos() / scale / 1_000_000;
+            (rejected.item, Some(rejected.cause), pause)
+        }));
+        if number % 3 == 2 {
+            let taken = room.take_next(|_, _| true, now);
+            fates.extend(taken.map(|taken| (taken.item, None, 0)));
         }
+        now += scaled(Span::from_millis(*gap));
     }
+    fates
+}
 
-    fn span(&self, millis: u64) -> Span {
-        Span::from_millis(millis * self.scale)
+fn bounds(requests: usize) -> Bounds {
+    Bounds {
+        requests,
+        bytes: Bytes::new(1_000),
+        time: Span::from_secs(10),
     }
+}
 
-    fn at(&self, millis: u64) -> Instant {
-        Instant::START + self.span(millis)
+quickcheck! {
+    // Guards against constants that fit one deployment's times only.
+    fn scaling_all_times_changes_nothing(arrivals: Vec<Arrival>, scale: u8) -> bool {
+        let scale = u64::from(scale % 16) + 1;
+        fates(&arrivals, bounds(20), 4, 1) == fates(&arrivals, bounds(20), 4, scale)
     }
 
-    fn record(&mut self, decisions: Vec<Decision>, works: &[u64], now: u64) {
-        for decision in decisions {
-            if let Decision::Grant { ticket, target, .. } = &decision {
-                let end = now + works[ticket.number as usize];
-                self.running.push((end, *ticket, target.clone()));
+    // Guards against a request that is rejected because there are more slots or more places.
+    fn more_capacity_never_rejects_more(arrivals: Vec<Arrival>, last: Arrival, more: u8) -> bool {
+        let is_admitted = |slots: u32, places: usize| {
+            let mut room = Room::new(bounds(places), Instant::START);
+            room.set_slots(1_000);
+            for arrival in &arrivals {
+                room.offer(arrival.bid.clone(), Bytes::new(1), (), Instant::START);
             }
-            self.decisions.push(decision);
-        }
+            room.set_slots(slots);
+            let offer = room.offer(last.bid.clone(), Bytes::new(1), (), Instant::START);
+            offer.expected.is_some()
+        };
+        let more = u32::from(more);
+        let before = is_admitted(2, 10);
+        !before || is_admitted(2 + more, 10) && is_admitted(1_000, 10 + more as usize)
     }
 
-    /// Ends the requests that are due, and returns whether no target ever has more than its share.
-    fn advance(&mut self, works: &[u64], now: u64) -> bool {
-        self.running.sort();
-        while self.running.first().is_some_and(|(end, ..)| *end <= now) {
-            let (end, ticket, target) = self.running.remove(0);
-            let at_target = self.running.iter().filter(|(.., other)| *other == target);
-            let count = at_target.count() as u32;
-            let report = LoadReport {
-                running: count.min(SLOTS),
-                waiting: count.saturating_sub(SLOTS),
-                slots: SLOTS,
-                pace: Some(Pace::from_percent(100 + ticket.number as u32 % 3 * 100)),
-            };
-            let message = End {
-                outcome: Outcome::Answered,
-                report: Some(report),
-                work: Some(self.span(works[ticket.number as usize])),
-            };
-            let decisions = self.group.end(ticket, message, self.at(end));
-            self.record(decisions, works, end);
-            self.running.sort();
+    // Guards against a less urgent request that keeps the place of a more urgent one.
+    fn urgent_request_is_not_rejected_for_another(arrivals: Vec<Arrival>) -> bool {
+        let mut room = Room::new(bounds(8), Instant::START);
+        room.set_slots(1_000);
+        let mut rejected = Vec::new();
+        for Arrival { bid, .. } in arrivals {
+            rejected.extend(room.offer(bid, Bytes::new(1), (), Instant::START).rejected);
         }
-        let decisions = self.group.tick(self.at(now));
-        self.record(decisions, works, now);
-        let mut counts: IndexMap<&id::Target, u32> = IndexMap::new();
-        for (.., target) in &self.running {
-            *counts.entry(target).or_default() += 1;
-        }
-        counts.values().all(|count| *count <= SLOTS + 1)
-    }
-
-    fn ask(&mut self, number: usize, step: Step, works: &[u64], now: u64) {
-        let (object, _, is_urgent, _) = step;
-        let work = self.span(works[number]);
-        let ask = Ask {
-            ticket: Ticket {
-                sender: Incarnation::new(1),
-                number: number as u64,
-            },
-            object: (object % 8 > 0).then(|| Object::new("object", object % 8)),
-            bid: Bid {
-                priority: u32::from(!is_urgent),
-                objective_left: work.mul_f64(2.0),
-                deadline_left: work.mul_f64(40.0),
-                work,
-                waited: Span::ZERO,
-                account: None,
-                route: "route".parse().expect("a name"),
-            },
-            warm_work: work.mul_f64(0.25),
-            cold_work: work,
-            excluded: Vec::new(),
-        };
-        let decisions = self.group.ask(ask, self.at(now));
-        self.record(decisions, works, now);
+        let outbid = rejected.iter().filter(|rejected| rejected.cause != Cause::Hopeless);
+        let lost: Vec<&Bid> = outbid.map(|rejected| &rejected.bid).collect();
+        let mut kept = std::iter::from_fn(|| room.take_next(|_, _| true, Instant::START));
+        kept.all(|kept| lost.iter().all(|lost| {
+            lost.priority >= kept.bid.priority || lost.work > kept.bid.work
+        }))
     }
 
-    /// Runs the steps. Returns the decisions with their times as multiples of the scale, and whether no
-    /// target ever had more than its share.
-    fn run(mut self, steps: &[Step]) -> (Vec<String>, bool) {
-        let works = steps.iter().map(|(_, work, ..)| 200 + u64::from(*work) * 8);
-        let works: Vec<u64> = works.collect();
-        let (mut now, mut is_bounded) = (0, true);
-        for (number, step) in steps.iter().enumerate() {
-            now += u64::from(step.3 % 16) * 10;
-            is_bounded &= self.advance(&works, now);
-            self.ask(number, *step, &works, now);
+    // Guards against requests that are lost, or handled twice.
+    fn every_request_has_one_fate(arrivals: Vec<Arrival>) -> bool {
+        let mut numbers: Vec<usize> = Vec::new();
+        let mut room = Room::new(bounds(8), Instant::START);
+        for (number, Arrival { bid, .. }) in arrivals.iter().enumerate() {
+            let offer = room.offer(bid.clone(), Bytes::new(1), number, Instant::START);
+            numbers.extend(offer.rejected.iter().map(|rejected| rejected.item));
         }
-        is_bounded &= self.advance(&works, now + 60_000);
-        let decisions = self.decisions.iter().map(|decision| match decision {
-            Decision::Grant { ticket, target, .. } => format!("{} at {target}", ticket.number),
-            Decision::Wait { ticket, .. } => format!("{} waits", ticket.number),
-            Decision::Reject { ticket, .. } => format!("{} rejected", ticket.number),
-        });
-        (decisions.collect(), is_bounded)
+        numbers.extend(room.take_next(|_, _| true, Instant::START).map(|taken| taken.item));
+        // The instance stops while requests wait.
+        numbers.extend(room.close(Instant::START).iter().map(|rejected| rejected.item));
+        numbers.sort_unstable();
+        room.bytes() == Bytes::new(0) && numbers.into_iter().eq(0..arrivals.len())
     }
 }
 
-quickcheck! {
-    /// All times multiplied by a factor give the same decisions. Powers of two keep the arithmetic exact
-    /// enough.
-    fn the_scale_of_times_does_not_matter(steps: Vec<Step>, targets: u8) -> bool {
-        let targets = usize::from(targets % 5);
-        let (plain, _) = Fleet::new(targets, 1).run(&steps);
-        let (scaled, _) = Fleet::new(targets, 4).run(&steps);
-        plain == scaled
-    }
-
-    /// No sequence of asks and ends gives a target more than its slots and one request, and every ask is
-    /// answered by a grant or a rejection in the end.
-    fn grants_are_bounded_and_every_ask_is_decided(steps: Vec<Step>, targets: u8) -> bool {
-        let targets = usize::from(targets % 5);
-        let (decisions, is_bounded) = Fleet::new(targets, 1).run(&steps);
-        let decided = decisions.iter().filter(|text| !text.ends_with("waits"));
-        is_bounded && decided.count() == steps.len()
+/// Guards against a kind or an account that is served less than a quarter as often as all, whatever the
+/// kinds need and whatever slots are left.
+#[test]
+fn fairness_share() {
+    fn is_fair((kinds, lack, seed): (Vec<(u8, u8, u8)>, u8, u64)) -> bool {
+        let names = ["first", "second", "third"];
+        let kind = |((rate, work, priority), name): (&(u8, u8, u8), &'static str)| {
+            let work = 0.2 + f64::from(work % 30) / 10.0;
+            Kind {
+                name,
+                per_second: 10.0 + f64::from(rate % 30),
+                work,
+                objective: work * 0.8,
+                time: work * 4.0,
+                priority: u32::from(priority % 3),
+                worth: 1.0,
+                tail: 0.0,
+                is_known: true,
+            }
+        };
+        let kinds: Vec<Kind> = kinds.iter().zip(names).map(kind).collect();
+        if kinds.is_empty() {
+            return true;
+        }
+        let full = load(&kinds);
+        let slots = full.slots * usize::from(50 + lack % 50) / 100;
+        let load = Load {
+            slots,
+            seed,
+            objects: 100_000,
+            ..full
+        };
+        let requests = run("ordered", &load);
+        let all = share(&load, &requests, |_| true).served;
+        let kinds = (0..kinds.len()).map(|kind| share(&load, &requests, |r| r.kind == kind));
+        let accounts = (0..6).map(|account| share(&load, &requests, |r| r.account == account));
+        kinds.chain(accounts).all(|got| got.served >= all / 4.0)
     }
+    QuickCheck::new()
+        .tests(12)
+        .quickcheck(is_fair as fn(_) -> bool);
 }
--- a/crates/sg-dispatch/tests/dispatch/simulation.rs
+++ b/crates/sg-dispatch/tests/dispatch/simulation.rs
@@ -1,103 +1,46 @@
 //! Simulates the instances and the targets of one service in one region.
 
-use std::collections::{BTreeMap, VecDeque};
+mod alone;
+mod dispatched;
 
-use sg_dispatch::{Ask, Bid, Decision, Group, Ticket, message, room::Bounds};
+use std::collections::BTreeMap;
+
+use sg_dispatch::{Decision, Group, Ticket, message, room::Bounds};
 use sg_place::{
     Pool, Target,
     hash::Object,
     location::{Location, RoundTrips},
     member::{LoadReport, TargetOutcome},
     pace::Pace,
-    pool::{Query, Rejection},
     shift_limit::ShiftLimiter,
     work_estimate::WorkEstimate,
 };
 use sg_types::prelude::*;
 
+use crate::service::{
+    Counts, Policy, SLOW_EVERY_MICROS, SLOW_MICROS, Server, Service, TAIL_FACTOR, Totals,
+    WARM_FRACTION,
+};
+
 /// One-way time between two machines of the region.
 const TRIP_MICROS: u64 = 1_000;
 /// Period of the arrivals, and how far they vary around their mean.
 const PERIOD_MICROS: f64 = 36e6;
 const VARIATION: f64 = 0.55;
-/// How long a machine stays slow, the mean time between, and the factor.
-const SLOW_MICROS: u64 = 600_000;
-const SLOW_EVERY_MICROS: f64 = 6e6;
-const SLOW_FACTOR: f64 = 3.0;
-/// Fraction of the work that a request about a warm object needs.
-const WARM_FRACTION: f64 = 0.3;
-/// A tail request takes this many times the work.
-const TAIL_FACTOR: f64 = 7.0;
 /// Requests that wait at a target at most, per slot.
 const QUEUE_PER_SLOT: usize = 1;
 const OBJECTS_PER_TARGET: usize = 10;
 const POPULARITY_EXPONENT: f64 = 0.8;
 const TICK_MICROS: u64 = 50_000;
-pub const BEACON_MICROS: u64 = 250_000;
-
-/// Requests of one route.
-#[derive(Debug, Clone, Copy)]
-pub struct Kind {
-    pub per_second: f64,
-    pub cold_seconds: f64,
-    pub objective_seconds: f64,
-    pub deadline_seconds: f64,
-    pub priority: u32,
-    /// Fraction of requests that need far more work.
-    pub tail: f64,
-}
-
-/// A service in one region.
-#[derive(Debug, Clone)]
-pub struct Service {
-    pub instances: usize,
-    pub targets: usize,
-    pub slots: usize,
-    pub kinds: Vec<Kind>,
-}
-
-/// Who decides, and on what knowledge.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Policy {
-    /// Each instance, from its own responses.
-    Alone { uses_pace: bool },
-    /// Each instance, with the loads of all targets in beacons.
-    Beacons,
-    /// Each instance, for the targets that it ranks highest for only.
-    Senders { per_target: usize },
-    /// The dispatcher.
-    Dispatcher,
-}
-
-/// What the callers of a kind got.
-#[derive(Debug, Default, Clone, Copy)]
-pub struct Counts {
-    pub sent: u32,
-    pub within_objective: u32,
-    pub served: u32,
-}
-
-impl Counts {
-    pub fn share(&self) -> f64 {
-        f64::from(self.within_objective) / f64::from(self.sent.max(1))
-    }
-}
-
-#[derive(Debug, Default)]
-pub struct Totals {
-    /// Counts by kind, of requests that arrived in the first 8 s and later.
-    pub start: Vec<Counts>,
-    pub later: Vec<Counts>,
-    pub cold_runs: u32,
-    pub runs: u32,
-    pub refused_by_targets: u32,
-    /// Time that requests took at the busiest target over the mean.
-    pub busiest: f64,
-    /// Time that the decisions of the dispatcher took.
-    pub decision_micros: f64,
-    /// Messages between instances and the dispatcher.
-    pub messages: u32,
-}
+const BEACON_MICROS: u64 = 250_000;
+
+/// Slots that were used last, of which each instance tells a new dispatcher.
+const TOLD: usize = 32;
+const BOUNDS: Bounds = Bounds {
+    requests: 4_096,
+    bytes: Bytes::new(4 << 20),
+    time: Span::from_secs(20),
+};
 
 #[derive(Clone)]
 struct Request {
@@ -115,53 +58,17 @@
     is_home: bool,
     is_granted: bool,
     is_tail: bool,
-}
-
-#[derive(Default)]
-struct Server {
-    running: usize,
-    waiting: VecDeque<usize>,
-    capacity: usize,
-    warm: Vec<u64>,
-    /// Starts of the times in which the machine is slow.
-    slow: Vec<u64>,
-    /// Time that the requests took together.
-    busy_micros: u64,
-}
-
-impl Server {
-    fn is_slow(&self, at: u64) -> bool {
-        self.slow_end(at).is_some()
-    }
-
-    fn slow_end(&self, at: u64) -> Option<u64> {
-        let index = self.slow.partition_point(|from| *from <= at);
-        let from = self.slow.get(index.checked_sub(1)?)?;
-        (from + SLOW_MICROS > at).then_some(from + SLOW_MICROS)
-    }
-
-    /// Returns when work that begins at `at` ends.
-    fn end_of(&self, at: u64, seconds: f64) -> u64 {
-        let (mut now, mut left) = (at, seconds * 1e6);
-        loop {
-            let slow_end = self.slow_end(now);
-            let index = self.slow.partition_point(|from| *from <= now);
-            let next_slow = self.slow.get(index).copied().unwrap_or(u64::MAX);
-            let until = slow_end.map_or(next_slow, |end| end.min(next_slow));
-            let factor = if slow_end.is_some() { SLOW_FACTOR } else { 1.0 };
-            let possible = (until - now) as f64 / factor;
-            if possible >= left {
-                return now + (left * factor) as u64;
-            }
-            left -= possible;
-            now = until;
-        }
-    }
+    /// Whether an ask awaits its grant or rejection.
+    is_asking: bool,
+    /// Whether a granted slot is in use.
+    is_running: bool,
 }
 
 enum Event {
     Arrive(usize),
     Ask(usize),
+    /// An ask at a new dispatcher, unless the old one has answered.
+    AskAgain(usize),
     Decided(Decision),
     Reach(usize),
     Done(usize),
@@ -169,12 +76,14 @@
     End(usize, message::End),
     Tick,
     Beacon,
+    /// Another instance takes over as the dispatcher.
+    Replace,
 }
 
 pub struct Simulation {
     service: Service,
     policy: Policy,
-    pub group: Group,
+    group: Group,
     pools: Vec<Pool>,
     locations: Vec<Location>,
     work: Vec<Vec<WorkEstimate>>,
@@ -187,7 +96,11 @@
     limiter: ShiftLimiter,
     totals: Totals,
     /// Time that the dispatcher's decisions took.
-    pub decision_time: std::time::Duration,
+    decision_time: std::time::Duration,
+    /// Fraction of the ends of leases that get lost.
+    pub lost_ends: f64,
+    /// Times at which the dispatcher dies and is replaced, in seconds.
+    pub replaced_at: Vec<u64>,
 }
 
 fn at(micros: u64) -> Instant {
@@ -237,17 +150,12 @@
             sum += ((rank + 1) as f64).powf(-POPULARITY_EXPONENT);
             sum
         });
-        let bounds = Bounds {
-            requests: 4_096,
-            bytes: Bytes::new(4 << 20),
-            time: Span::from_secs(20),
-        };
         let estimates = service.kinds.iter();
         let estimates = estimates.map(|kind| WorkEstimate::new(span(kind.objective_seconds), 1.0));
         let estimates: Vec<WorkEstimate> = estimates.collect();
         let mut simulation = Self {
             policy,
-            group: Group::new(bounds, at(0)),
+            group: Group::new(BOUNDS, at(0)),
             pools: vec![Pool::default(); service.instances],
             locations: (0..service.instances)
                 .map(|index| location(index, service.instances))
@@ -266,6 +174,8 @@
                 ..Totals::default()
             },
             decision_time: std::time::Duration::ZERO,
+            lost_ends: 0.0,
+            replaced_at: Vec::new(),
             service,
         };
         simulation.add_targets();
@@ -298,13 +208,7 @@
         for pool in &mut self.pools {
             pool.set_sender_ratio(ratio as f64);
         }
-        let views = targets.iter().map(|target| message::TargetView {
-            id: target.id.clone(),
-            slots: target.slots,
-            is_usable: true,
-            is_cold: false,
-        });
-        self.group.set_targets(views, at(0));
+        self.list_targets(0);
     }
 
     /// Returns a random number below 1.
@@ -329,8 +233,10 @@
         }
         let busy = self.servers.iter().map(|server| server.busy_micros as f64);
         let mean = busy.clone().sum::<f64>() / self.servers.len() as f64;
+        let most = busy.fold(0.0, f64::max);
+        self.totals.busiest = most / mean;
+        self.totals.busiest_utilization = most / (end as f64 * self.service.slots as f64);
         self.totals.decision_micros = self.decision_time.as_micros() as f64;
-        self.totals.busiest = busy.fold(0.0, f64::max) / mean;
         self.totals
     }
 
@@ -358,6 +264,9 @@
         for micros in (0..end).step_by(BEACON_MICROS as usize) {
             self.schedule(micros, Event::Beacon);
         }
+        for seconds in self.replaced_at.clone() {
+            self.schedule(seconds * 1_000_000, Event::Replace);
+        }
     }
 
     fn add_request(&mut self, kind: usize, arrived: u64) {
@@ -380,6 +289,8 @@
             is_home: false,
             is_granted: false,
             is_tail,
+            is_asking: false,
+            is_running: false,
         });
         self.counts(self.requests.len() - 1).sent += 1;
         self.schedule(arrived, Event::Arrive(self.requests.len() - 1));
@@ -399,7 +310,8 @@
                 self.schedule(now + TRIP_MICROS, Event::Ask(index));
             }
             Event::Arrive(index) => self.choose(index, now),
-            Event::Ask(index) => {
+            Event::AskAgain(index) if !self.requests[index].is_asking => {}
+            Event::Ask(index) | Event::AskAgain(index) => {
                 let ask = self.ask(index, now);
                 self.decide(now, |group| group.ask(ask, at(now)));
             }
@@ -414,106 +326,15 @@
                 self.decide(now, |group| group.tick(at(now)));
             }
             Event::Beacon if self.policy == Policy::Beacons => self.share_loads(now),
+            Event::Replace => self.replace_dispatcher(now),
             Event::Tick | Event::Beacon => {}
         }
     }
 
-    fn decide(&mut self, now: u64, decide: impl FnOnce(&mut Group) -> Vec<Decision>) {
-        let began = std::time::Instant::now();
-        let decisions = decide(&mut self.group);
-        self.decision_time += began.elapsed();
-        self.totals.messages += decisions.len() as u32;
-        for decision in decisions {
-            self.schedule(now + TRIP_MICROS, Event::Decided(decision));
-        }
-    }
-
     fn object(&self, index: usize) -> Object {
         Object::new("objects", self.requests[index].object)
     }
 
-    fn ask(&mut self, index: usize, now: u64) -> Ask {
-        self.totals.messages += 1;
-        let request = &self.requests[index];
-        let kind = self.service.kinds[request.kind];
-        let work = &self.work[request.instance][request.kind];
-        let waited = (now - request.arrived) as f64 / 1e6;
-        Ask {
-            ticket: ticket(index),
-            object: Some(self.object(index)),
-            bid: Bid {
-                priority: kind.priority,
-                objective_left: span(kind.objective_seconds - waited),
-                deadline_left: span(kind.deadline_seconds - waited),
-                work: span(work.expected_work_seconds(false)),
-                waited: span(waited),
-                account: None,
-                route: name(&format!("route-{}", request.kind)),
-            },
-            warm_work: span(work.expected_work_seconds(true)),
-            cold_work: span(work.expected_work_seconds(false)),
-            excluded: request.tried.clone(),
-        }
-    }
-
-    fn follow(&mut self, decision: Decision, now: u64) {
-        match decision {
-            Decision::Grant {
-                ticket,
-                target,
-                is_warm,
-            } => {
-                let index = ticket.number as usize;
-                self.requests[index].is_granted = true;
-                self.send(index, &target, is_warm, false, now);
-            }
-            Decision::Wait { .. } => {}
-            Decision::Reject {
-                ticket,
-                retry_after,
-            } => {
-                self.refuse(ticket.number as usize, retry_after.as_secs_f64(), now);
-            }
-        }
-    }
-
-    /// Chooses a target as an instance that decides alone.
-    fn choose(&mut self, index: usize, now: u64) {
-        let request = &self.requests[index];
-        let kind = self.service.kinds[request.kind];
-        let work = &self.work[request.instance][request.kind];
-        let object = self.object(index);
-        let query = Query {
-            object: Some(object),
-            placement_key: object,
-            may_leave_region: false,
-            warm_work_seconds: work.expected_work_seconds(true),
-            cold_work_seconds: work.expected_work_seconds(false),
-            cold_fraction: work.cold_fraction(),
-            typical_work_seconds: work.typical_work_seconds(),
-            tried: &request.tried,
-            home_regions: &[],
-            account_home_regions: &[],
-            cold_rate: 0.0,
-            remaining_seconds: kind.deadline_seconds - (now - request.arrived) as f64 / 1e6,
-            shift_limiter: &self.limiter,
-            now: at(now),
-        };
-        let instance = request.instance;
-        let pool = &mut self.pools[instance];
-        match pool.choose(&query, &self.locations[instance], &IndexSet::new()) {
-            Ok(choice) => {
-                pool.record_send(&choice.target.id, Some(object), at(now));
-                let is_home = choice.is_highest_ranked;
-                self.send(index, &choice.target.id, choice.warm, is_home, now);
-            }
-            Err(Rejection::NoRoom(seconds) | Rejection::Paused(seconds)) => {
-                self.refuse(index, seconds, now);
-            }
-            Err(Rejection::NoTarget) => {}
-        }
-    }
-
     fn send(&mut self, index: usize, target: &id::Target, warm: bool, home: bool, now: u64) {
         let request = &mut self.requests[index];
         request.target = target.as_str()[1..].parse().expect("a number");
@@ -521,23 +342,6 @@
         self.schedule(now + TRIP_MICROS, Event::Reach(index));
     }
 
-    /// Tells the caller to retry, once.
-    fn refuse(&mut self, index: usize, retry_after_seconds: f64, now: u64) {
-        let request = &mut self.requests[index];
-        let deadline_seconds = self.service.kinds[request.kind].deadline_seconds;
-        let left = deadline_seconds - (now - request.arrived) as f64 / 1e6;
-        if request.is_retry || retry_after_seconds > left / 3.0 {
-            return;
-        }
-        request.is_retry = true;
-        request.tried.clear();
-        let pause = (retry_after_seconds * 1e6) as u64;
-        // The retry has a ticket of its own.
-        let retry = request.clone();
-        self.requests.push(retry);
-        self.schedule(now + pause, Event::Arrive(self.requests.len() - 1));
-    }
-
     fn reach(&mut self, index: usize, now: u64) {
         let request = &self.requests[index];
         let server = &mut self.servers[request.target];
@@ -577,7 +381,10 @@
     fn report(&self, target: usize, now: u64) -> LoadReport {
         let server = &self.servers[target];
         // The usual pace varies a little.
-        let percent = if server.is_slow(now) { 300 } else { 100 };
+        let percent = match server.is_slow(now) {
+            true => 300,
+            false => 97 + now / 77 % 7,
+        };
         let is_told = self.policy != Policy::Alone { uses_pace: false };
         LoadReport {
             running: server.running as u32,
@@ -604,9 +411,9 @@
         let waited = request.started.saturating_sub(request.sent + TRIP_MICROS);
         let seconds = (now - request.started.max(request.sent)) as f64 / 1e6;
         let is_measured = is_answered && waited == 0;
-        let pool = &mut self.pools[request.instance];
         let id = name(&format!("t{}", request.target));
         if is_measured {
+            let pool = &mut self.pools[request.instance];
             let work = &mut self.work[request.instance][request.kind];
             let expected_seconds = work.expected_work_seconds(request.is_warm);
             if !request.is_warm && request.is_home {
@@ -625,8 +432,12 @@
                 work: is_measured.then(|| span(seconds)),
             };
             self.totals.messages += 1;
-            self.schedule(now + TRIP_MICROS, Event::End(index, end));
+            self.requests[index].is_running = false;
+            if self.lost_ends == 0.0 || self.next_random() >= self.lost_ends {
+                self.schedule(now + TRIP_MICROS, Event::End(index, end));
+            }
         } else {
+            let pool = &mut self.pools[request.instance];
             pool.record_report(&id, report, at(now));
             let ended = match is_answered {
                 true => TargetOutcome::Answered,
@@ -649,28 +460,6 @@
         counts.served += u32::from(seconds <= kind.deadline_seconds);
         counts.within_objective += u32::from(seconds <= kind.objective_seconds);
     }
-
-    /// Sends a request that a target refused to a second one, chosen by the instance.
-    fn try_next(&mut self, index: usize, refused: id::Target, now: u64) {
-        let mut next = self.requests[index].clone();
-        if !next.tried.is_empty() {
-            return;
-        }
-        next.tried.push(refused);
-        next.is_granted = false;
-        self.requests.push(next);
-        self.choose(self.requests.len() - 1, now);
-    }
-
-    fn share_loads(&mut self, now: u64) {
-        for index in 0..self.servers.len() {
-            let report = self.report(index, now);
-            let id: id::Target = name(&format!("t{index}"));
-            for pool in &mut self.pools {
-                pool.record_report(&id, report, at(now));
-            }
-        }
-    }
 }
 
 fn ticket(index: usize) -> Ticket {
