feat(sg-proxy): tell a new dispatcher where objects are warm

Cause: a dispatcher that takes over knew only the slots in use, so that objects would run cold once more. Change: each instance remembers its last 32 slots of a service whose requests ran, and lists them before those in use, without time left.

--- a/crates/sg-proxy/src/slots.rs
+++ b/crates/sg-proxy/src/slots.rs
@@ -11,7 +11,7 @@
 mod metrics;
 mod targets;
 
-use std::net::SocketAddr;
+use std::{collections::VecDeque, net::SocketAddr};
 
 use parking_lot::Mutex;
 use sg_dispatch::{Decision, Ticket, exchange::Message, exchange::ServiceKey, message::Lease};
@@ -61,8 +61,15 @@
     contacts: IndexMap<Link, Contact>,
     pending: IndexMap<u64, Pending>,
     held: IndexMap<u64, Held>,
+    /// The last slots whose requests ran, by service, the oldest first. They tell a new dispatcher which objects are
+    /// warm.
+    recent: IndexMap<ServiceKey, VecDeque<(u64, Held)>>,
 }
 
+/// Maximum number of slots of a service that are remembered after their end. All instances of a region together
+/// remember more than the objects that targets keep warm.
+const MAX_RECENT: usize = 32;
+
 impl Requester {
     /// Creates a requester that knows no dispatchers.
     #[must_use]
@@ -118,11 +125,11 @@
         for (service, link) in &inner.dispatchers {
             if former.get(service) != Some(link) {
                 let key = ServiceKey::of(service);
-                let held = inner.held.iter().filter(|(_, held)| held.service == key);
-                posts.extend(held.map(|(number, held)| Post {
+                let leases = inner.leases(key, now).into_iter();
+                posts.extend(leases.map(|lease| Post {
                     to: *link,
                     service: key,
-                    message: Message::Adopt(held.lease(inner.ticket(*number), now)),
+                    message: Message::Adopt(lease),
                 }));
             }
         }
@@ -234,6 +241,27 @@
         }
     }
 
+    /// Returns the slots of a service that were in use lately, the oldest first, and those in use.
+    fn leases(&self, service: ServiceKey, now: Instant) -> Vec<Lease> {
+        let recent = self.recent.get(&service).into_iter().flatten();
+        let recent = recent.map(|(number, held)| (number, held));
+        let held = self.held.iter().filter(|(_, held)| held.service == service);
+        let all = recent.chain(held);
+        all.map(|(number, held)| held.lease(self.ticket(*number), now))
+            .collect()
+    }
+
+    /// Remembers a slot whose request ran about an object.
+    fn remember(&mut self, number: u64, held: Held) {
+        let recent = self.recent.entry(held.service).or_default();
+        if recent.len() >= MAX_RECENT {
+            recent.pop_front();
+        }
+        // No time is left of a lease that has ended.
+        let until = Instant::START;
+        recent.push_back((number, Held { until, ..held }));
+    }
+
     /// Returns the dispatcher of the service with the key `service`.
     fn dispatcher_of(&self, service: ServiceKey) -> Option<Link> {
         let mut dispatchers = self.dispatchers.iter();
--- a/crates/sg-proxy/src/slots/lease.rs
+++ b/crates/sg-proxy/src/slots/lease.rs
@@ -121,7 +121,12 @@
         };
         let ticket = inner.ticket(self.number);
         // A dispatcher that took over has adopted the slot.
-        let to = inner.dispatcher_of(held.service).unwrap_or(held.from);
+        let (service, from) = (held.service, held.from);
+        let to = inner.dispatcher_of(service).unwrap_or(from);
+        let has_run = self.end.is_some_and(|end| end.outcome == Outcome::Answered);
+        if has_run && held.object.is_some() {
+            inner.remember(self.number, held);
+        }
         drop(inner);
         let message = match self.end {
             Some(end) => Message::End { ticket, end },
@@ -129,7 +134,7 @@
         };
         self.requester.post(Post {
             to,
-            service: held.service,
+            service,
             message,
         });
     }
--- a/crates/sg-proxy/tests/proxy/slots.rs
+++ b/crates/sg-proxy/tests/proxy/slots.rs
@@ -319,20 +319,40 @@
     assert_eq!((scene.sends(), scene.targets[1].count()), (2, 0));
 }
 
-/// A dispatcher that takes over must know the slots in use, or it fills the targets beyond their slots.
+/// A dispatcher that takes over must know the slots in use, or it fills the targets beyond their slots, and where
+/// objects are warm, or each runs cold once more.
 #[tokio::test]
-async fn next_dispatcher_learns_the_slots_in_use_and_their_ends() {
+async fn next_dispatcher_learns_the_slots_in_use_their_ends_and_the_warm_objects() {
     let mut scene = Scene::start_with(Step::RespondAfter(100, OK)).await;
-    let request = scene.request("a1");
-    let ticket = scene.next_ask().await;
-    scene.answer(grant(ticket, "t1"));
+    let mut requests = Vec::new();
+    let mut tickets = Vec::new();
+    for target in ["t0", "t1"] {
+        let request = post("/once/x", "a1", "body").replace("host: h", "host: h\r\nobject: o");
+        let instance = scene.instance.clone();
+        requests.push(tokio::spawn(async move { instance.send(&request).await }));
+        let ticket = scene.next_ask().await;
+        scene.answer(grant(ticket, target));
+        tickets.push(ticket);
+        if target == "t0" {
+            assert_eq!(scene.next_end(1).await.outcome, Outcome::Answered);
+        }
+    }
     sleep(Duration::from_millis(30)).await;
     scene.set_dispatcher(2);
-    let Message::Adopt(lease) = scene.next(2).await else {
-        panic!("the slot is not adopted");
-    };
-    assert_eq!((lease.ticket, lease.target.as_str()), (ticket, "t1"));
-    assert_eq!(status(&request.await.expect("a response")), 200);
+    for (index, target) in ["t0", "t1"].into_iter().enumerate() {
+        let Message::Adopt(lease) = scene.next(2).await else {
+            panic!("no slot is adopted");
+        };
+        assert_eq!(
+            (lease.ticket, lease.target.as_str()),
+            (tickets[index], target)
+        );
+        assert_eq!(lease.deadline_left > Span::ZERO, target == "t1");
+        assert!(lease.object.is_some());
+    }
+    for request in requests {
+        assert_eq!(status(&request.await.expect("a response")), 200);
+    }
     assert_eq!(scene.next_end(2).await.outcome, Outcome::Answered);
 }
 
