feat(sg-gateway): operators ask where a request would go now

Cause: why a request goes to a target, or is refused, could only be seen after the request. Change: GET /where on the operators' address answers with the route, account, service, planned region, the best targets with their estimates, and the decision by the present state, and changes nothing. The query of a choice is built in a module of its own so that the explanation uses the same one.

--- a/crates/sg-dispatch/src/price.rs
+++ b/crates/sg-dispatch/src/price.rs
@@ -86,7 +86,7 @@
         self.fairness.record_offer(bid, now);
         self.observe(bid, wait);
         let rank = bid.rank(self.fairness.standing(bid, now));
-        let position = self.position(rank);
+        let is_admitted = self.is_affordable(rank, wait);
         if self.recent.len() == RECENT {
             self.recent.pop_front();
         }
@@ -94,7 +94,6 @@
             self.fairness.prune(now);
         }
         self.recent.push_back((rank, bid.work.as_secs_f64()));
-        let is_admitted = wait == Span::ZERO || position <= 1.0 - self.refused_fraction;
         if is_admitted {
             self.fairness.record_taken(bid, now);
         }
@@ -102,6 +101,17 @@
         is_admitted
     }
 
+    /// Returns whether [`Self::admits`] would admit the request now. Records nothing.
+    #[must_use]
+    pub fn would_admit(&self, bid: &Bid, wait: Span, now: Instant) -> bool {
+        let rank = bid.rank(self.fairness.standing(bid, now));
+        self.is_affordable(rank, wait)
+    }
+
+    fn is_affordable(&self, rank: Rank, wait: Span) -> bool {
+        wait == Span::ZERO || self.position(rank) <= 1.0 - self.refused_fraction
+    }
+
     /// Records a request that no target can serve in time, whatever the price.
     pub fn record_late(&mut self, bid: &Bid, now: Instant) {
         self.fairness.record_offer(bid, now);
--- a/crates/sg-gateway/src/lib.rs
+++ b/crates/sg-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod daemon;
 mod digests;
 mod exchange;
+mod explanation;
 mod following;
 mod health;
 pub mod logs;
--- a/crates/sg-gateway/src/servers.rs
+++ b/crates/sg-gateway/src/servers.rs
@@ -18,6 +18,7 @@
     Interpreter, Protocol,
     budget::Budget,
     daemon::Context,
+    explanation,
     lookup::{self, Candidate},
 };
 
@@ -160,10 +161,14 @@
     context: &Context<D, I, S>,
     request: &Request<Incoming>,
 ) -> Response<Bytes> {
-    if request.uri().path() != "/metrics" {
-        let mut response = Response::new(Bytes::new());
-        *response.status_mut() = StatusCode::NOT_FOUND;
-        return response;
+    match request.uri().path() {
+        "/metrics" => {}
+        "/where" => return explanation::respond(&context.core, request.uri().query()),
+        _ => {
+            let mut response = Response::new(Bytes::new());
+            *response.status_mut() = StatusCode::NOT_FOUND;
+            return response;
+        }
     }
     let mut text = Vec::new();
     let encoded = TextEncoder::new().encode(&context.registry.gather(), &mut text);
--- a/crates/sg-place/src/candidate.rs
+++ b/crates/sg-place/src/candidate.rs
@@ -8,7 +8,7 @@
     hash::Object,
     location::Location,
     member::{Baseline, Member},
-    pool::Query,
+    pool::{Query, Rejection},
 };
 
 /// Score penalty of a target in another domain than this instance, because traffic between domains
@@ -228,3 +228,24 @@
         (region_bias + domain_bias) * self.query.saved_by_warmth_seconds()
     }
 }
+
+/// Returns the best candidate that has room. In an overload, a target where the object is cold is no
+/// substitute for the best one: the additional work would come at the cost of other requests.
+pub fn best_with_room<'a, 'b>(
+    candidates: &'b [Candidate<'a>],
+    query: &Query<'_>,
+) -> Result<&'b Candidate<'a>, Rejection> {
+    let order = |a: &&Candidate<'_>, b: &&Candidate<'_>| a.compare(b, query);
+    let best = candidates.iter().min_by(order);
+    let best = best.ok_or(Rejection::NoTarget)?;
+    if best.has_room(query.now) {
+        return Ok(best);
+    }
+    let is_ready = |candidate: &&Candidate<'_>| query.object.is_none() || candidate.is_warm;
+    let others = candidates
+        .iter()
+        .filter(|candidate| candidate.has_room(query.now) && is_ready(candidate));
+    others
+        .min_by(order)
+        .ok_or(Rejection::NoRoom(query.typical_work_seconds))
+}
--- a/crates/sg-place/src/lib.rs
+++ b/crates/sg-place/src/lib.rs
@@ -24,6 +24,7 @@
 //! - [`retry`] bounds retries.
 //! - [`shift_limit`] bounds how fast the regions' shares of running requests change during a load
 //!   surge.
+//! - [`estimate`] explains what is known of each target for a request.
 //! - [`hash`] ranks targets and instances by rendezvous hashing.
 //! - [`target`] holds the description of a target.
 #![forbid(unsafe_code)]
@@ -33,6 +34,7 @@
 mod candidate;
 pub mod cold;
 pub mod departure;
+pub mod estimate;
 pub mod hash;
 pub mod limit;
 pub mod location;
--- a/crates/sg-place/src/pool.rs
+++ b/crates/sg-place/src/pool.rs
@@ -203,23 +203,8 @@
         location: &Location,
         closed: &IndexSet<id::Domain>,
     ) -> Result<Choice, Rejection> {
-        let limits_shift =
-            query.shift_limiter.is_surging(query.now) && !self.has_banned_target(query.now);
-        let planned = self.planned_region(query, location, limits_shift);
-        let members = self.permitted_members(query, closed, planned, limits_shift)?;
-        let evaluation = Evaluation {
-            query,
-            location,
-            planned,
-            highest_ranked: candidate::highest_ranked(&members, query.object, query.now),
-            sender_ratio: self.sender_ratio,
-        };
-        let candidates: Vec<Candidate<'_>> = members
-            .iter()
-            .filter(|member| self.has_cold_allowance(member, query, location))
-            .map(|member| evaluation.evaluate(member))
-            .collect();
-        let best = best_with_room(&candidates, query)?;
+        let (planned, candidates) = self.candidates(query, location, closed)?;
+        let best = candidate::best_with_room(&candidates, query)?;
         if best.is_late(query) {
             return Err(Rejection::NoRoom(
                 best.expected_seconds() - query.remaining_seconds,
@@ -240,6 +225,32 @@
         })
     }
 
+    /// Returns the planned region and the targets that may run the request, with estimates.
+    pub(crate) fn candidates<'a>(
+        &'a self,
+        query: &'a Query<'_>,
+        location: &'a Location,
+        closed: &IndexSet<id::Domain>,
+    ) -> Result<(Option<&'a id::Region>, Vec<Candidate<'a>>), Rejection> {
+        let limits_shift =
+            query.shift_limiter.is_surging(query.now) && !self.has_banned_target(query.now);
+        let planned = self.planned_region(query, location, limits_shift);
+        let members = self.permitted_members(query, closed, planned, limits_shift)?;
+        let evaluation = Evaluation {
+            query,
+            location,
+            planned,
+            highest_ranked: candidate::highest_ranked(&members, query.object, query.now),
+            sender_ratio: self.sender_ratio,
+        };
+        let candidates = members
+            .iter()
+            .filter(|member| self.has_cold_allowance(member, query, location))
+            .map(|member| evaluation.evaluate(member))
+            .collect();
+        Ok((planned, candidates))
+    }
+
     /// Returns the targets that may run the request: in the planned region if there are any and the
     /// request may not leave, and in regions that the shift limiter allows. Banned targets count only
     /// if there are no others.
@@ -474,24 +485,3 @@
         wait_seconds.unwrap_or(RATE_RETRY_SECONDS),
     ))
 }
-
-/// Returns the best candidate that has room. In an overload, a target where the object is cold is no
-/// substitute for the best one: the additional work would come at the cost of other requests.
-fn best_with_room<'a, 'b>(
-    candidates: &'b [Candidate<'a>],
-    query: &Query<'_>,
-) -> Result<&'b Candidate<'a>, Rejection> {
-    let order = |a: &&Candidate<'_>, b: &&Candidate<'_>| a.compare(b, query);
-    let best = candidates.iter().min_by(order);
-    let best = best.ok_or(Rejection::NoTarget)?;
-    if best.has_room(query.now) {
-        return Ok(best);
-    }
-    let is_ready = |candidate: &&Candidate<'_>| query.object.is_none() || candidate.is_warm;
-    let others = candidates
-        .iter()
-        .filter(|candidate| candidate.has_room(query.now) && is_ready(candidate));
-    others
-        .min_by(order)
-        .ok_or(Rejection::NoRoom(query.typical_work_seconds))
-}
--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -5,20 +5,14 @@
 use bytes::Bytes;
 use http::{Response, request};
 use sg_catalog::{Account, Catalog, Route};
-use sg_place::{
-    abandon,
-    hash::Object,
-    member::TargetOutcome,
-    pool::{Choice, Query, Rejection},
-    quarantine::Suspicion,
-};
+use sg_place::{abandon, hash::Object, member::TargetOutcome, pool::Choice, quarantine::Suspicion};
 use sg_types::prelude::*;
 
 use crate::{
     Body, Core, Dialect,
     core::Signal,
     dialect::Refusal,
-    price,
+    price, query,
     send::{self, SendOutcome},
     trace::{SendRecord, Trace},
 };
@@ -26,8 +20,6 @@
 /// Maximum number of failed connection attempts after which a request is still retried. A failed
 /// attempt does not count as a send.
 const MAX_CONNECT_FAILURES: u32 = 4;
-/// Time that the response needs to reach the caller, including the processing by this instance.
-const RESPONSE_OVERHEAD_SECONDS: f64 = 0.02;
 /// Time that a refused caller is asked to wait before it retries, as a fraction of its remaining
 /// time. Capacity frees up over time, but with a fraction of a quarter the retries outlast a burst
 /// of requests and shift the burst's traffic to the region of the retries.
@@ -322,44 +314,14 @@
     if now >= call.deadline {
         return Err(Refusal::not_run(Reason::Deadline));
     }
-    let remaining_seconds = call.deadline.since(now).as_secs_f64() - RESPONSE_OVERHEAD_SECONDS;
-    let remaining_seconds = remaining_seconds * price::usable_fraction(call);
-    let services = &call.catalog.services;
-    let cold_rate = services.get(service).map_or(0.0, |s| s.cold_rate);
-    let account_home_regions = call
-        .account
-        .as_ref()
-        .map(|account| account.home_regions.clone());
     let mut state = core.state.lock();
-    let work = state.route_stats(&call.route).work;
     let may_leave_region = state.off_plan.record_request();
-    let query = Query {
-        object: call.object,
-        placement_key: call.placement_key,
-        may_leave_region,
-        warm_work_seconds: work.expected_work_seconds(true),
-        cold_work_seconds: work.expected_work_seconds(call.object.is_none()),
-        cold_fraction: work.cold_fraction(),
-        typical_work_seconds: work.typical_work_seconds(),
-        tried,
-        home_regions: &call.route.home_regions,
-        account_home_regions: account_home_regions.as_deref().unwrap_or(&[]),
-        cold_rate: cold_rate * core.options.cold_factor + core.options.cold_slack,
-        remaining_seconds,
-        shift_limiter: &state.shift_limiter,
-        now,
-    };
+    let query = query::build(core, call, service, &state, may_leave_region, tried, now);
     let Some(pool) = state.pools.get(service) else {
         return Err(Refusal::not_run(Reason::NoTarget));
     };
     let choice = pool.choose(&query, &state.location, &state.closed_domains);
-    choice.map_err(|rejection| match rejection {
-        Rejection::NoTarget => Refusal::not_run(Reason::NoTarget),
-        Rejection::NoRoom(excess_seconds) => Refusal::not_run(Reason::RegionFull)
-            .with_retry_after(Span::from_secs(1).mul_f64(excess_seconds)),
-        Rejection::Paused(seconds) => Refusal::not_run(Reason::TargetsPaused)
-            .with_retry_from(Span::from_secs(1).mul_f64(seconds)),
-    })
+    choice.map_err(query::refusal)
 }
 
 /// Refuses a request that the chosen target may not finish before this instance stops. Another instance
--- a/crates/sg-proxy/src/price.rs
+++ b/crates/sg-proxy/src/price.rs
@@ -21,7 +21,7 @@
 /// that are refused together then don't retry together.
 const RETRY_SPREAD: f64 = 1.0 / 3.0;
 /// Label of refusals by price.
-const PRICE: &str = "price";
+pub const PRICE: &str = "price";
 
 /// Returns the part of its remaining time that a request may use. Where requests are refused by price,
 /// that is all.
@@ -59,7 +59,6 @@
     let price = prices
         .entry(service.clone())
         .or_insert_with(|| Price::new(HORIZON));
-    let seconds = |seconds: f64| Span::from_secs(1).mul_f64(seconds);
     let result = match choice {
         Ok(choice) => {
             let bid = bid(call, arrived, seconds(choice.work_seconds), now);
@@ -88,6 +87,16 @@
     })
 }
 
+/// Returns whether a request that arrives now would be admitted at the present price.
+pub fn allows(price: &Price, call: &Call<'_>, choice: &Choice, now: Instant) -> bool {
+    let bid = bid(call, now, seconds(choice.work_seconds), now);
+    price.would_admit(&bid, seconds(choice.queue_wait_seconds), now)
+}
+
+fn seconds(seconds: f64) -> Span {
+    Span::from_secs(1).mul_f64(seconds)
+}
+
 fn bid(call: &Call<'_>, arrived: Instant, work: Span, now: Instant) -> Bid {
     let age = now.since(arrived);
     Bid {
--- a/crates/sg-proxy/src/state.rs
+++ b/crates/sg-proxy/src/state.rs
@@ -303,6 +303,15 @@
             })
     }
 
+    /// Returns the estimates of the work of a route's requests.
+    pub fn work(&self, route: &sg_catalog::Route) -> WorkEstimate {
+        let stats = self.routes.get(&route.name);
+        stats.map_or_else(
+            || WorkEstimate::new(initial_work(route), self.initial_cold_fraction),
+            |stats| stats.work,
+        )
+    }
+
     /// Records a request for `service` with an expected processing time of `work_seconds`.
     /// `bound_to` is the region where the request has to run, if there is only one.
     pub fn record_demand(
--- a/crates/sg-proxy/tests/proxy/prices.rs
+++ b/crates/sg-proxy/tests/proxy/prices.rs
@@ -1,6 +1,7 @@
 //! Requests that are refused by price, where a route has large responses.
 
 use sg_catalog::Route;
+use sg_proxy::explain::{Asked, explain};
 use sg_types::prelude::*;
 
 use crate::harness::{Instance, OK, ScriptedTarget, Step, catalog, get, header, route, status};
@@ -74,3 +75,30 @@
     let refusals = [0, 2].map(|priority| instance.core.metrics.refusals("price", priority));
     assert_eq!(refusals, [0, 0]);
 }
+
+/// Guards against an explanation that sends the request, or that changes what later requests get.
+#[tokio::test]
+async fn explanation_names_the_target_and_sends_nothing() {
+    let (instance, ..) = burst(true).await;
+    let asked = |path| Asked {
+        host: "h",
+        path,
+        object: Some("object"),
+        account: None,
+    };
+    let sent = instance.core.metrics.refusals("price", 2);
+    for _ in 0..100 {
+        let explanation = explain(&instance.core, &asked("/later/x")).expect("a route");
+        assert_eq!(explanation.route.as_str(), "later");
+        assert_eq!(explanation.targets[0].target.as_str(), "t0");
+        assert_eq!(
+            explanation.decision,
+            Ok(explanation.targets[0].target.clone())
+        );
+    }
+    assert_eq!(instance.core.metrics.refusals("price", 2), sent);
+    let unknown = explain(&instance.core, &asked("/none/x"));
+    assert_eq!(unknown.err(), Some(Reason::NoRoute));
+    let keyed = explain(&instance.core, &asked("/keyed/x"));
+    assert_eq!(keyed.err(), Some(Reason::KeyMissing));
+}
