feat(sg-dispatch): grants without an offer count for shares and usual demand

Cause: the group grants a free slot without offering the request to the room, so the room would learn the demand of accounts in overloads only. Change: Room::record_grant, to be called by the owner for such grants.

--- a/crates/sg-dispatch/src/room.rs
+++ b/crates/sg-dispatch/src/room.rs
@@ -252,6 +252,13 @@
         offer
     }
 
+    /// Records a request that gets a slot without an offer. Shares and usual demand then cover all requests, and
+    /// not only those of an overload.
+    pub fn record_grant(&mut self, bid: &Bid, now: Instant) {
+        self.fairness.record_offer(bid, now);
+        self.fairness.record_taken(bid, now);
+    }
+
     /// Takes the first request in the order for which `fits` returns true, for a slot that is free now.
     pub fn take_next(
         &mut self,
--- a/crates/sg-dispatch/tests/dispatch/room.rs
+++ b/crates/sg-dispatch/tests/dispatch/room.rs
@@ -1,14 +1,17 @@
 //! Tests of single decisions of the waiting room.
 
-use sg_dispatch::room::{Bounds, Cause, Offer, Room};
+use sg_dispatch::{
+    Bid,
+    room::{Bounds, Cause, Offer, Room},
+};
 use sg_types::prelude::*;
 
 fn at(millis: u64) -> Instant {
     Instant::START + Span::from_millis(millis)
 }
 
-pub fn bid(priority: u32, work_millis: u64, deadline_millis: u64) -> sg_dispatch::Bid {
-    sg_dispatch::Bid {
+pub fn bid(priority: u32, work_millis: u64, deadline_millis: u64) -> Bid {
+    Bid {
         priority,
         objective_left: Span::from_millis(deadline_millis / 4),
         deadline_left: Span::from_millis(deadline_millis),
@@ -30,7 +33,7 @@
     room
 }
 
-fn offer(room: &mut Room<u64>, bid: sg_dispatch::Bid, item: u64) -> Offer<u64> {
+fn offer(room: &mut Room<u64>, bid: Bid, item: u64) -> Offer<u64> {
     room.offer(bid, Bytes::new(100), item, at(0))
 }
 
@@ -91,3 +94,25 @@
     pauses.dedup();
     assert_eq!(pauses.len(), 50);
 }
+
+/// Guards against usual demand that is learned in overloads only: an account that was granted slots at once
+/// isn't hot when it first waits, and one that asks for six times as much is.
+#[test]
+fn granted_requests_count_as_usual_demand() {
+    let mut room = room(100);
+    let of = |account: &str| Bid {
+        account: id::Account::new(account).ok(),
+        ..bid(1, 500, 4_000)
+    };
+    for step in 0..600 {
+        let now = at(step * 100);
+        room.record_grant(&of("steady"), now);
+        if step % 6 == 0 || step >= 500 {
+            room.record_grant(&of("hot"), now);
+        }
+    }
+    room.offer(of("hot"), Bytes::new(1), 1, at(60_000));
+    room.offer(of("steady"), Bytes::new(1), 2, at(60_000));
+    let taken = room.take_next(|_, _| true, at(60_000));
+    assert_eq!(taken.map(|taken| taken.item), Some(2));
+}
