--- a/crates/sg-gateway/src/lib.rs
+++ b/crates/sg-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod digests;
 mod entries;
 mod exchange;
+mod explanation;
 mod following;
 mod health;
 pub mod logs;
--- a/crates/sg-place/src/lib.rs
+++ b/crates/sg-place/src/lib.rs
@@ -25,6 +25,7 @@
 //! - [`retry`] bounds retries.
 //! - [`shift_limit`] bounds how fast the regions' shares of running requests change during a load
 //!   surge.
+//! - [`estimate`] explains what is known of each target for a request.
 //! - [`speed`] tells whether a target works more slowly than expected.
 //! - [`hash`] ranks targets and instances by rendezvous hashing.
 //! - [`target`] holds the description of a target.
@@ -35,6 +36,7 @@
 mod candidate;
 pub mod cold;
 pub mod departure;
+pub mod estimate;
 pub mod grant;
 pub mod hash;
 pub mod limit;
--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -4,13 +4,7 @@
 
 use http::{Response, request};
 use sg_catalog::{Account, Catalog, Route};
-use sg_place::{
-    Pool, abandon,
-    hash::Object,
-    location::Location,
-    member::TargetOutcome,
-    pool::{Choice, Query, Rejection},
-};
+use sg_place::{abandon, hash::Object, member::TargetOutcome, pool::Choice};
 use sg_types::prelude::*;
 
 use crate::{
@@ -18,7 +12,7 @@
     content::Content,
     dialect::Refusal,
     history::{self, History},
-    price,
+    price, query,
     send::{self, SendOutcome},
     slots::{self, Granted},
     trace::{SendRecord, Trace},
@@ -27,8 +21,6 @@
 /// Maximum number of failed connection attempts after which a request is still retried. A failed
 /// attempt does not count as a send.
 const MAX_CONNECT_FAILURES: u32 = 4;
-/// Time that the response needs to reach the caller, including the processing by this instance.
-pub(crate) const RESPONSE_OVERHEAD: Span = Span::from_millis(20);
 /// Time that a refused caller is asked to wait before it retries, as a fraction of its remaining
 /// time. Capacity frees up over time, but with a fraction of a quarter the retries outlast a burst
 /// of requests and shift the burst's traffic to the region of the retries.
@@ -313,67 +305,14 @@
     if now >= call.deadline {
         return Err(Refusal::not_run(Reason::Deadline));
     }
-    let may_leave_region = core.state.lock().off_plan.record_request();
-    let choice = with_query(
-        core,
-        call,
-        service,
-        tried,
-        now,
-        |pool, query, location, closed| {
-            let query = Query {
-                may_leave_region,
-                ..*query
-            };
-            pool.choose(&query, location, closed)
-        },
-    );
-    let choice = choice.unwrap_or(Err(Rejection::NoTarget));
-    choice.map_err(|rejection| match rejection {
-        Rejection::NoTarget => Refusal::not_run(Reason::NoTarget),
-        Rejection::NoRoom(excess_seconds) => Refusal::not_run(Reason::RegionFull)
-            .with_retry_after(Span::from_secs(1).mul_f64(excess_seconds)),
-        Rejection::Paused(seconds) => Refusal::not_run(Reason::TargetsPaused)
-            .with_retry_from(Span::from_secs(1).mul_f64(seconds)),
-    })
-}
-
-/// Calls `decide` with the targets of `service`, what the request needs in its planned region, the location of this
-/// instance and the closed domains. Returns `None` if the service has no targets.
-pub(crate) fn with_query<D: Dialect, T>(
-    core: &Core<D>,
-    call: &Call<'_>,
-    service: &id::Service,
-    tried: &[id::Target],
-    now: Instant,
-    decide: impl FnOnce(&Pool, &Query<'_>, &Location, &IndexSet<id::Domain>) -> T,
-) -> Option<T> {
-    let remaining_seconds =
-        call.deadline.since(now).as_secs_f64() - RESPONSE_OVERHEAD.as_secs_f64();
-    let remaining_seconds = remaining_seconds * price::usable_fraction(call);
-    let services = &call.catalog.services;
-    let cold_rate = services.get(service).map_or(0.0, |s| s.cold_rate);
-    let account_home_regions = call.account.as_ref().map(|a| a.home_regions.clone());
     let mut state = core.state.lock();
-    let work = state.route_stats(&call.route).work;
-    let query = Query {
-        object: call.object,
-        placement_key: call.placement_key,
-        may_leave_region: false,
-        warm_work_seconds: work.expected_work_seconds(true),
-        cold_work_seconds: work.expected_work_seconds(call.object.is_none()),
-        cold_fraction: work.cold_fraction(),
-        typical_work_seconds: work.typical_work_seconds(),
-        tried,
-        home_regions: &call.route.home_regions,
-        account_home_regions: account_home_regions.as_deref().unwrap_or(&[]),
-        cold_rate: cold_rate * core.options.cold_factor + core.options.cold_slack,
-        remaining_seconds,
-        shift_limiter: &state.shift_limiter,
-        now,
+    let may_leave_region = state.off_plan.record_request();
+    let query = query::build(core, call, service, &state, may_leave_region, tried, now);
+    let Some(pool) = state.pools.get(service) else {
+        return Err(Refusal::not_run(Reason::NoTarget));
     };
-    let pool = state.pools.get(service)?;
-    Some(decide(pool, &query, &state.location, &state.closed_domains))
+    let choice = pool.choose(&query, &state.location, &state.closed_domains);
+    choice.map_err(query::refusal)
 }
 
 /// Refuses a request that the chosen target may not finish before this instance stops. Another instance
--- a/crates/sg-proxy/src/content.rs
+++ b/crates/sg-proxy/src/content.rs
@@ -191,7 +191,8 @@
 }
 
 impl Content {
-    fn complete(segments: Segments) -> Self {
+    /// Creates a body that was received completely.
+    pub fn complete(segments: Segments) -> Self {
         Self {
             length: segments.length(),
             hold: segments.hold().clone(),
--- a/crates/sg-proxy/src/slots/assign.rs
+++ b/crates/sg-proxy/src/slots/assign.rs
@@ -9,6 +9,7 @@
     Core, Dialect,
     attempt::{self, Call},
     dialect::Refusal,
+    query,
 };
 
 /// Maximum number of targets that an ask excludes, so that an ask stays small.
@@ -66,7 +67,7 @@
     };
     // A request that gets no slot in time for its work is refused: in the same state, a send without a slot would
     // only take the time of other requests.
-    let limit = call.deadline - attempt::RESPONSE_OVERHEAD - ask.warm_work;
+    let limit = call.deadline - query::RESPONSE_OVERHEAD - ask.warm_work;
     let metrics = &core.slots.metrics;
     let mut reason = "moved";
     for _ in 0..MAX_ASKS {
@@ -132,7 +133,7 @@
     arrived: Instant,
 ) -> Option<Ask> {
     let now = core.timer.now();
-    let asked = attempt::with_query(
+    let asked = query::with(
         core,
         call,
         service,
@@ -184,7 +185,7 @@
     if now >= call.deadline {
         return Err(Unusable::Allowance);
     }
-    let choice = attempt::with_query(
+    let choice = query::with(
         core,
         call,
         service,
