--- a/crates/sg-proxy/tests/proxy/lingering.rs
+++ b/crates/sg-proxy/tests/proxy/lingering.rs
@@ -17,10 +17,11 @@
 
 const LARGE: usize = 540_000;
 
-/// Connects with a small receive buffer, so that a large response is in transit for long.
+/// Connects with small buffers, so that large requests and responses are in transit for long.
 pub async fn connect_slowly(instance: &Instance) -> TcpStream {
     let socket = TcpSocket::new_v4().expect("a socket");
     socket.set_recv_buffer_size(8 << 10).expect("a buffer size");
+    socket.set_send_buffer_size(8 << 10).expect("a buffer size");
     let stream = socket.connect(instance.address).await;
     stream.expect("a connection")
 }
