fix(sg-proxy): count a reset during a request as a caller that left; feat(sg-dispatch): the room learns of free slots

Cause: since the read-ahead is told of a request before the HTTP library reads on, the library sees the reset itself and ends the connection, so that the counter of connections that ended early missed it. The waiting room learnt usual demand only in overloads, because slots that were free at once did not pass it.

Change: the end of a connection counts as the caller's if it was reset while a request was handled. The group reports each grant.

--- a/crates/sg-dispatch/src/group.rs
+++ b/crates/sg-dispatch/src/group.rs
@@ -161,6 +161,7 @@
             return vec![self.reject(ticket, retry_after)];
         };
         if self.table.get(best.place).has_room(now) {
+            self.room.record_grant(&bid, now);
             return vec![self.grant(ticket, &need, best, bid.deadline_left, now)];
         }
         if let Some(object) = need.object {
--- a/crates/sg-proxy/src/server.rs
+++ b/crates/sg-proxy/src/server.rs
@@ -257,7 +257,7 @@
     {
         let ending = tokio::select! {
             biased;
-            () = self.serve(handler) => None,
+            () = self.serve(handler) => self.socket.is_request_lost().then_some(Ending::Gone),
             ending = self.socket.watch(|| self.policy.head_timeout()) => Some(ending),
             () = self.socket.hold().evicted() => Some(Ending::Evicted),
         };
--- a/crates/sg-proxy/src/stream/mod.rs
+++ b/crates/sg-proxy/src/stream/mod.rs
@@ -119,6 +119,11 @@
         Some(parse(head, read_at))
     }
 
+    /// Returns whether the connection was reset while a request was handled.
+    pub fn is_request_lost(&self) -> bool {
+        self.state.lock().progress.is_request_lost()
+    }
+
     /// Reads ahead and waits until the connection has to end. `head_timeout` is the time in which the head of
     /// a request has to be complete.
     pub async fn watch(&self, head_timeout: impl Fn() -> Span) -> Ending {
--- a/crates/sg-proxy/src/stream/progress.rs
+++ b/crates/sg-proxy/src/stream/progress.rs
@@ -197,6 +197,11 @@
         self.stalled_since.get_or_insert(now);
     }
 
+    /// Returns whether the connection was reset while a request was handled.
+    pub fn is_request_lost(&self) -> bool {
+        self.phase == Phase::Busy && matches!(self.end, Some(End::Reset(_)))
+    }
+
     /// Returns the next check and its time.
     pub fn next_check(&self, head_timeout: impl Fn() -> Span) -> Option<(Instant, Check)> {
         let head = match self.phase {
