feat(sg-place): direct tokens and the search of a request for one

Cause: a token that a waiting request uses at once was lent like a prefetched one, so that its lender withheld it for 0.75 s; holders were drawn at random, and two empty replies stopped borrowing for the account. Change: direct tokens last 150 ms from their ask, by the borrower's clock, and the lender refills them 150 ms after lending.

--- a/crates/sg-place/src/lib.rs
+++ b/crates/sg-place/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`cold`] bounds the requests that a cold target receives from the fleet.
 //! - [`work_estimate`] estimates how long requests of a route take.
 //! - [`quota`] divides a client account's rate into shares that instances lend each other.
+//! - [`search`] asks the other instances for a token for a waiting request.
 //! - [`quarantine`] detects requests that crash targets.
 //! - [`rate_limit`] bounds the requests per second to targets that state such a limit.
 //! - [`reach`] tells whether an instance has lost its paths to all targets.
@@ -52,6 +53,7 @@
 pub mod retry;
 pub mod round_robin;
 mod scarcity;
+pub mod search;
 pub mod self_report;
 pub mod shift_limit;
 pub mod speed;
--- a/crates/sg-place/src/quota.rs
+++ b/crates/sg-place/src/quota.rs
@@ -8,6 +8,10 @@
 //! long as the holders' parts add up to at most one and loans arrive within the maximum trip time
 //! or not at all.
 //!
+//! A direct token is lent for a request that waits for it. Its lifetime counts from the ask, by the
+//! borrower's clock, and thus ends before the lender refills the token, however long the datagrams
+//! take.
+//!
 //! A small account has few holders: a burst divided into parts of only a few tokens would refuse
 //! requests that come one at a time.
 
@@ -23,6 +27,9 @@
 /// Maximum trip time of a loan, between regions over a bad link. The lender refills lent tokens
 /// only after this time plus the lifetime of the loan.
 const MAX_LOAN_TRIP: Span = Span::from_millis(250);
+/// How long after its ask a direct token can be used: a round trip to another region, with spare time
+/// for delays. The lender refills the token only after this time from lending.
+const DIRECT_LIFETIME: Span = Span::from_millis(150);
 /// Maximum number of borrowed tokens that an instance holds, in seconds of its own demand.
 const MAX_BORROWED_SECONDS: f64 = 1.0;
 /// How long an instance does not ask for tokens after the holders had none to lend.
@@ -66,11 +73,20 @@
     lent: Loans,
     empty_replies: u32,
     borrowing_paused_until: Instant,
+    /// Last replies of holders, as far as they still count.
+    replies: IndexMap<id::Instance, Reply>,
     /// Decaying average of the requests per second that arrive at this instance.
     demand: f64,
     refilled_at: Instant,
 }
 
+/// Reply of a holder to an ask.
+#[derive(Debug, Clone, Copy)]
+struct Reply {
+    at: Instant,
+    is_empty: bool,
+}
+
 /// Returns the fraction of an account's budget that the instance `own` holds. `available` is the
 /// fraction that the whole fleet of `fleet_size` instances may use. All instances hold equal parts
 /// if the burst is large enough; otherwise only the highest-ranked instances hold a part.
@@ -109,6 +125,7 @@
             lent: Loans::default(),
             empty_replies: 0,
             borrowing_paused_until: now,
+            replies: IndexMap::new(),
             demand: 0.0,
             refilled_at: now,
         }
@@ -184,6 +201,16 @@
         lent
     }
 
+    /// Takes out up to `wanted` direct tokens to lend and returns their number. Nothing is reserved
+    /// for expected requests of this instance, because other requests already wait.
+    pub fn lend_direct(&mut self, wanted: u32) -> u32 {
+        let lent = (self.tokens as u32).min(wanted);
+        self.tokens -= f64::from(lent);
+        self.lent
+            .add_loan(f64::from(lent), self.refilled_at + DIRECT_LIFETIME);
+        lent
+    }
+
     /// Returns how many tokens the share may hold besides borrowed ones. Lent tokens are subtracted
     /// as long as another instance may use them.
     fn headroom(&self, bounds: Bounds, fraction: f64) -> f64 {
@@ -206,6 +233,35 @@
         self.borrowing_paused_until = now;
     }
 
+    /// Adds direct tokens that a holder lent for an ask of `asked_at`. They are lost if the reply comes
+    /// too late.
+    pub fn credit_direct(&mut self, tokens: u32, asked_at: Instant, now: Instant) {
+        let until = asked_at.min(now) + DIRECT_LIFETIME;
+        if now < until {
+            self.borrowed.add_loan(f64::from(tokens), until);
+        }
+    }
+
+    /// Records a reply of `holder` to an ask for a waiting request.
+    pub fn record_reply(&mut self, holder: id::Instance, is_empty: bool, now: Instant) {
+        self.replies
+            .retain(|_, reply| now.since(reply.at) < BORROW_PAUSE);
+        self.replies.insert(holder, Reply { at: now, is_empty });
+    }
+
+    /// Returns when `holder` replied last, if it did so lately.
+    #[must_use]
+    pub fn replied_at(&self, holder: &id::Instance) -> Option<Instant> {
+        Some(self.replies.get(holder)?.at)
+    }
+
+    /// Returns whether `holder` had no tokens to spare lately, so that it is not asked.
+    #[must_use]
+    pub fn is_dry(&self, holder: &id::Instance, now: Instant) -> bool {
+        let reply = self.replies.get(holder);
+        reply.is_some_and(|reply| reply.is_empty && now.since(reply.at) < BORROW_PAUSE)
+    }
+
     /// Returns whether a request that found no token may ask other instances for one. Requests do
     /// not ask while the holders are known to be out of tokens.
     #[must_use]
@@ -247,9 +303,11 @@
 struct Loans(VecDeque<(Instant, f64)>);
 
 impl Loans {
+    /// Adds tokens behind those that expire earlier.
     fn add_loan(&mut self, tokens: f64, until: Instant) {
         if tokens > 0.0 {
-            self.0.push_back((until, tokens));
+            let index = self.0.partition_point(|(other, _)| *other <= until);
+            self.0.insert(index, (until, tokens));
         }
     }
 
@@ -261,7 +319,7 @@
         self.0.iter().map(|(_, tokens)| tokens).sum()
     }
 
-    /// Takes one token from the oldest loan that has one.
+    /// Takes one token from the loan that expires first of those that have one.
     fn take_token(&mut self) -> bool {
         let Some((_, tokens)) = self.0.iter_mut().find(|(_, tokens)| *tokens >= 1.0) else {
             return false;
--- a/crates/sg-place/tests/place/main.rs
+++ b/crates/sg-place/tests/place/main.rs
@@ -3,6 +3,7 @@
 mod abandon;
 mod budgets;
 mod choice;
+mod direct;
 mod lending;
 mod limited_fleet;
 mod load;
