feat(sg-proxy): waiting requests ask for direct tokens

Asks carry their time, which the loan returns; builds without the field lend and credit as before. Refused requests are counted by cause.

--- a/crates/sg-gateway/src/exchange.rs
+++ b/crates/sg-gateway/src/exchange.rs
@@ -12,6 +12,7 @@
 use sg_proxy::{
     core::{self, Signal},
     planning::InstanceLoad,
+    quotas::Loan,
 };
 use sg_store::{Store, version::Era};
 use sg_types::prelude::*;
@@ -87,6 +88,7 @@
             number,
             account,
             tokens,
+            asked_at,
         } => {
             let is_addressee = to == context.incarnation;
             if is_addressee
@@ -95,18 +97,26 @@
                     .lock()
                     .record_loan(&from, incarnation, number)
             {
-                context.core.add_borrowed_tokens(&account, tokens);
+                let asked_at = asked_at.map(Instant::from_nanos);
+                let loan = Loan {
+                    from,
+                    tokens,
+                    asked_at,
+                };
+                context.core.add_borrowed_tokens(&account, loan);
             }
         }
         Frame::Ask {
             incarnation,
             account,
             tokens,
+            asked_at,
         } => {
             // A holder without spare tokens responds with a loan of zero tokens, so that the borrower
             // refuses the waiting request at once.
-            if let Some(tokens) = context.core.lend_tokens(&account, tokens) {
-                send_loan(context, incarnation, from, account, tokens);
+            let is_direct = asked_at.is_some();
+            if let Some(tokens) = context.core.lend_tokens(&account, tokens, is_direct) {
+                send_loan(context, (incarnation, from), account, tokens, asked_at);
             }
         }
         Frame::Departures { runs, .. } => {
@@ -132,20 +142,21 @@
         return;
     }
     for (account, tokens) in wanted_tokens {
-        let tokens = context.core.lend_tokens(&account, tokens);
+        let tokens = context.core.lend_tokens(&account, tokens, false);
         if let Some(tokens) = tokens.filter(|tokens| *tokens > 0) {
-            send_loan(context, to, address, account, tokens);
+            send_loan(context, (to, address), account, tokens, None);
         }
     }
 }
 
-/// Sends a loan to another instance.
+/// Sends a loan to the run of another instance at an address. `asked_at` is that of the ask, if the tokens
+/// are direct.
 fn send_loan<D, I, S>(
     context: &Context<D, I, S>,
-    to: Incarnation,
-    address: SocketAddr,
+    (to, address): (Incarnation, SocketAddr),
     account: id::Account,
     tokens: u32,
+    asked_at: Option<u64>,
 ) {
     let frame = Frame::Loan {
         from: context.settings.instance.clone(),
@@ -154,6 +165,7 @@
         number: context.next_loan_number.fetch_add(1, Ordering::Relaxed),
         account,
         tokens,
+        asked_at,
     };
     context.gossip.send(&frame, [address]);
 }
@@ -219,11 +231,16 @@
             let from = context.settings.instance.clone();
             (Frame::Notice { from, notice }, None)
         }
-        Signal::BorrowToken { account, holder } => {
+        Signal::BorrowToken {
+            account,
+            holder,
+            asked_at,
+        } => {
             let frame = Frame::Ask {
                 incarnation: context.incarnation,
                 account,
                 tokens: 1,
+                asked_at: asked_at.map(Instant::as_nanos),
             };
             (frame, Some(holder))
         }
--- a/crates/sg-mesh/src/frame.rs
+++ b/crates/sg-mesh/src/frame.rs
@@ -133,6 +133,10 @@
         account: id::Account,
         /// The number of tokens lent.
         tokens: u32,
+        /// The value of the ask, if the tokens are direct: the borrower uses them at once, and the lender
+        /// refills them sooner. Earlier releases lend no direct tokens.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        asked_at: Option<u64>,
     },
     /// A request for tokens of a client account's budget that the sender needs at once.
     Ask {
@@ -142,6 +146,10 @@
         account: id::Account,
         /// The number of tokens requested.
         tokens: u32,
+        /// The time of the ask in nanoseconds by the sender's clock, if a waiting request uses the tokens
+        /// at once. The loan returns it, so that the sender knows the age of the tokens.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        asked_at: Option<u64>,
     },
     /// A request for tokens of several client accounts that the sender expects to need. It goes to the
     /// instances that hold parts of these accounts' budgets.
--- a/crates/sg-proxy/src/core.rs
+++ b/crates/sg-proxy/src/core.rs
@@ -10,7 +10,7 @@
 use sg_catalog::Catalog;
 use sg_clock::Timer;
 use sg_place::{
-    Pool, Target, location::Location, quarantine::Suspicion, quota, reach, relay::Peer, retry,
+    Pool, Target, location::Location, quarantine::Suspicion, reach, relay::Peer, retry,
     self_report::SelfReport,
 };
 use sg_types::prelude::*;
@@ -25,11 +25,6 @@
     trace::LogLimiter,
 };
 
-/// Maximum time that a request waits for a token from another instance, about two round trips to
-/// another region.
-const BORROW_TIMEOUT: Span = Span::from_millis(180);
-/// Maximum number of instances that are asked for a token per request.
-const MAX_HOLDERS_ASKED: u32 = 2;
 /// Length of the quarantine of a request that crashes targets, as long as its caller may retry.
 const QUARANTINE_DURATION: Span = Span::from_secs(60);
 
@@ -94,7 +89,7 @@
     refusing_new: AtomicBool,
     /// When the configuration and the targets were first known.
     pub(crate) loaded_at: watch::Sender<Option<Instant>>,
-    tokens_credited: Notify,
+    pub(crate) tokens_credited: Notify,
     signals: mpsc::UnboundedSender<Signal>,
 }
 
@@ -109,6 +104,8 @@
         account: id::Account,
         /// Instance that may lend the token.
         holder: id::Instance,
+        /// Time of the ask, if a waiting request uses the token at once.
+        asked_at: Option<Instant>,
     },
 }
 
@@ -294,96 +291,6 @@
         self.metrics.paused_targets.set(paused as i64);
     }
 
-    /// Returns the other instances that hold a part of the account's quota.
-    #[must_use]
-    pub fn holders(&self, account: &id::Account) -> Vec<id::Instance> {
-        let bounds = self.quota_bounds(account);
-        bounds.map_or_else(Vec::new, |bounds| {
-            self.state.lock().holders(account, bounds)
-        })
-    }
-
-    /// Takes up to `wanted` tokens of `account` out of this instance's share to lend, and returns
-    /// their number. Returns `None` if this instance holds no part of the budget.
-    pub fn lend_tokens(&self, account: &id::Account, wanted: u32) -> Option<u32> {
-        let bounds = self.quota_bounds(account)?;
-        let now = self.timer.now();
-        let mut state = self.state.lock();
-        let fraction = state.quota_fraction(account, bounds);
-        let share = state.share(account, bounds, now);
-        (fraction > 0.0).then(|| share.lend(wanted, bounds, fraction))
-    }
-
-    /// Adds borrowed tokens to this instance's share.
-    pub fn add_borrowed_tokens(&self, account: &id::Account, tokens: u32) {
-        let now = self.timer.now();
-        if let Some(bounds) = self.quota_bounds(account) {
-            let mut state = self.state.lock();
-            state.share(account, bounds, now).credit_loan(tokens, now);
-        }
-        self.tokens_credited.notify_waiters();
-    }
-
-    /// Waits for a token of `account` from other instances. Returns `false` if none was available
-    /// in time.
-    pub(crate) async fn borrow_token(&self, account: &id::Account, bounds: quota::Bounds) -> bool {
-        let deadline = self.timer.now() + BORROW_TIMEOUT;
-        let mut asked = 0;
-        loop {
-            let credited = self.tokens_credited.notified();
-            tokio::pin!(credited);
-            credited.as_mut().enable();
-            let now = self.timer.now();
-            {
-                let mut state = self.state.lock();
-                let share = state.share(account, bounds, now);
-                if share.take_counted_token() {
-                    return true;
-                }
-                if now >= deadline {
-                    share.record_failed_wait(now);
-                    return false;
-                }
-                if !share.may_borrow(now) {
-                    return false;
-                }
-                if asked < MAX_HOLDERS_ASKED && now >= self.next_ask_at(deadline, asked) {
-                    let mut holders = state.holders(account, bounds);
-                    if holders.is_empty() {
-                        return false;
-                    }
-                    let index = rand::random_range(0..holders.len());
-                    asked += 1;
-                    self.send_signal(Signal::BorrowToken {
-                        account: account.clone(),
-                        holder: holders.swap_remove(index),
-                    });
-                }
-            }
-            let wake = deadline.min(self.next_ask_at(deadline, asked));
-            // The next iteration detects a timeout.
-            let _ = self
-                .timer
-                .until(wake.max(now + Span::from_millis(1)), credited)
-                .await;
-        }
-    }
-
-    /// Returns when to ask the next instance for a token: the first one at once, the others at
-    /// equal intervals of the wait.
-    fn next_ask_at(&self, deadline: Instant, asked: u32) -> Instant {
-        if asked >= MAX_HOLDERS_ASKED {
-            return deadline;
-        }
-        let remaining =
-            BORROW_TIMEOUT.mul_f64(1.0 - f64::from(asked) / f64::from(MAX_HOLDERS_ASKED));
-        deadline - remaining
-    }
-
-    fn quota_bounds(&self, account: &id::Account) -> Option<quota::Bounds> {
-        quota_bounds(self.catalog()?.accounts.get(account)?)
-    }
-
     /// Returns at most `limit` targets, in random order, that must pass a health check before they
     /// are used, each with the path to request.
     #[must_use]
@@ -489,11 +396,3 @@
         let _ = self.signals.send(signal);
     }
 }
-
-/// Returns the fleet-wide quota of an account, if it has one.
-pub(crate) fn quota_bounds(account: &sg_catalog::Account) -> Option<quota::Bounds> {
-    Some(quota::Bounds {
-        rate: account.rate?.as_f64(),
-        burst: f64::from(account.burst),
-    })
-}
--- a/crates/sg-proxy/src/lib.rs
+++ b/crates/sg-proxy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod planning;
 pub mod policy;
 mod price;
+pub mod quotas;
 mod rate_limits;
 mod reach;
 mod relay;
--- a/crates/sg-proxy/src/metrics.rs
+++ b/crates/sg-proxy/src/metrics.rs
@@ -47,6 +47,7 @@
     relays: IntCounterVec,
     departures: IntCounterVec,
     refusals: IntCounterVec,
+    quota_refusals: IntCounterVec,
     cut_responses: IntCounterVec,
     latency: HistogramVec,
     body_refusals: IntCounterVec,
@@ -133,6 +134,11 @@
                 "Requests refused before their first send, where an order of refusal is on.",
                 &["reason", "priority"],
             )?,
+            quota_refusals: counters(
+                "sg_quota_refusals_total",
+                "Requests refused for their account's rate where requests ask for direct tokens, by whether the holders had none.",
+                &["cause"],
+            )?,
             departures: counters(
                 "sg_target_departures_total",
                 "Targets that say that they are leaving, by who told of it.",
@@ -236,6 +242,11 @@
         self.refusals.with_label_values(&labels).inc();
     }
 
+    /// Records a request that got no token of its account's quota; `cause` is the label of the cause.
+    pub fn record_quota_refusal(&self, cause: &str) {
+        self.quota_refusals.with_label_values(&[cause]).inc();
+    }
+
     /// Records a request body that was not received; `reason` is the label of why.
     pub fn record_body_refusal(&self, reason: &str) {
         self.body_refusals.with_label_values(&[reason]).inc();
--- a/crates/sg-proxy/src/planning.rs
+++ b/crates/sg-proxy/src/planning.rs
@@ -3,7 +3,7 @@
 use sg_place::{Pool, plan};
 use sg_types::prelude::*;
 
-use crate::{Core, core::quota_bounds, state::State};
+use crate::{Core, quotas::quota_bounds, state::State};
 
 /// Maximum fraction of the requests that a plan moves between regions in one step.
 const MAX_PLAN_STEP: f64 = 0.0095;
--- a/crates/sg-proxy/src/serve.rs
+++ b/crates/sg-proxy/src/serve.rs
@@ -4,7 +4,7 @@
 
 use http::{Request, Response, header, request};
 use sg_catalog::{Account, Catalog, Route};
-use sg_place::hash::Object;
+use sg_place::{hash::Object, quota};
 use sg_types::prelude::*;
 
 use crate::{
@@ -12,9 +12,9 @@
     attempt::{self, Call},
     body::RequestBody,
     content::{self, Content, FINGERPRINTED_BYTES},
-    core,
     dialect::{Refusal, RequestInfo},
     memory::{Segments, Use},
+    quotas,
     relay::{self, Relayed},
     server,
     trace::{QuotaSnapshot, Trace},
@@ -377,7 +377,7 @@
         trace: &mut Trace,
     ) -> Result<Self, Refusal> {
         let Some((account, bounds)) =
-            account.and_then(|a| Some((a.clone(), core::quota_bounds(&a)?)))
+            account.and_then(|a| Some((a.clone(), quotas::quota_bounds(&a)?)))
         else {
             return Ok(Self::new(core, None));
         };
@@ -387,7 +387,7 @@
             .lock()
             .share(&account.name, bounds, now)
             .take_token();
-        if taken || core.borrow_token(&account.name, bounds).await {
+        if taken || Self::borrow(core, &account.name, bounds, trace.deadline).await {
             return Ok(Self::new(core, Some(account)));
         }
         let now = core.timer.now();
@@ -403,6 +403,24 @@
         Err(Refusal::not_run(Reason::OverRate).with_retry_after(next))
     }
 
+    /// Waits for a token from other instances and returns whether there was one.
+    async fn borrow(
+        core: &Core<D>,
+        account: &id::Account,
+        bounds: quota::Bounds,
+        deadline: Option<Instant>,
+    ) -> bool {
+        if !core.uses_direct_tokens() {
+            return core.borrow_token(account, bounds).await;
+        }
+        let until = deadline.unwrap_or(Instant::from_nanos(u64::MAX));
+        let borrowed = core.borrow_direct(account, bounds, until).await;
+        if let Err(shortage) = borrowed {
+            core.metrics.record_quota_refusal(shortage.as_str());
+        }
+        borrowed.is_ok()
+    }
+
     fn new(core: &'a Core<D>, account: Option<Arc<Account>>) -> Self {
         Self {
             core,
@@ -419,7 +437,7 @@
         }
         let account = self.account.take();
         let Some((account, bounds)) =
-            account.and_then(|a| Some((a.clone(), core::quota_bounds(&a)?)))
+            account.and_then(|a| Some((a.clone(), quotas::quota_bounds(&a)?)))
         else {
             return;
         };
