--- a/crates/sg-mesh/tests/mesh/compat.rs
+++ b/crates/sg-mesh/tests/mesh/compat.rs
@@ -111,6 +111,32 @@
     assert_eq!(read.frame, "beacon");
 }
 
+/// Guards against fields that earlier releases do not send or expect in a frame about tokens that are not
+/// direct, and against an ask for direct tokens that they can't read.
+#[test]
+fn frames_about_tokens_are_those_of_earlier_releases() {
+    let json = |bytes: &[u8]| -> serde_json::Value { serde_json::from_slice(bytes).expect("JSON") };
+    for name in ["ask.json", "loan.json"] {
+        let sample = sample("9fefa2c", name);
+        let mut frame = Frame::decode(&sample).expect("a frame");
+        let expected = json(&sample);
+        assert_eq!(json(&frame.encode().expect("bytes")), expected, "{name}");
+        let (Frame::Ask { asked_at, .. } | Frame::Loan { asked_at, .. }) = &mut frame else {
+            panic!("{name}");
+        };
+        *asked_at = Some(u64::MAX);
+        let bytes = frame.encode().expect("bytes");
+        assert_eq!(Frame::decode(&bytes).expect("a frame"), frame);
+        let fields = json(&bytes).as_object().expect("fields").clone();
+        let known = fields.into_iter().filter(|(field, _)| field != "asked_at");
+        assert_eq!(
+            serde_json::Value::Object(known.collect()),
+            expected,
+            "{name}"
+        );
+    }
+}
+
 /// Earlier releases read a datagram as JSON and skip what they can't read, so a frame that they don't know
 /// must not look like one that they know.
 #[test]
--- a/crates/sg-proxy/src/metrics.rs
+++ b/crates/sg-proxy/src/metrics.rs
@@ -292,6 +292,12 @@
         self.refusals.with_label_values(&labels).get()
     }
 
+    /// Returns the number of requests so far that got no token for this cause.
+    #[must_use]
+    pub fn quota_refusals(&self, cause: &str) -> u64 {
+        self.quota_refusals.with_label_values(&[cause]).get()
+    }
+
     /// Returns the number of responses so far with this outcome and reason.
     #[must_use]
     pub fn responses(&self, outcome: Outcome, reason: Reason) -> u64 {
--- a/crates/sg-proxy/tests/proxy/harness.rs
+++ b/crates/sg-proxy/tests/proxy/harness.rs
@@ -21,7 +21,7 @@
 };
 use sg_proxy::{
     Core,
-    core::{Fleet, Options},
+    core::{Fleet, Options, Signal},
     memory,
     metrics::Metrics,
     policy,
@@ -219,6 +219,8 @@
     pub core: Arc<Core<TestDialect>>,
     pub address: SocketAddr,
     pub phase: watch::Sender<Phase>,
+    /// Messages for other instances.
+    pub signals: tokio::sync::Mutex<mpsc::UnboundedReceiver<Signal>>,
 }
 
 fn service() -> Service {
@@ -376,7 +378,7 @@
             source: None,
         };
         let metrics = Metrics::register(&prometheus::Registry::new()).expect("counters");
-        let (signals, _) = mpsc::unbounded_channel();
+        let (signals, signal_receiver) = mpsc::unbounded_channel();
         let core = Arc::new(Core::new(
             TestDialect,
             timer.clone(),
@@ -423,6 +425,7 @@
             core,
             address,
             phase,
+            signals: signal_receiver.into(),
         }
     }
 
--- a/crates/sg-proxy/tests/proxy/main.rs
+++ b/crates/sg-proxy/tests/proxy/main.rs
@@ -12,6 +12,7 @@
 mod memory;
 mod pipelines;
 mod prices;
+mod quotas;
 mod rate_limits;
 mod relays;
 mod responses;
