fix(sg-place): pause borrowing once all holders that could be asked had none

Cause: an account far beyond its rate asked on, because a request reaches only two holders in other regions and the others never counted as empty. No holder in another region is asked with less than a round trip left.

--- a/crates/sg-place/src/quota.rs
+++ b/crates/sg-place/src/quota.rs
@@ -237,8 +237,9 @@
     /// too late.
     pub fn credit_direct(&mut self, tokens: u32, asked_at: Instant, now: Instant) {
         let until = asked_at.min(now) + DIRECT_LIFETIME;
-        if now < until {
+        if now < until && tokens > 0 {
             self.borrowed.add_loan(f64::from(tokens), until);
+            self.borrowing_paused_until = now;
         }
     }
 
--- a/crates/sg-place/src/search.rs
+++ b/crates/sg-place/src/search.rs
@@ -10,6 +10,10 @@
 /// Time without a reply after which the next holder is asked if the asked one is in another region:
 /// a usual round trip of 72 ms with some spare time.
 const FAR_REPLY_TIMEOUT: Span = Span::from_millis(90);
+/// Remaining time below which no holder in another region is asked, a usual round trip.
+const FAR_ROUND_TRIP: Span = Span::from_millis(72);
+/// Minimum time of a search whose failure counts for other requests: two round trips to another region.
+const LONG_SEARCH: Span = Span::from_millis(150);
 /// Maximum number of asks to one holder in a search. The second ask replaces a lost datagram.
 const MAX_ASKS: u32 = 2;
 
@@ -20,12 +24,16 @@
     /// Index of the candidate that was asked last.
     current: Option<usize>,
     deadline: Instant,
+    /// Whether the search has enough time that its failure counts for other requests.
+    is_long: bool,
 }
 
 #[derive(Debug)]
 struct Candidate {
     holder: id::Instance,
     reply_timeout: Span,
+    /// Shortest time after which a reply is expected.
+    round_trip: Span,
     asks: u32,
     asked_at: Instant,
 }
@@ -44,7 +52,7 @@
 /// Why a request got no token from other instances.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Shortage {
-    /// All holders had no tokens to spare.
+    /// All holders that could be asked had no tokens to spare.
     OutOfTokens,
     /// At least one holder did not reply in time.
     NoReply,
@@ -73,6 +81,10 @@
                 true => NEAR_REPLY_TIMEOUT,
                 false => FAR_REPLY_TIMEOUT,
             },
+            round_trip: match is_near(&holder) {
+                true => Span::ZERO,
+                false => FAR_ROUND_TRIP,
+            },
             holder,
             asks: 0,
             asked_at: Instant::START,
@@ -81,35 +93,53 @@
             candidates: holders.into_iter().map(candidate).collect(),
             current: None,
             deadline,
+            is_long: false,
         }
     }
 
     /// Returns what the request does next if `share` has no token for it at `now`. A holder in
-    /// [`Step::Ask`] counts as asked at `now`.
-    pub fn next_step(&mut self, share: &TokenShare, now: Instant) -> Step {
-        let is_dry = |one: &Candidate| share.is_dry(&one.holder, now);
-        if self.candidates.iter().all(is_dry) {
-            return Step::Refuse(Shortage::OutOfTokens);
-        }
-        if now >= self.deadline {
-            return Step::Refuse(Shortage::NoReply);
+    /// [`Step::Ask`] counts as asked at `now`. If all holders that could be asked had no tokens,
+    /// further searches end at once for a while, unless the request itself had little time.
+    pub fn next_step(&mut self, share: &mut TokenShare, now: Instant) -> Step {
+        if self.current.is_none() {
+            self.is_long = self.deadline.since(now) >= LONG_SEARCH;
+            if !share.may_borrow(now) {
+                return Step::Refuse(Shortage::OutOfTokens);
+            }
         }
         if let Some(current) = self.current.map(|index| &self.candidates[index]) {
-            let timeout = current.asked_at + current.reply_timeout;
+            let timeout = self.deadline.min(current.asked_at + current.reply_timeout);
             if now < timeout && !current.has_reply(share) {
-                return Step::Wait(timeout.min(self.deadline));
+                return Step::Wait(timeout);
             }
         }
-        let usable = |asks| move |one: &Candidate| one.asks == asks && !is_dry(one);
-        let next = (0..MAX_ASKS).find_map(|asks| self.candidates.iter().position(usable(asks)));
-        let Some(index) = next else {
+        if let Some(index) = self.next_candidate(share, now) {
+            self.current = Some(index);
+            let candidate = &mut self.candidates[index];
+            candidate.asks += 1;
+            candidate.asked_at = now;
+            return Step::Ask(candidate.holder.clone());
+        }
+        let is_empty =
+            |one: &Candidate| (self.is_long && one.asks == 0) || share.is_dry(&one.holder, now);
+        if self.candidates.iter().all(is_empty) {
+            share.record_failed_wait(now);
+            return Step::Refuse(Shortage::OutOfTokens);
+        }
+        if self.current.is_some() && now < self.deadline {
             return Step::Wait(self.deadline);
+        }
+        Step::Refuse(Shortage::NoReply)
+    }
+
+    /// Returns the index of the holder to ask at `now`, if any is left.
+    fn next_candidate(&self, share: &TokenShare, now: Instant) -> Option<usize> {
+        let is_usable = |one: &Candidate| {
+            let is_in_time = now + one.round_trip < self.deadline;
+            is_in_time && !share.is_dry(&one.holder, now)
         };
-        self.current = Some(index);
-        let candidate = &mut self.candidates[index];
-        candidate.asks += 1;
-        candidate.asked_at = now;
-        Step::Ask(candidate.holder.clone())
+        let asked = |asks| move |one: &Candidate| one.asks == asks && is_usable(one);
+        (0..MAX_ASKS).find_map(|asks| self.candidates.iter().position(asked(asks)))
     }
 }
 
--- a/crates/sg-place/tests/place/direct.rs
+++ b/crates/sg-place/tests/place/direct.rs
@@ -380,6 +380,30 @@
     );
 }
 
+/// A request with little time asks few holders, so its failure must not refuse other requests.
+#[test]
+fn search_with_little_time_does_not_pause_others() {
+    let [near, far]: [id::Instance; 2] = ["near", "far"].map(|name| name.parse().expect("a name"));
+    let mut location = location("west");
+    for (name, region) in [(&near, "west"), (&far, "east")] {
+        let region = region.parse().expect("a name");
+        location.instance_regions.insert(name.clone(), region);
+    }
+    for (millis, is_paused) in [(40, false), (180, true)] {
+        let mut share = TokenShare::new(at(0));
+        let mut search = Search::new(vec![far.clone(), near.clone()], &location, at(millis));
+        assert_eq!(search.next_step(&mut share, at(0)), Step::Ask(near.clone()));
+        share.record_reply(near.clone(), true, at(2));
+        if is_paused {
+            assert_eq!(search.next_step(&mut share, at(2)), Step::Ask(far.clone()));
+            share.record_reply(far.clone(), true, at(74));
+        }
+        let step = search.next_step(&mut share, at(74));
+        assert!(matches!(step, Step::Refuse(_)), "{step:?}");
+        assert_eq!(!share.may_borrow(at(75)), is_paused);
+    }
+}
+
 quickcheck! {
     /// If a direct token counted longer at the borrower than at the lender, both could admit a request
     /// for it.
