--- a/crates/sg-place/tests/place/direct.rs
+++ b/crates/sg-place/tests/place/direct.rs
@@ -17,13 +17,13 @@
 /// Interval at which instances ask for tokens ahead of requests.
 const TICK_MILLIS: u64 = 200;
 
-/// What a run plays.
+/// Parameters of a run.
 #[derive(Debug, Clone, Copy)]
 struct Scenario {
     bounds: Bounds,
     per_second: f64,
     seconds: u64,
-    /// Every how manieth instance runs a build without direct tokens; 0 for none.
+    /// One in this many instances runs a build without direct tokens; 0 for none.
     old_every: usize,
     /// Datagrams in 1,000 that are lost.
     lost: u64,
@@ -83,7 +83,8 @@
     count: u64,
     credited: HashSet<u64>,
     random: u64,
-    /// What the admitted requests leave of the burst. A window exceeds the bound if it is negative.
+    /// What the admitted requests leave of the burst, refilled at the rate. It is negative exactly if some
+    /// window that ends now exceeds the bound.
     meter: f64,
     totals: Totals,
 }
