--- a/crates/sg-proxy/src/lib.rs
+++ b/crates/sg-proxy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod policy;
 mod price;
 mod query;
+pub mod quotas;
 mod rate_limits;
 mod reach;
 mod relay;
