fix(sg-proxy): faults found by reviews of the joined parts; feat(sg-place): plans that level regions

Cause: reviewers who had not written the parts found, by reading: requests started behind one that closes the connection or may run once only; started requests that outlived the connection; a ready response that lost its memory while it waited for its turn; a chunked GET that was streamed with an empty body; a new body that could evict no stalled one; evicted bodies that went on as streams; a quota token that was returned after its bucket had refilled; a 'region full' where no target of the region may run the request; ends of slots that never reached the former dispatcher; bans of one instance that blocked a target for all; waits beyond the deadline; targets that got room without a wake-up. A region with a sixth of the targets was filled to 0.8 while the others stood at 0.4.

Where the configuration has routes with large responses, a plan fills a region to half of the way from the utilization of all regions to 0.8.

Measured: 145 tests of sg-proxy pass, of which two on pipelined requests are new.

--- a/crates/sg-dispatch/src/group.rs
+++ b/crates/sg-dispatch/src/group.rs
@@ -157,8 +157,8 @@
     /// Grants a slot to a request, or lets it wait for the best target.
     fn place(&mut self, ticket: Ticket, need: Need, bid: Bid, now: Instant) -> Vec<Decision> {
         let Some(best) = self.choose(&need, now) else {
-            let retry_after = span(self.typical_seconds(&need));
-            return vec![self.reject(ticket, retry_after)];
+            // No target here may run the request. The asking instance decides where else it may run.
+            return vec![self.reject(ticket, Span::ZERO)];
         };
         if self.table.get(best.place).has_room(now) {
             self.room.record_grant(&bid, now);
@@ -413,7 +413,9 @@
             .map(|rejected| self.reject_waiting(&rejected.item, rejected.retry_after, now))
             .collect();
         self.move_stranded(&mut decisions, now);
-        let places: Vec<Place> = self.table.by_load().take(REFILLED).collect();
+        let mut places: IndexSet<Place> = self.table.by_load().take(REFILLED).collect();
+        // A target may have got room without the end of a lease.
+        places.extend(self.waiting.values().map(|promise| promise.place));
         for place in places {
             decisions.extend(self.fill(place, now));
         }
--- a/crates/sg-dispatch/src/room.rs
+++ b/crates/sg-dispatch/src/room.rs
@@ -136,7 +136,9 @@
 fn longest_wait(bid: &Bid) -> Span {
     let slack = bid.deadline_left.saturating_sub(bid.work);
     let slack = slack.mul_f64(MAX_WAIT_FRACTION);
-    slack.max(bid.objective_left.saturating_sub(bid.work))
+    let to_objective = bid.objective_left.saturating_sub(bid.work);
+    let to_deadline = bid.deadline_left.saturating_sub(bid.work);
+    slack.max(to_objective).min(to_deadline)
 }
 
 fn class_key(bid: &Bid) -> ClassKey {
--- a/crates/sg-place/src/plan.rs
+++ b/crates/sg-place/src/plan.rs
@@ -13,6 +13,33 @@
 /// a target.
 const MAX_UTILIZATION: f64 = 0.8;
 
+/// Part of the difference between [`MAX_UTILIZATION`] and the utilization of all regions together that a plan
+/// leaves free while other regions have room. Requests wait the longer the fuller a region is, far beyond the way
+/// to another region.
+const LEVELING: f64 = 0.5;
+
+/// How far a plan fills the slots of a region.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Filling {
+    /// Requests leave their region only beyond [`MAX_UTILIZATION`].
+    Home,
+    /// Requests also leave a region that is much fuller than the others.
+    Leveled,
+}
+
+impl Filling {
+    /// Returns the fraction of a region's slots that a plan fills.
+    fn fraction(self, regions: &[RegionLoad]) -> f64 {
+        let demand: f64 = regions.iter().map(|r| r.demand + r.bound).sum();
+        let slots: f64 = regions.iter().map(|r| r.slots).sum();
+        if self == Self::Home || slots <= 0.0 {
+            return MAX_UTILIZATION;
+        }
+        let free = (MAX_UTILIZATION - demand / slots).max(0.0);
+        MAX_UTILIZATION - free * LEVELING
+    }
+}
+
 /// Demand and capacity of a region.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RegionLoad {
@@ -44,11 +71,19 @@
     pub shares: Vec<RegionShare>,
 }
 
+/// Splits the demand of all regions and returns the plan of the region `home`, which fills regions as
+/// [`Filling::Home`] does.
+#[must_use]
+pub fn plan_for(regions: &[RegionLoad], home: &id::Region) -> Plan {
+    plan_with(regions, home, Filling::Home)
+}
+
 /// Splits the demand of all regions and returns the plan of the region `home`. Demand beyond the
 /// room of all regions stays where it arrives.
 #[must_use]
-pub fn plan_for(regions: &[RegionLoad], home: &id::Region) -> Plan {
-    let room = |region: &RegionLoad| (region.slots * MAX_UTILIZATION - region.bound).max(0.0);
+pub fn plan_with(regions: &[RegionLoad], home: &id::Region, filling: Filling) -> Plan {
+    let fraction = filling.fraction(regions);
+    let room = |region: &RegionLoad| (region.slots * fraction - region.bound).max(0.0);
     let excess = |region: &RegionLoad| (region.demand - room(region)).max(0.0);
     let spare = |region: &RegionLoad| (room(region) - region.demand).max(0.0);
     let Some(own) = regions.iter().find(|region| region.name == *home) else {
--- a/crates/sg-place/src/quota.rs
+++ b/crates/sg-place/src/quota.rs
@@ -167,9 +167,12 @@
         self.tokens + self.borrowed.total()
     }
 
-    /// Returns a token that was not used.
-    pub fn return_token(&mut self, bounds: Bounds, fraction: f64) {
-        self.tokens = (self.tokens + 1.0).min(self.headroom(bounds, fraction));
+    /// Returns a token that was taken `held` ago and not used. What the account's bucket has refilled since
+    /// then is not returned, because the bucket may have been full without the token.
+    pub fn return_token(&mut self, bounds: Bounds, fraction: f64, held: Span) {
+        let refilled = bounds.rate * held.as_secs_f64();
+        let returned = (1.0 - refilled).max(0.0);
+        self.tokens = (self.tokens + returned).min(self.headroom(bounds, fraction));
     }
 
     /// Returns how many tokens to ask other instances for.
--- a/crates/sg-proxy/src/body.rs
+++ b/crates/sg-proxy/src/body.rs
@@ -14,7 +14,11 @@
 use sg_types::prelude::{Arc, Bytes as Size, Instant};
 use tokio::sync::oneshot;
 
-use crate::{connections::Connection, memory::Hold, stream::Delivery};
+use crate::{
+    connections::Connection,
+    memory::{Hold, Stage},
+    stream::Delivery,
+};
 
 /// Maximum size of a body that is streamed and whose response does not declare a length. Such a body may
 /// have no end.
@@ -114,12 +118,18 @@
 pub struct Buffered {
     segments: VecDeque<Bytes>,
     length: u64,
+    /// Hold that is charged for the segments of a target's response.
+    hold: Option<Arc<Hold>>,
 }
 
 impl Buffered {
     fn new(segments: VecDeque<Bytes>) -> Self {
         let length = segments.iter().map(|segment| segment.len() as u64).sum();
-        Self { segments, length }
+        Self {
+            segments,
+            length,
+            hold: None,
+        }
     }
 
     fn next(&mut self) -> Option<Bytes> {
@@ -246,6 +256,25 @@
         matches!(self, Self::Buffered(_))
     }
 
+    /// Lets the memory of a received body be given up, because the caller may read the body now.
+    pub(crate) fn open(&self) {
+        if let Self::Buffered(Buffered {
+            hold: Some(hold), ..
+        }) = self
+        {
+            hold.set_stage(Stage::Open);
+        }
+    }
+
+    /// Returns a body with all of its data in memory, which `hold` is charged for.
+    #[must_use]
+    pub(crate) fn held(segments: VecDeque<Bytes>, hold: Arc<Hold>) -> Self {
+        Self::Buffered(Buffered {
+            hold: Some(hold),
+            ..Buffered::new(segments)
+        })
+    }
+
     /// Returns a body with all of its data in memory.
     #[must_use]
     pub fn buffered(bytes: Bytes) -> Self {
--- a/crates/sg-proxy/src/content.rs
+++ b/crates/sg-proxy/src/content.rs
@@ -116,8 +116,9 @@
     loop {
         let stalls_at = timer.now() + limits.stall;
         let frame = tokio::select! {
-            frame = timer.until(limits.deadline.min(stalls_at), body.frame()) => frame,
+            biased;
             () = hold.evicted() => return Err(Failure::Exhausted),
+            frame = timer.until(limits.deadline.min(stalls_at), body.frame()) => frame,
         };
         let frame = match frame {
             Ok(Some(frame)) => frame.map_err(|_| Failure::Broken)?,
@@ -151,7 +152,7 @@
                 elapsed: now.since(began),
                 left: limits.deadline.since(now),
             };
-            if !progress.may_stream() {
+            if hold.is_evicted() || !progress.may_stream() {
                 return Err(Failure::Exhausted);
             }
             segments.append_over(&data);
@@ -336,10 +337,11 @@
         let Some(rest) = &mut self.rest else {
             return Poll::Ready(Some(Err(Broken)));
         };
+        let stream = &self.stream;
         if let Some(segment) = rest.segments.pop_front() {
+            stream.record_end(rest);
             return Poll::Ready(Some(Ok(Frame::data(segment))));
         }
-        let stream = &self.stream;
         let frame = Pin::new(&mut rest.body).poll_frame(cx);
         if frame.is_ready() {
             stream.awaited_since.store(0, Ordering::Relaxed);
@@ -361,10 +363,21 @@
             return Poll::Ready(Some(Err(Broken)));
         }
         rest.left -= length;
+        stream.record_end(rest);
         Poll::Ready(frame.ok().map(Ok))
     }
 }
 
+impl Stream {
+    /// Records that the body is complete if nothing of `rest` is left. The HTTP library does not ask again
+    /// after the last byte of a declared length.
+    fn record_end(&self, rest: &Rest) {
+        if rest.segments.is_empty() && rest.body.is_end_stream() {
+            self.is_complete.store(true, Ordering::Relaxed);
+        }
+    }
+}
+
 impl Drop for Streamed {
     fn drop(&mut self) {
         // No byte was sent, so that the body may still go to another target.
--- a/crates/sg-proxy/src/memory.rs
+++ b/crates/sg-proxy/src/memory.rs
@@ -438,6 +438,14 @@
         self.budget.released.notify_waiters();
     }
 
+    /// Returns whether this hold was told to give up its bytes.
+    #[must_use]
+    pub fn is_evicted(&self) -> bool {
+        let table = self.budget.table.lock();
+        let entry = table.entries.get(&self.key);
+        entry.is_some_and(|entry| entry.is_evicted)
+    }
+
     /// Records that `bytes` were received or delivered.
     pub fn record_progress(&self, bytes: Bytes) {
         let now = self.budget.timer.now();
--- a/crates/sg-proxy/src/memory/segments.rs
+++ b/crates/sg-proxy/src/memory/segments.rs
@@ -80,6 +80,7 @@
         if needed > 0 {
             self.hold.grow(Size::new(needed as u64))?;
         }
+        self.hold.record_progress(Size::new(data.len() as u64));
         self.copy(data, needed);
         Ok(())
     }
@@ -89,6 +90,8 @@
     /// # Errors
     /// Returns [`Exhausted`] if there will be none. Nothing is appended then.
     pub async fn append_when_released(&mut self, data: &[u8]) -> Result<(), Exhausted> {
+        // The bytes have arrived, so that they count as progress when the hold is compared with others.
+        self.hold.record_progress(Size::new(data.len() as u64));
         let needed = self.needed_capacity(data);
         if needed > 0 {
             let size = Size::new(needed as u64);
@@ -102,6 +105,7 @@
     pub fn append_over(&mut self, data: &[u8]) {
         let needed = self.needed_capacity(data);
         self.hold.grow_over(Size::new(needed as u64));
+        self.hold.record_progress(Size::new(data.len() as u64));
         self.copy(data, needed);
     }
 
@@ -125,7 +129,6 @@
     /// charged already.
     fn copy(&mut self, data: &[u8], capacity: usize) {
         self.length += data.len() as u64;
-        self.hold.record_progress(Size::new(data.len() as u64));
         let room = self.last.as_ref().map_or(0, Segment::room);
         let (head, tail) = data.split_at(room.min(data.len()));
         if let Some(last) = &mut self.last {
--- a/crates/sg-proxy/src/pipeline.rs
+++ b/crates/sg-proxy/src/pipeline.rs
@@ -10,6 +10,8 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, Version, header};
 use tokio::task::JoinHandle;
 
+use crate::memory::Hold;
+
 /// Maximum number of requests of a connection that are handled ahead of the library.
 pub const MAX_STARTED: usize = 8;
 /// Maximum number of header fields of a request that is started early. A request with more fields waits for
@@ -75,6 +77,17 @@
     }
 }
 
+/// Returns whether requests behind `request` may be handled before its response: the request has no effect
+/// that they could depend on, and its response does not close the connection by what the request says.
+#[must_use]
+pub fn may_have_followers<B>(request: &Request<B>) -> bool {
+    let is_safe = [Method::GET, Method::HEAD].contains(request.method());
+    let keeps_open = request.version() == Version::HTTP_11
+        && !request.headers().contains_key(header::CONNECTION)
+        && !request.headers().contains_key(header::UPGRADE);
+    is_safe && keeps_open
+}
+
 /// Returns whether a field called `name` announces a body or changes how the connection goes on.
 fn concerns_connection(name: &HeaderName) -> bool {
     [
@@ -92,6 +105,8 @@
     head: Head,
     /// Length of the head in the read-ahead bytes.
     length: usize,
+    /// Memory of the request and its handling.
+    _hold: Hold,
     task: Task<T>,
 }
 
@@ -152,10 +167,11 @@
     }
 
     /// Adds the request behind all that were started. `length` is the length of its head.
-    pub fn push(&mut self, head: Head, length: usize, task: JoinHandle<T>) {
+    pub fn push(&mut self, head: Head, length: usize, hold: Hold, task: JoinHandle<T>) {
         self.started.push_back(Started {
             head,
             length,
+            _hold: hold,
             task: Task(task),
         });
     }
--- a/crates/sg-proxy/src/planning.rs
+++ b/crates/sg-proxy/src/planning.rs
@@ -137,6 +137,11 @@
         } else {
             INITIAL_DEMAND_FRACTION
         };
+        let levels = self.catalog().is_some_and(|c| c.has_large_responses());
+        let filling = match levels {
+            true => plan::Filling::Leveled,
+            false => plan::Filling::Home,
+        };
         let is_first_plan = self.is_first_plan(&mut state, now);
         let closed = state.closed_domains.clone();
         for (service, pool) in &mut state.pools {
@@ -144,7 +149,7 @@
             pool.set_sender_ratio(sender_ratio(arriving, own.demand(service)));
             let mut loads = region_loads(&fleet, service, pool, domains, &closed, now);
             assume_initial_demand(&mut loads, demand_fraction);
-            let next = plan::plan_for(&loads, home);
+            let next = plan::plan_with(&loads, home, filling);
             // The load of a surge is no guide to where requests ran before.
             let adopts = is_first_plan && !all_cold && !plan::is_overloaded(&loads);
             let max_step = if adopts { 1.0 } else { MAX_PLAN_STEP };
--- a/crates/sg-proxy/src/policy.rs
+++ b/crates/sg-proxy/src/policy.rs
@@ -24,16 +24,18 @@
         catalog.map_or(DEFAULT_HEAD_TIMEOUT, |catalog| catalog.limits.head_timeout)
     }
 
+    fn starts_early(&self) -> bool {
+        let catalog = self.0.catalog();
+        catalog.is_some_and(|catalog| catalog.has_large_responses()) && !self.0.is_draining()
+    }
+
     /// A request may start early if it may be repeated, because its caller sends it again when an earlier
-    /// response closes the connection, and if the configuration has routes with large responses.
+    /// response closes the connection.
     fn may_start_early(&self, head: &Request<()>) -> bool {
         let core = &self.0;
         let Some(catalog) = core.catalog() else {
             return false;
         };
-        if !catalog.has_large_responses() || core.is_draining() {
-            return false;
-        }
         let (parts, ()) = head.clone().into_parts();
         let Ok(request_info) = core.dialect.parse_request(&parts) else {
             return false;
--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, Uri, Version, request};
+use http::{HeaderMap, HeaderValue, Request, Response, Uri, Version, header, request};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sg_place::{Target, member::TargetOutcome, pool::Choice};
@@ -250,7 +250,8 @@
         .dialect
         .forwarded_headers(&call.head.headers, &forward_info);
     let request = build_request(call.head, call.content.outgoing(), headers);
-    let reuse = reuse_policy(call.route.idempotent);
+    // A body that is sent while it is read can't be sent again if the target has just closed the connection.
+    let reuse = reuse_policy(call.route.idempotent && !call.content.is_streamed());
     let sent = core.connections.send(
         choice.target.address,
         request,
@@ -318,6 +319,13 @@
     *request.uri_mut() = uri;
     *request.version_mut() = Version::HTTP_11;
     *request.headers_mut() = headers;
+    // The HTTP library takes a request such as GET for one without a body unless a field announces the body.
+    if http_body::Body::size_hint(request.body()).exact().is_none() {
+        let chunked = HeaderValue::from_static("chunked");
+        request
+            .headers_mut()
+            .insert(header::TRANSFER_ENCODING, chunked);
+    }
     request
 }
 
@@ -364,7 +372,9 @@
         if is_full {
             segments.append_over(&data);
         }
-        if is_full || segments.length() > MAX_BUFFERED_BYTES {
+        if (is_full || segments.length() > MAX_BUFFERED_BYTES)
+            && !http_body::Body::is_end_stream(&body)
+        {
             remainder = Some(body);
             break;
         }
@@ -395,10 +405,10 @@
     on_cut: impl FnOnce(Cut) + Send + 'static,
 ) -> Body {
     let connection = from.connection;
-    // The target's work is done; what the caller does not read may be given up.
-    received.hold.set_stage(Stage::Open);
     if let Some(remainder) = received.remainder {
         received.hold.grow_to_forward();
+        // The target's work is done; what the caller does not read may be given up.
+        received.hold.set_stage(Stage::Open);
         let timer = core.timer.clone();
         let data = received.data;
         let streamed = Streamed::new(
@@ -418,7 +428,7 @@
         core.connections
             .put_back(connection, from.keep_alive_timeout);
     }
-    Body::segmented(received.data)
+    Body::held(received.data, received.hold)
 }
 
 /// Records that a response of `target` was cut off. Only a target that sent too much, or too late, is held
--- a/crates/sg-proxy/src/serve.rs
+++ b/crates/sg-proxy/src/serve.rs
@@ -201,6 +201,8 @@
         let account = account.as_deref();
         let (content, _) =
             read_body(core, &catalog, (head, account), body, deadline, trace).await?;
+        // Nothing waits for an eviction while the request is passed on.
+        content.set_forwarded();
         let relayed = Relayed::new(head, &request_info, &route, account, content, deadline);
         return relay::run(core, &relayed, trace).await;
     }
@@ -365,6 +367,7 @@
 /// Token of a client account's quota. Dropping the guard returns the token unless it was spent.
 struct QuotaToken<'a, D> {
     core: &'a Core<D>,
+    taken_at: Instant,
     account: Option<Arc<Account>>,
     /// Whether a target may have run the request.
     is_spent: Arc<AtomicBool>,
@@ -424,6 +427,7 @@
     fn new(core: &'a Core<D>, account: Option<Arc<Account>>) -> Self {
         Self {
             core,
+            taken_at: core.timer.now(),
             account,
             is_spent: Arc::default(),
         }
@@ -444,8 +448,9 @@
         let now = self.core.timer.now();
         let mut state = self.core.state.lock();
         let fraction = state.quota_fraction(&account.name, bounds);
+        let held = now.since(self.taken_at);
         state
             .share(&account.name, bounds, now)
-            .return_token(bounds, fraction);
+            .return_token(bounds, fraction, held);
     }
 }
--- a/crates/sg-proxy/src/server.rs
+++ b/crates/sg-proxy/src/server.rs
@@ -19,7 +19,7 @@
     callers::{Admission, Load, SHORT_IDLE_TIMEOUT, Slot, Table},
     connections,
     memory::{Budget, Hold, Stage, Use},
-    pipeline::{Head, Pipeline},
+    pipeline::{self, Head, Pipeline},
     stream::{Arrival, Ending, Socket, Stream},
 };
 
@@ -37,6 +37,8 @@
 /// Memory of an open connection of a caller with its buffers, as measured with idle connections and heads of
 /// ordinary size.
 pub const CONNECTION_BYTES: Bytes = Bytes::new(24 << 10);
+/// Memory of a request that is started early: two copies of its head and the state of its handling.
+const STARTED_BYTES: Bytes = Bytes::new(24 << 10);
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1024;
 
@@ -86,6 +88,9 @@
     /// Returns the time in which the head of a request has to be complete once its first byte was read.
     fn head_timeout(&self) -> Span;
 
+    /// Returns whether any request may be handled while earlier responses of its connection are still due.
+    fn starts_early(&self) -> bool;
+
     /// Returns whether the request with the head `head` may be handled while earlier responses of its
     /// connection are still due.
     fn may_start_early(&self, head: &Request<()>) -> bool;
@@ -101,6 +106,10 @@
         (self.0)()
     }
 
+    fn starts_early(&self) -> bool {
+        false
+    }
+
     fn may_start_early(&self, _: &Request<()>) -> bool {
         false
     }
@@ -268,6 +277,8 @@
                 .with_label_values(&[ending.as_str()]);
             ended.inc();
         }
+        // What was started early has no connection to be answered on.
+        *self.pipeline.lock() = Pipeline::default();
         match ending {
             Some(Ending::Gone) => return,
             Some(Ending::Stalled | Ending::Evicted) => return self.socket.reset_on_close(),
@@ -340,10 +351,16 @@
         R: Future<Output = Response<Body>> + Send + 'static,
     {
         self.slot.set_busy();
-        let mut response = tokio::select! {
-            biased;
-            response = self.respond(request, arrival.read_at, handler) => response,
-            never = self.start_waiting(handler) => match never {},
+        let may_have_followers = pipeline::may_have_followers(&request);
+        let response = self.respond(request, arrival.read_at, handler);
+        let mut response = if may_have_followers {
+            tokio::select! {
+                biased;
+                response = response => response,
+                never = self.start_waiting(handler) => match never {},
+            }
+        } else {
+            response.await
         };
         if let Some(last_response) = arrival.behind
             && response.extensions().get::<Refused>().is_some()
@@ -354,6 +371,7 @@
         let until = response.extensions_mut().remove::<Until>();
         let until = until.map(|until| until.0);
         let is_received = response.body().is_received();
+        response.body().open();
         let delivery = self.socket.start_response(until, is_received);
         if self.pipeline.lock().is_empty() {
             let load = self.slot.set_idle(self.timer.now());
@@ -426,7 +444,7 @@
     {
         let mut pipeline = self.pipeline.lock();
         let keeps_open = self.slot.load() < Load::NoReuse && *self.phase.borrow() == Phase::Open;
-        if self.is_refused || !keeps_open || !pipeline.has_room() {
+        if self.is_refused || !keeps_open || !pipeline.has_room() || !self.policy.starts_early() {
             return false;
         }
         let parse = |bytes: &[u8], read_at| Some((Head::parse(bytes)?, bytes.len(), read_at));
@@ -438,10 +456,14 @@
         if !self.policy.may_start_early(&request) {
             return false;
         }
+        let hold = self.socket.hold().sibling(Use::Request);
+        if hold.grow(STARTED_BYTES).is_err() {
+            return false;
+        }
         let mut request = request.map(|()| RequestBody::Empty);
         self.mark(&mut request, read_at);
         self.options.started_early.inc();
-        pipeline.push(head, length, tokio::spawn(handler(request)));
+        pipeline.push(head, length, hold, tokio::spawn(handler(request)));
         true
     }
 
--- a/crates/sg-proxy/src/slots/ask.rs
+++ b/crates/sg-proxy/src/slots/ask.rs
@@ -198,7 +198,12 @@
         let is_heard = std::mem::take(&mut pending.is_heard);
         let is_due = now >= self.due;
         if now >= limit && (is_heard || self.is_waiting || !is_due) {
-            return Some(Answer::Expired);
+            let has_answered = is_heard || self.has_waited;
+            return Some(if has_answered {
+                Answer::Expired
+            } else {
+                Answer::Silent
+            });
         }
         if is_heard && !self.is_waiting {
             self.is_waiting = true;
--- a/crates/sg-proxy/src/slots/assign.rs
+++ b/crates/sg-proxy/src/slots/assign.rs
@@ -73,6 +73,7 @@
     for _ in 0..MAX_ASKS {
         let now = core.timer.now();
         ask.bid.deadline_left = call.deadline.since(now);
+        ask.bid.objective_left = (arrived + call.route.latency_objective).since(now);
         let open = match core.slots.open(service, ask.clone(), now) {
             Ok(open) => open,
             Err(why) => {
@@ -90,12 +91,19 @@
                     metrics.record_ask("granted");
                     return Ok(Some(Granted { choice, slot }));
                 }
-                Err(why) => {
-                    slot.refuse(why);
+                Err(_) => {
+                    // Why this instance may not use the target says nothing of it to others, so that the ask is
+                    // withdrawn.
+                    drop(slot);
                     reason = "unusable";
                     break;
                 }
             },
+            // No target of the region may run the request.
+            Answer::Rejected(Span::ZERO) => {
+                reason = "no-target";
+                break;
+            }
             Answer::Rejected(retry_after) => {
                 metrics.record_ask("rejected");
                 // The dispatcher spreads the retry times of those that it rejects.
--- a/crates/sg-proxy/src/slots/lease.rs
+++ b/crates/sg-proxy/src/slots/lease.rs
@@ -4,7 +4,7 @@
     exchange::{Message, ServiceKey},
     message::{End, Outcome},
 };
-use sg_place::{grant::Unusable, hash::Object, pool::Choice};
+use sg_place::{hash::Object, pool::Choice};
 use sg_types::prelude::*;
 
 use super::{Link, Post, Requester};
@@ -46,18 +46,6 @@
         }
     }
 
-    /// Ends the use of a slot that this instance may not use. A target that has room but that this instance
-    /// has sent its share to is no failure of the target, so that the ask is withdrawn.
-    pub fn refuse(mut self, why: Unusable) {
-        if why == Unusable::Target {
-            self.end = Some(End {
-                outcome: Outcome::NotRun,
-                report: None,
-                work: None,
-            });
-        }
-    }
-
     /// Ends the use of the slot after a send, with what the target said of its load in its response.
     pub fn finish<D>(
         mut self,
@@ -132,10 +120,15 @@
             Some(end) => Message::End { ticket, end },
             None => Message::Cancel { ticket },
         };
-        self.requester.post(Post {
-            to,
-            service,
-            message,
-        });
+        // The instance may have asked another dispatcher only because this one answered late.
+        let former = (from != to).then_some(from);
+        for to in former.into_iter().chain([to]) {
+            let message = message.clone();
+            self.requester.post(Post {
+                to,
+                service,
+                message,
+            });
+        }
     }
 }
--- a/crates/sg-proxy/tests/proxy/started_early.rs
+++ b/crates/sg-proxy/tests/proxy/started_early.rs
@@ -101,6 +101,31 @@
     assert_eq!(read_ids(&mut stream, 3).await, ["a", "b", "c"]);
 }
 
+/// Guards against requests that are sent although the response before them closes the connection.
+#[tokio::test]
+async fn nothing_starts_behind_a_request_that_closes_the_connection() {
+    let (target, instance) = start(true).await;
+    let closing = request("a", "GET", "/safe/x").replace("host: h", "host: h\r\nconnection: close");
+    let requests = [closing, request("b", "GET", "/safe/x")];
+    let mut stream = send(&instance, &requests).await;
+    assert_eq!(read_ids(&mut stream, 2).await, ["a"]);
+    assert_eq!(target.count(), 1);
+}
+
+/// Guards against a read that runs beside the write before it, and returns the state from before the write.
+#[tokio::test]
+async fn nothing_starts_beside_a_request_that_may_run_once() {
+    let (target, instance) = start(true).await;
+    let requests = [
+        request("a", "POST", "/once/x"),
+        request("b", "GET", "/safe/x"),
+    ];
+    let mut stream = send(&instance, &requests).await;
+    sleep(Duration::from_millis(WORK_MILLIS / 2)).await;
+    assert_eq!(target.count(), 1);
+    assert_eq!(read_ids(&mut stream, 2).await, ["a", "b"]);
+}
+
 /// Guards against work that goes on for a caller that has left.
 #[tokio::test]
 async fn started_requests_end_with_the_connection() {
