--- a/crates/sg-gateway/src/daemon.rs
+++ b/crates/sg-gateway/src/daemon.rs
@@ -234,6 +234,17 @@
     );
     let (leave_sender, leave_receiver) = watch::channel(false);
     tasks.spawn(registry::run(context.clone(), leave_receiver));
+    log_start(&context, &budget);
+    stop_signals.wait(&context).await;
+    let _ = leave_sender.send(true);
+    shutdown::drain(&context, &phases, &mut servers).await;
+    tasks.shutdown().await;
+    log::info!("stopped");
+    Ok(())
+}
+
+/// Logs the start, with what the budget of descriptors and memory allows.
+fn log_start<D, I, S>(context: &Context<D, I, S>, budget: &Budget) {
     log::info!(
         incarnation = context.incarnation.get(),
         domain:% = context.settings.domain,
@@ -245,12 +256,6 @@
         max_buffered_bytes = budget.buffered.get();
         "started"
     );
-    stop_signals.wait(&context).await;
-    let _ = leave_sender.send(true);
-    shutdown::drain(&context, &phases, &mut servers).await;
-    tasks.shutdown().await;
-    log::info!("stopped");
-    Ok(())
 }
 
 /// Returns the options of the request path.
--- a/crates/sg-place/src/plan.rs
+++ b/crates/sg-place/src/plan.rs
@@ -21,7 +21,7 @@
 /// How far a plan fills the slots of a region.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Filling {
-    /// Requests leave their region only beyond [`MAX_UTILIZATION`].
+    /// Requests leave their region only beyond the largest utilization that a plan allows.
     Home,
     /// Requests also leave a region that is much fuller than the others.
     Leveled,
--- a/crates/sg-proxy/src/lib.rs
+++ b/crates/sg-proxy/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod quotas;
 mod rate_limits;
 mod reach;
+mod receive;
 mod relay;
 mod self_reports;
 mod send;
--- a/crates/sg-proxy/src/relay.rs
+++ b/crates/sg-proxy/src/relay.rs
@@ -16,7 +16,8 @@
     connections::SendError,
     content::Content,
     dialect::{Refusal, RequestInfo},
-    send::{self, CONNECT_TIMEOUT, ReceivedFrom},
+    receive::{self, ReceivedFrom},
+    send::{self, CONNECT_TIMEOUT},
     trace::{RelayEnd, RelayRecord, Trace},
 };
 
@@ -164,7 +165,7 @@
         log::debug!(other:% = peer.instance; "rejected by an older configuration");
         return Err(Failure::Outdated);
     }
-    let received = send::receive_body(core, relayed.head, body).await;
+    let received = receive::receive_body(core, relayed.head, body).await;
     let received = received.map_err(|error| {
         log::debug!(other:% = peer.instance, error:% = error; "connection lost");
         Failure::Lost
@@ -178,6 +179,6 @@
     };
     let metrics = core.metrics.clone();
     let on_cut = move |cut: Cut| metrics.record_cut_response(cut.as_str());
-    let body = send::finish_body(core, received, from, relayed.deadline, on_cut);
+    let body = receive::finish_body(core, received, from, relayed.deadline, on_cut);
     Ok((Response::from_parts(head, body), info.outcome))
 }
--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -1,10 +1,6 @@
 //! Sends a request to one target.
 
-use std::collections::VecDeque;
-
-use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, Uri, Version, header, request};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sg_place::{Target, member::TargetOutcome, pool::Choice};
 use sg_types::prelude::*;
@@ -12,11 +8,11 @@
 use crate::{
     Body, Core, Dialect,
     attempt::{self, Call},
-    body::{Cut, Streamed},
+    body::Cut,
     connections::{Connection, ReusePolicy, SendError},
     content::Outgoing,
     dialect::{ForwardInfo, Verdict},
-    memory::{Hold, Segments, Stage, Use},
+    receive::{self, ReceivedFrom},
     state::State,
 };
 
@@ -25,8 +21,6 @@
 /// Maximum idle time of a connection that is reused for a request that must not be repeated. The
 /// target can't have closed the connection for idleness after so short a time.
 const NON_IDEMPOTENT_MAX_IDLE: Span = Span::from_millis(1_500);
-/// Maximum size of a response that is buffered until it is complete. A larger one is streamed.
-const MAX_BUFFERED_BYTES: u64 = 1 << 20;
 
 /// Outcome of a send to one target.
 #[derive(Debug)]
@@ -329,108 +323,6 @@
     request
 }
 
-/// Body of a response, as far as it was received before it is forwarded.
-pub(crate) struct ReceivedBody {
-    data: VecDeque<Bytes>,
-    hold: Arc<Hold>,
-    /// Rest of a body that is larger than [`MAX_BUFFERED_BYTES`].
-    remainder: Option<Incoming>,
-}
-
-/// Returns a hold for a response to the request of `head`. If the response has to give up its memory while
-/// the caller reads it, the caller's connection closes.
-fn response_hold<D>(core: &Core<D>, head: &request::Parts) -> Hold {
-    match head.extensions.get::<Arc<Hold>>() {
-        Some(connection) => {
-            let hold = connection.sibling(Use::Response);
-            hold.set_stage(Stage::Forwarded);
-            hold
-        }
-        None => {
-            let hold = core.memory.hold(Use::Response);
-            hold.set_stage(Stage::Kept);
-            hold
-        }
-    }
-}
-
-/// Receives the body of a response to the request of `head`: completely, or, if it is larger than
-/// [`MAX_BUFFERED_BYTES`] or the memory is used up, a first part.
-pub(crate) async fn receive_body<D>(
-    core: &Core<D>,
-    head: &request::Parts,
-    mut body: Incoming,
-) -> Result<ReceivedBody, hyper::Error> {
-    let hold = Arc::new(response_hold(core, head));
-    let mut segments = Segments::new(hold.clone());
-    let mut remainder = None;
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame?.into_data() else {
-            continue;
-        };
-        let is_full = segments.append(&data).is_err();
-        if is_full {
-            segments.append_over(&data);
-        }
-        if (is_full || segments.length() > MAX_BUFFERED_BYTES)
-            && !http_body::Body::is_end_stream(&body)
-        {
-            remainder = Some(body);
-            break;
-        }
-    }
-    Ok(ReceivedBody {
-        data: segments.into_list(),
-        hold,
-        remainder,
-    })
-}
-
-/// Connection that a response came on, and what the response says of it.
-pub(crate) struct ReceivedFrom {
-    pub connection: Connection,
-    /// Whether the other side closes the connection.
-    pub closes: bool,
-    /// Time for which the other side keeps the idle connection open.
-    pub keep_alive_timeout: Option<Span>,
-}
-
-/// Returns the body for the caller. The connection goes with a body that is still arriving, which is cut off
-/// at `deadline`; otherwise the connection returns to the pool, or closes if the other side will close it.
-pub(crate) fn finish_body<D>(
-    core: &Core<D>,
-    received: ReceivedBody,
-    from: ReceivedFrom,
-    deadline: Instant,
-    on_cut: impl FnOnce(Cut) + Send + 'static,
-) -> Body {
-    let connection = from.connection;
-    if let Some(remainder) = received.remainder {
-        received.hold.grow_to_forward();
-        // The target's work is done; what the caller does not read may be given up.
-        received.hold.set_stage(Stage::Open);
-        let timer = core.timer.clone();
-        let data = received.data;
-        let streamed = Streamed::new(
-            data,
-            remainder,
-            connection,
-            received.hold,
-            timer,
-            deadline,
-            on_cut,
-        );
-        return Body::Streamed(Box::new(streamed));
-    }
-    if from.closes {
-        connection.close();
-    } else {
-        core.connections
-            .put_back(connection, from.keep_alive_timeout);
-    }
-    Body::held(received.data, received.hold)
-}
-
 /// Records that a response of `target` was cut off. Only a target that sent too much, or too late, is held
 /// responsible.
 fn record_cut<D>(core: &Core<D>, target: &Target, cut: Cut) {
@@ -484,7 +376,7 @@
     if states_rate {
         core.record_rate_limit(&choice.target.id, self_report.rate_limit, sent_at);
     }
-    let Ok(received) = receive_body(core, call.head, body).await else {
+    let Ok(received) = receive::receive_body(core, call.head, body).await else {
         return SendOutcome::Lost;
     };
     core.dialect.strip_hop_by_hop_headers(&mut head.headers);
@@ -495,7 +387,7 @@
     };
     let (cutting, target) = (core.clone(), choice.target.clone());
     let on_cut = move |cut| record_cut(&cutting, &target, cut);
-    let body = finish_body(core, received, from, call.deadline, on_cut);
+    let body = receive::finish_body(core, received, from, call.deadline, on_cut);
     match verdict {
         Verdict::Response { failed: false } => {
             SendOutcome::Answered(Response::from_parts(head, body))
--- a/crates/sg-proxy/src/serve.rs
+++ b/crates/sg-proxy/src/serve.rs
@@ -177,14 +177,7 @@
     if core.refuses_new_requests() {
         return Err(Refusal::not_run(Reason::Leaving).with_retry_after(RETRY_AFTER_BOUNDS.0));
     }
-    let most = request_info
-        .deadline
-        .map_or(MAX_LOAD_WAIT, |span| span.mul_f64(LOAD_WAIT_FRACTION));
-    core.wait_until_loaded(trace.arrived + most.min(MAX_LOAD_WAIT))
-        .await;
-    let Some(catalog) = core.catalog() else {
-        return Err(Refusal::not_run(Reason::NoTree).with_retry_after(NO_CATALOG_RETRY_AFTER));
-    };
+    let catalog = wait_for_catalog(core, &request_info, trace.arrived).await?;
     trace.revision = catalog.revision;
     let path = head.uri.path();
     let route = catalog
@@ -236,6 +229,21 @@
     relay::run(core, &relayed, trace).await
 }
 
+/// Returns the catalog in force. An instance that has just started waits a while for its first one.
+async fn wait_for_catalog<D: Dialect>(
+    core: &Core<D>,
+    request_info: &RequestInfo<'_>,
+    arrived: Instant,
+) -> Result<Arc<Catalog>, Refusal> {
+    let most = request_info
+        .deadline
+        .map_or(MAX_LOAD_WAIT, |span| span.mul_f64(LOAD_WAIT_FRACTION));
+    core.wait_until_loaded(arrived + most.min(MAX_LOAD_WAIT))
+        .await;
+    core.catalog()
+        .ok_or_else(|| Refusal::not_run(Reason::NoTree).with_retry_after(NO_CATALOG_RETRY_AFTER))
+}
+
 /// Returns the client account of the request, or `None` if the route is open or the catalog has no
 /// accounts.
 fn authenticate(
--- a/crates/sg-proxy/src/slots/assign.rs
+++ b/crates/sg-proxy/src/slots/assign.rs
@@ -86,53 +86,57 @@
                 target,
                 is_warm,
                 slot,
-            } => match check_grant(core, call, service, &target, is_warm) {
-                Ok(choice) => {
+            } => {
+                if let Ok(choice) = check_grant(core, call, service, &target, is_warm) {
                     metrics.record_ask("granted");
                     return Ok(Some(Granted { choice, slot }));
                 }
-                Err(_) => {
-                    // Why this instance may not use the target says nothing of it to others, so that the ask is
-                    // withdrawn.
-                    drop(slot);
-                    reason = "unusable";
-                    break;
-                }
-            },
-            // No target of the region may run the request.
-            Answer::Rejected(Span::ZERO) => {
-                reason = "no-target";
-                break;
-            }
-            Answer::Rejected(retry_after) => {
-                metrics.record_ask("rejected");
-                // The dispatcher spreads the retry times of those that it rejects.
-                return Err(Refusal {
-                    retry_after: Some(retry_after),
-                    ..Refusal::not_run(Reason::RegionFull)
-                });
-            }
-            Answer::Moved => {}
-            Answer::Silent => {
-                reason = "silent";
-                break;
-            }
-            Answer::Expired => {
-                metrics.record_ask("expired");
-                let refusal = Refusal::not_run(Reason::RegionFull);
-                return Err(refusal.with_retry_after(call.retry_after(core.timer.now())));
-            }
-            Answer::Draining => {
-                reason = "draining";
-                break;
+                // Why this instance may not use the target says nothing of it to others, so that the ask is
+                // withdrawn.
+                drop(slot);
+                reason = "unusable";
             }
+            Answer::Moved => continue,
+            answer => reason = without_slot(core, call, &answer)?,
         }
+        break;
     }
     metrics.record_ask("fallback");
     metrics.record_fallback(reason);
     Ok(None)
 }
 
+/// Returns why this instance decides alone after an answer without a slot.
+///
+/// # Errors
+/// Returns a refusal if the dispatcher rejects the request or no slot is free in time.
+fn without_slot<D: Dialect>(
+    core: &Core<D>,
+    call: &Call<'_>,
+    answer: &Answer,
+) -> Result<&'static str, Refusal> {
+    let metrics = &core.slots.metrics;
+    match answer {
+        // No target of the region may run the request.
+        Answer::Rejected(Span::ZERO) => Ok("no-target"),
+        Answer::Rejected(retry_after) => {
+            metrics.record_ask("rejected");
+            // The dispatcher spreads the retry times of those that it rejects.
+            Err(Refusal {
+                retry_after: Some(*retry_after),
+                ..Refusal::not_run(Reason::RegionFull)
+            })
+        }
+        Answer::Expired => {
+            metrics.record_ask("expired");
+            let refusal = Refusal::not_run(Reason::RegionFull);
+            Err(refusal.with_retry_after(call.retry_after(core.timer.now())))
+        }
+        Answer::Draining => Ok("draining"),
+        Answer::Silent | Answer::Moved | Answer::Granted { .. } => Ok("silent"),
+    }
+}
+
 /// Returns the ask for the request, or `None` if the plan does not keep the request in the own region.
 fn prepare<D: Dialect>(
     core: &Core<D>,
