fix(sg-dispatch): a send that was given up says nothing against its target

Cause: an instance that gave up on a slow response reported the slot as lost. Two such ends in a row kept a target from all grants for up to 64 works, so that with two to six targets of a service in a region, requests waited for one slot and were refused while others were idle.

Change: such an end is told apart; only lost connections and refused sends count as failures, and the time without grants doubles three times at most.

Measured: the new test fails without the change.

--- a/crates/sg-dispatch/src/group.rs
+++ b/crates/sg-dispatch/src/group.rs
@@ -344,6 +344,8 @@
                 Outcome::Answered => target.record_success(),
                 // A target that reports its load is there; its report bounds further grants.
                 Outcome::NotRun if end.report.is_some() => {}
+                // The asking instance could not wait; the target may be fine.
+                Outcome::Late => {}
                 Outcome::NotRun | Outcome::Lost => target.record_failure(typical, now),
             }
             if let Some(report) = end.report {
--- a/crates/sg-dispatch/src/group/target.rs
+++ b/crates/sg-dispatch/src/group/target.rs
@@ -16,7 +16,7 @@
 /// ones that was warm, against a decrease by 1 if it was cold.
 const WARM_INCREASE: f64 = 0.25;
 /// Maximum number of doublings of the time without grants.
-const MAX_DOUBLINGS: u32 = 6;
+const MAX_DOUBLINGS: u32 = 3;
 /// How long a response counts for the slowness, as a multiple of the typical work. A target with free slots
 /// gets the responses that can clear it within that time.
 const SPEED_LIFETIME: f64 = 10.0;
--- a/crates/sg-dispatch/src/message.rs
+++ b/crates/sg-dispatch/src/message.rs
@@ -52,8 +52,11 @@
     /// The target did not run the request, because it had no capacity or the asking instance could not use
     /// the grant.
     NotRun,
-    /// The connection was lost, or no response arrived in time.
+    /// The connection was lost.
     Lost,
+    /// The asking instance gave up the send, because no response arrived in time. That says nothing against the
+    /// target: the work varies, and the object may have been cold.
+    Late,
 }
 
 /// The end of the use of a granted slot.
--- a/crates/sg-dispatch/tests/dispatch/failures.rs
+++ b/crates/sg-dispatch/tests/dispatch/failures.rs
@@ -104,6 +104,19 @@
     assert_eq!(grants(&decisions).len(), 1, "{decisions:?}");
 }
 
+/// Guards against targets that get nothing because requests gave up on them: with few targets, all of a service's
+/// requests would wait for one slot while the others are idle.
+#[test]
+fn sends_that_were_given_up_do_not_exclude_their_target() {
+    let mut group = group(&["a"]);
+    for number in 0..8 {
+        let now = at(number * 100);
+        let decisions = group.ask(ask(number), now);
+        assert_eq!(grants(&decisions).len(), 1, "{decisions:?}");
+        group.end(ticket(number), end(Outcome::Late, None), now);
+    }
+}
+
 /// A repeated or late message must neither grant a slot twice nor release one twice.
 #[test]
 fn repeated_and_late_messages_change_nothing() {
--- a/crates/sg-mesh/src/slots.rs
+++ b/crates/sg-mesh/src/slots.rs
@@ -231,6 +231,7 @@
         Outcome::Answered => 0,
         Outcome::NotRun => 1,
         Outcome::Lost => 2,
+        Outcome::Late => 3,
     });
     let pace = end.report.and_then(|report| report.pace);
     let flag = |is_set, flag| if is_set { flag } else { 0 };
@@ -388,6 +389,7 @@
             0 => Outcome::Answered,
             1 => Outcome::NotRun,
             2 => Outcome::Lost,
+            3 => Outcome::Late,
             _ => return Err(Error::Invalid),
         };
         let flags = self.u8()?;
--- a/crates/sg-mesh/tests/mesh/slots.rs
+++ b/crates/sg-mesh/tests/mesh/slots.rs
@@ -47,7 +47,12 @@
         1 => Message::End {
             ticket,
             end: End {
-                outcome: [Outcome::Answered, Outcome::NotRun, Outcome::Lost][usize::from(b % 3)],
+                outcome: [
+                    Outcome::Answered,
+                    Outcome::NotRun,
+                    Outcome::Lost,
+                    Outcome::Late,
+                ][usize::from(b % 4)],
                 report: flag.then_some(LoadReport {
                     running: b.into(),
                     waiting: 0,
--- a/crates/sg-proxy/src/slots/lease.rs
+++ b/crates/sg-proxy/src/slots/lease.rs
@@ -84,6 +84,11 @@
                 report,
                 work: None,
             },
+            SendOutcome::TimedOut | SendOutcome::Abandoned => End {
+                outcome: Outcome::Late,
+                report: None,
+                work: None,
+            },
             _ => End {
                 outcome: Outcome::Lost,
                 report: None,
@@ -111,7 +116,8 @@
         // A dispatcher that took over has adopted the slot.
         let (service, from) = (held.service, held.from);
         let to = inner.dispatcher_of(service).unwrap_or(from);
-        let has_run = self.end.is_some_and(|end| end.outcome == Outcome::Answered);
+        let ran = [Outcome::Answered, Outcome::Late];
+        let has_run = self.end.is_some_and(|end| ran.contains(&end.outcome));
         if has_run && held.object.is_some() {
             inner.remember(self.number, held);
         }
