fix(sg-dispatch): a request that waits longer than expected goes to an idle target

Cause: a request waits for the target where its object is warm if the estimated wait is shorter than a cold run. Where the work of the requests before it is underestimated, it waited until it was rejected, beside idle targets. Expired waits were rejected before the tick offered free slots.

Change: the time that a request has waited counts as the least that it still has to wait, and slots are filled before waits expire.

Measured: the new test fails without the change (run with the elapsed time left out).

--- a/crates/sg-dispatch/src/group.rs
+++ b/crates/sg-dispatch/src/group.rs
@@ -176,6 +176,7 @@
             need,
             place: best.place,
             warmth: best.warmth,
+            since: now,
         };
         self.table
             .change(best.place, now, |target| target.queued += 1);
@@ -410,10 +411,7 @@
                 .change(held.place, now, |target| target.end(held.work_seconds));
         }
         self.refresh_targets(now);
-        let expired = self.room.expire(now).into_iter();
-        let mut decisions: Vec<Decision> = expired
-            .map(|rejected| self.reject_waiting(&rejected.item, rejected.retry_after, now))
-            .collect();
+        let mut decisions = Vec::new();
         self.move_stranded(&mut decisions, now);
         let mut places: IndexSet<Place> = self.table.by_load().take(REFILLED).collect();
         // A target may have got room without the end of a lease.
@@ -421,6 +419,10 @@
         for place in places {
             decisions.extend(self.fill(place, now));
         }
+        let expired = self.room.expire(now);
+        for rejected in expired {
+            decisions.push(self.reject_waiting(&rejected.item, rejected.retry_after, now));
+        }
         self.remove_idle();
         self.update_slots();
         decisions
--- a/crates/sg-dispatch/src/group/waiting.rs
+++ b/crates/sg-dispatch/src/group/waiting.rs
@@ -22,6 +22,8 @@
     /// Target for which the request waits.
     pub place: Place,
     pub warmth: Warmth,
+    /// Since when the request waits.
+    pub since: Instant,
 }
 
 /// What the dispatcher knows of a waiting ticket.
@@ -126,14 +128,16 @@
 }
 
 /// Returns whether a waiting request has its response earlier if it gets a slot at `place` instead of the
-/// one for which it waits, although others pay for a cold run.
+/// one for which it waits, although others pay for a cold run. A request that has waited for long is expected
+/// to wait for as long again: what the requests before it need was underestimated.
 fn gains(evaluation: &Evaluation<'_>, waiting: &Waiting, place: Place) -> bool {
     if waiting.need.excluded.contains(&place) {
         return false;
     }
     let there = evaluation.evaluate(waiting.place, &waiting.need, waiting.warmth);
+    let waited_seconds = evaluation.now.since(waiting.since).as_secs_f64();
     let warmth = warmth_at(evaluation, waiting, place);
-    evaluation.evaluate(place, &waiting.need, warmth).cost < there.cost
+    evaluation.evaluate(place, &waiting.need, warmth).cost < there.cost + waited_seconds
 }
 
 fn warmth_at(evaluation: &Evaluation<'_>, waiting: &Waiting, place: Place) -> Warmth {
--- a/crates/sg-dispatch/tests/dispatch/failures.rs
+++ b/crates/sg-dispatch/tests/dispatch/failures.rs
@@ -117,6 +117,34 @@
     }
 }
 
+/// Guards against requests that are rejected while they wait for a target whose work was underestimated, although
+/// another target is idle.
+#[test]
+fn request_that_waits_for_long_moves_to_an_idle_target() {
+    let mut group = group(&["a", "b"]);
+    let object = Some(Object::new("scope", "object"));
+    let warm_ask = |number| Ask {
+        object,
+        warm_work: WORK.mul_f64(0.1),
+        ..ask(number)
+    };
+    let mut decisions = Vec::new();
+    for number in 0..4 {
+        decisions.extend(group.ask(warm_ask(number), at(number)));
+    }
+    let at_first = grants(&decisions);
+    let warm = at_first[0].1.clone();
+    assert!(
+        at_first.iter().all(|(_, target)| *target == warm),
+        "{at_first:?}"
+    );
+    let mut moved = Vec::new();
+    for step in 1..=15 {
+        moved.extend(grants(&group.tick(at(step * 100))));
+    }
+    assert!(moved.iter().any(|(_, target)| *target != warm), "{moved:?}");
+}
+
 /// A repeated or late message must neither grant a slot twice nor release one twice.
 #[test]
 fn repeated_and_late_messages_change_nothing() {
