fix(sg-proxy): large responses take slots without a dispatcher

By reading: the target's report comes at the start of a transfer and reaches the dispatcher after it, when it counts leases that ended since as requests from elsewhere; and a slot is in use for the time of the transfer, which the expected work does not contain. The first alone was not measured.

Change: requests on routes with large responses are placed by each instance alone, and not refused by price; a report that is older than 25 ms does not go to the dispatcher.

--- a/crates/sg-proxy/src/price.rs
+++ b/crates/sg-proxy/src/price.rs
@@ -23,10 +23,16 @@
 /// Label of refusals by price.
 pub const PRICE: &str = "price";
 
+/// Returns whether requests like this one are refused by price. Large responses are not: their time at a target
+/// is that of a transfer, of which the expected work tells little.
+fn is_on(call: &Call<'_>) -> bool {
+    call.catalog.has_large_responses() && !call.route.large_responses
+}
+
 /// Returns the part of its remaining time that a request may use. Where requests are refused by price,
 /// that is all.
 pub fn usable_fraction(call: &Call<'_>) -> f64 {
-    if call.catalog.has_large_responses() {
+    if is_on(call) {
         return 1.0;
     }
     1.0 - PRIORITY_MARGIN_FRACTION * f64::from(call.priority().min(MAX_PRIORITY))
@@ -49,7 +55,7 @@
     arrived: Instant,
     choice: Result<Choice, Refusal>,
 ) -> Result<Choice, Refusal> {
-    if !call.catalog.has_large_responses() {
+    if !is_on(call) {
         return choice;
     }
     let now = core.timer.now();
--- a/crates/sg-proxy/src/slots/assign.rs
+++ b/crates/sg-proxy/src/slots/assign.rs
@@ -58,7 +58,11 @@
     service: &id::Service,
     arrived: Instant,
 ) -> Result<Option<Granted>, Refusal> {
-    let is_on = call.catalog.has_large_responses() && !core.is_draining() && !core.is_cut_off();
+    // A large response keeps its slot during the transfer, of which neither estimates nor reports tell.
+    let is_on = call.catalog.has_large_responses()
+        && !call.route.large_responses
+        && !core.is_draining()
+        && !core.is_cut_off();
     let Some(mut ask) = is_on
         .then(|| prepare(core, call, service, arrived))
         .flatten()
--- a/crates/sg-proxy/src/slots/lease.rs
+++ b/crates/sg-proxy/src/slots/lease.rs
@@ -14,6 +14,11 @@
     send::{self, SendOutcome},
 };
 
+/// Maximum age of a report that goes to the dispatcher. The dispatcher compares a report with the leases that it
+/// knows now, so that an older one, which came at the start of a long transfer, would count leases that ended
+/// since as requests from elsewhere.
+const MAX_REPORT_AGE: Span = Span::from_millis(25);
+
 /// A slot that a dispatcher granted.
 #[derive(Debug)]
 pub(super) struct Held {
@@ -61,7 +66,8 @@
             .flatten();
         let mut state = core.state.lock();
         let member = state.pool(service).member_mut(&choice.target.id);
-        let report = member.and_then(|member| member.report_since(choice.chosen_at));
+        let oldest = choice.chosen_at.max(now - MAX_REPORT_AGE);
+        let report = member.and_then(|member| member.report_since(oldest));
         // Requests without a wait are recorded after each send. In an overload there are none.
         if let Some(work) = work.filter(|_| choice.queue_wait_seconds > 0.0) {
             let seconds = work.as_secs_f64();
