feat(sg-proxy): tell errors of connections and abandoned targets apart

Change: sg_target_connection_failures_total{stage,error} and a line with the error; sg_given_up_total{cause="left"}. No decision changes.

--- a/crates/sg-proxy/src/connections.rs
+++ b/crates/sg-proxy/src/connections.rs
@@ -3,6 +3,8 @@
 //! A connection carries one request at a time. Dropping a request before its response is complete
 //! closes the connection, so that the target can stop the work.
 
+pub(crate) mod failure;
+
 use std::{
     io,
     net::{IpAddr, SocketAddr},
--- a/crates/sg-proxy/src/metrics.rs
+++ b/crates/sg-proxy/src/metrics.rs
@@ -6,7 +6,10 @@
 };
 use sg_types::prelude::*;
 
-use crate::{connections, memory, slots};
+use crate::{
+    connections::{self, failure::Failure},
+    memory, slots,
+};
 
 /// Upper bounds of the latency buckets, in seconds: from a warm response nearby to the longest
 /// deadline.
@@ -51,6 +54,7 @@
     cut_responses: IntCounterVec,
     foreign_responses: IntCounterVec,
     given_up: IntCounterVec,
+    connection_failures: IntCounterVec,
     latency: HistogramVec,
     body_refusals: IntCounterVec,
     memory_bytes: IntGaugeVec,
@@ -161,6 +165,11 @@
                 "Requests that got an answer of this instance although a target may have run them, by cause and by whether the instance was stopping.",
                 &["cause", "stopping"],
             )?,
+            connection_failures: counters(
+                "sg_target_connection_failures_total",
+                "Connections to targets and other instances that failed, by when and by the error.",
+                &["stage", "error"],
+            )?,
             early_ends: counters(
                 "sg_caller_connections_ended_early_total",
                 "Connections of callers that ended before their requests were answered, by cause.",
@@ -315,6 +324,12 @@
         self.given_up.with_label_values(&[cause, stopping]).get()
     }
 
+    /// Records the failure of a connection to a target or to another instance.
+    pub(crate) fn record_connection_failure(&self, failure: Failure) {
+        let labels = [failure.stage.as_str(), failure.error];
+        self.connection_failures.with_label_values(&labels).inc();
+    }
+
     /// Records a send to a target that states a rate limit.
     pub fn record_limited_send(&self, service: &id::Service, is_retry: bool) {
         let kind = if is_retry { "retry" } else { "first" };
--- a/crates/sg-proxy/src/relay.rs
+++ b/crates/sg-proxy/src/relay.rs
@@ -13,7 +13,7 @@
 use crate::{
     Body, Core, Dialect,
     body::Cut,
-    connections::SendError,
+    connections::{SendError, failure},
     content::Content,
     dialect::{Refusal, RequestInfo},
     receive::{self, ReceivedFrom},
@@ -150,6 +150,9 @@
         .connections
         .send(peer.address, request, reuse, CONNECT_TIMEOUT, || true)
         .await;
+    if let Some(failure) = sent.as_ref().err().and_then(failure::Failure::of_send) {
+        core.metrics.record_connection_failure(failure);
+    }
     let (response, connection) = match sent {
         Ok(sent) => sent,
         Err(error @ (SendError::NotSent(_) | SendError::Withdrawn)) => {
--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -9,7 +9,7 @@
     Body, Core, Dialect,
     attempt::{self, Call},
     body::Cut,
-    connections::{Connection, ReusePolicy, SendError},
+    connections::{Connection, ReusePolicy, SendError, failure::Failure},
     content::Outgoing,
     dialect::{ForwardInfo, Verdict},
     receive::{self, ReceivedFrom},
@@ -266,19 +266,7 @@
     };
     let (response, connection) = match sent {
         Ok(sent) => sent,
-        Err(SendError::NotSent(error)) => {
-            log::debug!(target_id:% = choice.target.id, error:% = error; "target not reached");
-            core.record_unanswered(&choice.target, true);
-            return SendOutcome::Unsent;
-        }
-        Err(SendError::Withdrawn) => return SendOutcome::Withdrawn,
-        Err(SendError::Lost { cause, is_new }) => {
-            log::debug!(target_id:% = choice.target.id, error:% = cause; "connection lost");
-            if !call.content.is_broken() {
-                core.record_unanswered(&choice.target, is_new);
-            }
-            return SendOutcome::Lost;
-        }
+        Err(error) => return record_send_error(core, call, choice, &error),
     };
     record_contact(core, choice, &connection);
     let count = connection.passed_over();
@@ -288,6 +276,45 @@
     receive(core, call, choice, now, response, connection).await
 }
 
+/// Records that a send received no response, and returns its outcome.
+fn record_send_error<D>(
+    core: &Core<D>,
+    call: &Call<'_>,
+    choice: &Choice,
+    error: &SendError,
+) -> SendOutcome {
+    if let Some(failure) = Failure::of_send(error) {
+        core.record_connection_failure(call, choice, failure);
+    }
+    match error {
+        SendError::NotSent(_) => {
+            core.record_unanswered(&choice.target, true);
+            SendOutcome::Unsent
+        }
+        SendError::Withdrawn => SendOutcome::Withdrawn,
+        SendError::Lost { is_new, .. } => {
+            if !call.content.is_broken() {
+                core.record_unanswered(&choice.target, *is_new);
+            }
+            SendOutcome::Lost
+        }
+    }
+}
+
+impl<D> Core<D> {
+    /// Counts a failed connection to a target, and logs its error.
+    fn record_connection_failure(&self, call: &Call<'_>, choice: &Choice, failure: Failure) {
+        self.metrics.record_connection_failure(failure);
+        if self.log_limiter.admit(self.timer.now()) {
+            log::info!(
+                request = call.id.as_ref(), target_id:% = choice.target.id,
+                stage = failure.stage.as_str(), error = failure.error;
+                "connection to a target failed"
+            );
+        }
+    }
+}
+
 /// Records that the target responded.
 fn record_contact<D>(core: &Core<D>, choice: &Choice, connection: &Connection) {
     let connect_time = connection.connect_time();
@@ -386,8 +413,12 @@
     if states_rate {
         core.record_rate_limit(&choice.target.id, self_report.rate_limit, sent_at);
     }
-    let Ok(received) = receive::receive_body(core, call.head, body).await else {
-        return SendOutcome::Lost;
+    let received = match receive::receive_body(core, call.head, body).await {
+        Ok(received) => received,
+        Err(error) => {
+            core.record_connection_failure(call, choice, Failure::of_body(&error));
+            return SendOutcome::Lost;
+        }
     };
     core.dialect.strip_hop_by_hop_headers(&mut head.headers);
     let from = ReceivedFrom {
--- a/crates/sg-proxy/src/trace.rs
+++ b/crates/sg-proxy/src/trace.rs
@@ -268,9 +268,13 @@
         self.log(outcome.as_str(), reason.as_str(), status, elapsed, now);
     }
 
-    /// Returns why a request that may have run gets an answer of this instance: the outcome of its last send, or
-    /// the reason of the answer if the send was still open.
+    /// Returns why a request that may have run gets an answer of this instance: that it abandoned a target and no
+    /// other one ran it, or the outcome of its last send, or the reason of the answer if the send was still open.
     fn give_up_cause(&self, reason: Reason) -> &'static str {
+        let is_abandoned = |send: &SendRecord| send.outcome == SendOutcome::ABANDONED;
+        if self.sends.iter().any(is_abandoned) && reason == Reason::ConnectionLost {
+            return SendOutcome::ABANDONED;
+        }
         let sent = self.sends.last().map(|send| send.outcome);
         let relayed = self.relays.last().map(|relay| relay.end.as_str());
         let last = relayed.or(sent).filter(|end| *end != SendRecord::OPEN);
