--- a/crates/sg-proxy/tests/proxy/endings.rs
+++ b/crates/sg-proxy/tests/proxy/endings.rs
@@ -125,6 +125,37 @@
     }
 }
 
+/// Guards against work that is given up for a target that turns out to be full or unreachable.
+#[tokio::test]
+async fn request_whose_slow_target_was_abandoned_keeps_it_until_another_one_responds() {
+    let full = ScriptedTarget::start(vec![Step::Respond(
+        "HTTP/1.1 503 Full\r\nid: {id}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n",
+    )])
+    .await;
+    let broken = ScriptedTarget::start(vec![Step::RespondAndReset("HTTP/1.1 2")]).await;
+    let silent = ScriptedTarget::start(vec![Step::Silent]).await;
+    let unreachable = ScriptedTarget::unreachable().await;
+    for (name, other, responds) in [
+        ("full", &full, true),
+        ("broken", &broken, true),
+        ("silent", &silent, false),
+        ("unreachable", &unreachable, false),
+    ] {
+        let requests = (0..6).map(async |object| {
+            let slow = ScriptedTarget::start(vec![Step::RespondAfter(800, OK)]).await;
+            let instance = Instance::start(&[&slow, other]).await;
+            let request = get("/safe/x", &format!("a{object}"))
+                .replace("host: h", &format!("host: h\r\nobject: {object}"));
+            let response = instance.send(&request).await;
+            (status(&response), slow.count())
+        });
+        let results = futures_util::future::join_all(requests).await;
+        // A request may have no time left for the slow target if the other one was the first.
+        let is_served = |result: &(u16, usize)| result.0 == 200 || !responds && result.0 == 504;
+        assert!(results.iter().all(is_served), "{name}: {results:?}");
+    }
+}
+
 #[tokio::test]
 async fn draining_instance_serves_requests_until_new_ones_are_refused() {
     let target = ScriptedTarget::start(vec![Step::Respond(OK)]).await;
--- a/crates/sg-proxy/tests/proxy/harness.rs
+++ b/crates/sg-proxy/tests/proxy/harness.rs
@@ -30,7 +30,7 @@
 use sg_types::prelude::*;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::{mpsc, watch},
 };
 
@@ -107,6 +107,29 @@
         target
     }
 
+    /// Returns a target whose listener takes no more connections.
+    pub async fn unreachable() -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        let any = "127.0.0.1:0".parse().expect("an address");
+        socket.bind(any).expect("a port");
+        let listener = socket.listen(1).expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        tokio::spawn(async move {
+            // The connections fill the backlog for as long as the listener is there.
+            let connections = (0..8).map(|_| TcpStream::connect(address));
+            let _connections = futures_util::future::join_all(connections).await;
+            drop(listener);
+        });
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        Self {
+            address,
+            requests: Arc::default(),
+            aborted: Arc::default(),
+            connections: Arc::default(),
+            closed_floods: Arc::default(),
+        }
+    }
+
     pub fn closed_floods(&self) -> usize {
         self.closed_floods.load(Ordering::SeqCst)
     }
