fix(sg-proxy): keep an abandoned target at work until a response is complete

What callers saw: 502 for an idempotent request after 1 to 3 s, long before its deadline, in calm, under load and after SIGTERM, although its first target was at work. Cause: a request whose target was slow dropped its connection before another target had taken the request. The connect, the queue and the choice of the other target lie in between; it was full, unreachable or not there any more. Change: the sends of a request stay open side by side, the first complete response ends the others. A target counts as late when it is abandoned, as before, and keeps its slot while it is at work. sg_abandoned_sends_total tells what became of them.

--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -12,9 +12,10 @@
     content::Content,
     dialect::Refusal,
     history::{self, History},
+    open_sends::{Abandonment, Impatient, OpenSend, OpenSends},
     price, query,
     send::{self, SendOutcome},
-    slots::{self, Granted},
+    slots,
     trace::{SendRecord, Trace},
 };
 
@@ -100,20 +101,93 @@
     let service = choose_service(core, call)?;
     check_quarantine(core, call)?;
     record_demand(core, call, &service);
-    let mut history = History::default();
+    let service = &service;
+    let exchange = |assigned: Assignment| async move {
+        let Assignment {
+            index,
+            choice,
+            abandonment,
+        } = assigned;
+        let outcome = send::send(core, call, service, &choice, &abandonment).await;
+        (index, outcome)
+    };
+    let mut attempt = Attempt {
+        core,
+        call,
+        service,
+        history: History::default(),
+        open: OpenSends::new(),
+        exchange,
+    };
     loop {
-        let granted = match history.tried.is_empty() {
-            true => slots::acquire(core, call, &service, trace.arrived).await?,
-            false => None,
-        };
-        let (choice, slot) = match granted {
-            Some(Granted { choice, slot }) => (choice, Some(slot)),
-            None => match reserve_target(core, call, &service, &history, trace.arrived) {
-                Ok(choice) => (choice, None),
-                Err(refusal) => return history.into_result(call, refusal, core.timer.now()),
-            },
-        };
-        history.tried.push(choice.target.id.clone());
+        match attempt.reserve(trace.arrived).await? {
+            Ok((choice, slot)) => attempt.start(choice, slot, trace),
+            // The targets that were abandoned are still at work.
+            Err(_) if !attempt.open.is_empty() => {}
+            Err(refusal) => return attempt.result(refusal),
+        }
+        if let Next::Finish(result) = attempt.wait(trace).await {
+            return result;
+        }
+    }
+}
+
+/// What follows a send.
+enum Next {
+    /// The request is sent once more.
+    SendAgain,
+    Finish(Result<Response<Body>, Refusal>),
+}
+
+/// One send, as its task sees it.
+struct Assignment {
+    index: usize,
+    choice: Arc<Choice>,
+    abandonment: Abandonment,
+}
+
+/// The sends of one request.
+struct Attempt<'a, D, E, F> {
+    core: &'a Arc<Core<D>>,
+    call: &'a Call<'a>,
+    service: &'a id::Service,
+    history: History,
+    open: OpenSends<F>,
+    /// Sends the request to a target.
+    exchange: E,
+}
+
+impl<D, E, F> Attempt<'_, D, E, F>
+where
+    D: Dialect,
+    E: Fn(Assignment) -> F,
+    F: Future<Output = (usize, SendOutcome)>,
+{
+    /// Chooses the target of the next send and records the send. The inner error says why there is none; the
+    /// outer one is a refusal of the dispatcher.
+    async fn reserve(
+        &self,
+        arrived: Instant,
+    ) -> Result<Result<(Choice, Option<slots::Slot>), Refusal>, Refusal> {
+        let Self {
+            core,
+            call,
+            service,
+            history,
+            ..
+        } = self;
+        if history.tried.is_empty()
+            && let Some(granted) = slots::acquire(core, call, service, arrived).await?
+        {
+            return Ok(Ok((granted.choice, Some(granted.slot))));
+        }
+        let choice = reserve_target(core, call, service, history, arrived);
+        Ok(choice.map(|choice| (choice, None)))
+    }
+
+    /// Starts a send to the chosen target.
+    fn start(&mut self, choice: Choice, slot: Option<slots::Slot>, trace: &mut Trace) {
+        let (core, call) = (self.core, self.call);
         let index = trace.sends.len();
         trace.sends.push(SendRecord {
             target: choice.target.id.clone(),
@@ -123,32 +197,128 @@
             is_highest_ranked: choice.is_highest_ranked,
             expected_seconds: choice.expected_seconds,
         });
-        let until = send_deadline(core, call, &choice, &history);
+        self.history.tried.push(choice.target.id.clone());
+        let patient_until = send_deadline(core, call, &choice, &self.history);
         call.may_have_run.store(true, Ordering::Relaxed);
-        let may_abandon = || may_abandon(core, call, &service, &history.tried);
-        let outcome = send::send(core, call, &service, &choice, until, may_abandon).await;
-        if let Some(slot) = slot {
-            slot.finish(core, call, &service, &choice, &outcome);
+        let (choice, abandonment) = (Arc::new(choice), Abandonment::default());
+        let exchange = (self.exchange)(Assignment {
+            index,
+            choice: choice.clone(),
+            abandonment: abandonment.clone(),
+        });
+        let sent = OpenSend {
+            index,
+            choice,
+            abandonment,
+            slot,
+            patient_until,
+        };
+        self.open.push(sent, exchange);
+    }
+
+    /// Waits until the request has its result or is to be sent once more.
+    async fn wait(&mut self, trace: &mut Trace) -> Next {
+        loop {
+            match self.open.next(&self.core.timer).await {
+                Some(Ok((sent, outcome))) => {
+                    if let Some(next) = self.record_end(sent, outcome, trace) {
+                        return next;
+                    }
+                }
+                Some(Err(Impatient(index))) => {
+                    if self.abandon(index, trace) {
+                        return Next::SendAgain;
+                    }
+                }
+                None => {
+                    let refusal = Refusal::not_run(Reason::ConnectionLost);
+                    return Next::Finish(self.result(refusal));
+                }
+            }
         }
-        trace.sends[index].outcome = outcome.as_str();
-        core.metrics.record_attempt(&service, outcome.as_str());
-        retract_unrun(core, &choice, &outcome);
-        if outcome.is_not_run() {
-            call.may_have_run
-                .store(history.may_have_run, Ordering::Relaxed);
+    }
+
+    /// Records the outcome of a send. Returns `None` if other sends are still open.
+    fn record_end(
+        &mut self,
+        mut sent: OpenSend,
+        outcome: SendOutcome,
+        trace: &mut Trace,
+    ) -> Option<Next> {
+        let (core, call, service) = (self.core, self.call, self.service);
+        if let Some(slot) = sent.slot.take() {
+            slot.finish(core, call, service, &sent.choice, &outcome);
         }
-        let outcome_label = outcome.as_str();
-        if let Some(response) = history.record(outcome) {
-            return Ok(response);
+        let label = outcome.as_str();
+        trace.sends[sent.index].outcome = label;
+        let is_abandoned = sent.abandonment.is_set();
+        core.metrics.record_send_end(service, label, is_abandoned);
+        retract_unrun(core, &sent.choice, &outcome);
+        if let Some(response) = self.history.record(outcome, is_abandoned) {
+            self.end_open();
+            return Some(Next::Finish(Ok(response)));
         }
+        let may_have_run = self.history.may_have_run || !self.open.is_empty();
+        call.may_have_run.store(may_have_run, Ordering::Relaxed);
         // A target that sends the response to another request was not crashed by this one.
-        if outcome_label == "lost" && !core.is_cut_off() {
-            history::report_suspect(core, call, &service, &choice);
+        if label == SendOutcome::Lost.as_str() && !core.is_cut_off() {
+            history::report_suspect(core, call, service, &sent.choice);
+        }
+        if self.open.has_latest() {
+            return None;
+        }
+        let retry = check_retry(core, call, &self.history);
+        let retry = retry.and_then(|()| match self.history.sends {
+            0 => Ok(()),
+            _ => take_retry_token(core, service),
+        });
+        match retry {
+            Ok(()) => {
+                core.metrics.record_retry(service, label);
+                Some(Next::SendAgain)
+            }
+            Err(_) if !self.open.is_empty() && self.history.failure.is_none() => None,
+            Err(reason) => {
+                self.end_open();
+                Some(Next::Finish(self.result(Refusal::not_run(reason))))
+            }
         }
-        if let Err(reason) = check_retry(core, call, &service, &history, outcome_label) {
-            return history.into_result(call, Refusal::not_run(reason), core.timer.now());
+    }
+
+    /// Sends the request to another target as well, if one has room, because the target of a send is slow.
+    /// The first target stays at work: a target that was chosen may turn out to be unreachable or full.
+    fn abandon(&mut self, index: usize, trace: &mut Trace) -> bool {
+        let (core, call, service) = (self.core, self.call, self.service);
+        if !may_abandon(core, call, service, &self.history) {
+            return false;
+        }
+        let Some(choice) = self.open.abandon(index) else {
+            return false;
+        };
+        trace.sends[index].outcome = SendOutcome::ABANDONED;
+        self.history.sends += 1;
+        send::record_abandoned(core, &choice.target);
+        let label = SendOutcome::ABANDONED;
+        core.metrics.record_attempt(service, label);
+        core.metrics.record_retry(service, label);
+        true
+    }
+
+    /// Ends the open sends, with the use of the slots of the targets that were abandoned.
+    fn end_open(&mut self) {
+        let outcome = SendOutcome::Abandoned;
+        for mut sent in self.open.clear() {
+            self.core.metrics.record_abandoned(outcome.as_str());
+            if let Some(slot) = sent.slot.take() {
+                slot.finish(self.core, self.call, self.service, &sent.choice, &outcome);
+            }
         }
     }
+
+    fn result(&mut self, refusal: Refusal) -> Result<Response<Body>, Refusal> {
+        let history = std::mem::take(&mut self.history);
+        history.into_result(self.call, refusal, self.core.timer.now())
+    }
 }
 
 /// Chooses the service that runs the request, by the weights of the route's services.
@@ -324,16 +494,17 @@
 }
 
 /// Returns whether a request may abandon its current target. Another target must have room for the
-/// request and the retry budget must allow the retry. While the instance stops, no work in progress
-/// is abandoned.
+/// request and the retry budget must allow the retry, whose token is taken. While the instance stops, the
+/// request waits.
 fn may_abandon<D: Dialect>(
     core: &Core<D>,
     call: &Call<'_>,
     service: &id::Service,
-    tried: &[id::Target],
+    history: &History,
 ) -> bool {
     !core.is_draining()
-        && choose_target(core, call, service, tried).is_ok()
+        && check_retry(core, call, history).is_ok()
+        && choose_target(core, call, service, &history.tried).is_ok()
         && take_retry_token(core, service).is_ok()
 }
 
@@ -350,34 +521,31 @@
     }
 }
 
-/// Returns the time at which this send may be abandoned. This is the deadline of the request,
-/// unless the request is idempotent and may be sent again with enough time remaining.
+/// Returns the time at which this send may be abandoned, if the request is idempotent and may be sent again with
+/// enough time remaining.
 fn send_deadline<D: Dialect>(
     core: &Core<D>,
     call: &Call<'_>,
     choice: &Choice,
     history: &History,
-) -> Instant {
+) -> Option<Instant> {
     let now = core.timer.now();
     if !call.route.idempotent
         || call.content.is_streamed()
         || history.sends + 1 >= call.route.max_targets
     {
-        return call.deadline;
+        return None;
     }
     let remaining_seconds = call.deadline.since(now).as_secs_f64();
     let patience = abandon::patience_seconds(choice, remaining_seconds);
-    patience.map_or(call.deadline, |seconds| {
-        now + Span::from_secs(1).mul_f64(seconds)
-    })
+    patience.map(|seconds| now + Span::from_secs(1).mul_f64(seconds))
 }
 
+/// Returns why the request may not be sent once more, whatever the retry budget allows.
 fn check_retry<D: Dialect>(
     core: &Core<D>,
     call: &Call<'_>,
-    service: &id::Service,
     history: &History,
-    outcome_label: &'static str,
 ) -> Result<(), Reason> {
     let now = core.timer.now();
     if now >= call.deadline {
@@ -392,13 +560,7 @@
     if history.sends >= call.route.max_targets || call.content.is_spent() {
         return Err(Reason::Shed);
     }
-    check_quarantine(core, call).map_err(|refusal| refusal.reason)?;
-    // An abandoned send already took its retry from the budget.
-    if history.sends > 0 && outcome_label != SendOutcome::ABANDONED {
-        take_retry_token(core, service)?;
-    }
-    core.metrics.record_retry(service, outcome_label);
-    Ok(())
+    check_quarantine(core, call).map_err(|refusal| refusal.reason)
 }
 
 /// Returns what the outcome of a send says about its target.
@@ -412,7 +574,9 @@
         | SendOutcome::Misdirected
         | SendOutcome::Lost
         | SendOutcome::Foreign => TargetOutcome::Lost,
-        SendOutcome::TimedOut | SendOutcome::Abandoned => TargetOutcome::Late,
-        SendOutcome::Withdrawn | SendOutcome::BodyBroken => TargetOutcome::Unknown,
+        SendOutcome::TimedOut => TargetOutcome::Late,
+        SendOutcome::Withdrawn | SendOutcome::BodyBroken | SendOutcome::Abandoned => {
+            TargetOutcome::Unknown
+        }
     }
 }
--- a/crates/sg-proxy/src/history.rs
+++ b/crates/sg-proxy/src/history.rs
@@ -20,23 +20,25 @@
 }
 
 impl History {
-    /// Records the outcome of a send. Returns the response of a target that did not fail.
-    pub fn record(&mut self, outcome: SendOutcome) -> Option<Response<Body>> {
+    /// Records the outcome of a send, which counts as a send already if its target was abandoned. Returns the
+    /// response of a target that did not fail.
+    pub fn record(&mut self, outcome: SendOutcome, was_abandoned: bool) -> Option<Response<Body>> {
+        let count = u32::from(!was_abandoned);
         match outcome {
             SendOutcome::Answered(response) => return Some(response),
             SendOutcome::Failed(response) => {
-                self.sends += 1;
+                self.sends += count;
                 self.may_have_run = true;
                 self.failure = Some(response);
             }
             SendOutcome::Unsent | SendOutcome::Withdrawn => self.connect_failures += 1,
-            SendOutcome::Shed | SendOutcome::Misdirected => self.sends += 1,
+            SendOutcome::Shed | SendOutcome::Misdirected => self.sends += count,
             SendOutcome::Lost
             | SendOutcome::Foreign
             | SendOutcome::BodyBroken
             | SendOutcome::TimedOut
             | SendOutcome::Abandoned => {
-                self.sends += 1;
+                self.sends += count;
                 self.may_have_run = true;
             }
         }
--- a/crates/sg-proxy/src/lib.rs
+++ b/crates/sg-proxy/src/lib.rs
@@ -19,6 +19,7 @@
 mod listener;
 pub mod memory;
 pub mod metrics;
+mod open_sends;
 pub mod pipeline;
 pub mod planning;
 pub mod policy;
--- a/crates/sg-proxy/src/metrics.rs
+++ b/crates/sg-proxy/src/metrics.rs
@@ -45,6 +45,7 @@
     responses: IntCounterVec,
     attempts: IntCounterVec,
     retries: IntCounterVec,
+    abandoned: IntCounterVec,
     limited_sends: IntCounterVec,
     rate_limit_changes: IntCounterVec,
     relays: IntCounterVec,
@@ -113,6 +114,11 @@
                 "Sends beyond the first.",
                 &["service", "after"],
             )?,
+            abandoned: counters(
+                "sg_abandoned_sends_total",
+                "Sends after which the request was sent to another target as well, by their end; \"left\" if the other one responded first.",
+                &["end"],
+            )?,
             limited_sends: counters(
                 "sg_limited_sends_total",
                 "Sends to targets that state a rate limit.",
@@ -240,6 +246,25 @@
             .inc();
     }
 
+    /// Records the end of a send. That of a target that was abandoned counts as an attempt already.
+    pub fn record_send_end(&self, service: &id::Service, end: &str, is_abandoned: bool) {
+        match is_abandoned {
+            true => self.record_abandoned(end),
+            false => self.record_attempt(service, end),
+        }
+    }
+
+    /// Records what became of a target that was abandoned; `end` is the label of the send's outcome.
+    pub fn record_abandoned(&self, end: &str) {
+        self.abandoned.with_label_values(&[end]).inc();
+    }
+
+    /// Returns the number of targets so far that were abandoned and whose sends had this end.
+    #[must_use]
+    pub fn abandoned(&self, end: &str) -> u64 {
+        self.abandoned.with_label_values(&[end]).get()
+    }
+
     /// Records a retry; `after` is the label of the outcome of the send before.
     pub fn record_retry(&self, service: &id::Service, after: &str) {
         self.retries
--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -12,6 +12,7 @@
     connections::{Connection, ReusePolicy, SendError, failure::Failure},
     content::Outgoing,
     dialect::{ForwardInfo, Verdict},
+    open_sends::Abandonment,
     receive::{self, ReceivedFrom},
     state::State,
 };
@@ -45,7 +46,7 @@
     BodyBroken,
     /// No response arrived in time; the request may have run.
     TimedOut,
-    /// The request abandoned the target for another one; the request may have run.
+    /// The request abandoned the target, and another one responded first; the request may have run.
     Abandoned,
 }
 
@@ -100,16 +101,13 @@
     }
 }
 
-/// Sends the request to the chosen target and waits for the complete response. At `until`, the
-/// request abandons the target if `may_abandon` returns true; otherwise it waits until its
-/// deadline.
+/// Sends the request to the chosen target and waits for the complete response until the request's deadline.
 pub async fn send<D: Dialect>(
     core: &Arc<Core<D>>,
     call: &Call<'_>,
     service: &id::Service,
     choice: &Choice,
-    until: Instant,
-    may_abandon: impl Fn() -> bool,
+    abandonment: &Abandonment,
 ) -> SendOutcome {
     let mut in_flight = InFlight {
         core,
@@ -118,15 +116,9 @@
         outcome: TargetOutcome::Unknown,
     };
     let started = core.timer.now();
-    let mut exchange = std::pin::pin!(exchange(core, call, choice, started));
-    let outcome = match core.timer.until(until, exchange.as_mut()).await {
-        Ok(outcome) => outcome,
-        Err(_) if until < call.deadline && may_abandon() => SendOutcome::Abandoned,
-        Err(_) => {
-            let result = core.timer.until(call.deadline, exchange).await;
-            result.unwrap_or(SendOutcome::TimedOut)
-        }
-    };
+    let exchange = exchange(core, call, choice, started);
+    let outcome = core.timer.until(call.deadline, exchange).await;
+    let outcome = outcome.unwrap_or(SendOutcome::TimedOut);
     let outcome = match outcome {
         // The target is not responsible for what the caller did not send.
         SendOutcome::Lost | SendOutcome::Foreign if call.content.is_broken() => {
@@ -135,12 +127,32 @@
         SendOutcome::TimedOut if call.content.is_incomplete() => SendOutcome::BodyBroken,
         outcome => outcome,
     };
-    in_flight.outcome = attempt::target_outcome(&outcome);
+    in_flight.outcome = match outcome {
+        // The target counts as late since it was abandoned.
+        SendOutcome::TimedOut if abandonment.is_set() => TargetOutcome::Unknown,
+        _ => attempt::target_outcome(&outcome),
+    };
     drop(in_flight);
-    record_outcome(core, call, service, choice, &outcome, started);
+    if !matches!(outcome, SendOutcome::TimedOut) {
+        record_outcome(core, call, service, choice, &outcome, started);
+    } else if !abandonment.is_set() {
+        core.record_unanswered(&choice.target, false);
+    }
     outcome
 }
 
+/// Records that a target did not respond in the time in which another one would have.
+pub(crate) fn record_abandoned<D>(core: &Core<D>, target: &Target) {
+    let now = core.timer.now();
+    let mut state = core.state.lock();
+    let senders = state.location.instances.len();
+    if let Some(member) = state.member_mut(&target.id) {
+        member.record_outcome(TargetOutcome::Late, senders, now);
+    }
+    drop(state);
+    core.record_unanswered(target, false);
+}
+
 /// Updates the state with the outcome of a send.
 fn record_outcome<D: Dialect>(
     core: &Core<D>,
@@ -185,10 +197,6 @@
             drop(state);
             core.connections.close_idle(choice.target.address);
         }
-        SendOutcome::TimedOut | SendOutcome::Abandoned => {
-            drop(state);
-            core.record_unanswered(&choice.target, false);
-        }
         _ => {}
     }
 }
--- a/crates/sg-proxy/src/slots.rs
+++ b/crates/sg-proxy/src/slots.rs
@@ -19,9 +19,10 @@
 use tokio::sync::Notify;
 
 use ask::{Answer, Pending};
-pub(crate) use assign::{Granted, acquire};
+pub(crate) use assign::acquire;
 use contact::Contact;
-use lease::{Held, Slot};
+use lease::Held;
+pub(crate) use lease::Slot;
 pub use metrics::Metrics;
 
 /// How messages reach another party.
--- a/crates/sg-proxy/tests/proxy/endings.rs
+++ b/crates/sg-proxy/tests/proxy/endings.rs
@@ -147,11 +147,15 @@
             let request = get("/safe/x", &format!("a{object}"))
                 .replace("host: h", &format!("host: h\r\nobject: {object}"));
             let response = instance.send(&request).await;
-            (status(&response), slow.count())
+            let abandoned = instance.core.metrics.abandoned("answered");
+            (status(&response), slow.count(), abandoned)
         });
         let results = futures_util::future::join_all(requests).await;
+        let is_kept = |result: &(u16, usize, u64)| *result == (200, 1, 1);
+        assert!(results.iter().any(is_kept), "{name}: {results:?}");
         // A request may have no time left for the slow target if the other one was the first.
-        let is_served = |result: &(u16, usize)| result.0 == 200 || !responds && result.0 == 504;
+        let is_served =
+            |result: &(u16, usize, u64)| result.0 == 200 || !responds && result.0 == 504;
         assert!(results.iter().all(is_served), "{name}: {results:?}");
     }
 }
