test(sg-proxy): requests that cross the close of their connection

A caller that sends its next request while the response that closes the connection is decided or in transit gets no answer, and may not repeat the request, because the instance has read it. Whether the bytes were read shows at the caller's socket: a close with unread bytes resets it.

--- /dev/null
+++ b/crates/sg-proxy/tests/proxy/crossings.rs
@@ -0,0 +1,182 @@
+//! Requests that cross the close of their connection.
+
+use std::time::Duration;
+
+use sg_proxy::server::Phase;
+use sg_types::prelude::*;
+use socket2::SockRef;
+use tokio::{
+    io::AsyncWriteExt,
+    net::TcpStream,
+    task::JoinSet,
+    time::{Instant, sleep},
+};
+
+use crate::{
+    harness::{Instance, OK, ScriptedTarget, Step, catalog, get, post, status},
+    lingering::connect_slowly,
+    pipelines::{Reader, kept_get, large_response},
+};
+
+/// Longer than a connection lingers while its caller sends nothing more.
+const LINGERING: Duration = Duration::from_millis(1_800);
+
+/// Event after which a connection ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Event {
+    Stop,
+    LastPhase,
+    ManyConnections,
+    ConnectionLimit,
+    NewConnectionWhileIdle,
+    LateHead,
+}
+
+/// A request that is sent when the response that closes its connection is decided.
+struct Crossing {
+    name: &'static str,
+    event: Event,
+    /// What the caller sends before the event, and the status of the response to it.
+    first: String,
+    status: Option<u16>,
+    response: &'static str,
+    /// Time from the event until the second request is sent, in milliseconds.
+    after: u64,
+    second: String,
+}
+
+/// Waits for the end of the lingering and returns whether the instance left bytes of `stream` unread: the
+/// system resets a connection that is closed with unread bytes.
+async fn was_left_unread(stream: &TcpStream) -> bool {
+    let until = Instant::now() + LINGERING;
+    while Instant::now() < until {
+        let error = SockRef::from(stream).take_error();
+        if !matches!(error, Ok(None)) {
+            return true;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    false
+}
+
+/// Brings the event about, `instance` having served `caller` or not.
+async fn bring_about(event: Event, instance: &Instance) -> Option<TcpStream> {
+    match event {
+        Event::Stop => instance.drain_for(Span::from_secs(30)),
+        Event::LastPhase => {
+            instance.phase.send_replace(Phase::Closing);
+        }
+        Event::NewConnectionWhileIdle => {
+            sleep(Duration::from_millis(1_700)).await;
+            return Some(instance.connect().await);
+        }
+        Event::LateHead | Event::ManyConnections | Event::ConnectionLimit => {}
+    }
+    None
+}
+
+async fn cross(crossing: &Crossing) -> Result<(), String> {
+    let target = ScriptedTarget::start(vec![Step::RespondAfter(100, crossing.response)]).await;
+    let (limit, others) = match crossing.event {
+        Event::ManyConnections => (4, 3),
+        Event::ConnectionLimit => (8, 8),
+        Event::NewConnectionWhileIdle => (4, 0),
+        _ => (1_000, 0),
+    };
+    let instance = Instance::start_limited(&[&target], limit).await;
+    let mut shorter = catalog();
+    shorter.revision = Revision::new(2);
+    shorter.limits.head_timeout = Span::from_millis(300);
+    assert!(instance.core.replace_catalog(shorter));
+    let mut open = Vec::new();
+    for _ in 0..others {
+        open.push(instance.connect().await);
+    }
+    sleep(Duration::from_millis(20)).await;
+    let mut caller = Reader::new(connect_slowly(&instance).await);
+    caller.send(&crossing.first).await;
+    sleep(Duration::from_millis(50)).await;
+    open.extend(bring_about(crossing.event, &instance).await);
+    sleep(Duration::from_millis(crossing.after)).await;
+    let written = caller.stream.write_all(crossing.second.as_bytes()).await;
+    written.map_err(|error| error.to_string())?;
+    let first = caller.read_response().await.map(|text| status(&text));
+    if first != crossing.status {
+        return Err(format!("{first:?} instead of {:?}", crossing.status));
+    }
+    let second = caller.read_response().await.map(|text| status(&text));
+    match second {
+        None if was_left_unread(&caller.stream).await => Ok(()),
+        None => Err("read and not answered".to_owned()),
+        Some(200 | 503) => Ok(()),
+        Some(other) => Err(format!("answered with {other}")),
+    }
+}
+
+/// A caller may not repeat a request that was read and not answered.
+#[tokio::test]
+async fn request_that_crosses_the_close_is_answered_or_left_unread() {
+    let crossing = |name, event, after| Crossing {
+        name,
+        event,
+        first: kept_get("/safe/x", "a"),
+        status: Some(200),
+        response: OK,
+        after,
+        second: kept_get("/safe/x", "b"),
+    };
+    let refused = post("/none/x", "a", "body").replace("connection: close\r\n", "");
+    let (head, rest) = refused.split_at(refused.len() - "body".len());
+    let crossings = [
+        crossing("behind the response of a stop", Event::Stop, 300),
+        Crossing {
+            second: post("/once/x", "b", "body").replace("connection: close\r\n", ""),
+            ..crossing("with a body, in a stop", Event::Stop, 300)
+        },
+        Crossing {
+            response: large_response(540_000),
+            ..crossing("while the response is in transit", Event::Stop, 300)
+        },
+        Crossing {
+            first: kept_get("/safe/x", "a") + "GET /safe/x HTTP/1.1\r\nhost",
+            second: ": h\r\nid: b\r\n\r\n".to_owned(),
+            ..crossing("with a head in two pieces", Event::Stop, 300)
+        },
+        Crossing {
+            first: head.to_owned(),
+            status: Some(404),
+            second: rest.to_owned() + &kept_get("/safe/x", "b"),
+            ..crossing("behind a body that is refused", Event::Stop, 300)
+        },
+        Crossing {
+            response: large_response(540_000),
+            ..crossing("before the last phase", Event::LastPhase, 20)
+        },
+        crossing("in the last phase", Event::LastPhase, 300),
+        crossing("near the limit of connections", Event::ManyConnections, 200),
+        Crossing {
+            status: Some(503),
+            ..crossing("at the limit of connections", Event::ConnectionLimit, 200)
+        },
+        crossing(
+            "on a connection that was idle",
+            Event::NewConnectionWhileIdle,
+            100,
+        ),
+        Crossing {
+            first: get("/safe/x", "a").replace("\r\n\r\n", "\r\n"),
+            status: None,
+            second: format!("\r\n{}", kept_get("/safe/x", "b")),
+            ..crossing("behind a late head", Event::LateHead, 500)
+        },
+    ];
+    let mut rows = JoinSet::new();
+    for crossing in crossings {
+        rows.spawn(async move {
+            let result = cross(&crossing).await;
+            result.err().map(|error| (crossing.name, error))
+        });
+    }
+    let lost: Vec<_> = rows.join_all().await.into_iter().flatten().collect();
+    assert!(lost.is_empty(), "{lost:#?}");
+}
--- a/crates/sg-proxy/tests/proxy/main.rs
+++ b/crates/sg-proxy/tests/proxy/main.rs
@@ -2,6 +2,7 @@
 
 mod bodies;
 mod callers;
+mod crossings;
 mod cuts;
 mod dialect;
 mod disconnects;
