fix(sg-proxy): read nothing that the instance will not answer

Callers saw their next request end with the connection and no answer, although the instance had read it whole, so that they may not repeat it: in a stop (every response closes its connection), in the last phase, near and at the limit of connections, after idleness and behind a late head.

Cause: after the response that closes the connection, the connection lingered by reading and discarding, and bytes were also read ahead between the decision to close and the end of the response. A request on its way on a full link crosses the close long after it was sent. Near the limit of connections, requests that had been read whole behind the last response were dropped as well.

Now the decision to close stops the reading in the same step: of what follows, only the rest of a body is read, with the framing of its head. What was read whole before is answered before the close, also near the limit. A connection lingers without a read: readiness of the socket tells the caller's end behind unread bytes, and is cleared so that the next arrival wakes the task. Discarding stays for bodies that are refused while they arrive, and behind bytes that are no request. A close with unread bytes resets the connection, which tells the caller that its request was not read; the bounds of the lingering are as before, so that the tail of the response arrives first.

The test waits 6 s instead of 1.8 s for the end of the lingering, because a connection with a large response lingers for 5 s.

--- a/crates/sg-proxy/src/server.rs
+++ b/crates/sg-proxy/src/server.rs
@@ -1,8 +1,10 @@
 //! Accepts and serves connections of callers.
 
+mod reuse;
+
 use std::{convert::Infallible, future::poll_fn, task::Poll, time::Duration};
 
-use http::{HeaderName, HeaderValue, Request, Response, Version, header};
+use http::{Request, Response, Version, header};
 use http_body::Body as _;
 use hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn};
 use hyper_util::rt::TokioTimer;
@@ -16,7 +18,7 @@
 use crate::{
     Body,
     body::{Delivered, RequestBody},
-    callers::{Admission, Load, SHORT_IDLE_TIMEOUT, Slot, Table},
+    callers::{Admission, Load, Slot, Table},
     connections,
     memory::{Budget, Hold, Stage, Use},
     pipeline::{self, Head, Pipeline},
@@ -137,9 +139,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Overloaded;
 
-/// Name of the header that states how long an idle connection is kept.
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-
 /// Progress of a shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub enum Phase {
@@ -308,6 +307,9 @@
         };
         if let Err(error) = ended {
             log::debug!(error:% = error; "caller's connection ended");
+            if error.is_parse() {
+                self.socket.end_framing();
+            }
         }
     }
 
@@ -325,6 +327,7 @@
         self.slot.set_busy();
         let may_have_followers = pipeline::may_have_followers(&request);
         let version = request.version();
+        let ends_connection = reuse::ends_connection(&request);
         let response = self.respond(request, arrival, handler);
         let mut response = if may_have_followers {
             tokio::select! {
@@ -350,16 +353,7 @@
         let delivery = self
             .socket
             .start_response(until, is_received, ends_by_close);
-        if !self.has_followers() {
-            let load = self.slot.set_idle(self.timer.now());
-            limit_reuse(
-                &mut response,
-                if self.is_refused { Load::Full } else { load },
-            );
-        } else {
-            // The responses to the requests that were read behind this one are still due.
-            response.headers_mut().remove(header::CONNECTION);
-        }
+        self.decide_reuse(&mut response, ends_connection);
         Ok(response.map(|body| Delivered::new(body, delivery)))
     }
 }
@@ -449,10 +443,29 @@
         true
     }
 
-    /// Returns whether requests that were read behind the one in progress get responses on this connection.
+    /// Decides whether the connection closes with `response`, and reads no further request if so.
+    /// `ends_connection` states whether the request asked for the close.
+    fn decide_reuse(&self, response: &mut Response<Body>, ends_connection: bool) {
+        if self.has_followers() {
+            // The responses to the requests that were read behind this one are still due.
+            response.headers_mut().remove(header::CONNECTION);
+            let keeps_open = !self.is_refused && self.slot.load() < Load::NoReuse;
+            if !keeps_open || ends_connection {
+                self.socket.end_requests();
+            }
+            return;
+        }
+        let load = self.slot.set_idle(self.timer.now());
+        let load = if self.is_refused { Load::Full } else { load };
+        reuse::limit(response, load);
+        if ends_connection || reuse::says(response.headers(), "close") {
+            self.socket.end_requests();
+        }
+    }
+
+    /// Returns whether requests were read behind the one in progress. Each gets a response on this connection.
     fn has_followers(&self) -> bool {
-        let has_room = !self.is_refused && self.slot.load() < Load::NoReuse;
-        !self.pipeline.lock().is_empty() || has_room && self.socket.has_waiting_request()
+        !self.pipeline.lock().is_empty() || self.socket.has_waiting_request()
     }
 
     /// Waits until the connection is to close and the requests that were read from it have their responses.
@@ -471,22 +484,6 @@
             false => Poll::Ready(()),
         })
         .await;
-    }
-}
-
-/// Tells the caller how long its connection is kept, if the load shortens that time.
-fn limit_reuse(response: &mut Response<Body>, load: Load) {
-    let headers = response.headers_mut();
-    match load {
-        Load::Normal => {}
-        Load::ShortIdle => {
-            let seconds = SHORT_IDLE_TIMEOUT.as_millis() / 1_000;
-            if let Ok(value) = HeaderValue::from_str(&format!("timeout={seconds}")) {
-                headers.insert(KEEP_ALIVE, value);
-            }
-        }
-        Load::NoReuse | Load::Full | Load::Overflow => {
-            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
-        }
+        self.socket.end_requests();
     }
 }
--- a/crates/sg-proxy/src/stream/ahead.rs
+++ b/crates/sg-proxy/src/stream/ahead.rs
@@ -137,6 +137,15 @@
         bytes.is_some_and(|bytes| head_length(bytes).is_some())
     }
 
+    /// Returns how many bytes of the body that is being taken have not been added.
+    pub fn unread_body(&self) -> u64 {
+        match self.part {
+            Part::Head | Part::Next => 0,
+            Part::Body(left) => left.saturating_sub(self.bytes.len() as u64),
+            Part::ChunkedBody => u64::MAX,
+        }
+    }
+
     /// Drops all bytes.
     pub fn clear(&mut self) {
         self.bytes = BytesMut::new();
--- a/crates/sg-proxy/src/stream/mod.rs
+++ b/crates/sg-proxy/src/stream/mod.rs
@@ -5,8 +5,12 @@
 //! [`Stream`] is what the library reads from and writes to. [`Socket::watch`] reports why a connection has to
 //! end before the library ends it, and [`Socket::linger`] closes a connection without the loss of data in
 //! transit to the caller.
+//!
+//! A caller may repeat a request that got no response only if it was not read. Once the last response of a
+//! connection is decided, nothing behind its request is read.
 
 mod ahead;
+mod linger;
 mod progress;
 
 use std::{
@@ -27,7 +31,7 @@
 use crate::memory::Hold;
 
 pub use progress::{Arrival, Ending};
-use progress::{Check, End, Progress};
+use progress::{Check, End, NextRead, Progress};
 
 /// Maximum number of bytes that are read ahead of the HTTP library. The library holds one head or a piece of
 /// a body besides.
@@ -36,20 +40,6 @@
 const UNCHARGED_READ_AHEAD: usize = 4 << 10;
 /// Maximum number of bytes per read.
 const READ_SIZE: usize = 16 << 10;
-/// Time without bytes from the caller after which a lingering connection closes: some round trips between
-/// regions, in which the caller sees the end of the stream and closes its side.
-const LINGER_IDLE: Span = Span::from_secs(1);
-/// Maximum time for which a connection lingers while the caller still sends, or reads a large response, unless
-/// the time of its request is longer.
-const LINGER_TIME: Span = Span::from_secs(5);
-/// Maximum number of bytes that a lingering connection discards.
-const LINGER_BYTES: usize = 16 << 20;
-/// Maximum number of reads that discard bytes before other tasks run.
-const DISCARDS_PER_TURN: usize = 16;
-/// Size of a response from which a lingering connection waits for a caller that reads slowly. The receive
-/// buffer of a caller takes a smaller response at once.
-const LARGE_RESPONSE_BYTES: u64 = 16 << 10;
-
 /// Socket of a caller, shared by the HTTP library and the task of the connection.
 #[derive(Debug)]
 pub struct Socket {
@@ -147,6 +137,17 @@
         self.state.lock().progress.ahead.has_waiting_request()
     }
 
+    /// Records that the connection closes with the responses to the requests that were read. Of what the caller
+    /// sends on, only the rest of a body is read.
+    pub fn end_requests(&self) {
+        self.state.lock().progress.end_requests();
+    }
+
+    /// Records that what the caller sends on can't be told apart into requests.
+    pub fn end_framing(&self) {
+        self.state.lock().progress.end_framing();
+    }
+
     /// Returns whether the connection was reset while a request was handled.
     pub fn is_request_lost(&self) -> bool {
         self.state.lock().progress.is_request_lost()
@@ -187,34 +188,6 @@
         }
     }
 
-    /// Closes the connection: ends the stream to the caller, then discards what the caller still sends until
-    /// it closes its side. Closing the socket with unread bytes would reset the connection and drop the part
-    /// of the response that is in transit.
-    pub async fn linger(&self) {
-        let (is_over, patient_until) = {
-            let mut state = self.state.lock();
-            state.progress.ahead.clear();
-            self.hold.shrink(std::mem::take(&mut state.charged));
-            let progress = &state.progress;
-            let is_large = progress.written() >= LARGE_RESPONSE_BYTES;
-            (progress.end.is_some(), is_large.then(|| progress.until()))
-        };
-        let shut_down = SockRef::from(&self.stream).shutdown(Shutdown::Write);
-        if is_over || shut_down.is_err() {
-            return;
-        }
-        let limit = self.timer.now() + LINGER_TIME;
-        let mut bytes_left = LINGER_BYTES;
-        loop {
-            let idle_limit = (self.timer.now() + LINGER_IDLE).min(limit);
-            let wait_limit = patient_until.map_or(idle_limit, |until| until.max(limit));
-            let readable = self.timer.until(wait_limit, self.stream.readable()).await;
-            if !matches!(readable, Ok(Ok(()))) || !self.discard(&mut bytes_left) {
-                return;
-            }
-        }
-    }
-
     /// Makes the close of the socket drop the data that the caller has not read.
     pub fn reset_on_close(&self) {
         if let Err(error) = self.stream.set_zero_linger() {
@@ -222,26 +195,15 @@
         }
     }
 
-    /// Discards received bytes. Returns whether the caller may send more within the bound.
-    fn discard(&self, bytes_left: &mut usize) -> bool {
-        let mut scratch = [0; READ_SIZE];
-        for _ in 0..DISCARDS_PER_TURN {
-            match self.stream.try_read(&mut scratch) {
-                Ok(0) => return false,
-                Ok(count) => *bytes_left = bytes_left.saturating_sub(count),
-                Err(error) => return error.kind() == io::ErrorKind::WouldBlock,
-            }
-            if *bytes_left == 0 {
-                return false;
-            }
-        }
-        true
-    }
-
-    /// Reads into the buffer until the socket has no more bytes or the buffer is full.
+    /// Reads into the buffer until the socket has no more bytes, the buffer is full or no more may be read.
     fn poll_read_ahead(&self, state: &mut State, cx: &mut Context<'_>) {
         let progress = &mut state.progress;
         while progress.end.is_none() {
+            let max = match progress.next_read() {
+                NextRead::UpTo(max) => max,
+                NextRead::OnlyEnd => return self.poll_end(progress, cx),
+                NextRead::Nothing => return,
+            };
             let room = self.room(progress.ahead.len(), &mut state.charged);
             progress.is_full = room == 0;
             if progress.is_full {
@@ -251,7 +213,7 @@
                 return;
             };
             let mut scratch = [0; READ_SIZE];
-            let scratch = &mut scratch[..room.min(READ_SIZE)];
+            let scratch = &mut scratch[..room.min(READ_SIZE).min(max)];
             let read = ready.and_then(|()| self.stream.try_read(scratch));
             let now = self.timer.now();
             match read {
@@ -285,23 +247,48 @@
         MAX_READ_AHEAD.saturating_sub(length)
     }
 
+    /// Waits for the end of the stream without a read.
+    fn poll_end(&self, progress: &mut Progress, cx: &mut Context<'_>) {
+        progress.is_full = false;
+        while let Poll::Ready(Ok(())) = self.stream.poll_read_ready(cx) {
+            if let Some(end) = self.find_end() {
+                return progress.record_end(end);
+            }
+            self.wait_for_more();
+        }
+    }
+
+    /// Lets the socket become readable again only with the next bytes or the end of the stream.
+    fn wait_for_more(&self) {
+        let unread = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
+        // The error is the one that is passed in.
+        let _ = self.stream.try_io(Interest::READABLE, unread);
+    }
+
     /// Checks whether the caller has closed its side behind bytes that do not fit into the buffer.
     fn probe(&self) {
+        let end = self.find_end();
+        let progress = &mut self.state.lock().progress;
+        progress.record_probe(self.timer.now());
+        if let Some(end) = end {
+            progress.record_end(end);
+        }
+    }
+
+    /// Returns the end of the stream behind bytes that may be unread.
+    fn find_end(&self) -> Option<End> {
         let is_reset = !matches!(self.stream.take_error(), Ok(None));
-        // The socket has unread bytes, so that the state is available without a wait.
+        // The socket is readable, so that the state is available without a wait.
         let ready = pin!(self.stream.ready(Interest::READABLE))
             .poll(&mut Context::from_waker(Waker::noop()));
         let is_closed = matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed());
         // A connection that was reset has no peer any more.
         let is_gone = self.stream.peer_addr().is_err();
         let now = self.timer.now();
-        let progress = &mut self.state.lock().progress;
-        progress.record_probe(now);
         if is_reset || is_gone {
-            progress.record_end(End::Reset(now));
-        } else if is_closed {
-            progress.record_end(End::Closed(now));
+            return Some(End::Reset(now));
         }
+        is_closed.then_some(End::Closed(now))
     }
 
     /// Records the result of a write.
--- a/crates/sg-proxy/src/stream/progress.rs
+++ b/crates/sg-proxy/src/stream/progress.rs
@@ -56,6 +56,17 @@
     Probe,
 }
 
+/// What may be read from the socket next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum NextRead {
+    /// Up to so many bytes.
+    UpTo(usize),
+    /// No bytes. The end of the stream is waited for.
+    OnlyEnd,
+    /// Nothing, because the connection is about to linger.
+    Nothing,
+}
+
 /// End of the stream from the caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum End {
@@ -88,6 +99,10 @@
     phase: Phase,
     /// Whether nothing more is taken from the connection.
     is_cut: bool,
+    /// Whether the connection closes with the responses to the requests that were read.
+    is_last: bool,
+    /// Bytes of a request's body that were not read when the response was complete.
+    unread_body: u64,
     /// Time until which the caller may take to read the response.
     until: Instant,
     /// Bytes written since the last request.
@@ -105,6 +120,8 @@
             end: None,
             phase: Phase::Idle(now),
             is_cut: false,
+            is_last: false,
+            unread_body: 0,
             until: now,
             written: 0,
             stalled_since: None,
@@ -138,6 +155,7 @@
         self.phase = Phase::Busy;
         self.is_cut |= self.end.is_some();
         self.written = 0;
+        self.unread_body = 0;
         self.ahead.start(match length {
             Some(0) => Part::Next,
             Some(length) => Part::Body(length),
@@ -165,6 +183,7 @@
         if self.phase != Phase::Flushing {
             return false;
         }
+        self.unread_body = self.unread_body();
         self.phase = Phase::Idle(now);
         self.ahead.start(Part::Head);
         if self.is_cut {
@@ -173,6 +192,39 @@
         true
     }
 
+    /// Records that the connection closes with the responses to the requests that were read.
+    pub fn end_requests(&mut self) {
+        self.is_last = true;
+    }
+
+    /// Records that what the caller sends on can't be told apart into requests.
+    pub fn end_framing(&mut self) {
+        self.unread_body = u64::MAX;
+    }
+
+    /// Returns how many bytes of the body of the latest request were not read from the socket.
+    pub fn unread_body(&self) -> u64 {
+        match self.phase {
+            Phase::Idle(_) => self.unread_body,
+            _ => self.ahead.unread_body(),
+        }
+    }
+
+    /// Returns what may be read from the socket.
+    pub fn next_read(&self) -> NextRead {
+        let is_idle = matches!(self.phase, Phase::Idle(_));
+        // The HTTP library has taken a part of the head.
+        let is_head_due = is_idle && self.ahead.head_since().is_some();
+        if !self.is_last || is_head_due {
+            return NextRead::UpTo(usize::MAX);
+        }
+        match self.unread_body() {
+            0 => NextRead::OnlyEnd,
+            _ if is_idle => NextRead::Nothing,
+            unread => NextRead::UpTo(usize::try_from(unread).unwrap_or(usize::MAX)),
+        }
+    }
+
     /// Records the end of the stream. A request behind the one in progress is not taken any more.
     pub fn record_end(&mut self, end: End) {
         self.end = Some(end);
--- a/crates/sg-proxy/tests/proxy/crossings.rs
+++ b/crates/sg-proxy/tests/proxy/crossings.rs
@@ -18,8 +18,8 @@
     pipelines::{Reader, kept_get, large_response},
 };
 
-/// Longer than a connection lingers while its caller sends nothing more.
-const LINGERING: Duration = Duration::from_millis(1_800);
+/// Longer than a connection lingers.
+const LINGERING: Duration = Duration::from_secs(6);
 
 /// Event after which a connection ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -127,6 +127,7 @@
     };
     let refused = post("/none/x", "a", "body").replace("connection: close\r\n", "");
     let (head, rest) = refused.split_at(refused.len() - "body".len());
+    let ahead = kept_get("/safe/x", "a") + &kept_get("/safe/x", "b");
     let crossings = [
         crossing("behind the response of a stop", Event::Stop, 300),
         Crossing {
@@ -158,6 +159,17 @@
             status: Some(503),
             ..crossing("at the limit of connections", Event::ConnectionLimit, 200)
         },
+        Crossing {
+            first: ahead.clone(),
+            second: String::new(),
+            ..crossing("sent ahead near the limit", Event::ManyConnections, 0)
+        },
+        Crossing {
+            first: ahead,
+            status: Some(503),
+            second: String::new(),
+            ..crossing("sent ahead at the limit", Event::ConnectionLimit, 0)
+        },
         crossing(
             "on a connection that was idle",
             Event::NewConnectionWhileIdle,
