test(sg-gateway): the grace never begins after its signal

A signal that is handled up to 250 ms after it was sent counts as handled at once unless an update was over 50 ms late.

--- a/crates/sg-gateway/tests/gateway/grace.rs
+++ b/crates/sg-gateway/tests/gateway/grace.rs
@@ -3,6 +3,8 @@
 use sg_gateway::grace::{Grace, Ticks};
 use sg_types::prelude::*;
 
+const INTERVAL: Span = Span::from_millis(200);
+
 fn at(millis: u64) -> Instant {
     Instant::START + Span::from_millis(millis)
 }
@@ -20,12 +22,42 @@
         ("slow start", &[], 700, 0),
         ("late first updates", &[900], 910, 0),
     ] {
-        let mut known = Ticks::new(Span::from_millis(200));
+        let mut known = Ticks::new(INTERVAL);
         ticks.iter().for_each(|tick| known.record(at(*tick)));
         assert_eq!(known.earliest_signal(at(handled)), at(earliest), "{name}");
     }
 }
 
+/// Guards against a period that counts from later than the signal was sent, whatever the process does meanwhile.
+#[test]
+fn grace_never_begins_after_the_signal() {
+    fn begins_in_time(turns: Vec<(u16, u16)>, sent_in: u16) -> bool {
+        let mut known = Ticks::new(INTERVAL);
+        let (mut now, mut due) = (Instant::START, Instant::START + INTERVAL);
+        let mut signal: Option<(Instant, usize)> = None;
+        let sent_in = usize::from(sent_in) % turns.len().max(1);
+        for (turn, (wait, work)) in turns.into_iter().enumerate() {
+            // A wait ends when the updates are due, unless the process is suspended.
+            let end = now + Span::from_millis(u64::from(wait) % 400);
+            if turn == sent_in {
+                signal = Some((now + end.since(now).mul_f64(0.5), turn));
+            }
+            // A signal ends a wait, and is read after the next one.
+            if let Some((sent, _)) = signal.filter(|(_, sent_in)| turn > *sent_in) {
+                return known.earliest_signal(end) <= sent;
+            }
+            now = end;
+            if now >= due {
+                known.record(now);
+                due = now + INTERVAL;
+            }
+            now = now + Span::from_millis(u64::from(work) % 60);
+        }
+        true
+    }
+    quickcheck::quickcheck(begins_in_time as fn(Vec<(u16, u16)>, u16) -> bool);
+}
+
 #[test]
 fn parts_of_the_grace_period_follow_each_other_and_end_before_it() {
     for seconds in [0.5, 6.0, 60.0] {
