fix(sg-gateway): read the grace period of a stop from the settings in force

Callers saw: during a planned stop in calm, requests that were sent late in the grace were taken and passed on, and their connections ended without an answer when the platform killed the process.

Cause: a running process kept the grace of the settings that it started with, though the settings file may change with or without a signal. A process that started with 6 s, of which 3 s were left since a change, counted half of 6 s.

Change: the grace is read from the settings file when the signal is handled; if the file can't be read, that of the start counts. A change of the grace alone needs no restart any more.

--- a/crates/sg-gateway/src/settings.rs
+++ b/crates/sg-gateway/src/settings.rs
@@ -162,6 +162,15 @@
             .map(move |seed| SocketAddr::new(seed.ip(), port))
     }
 
+    /// Returns whether a process that runs with these settings has to be restarted for `new` to take effect. The
+    /// grace period is read again at a stop.
+    #[must_use]
+    pub fn needs_restart(&self, new: &Self) -> bool {
+        let mut kept = self.clone();
+        kept.bounds.stop_grace_seconds = new.bounds.stop_grace_seconds;
+        kept != *new
+    }
+
     fn validate(&self, file: &str) -> Result<(), Error> {
         let invalid = |path, problem, remedy| {
             Err(Error::Invalid {
--- a/crates/sg-gateway/src/shutdown.rs
+++ b/crates/sg-gateway/src/shutdown.rs
@@ -54,7 +54,7 @@
 
 /// Validates the settings file if its text differs from `last_text`, and logs whether the process has
 /// to be restarted for the change. The running process keeps its settings, because other instances and
-/// callers rely on its addresses and location. `on_signal` states whether a signal caused the check;
+/// callers rely on its addresses and location. Only the grace period is read again at a stop. `on_signal` states whether a signal caused the check;
 /// such a check is logged even if the file has not changed.
 fn check_settings_file<D: Protocol, I: Interpreter, S: Store>(
     context: &Context<D, I, S>,
@@ -77,7 +77,7 @@
     let name = context.settings_file.display().to_string();
     match Settings::parse(&text, &name) {
         Ok(settings) => {
-            let needs_restart = settings != context.settings;
+            let needs_restart = context.settings.needs_restart(&settings);
             log::info!(changed = true, needs_restart; "reloaded");
         }
         Err(error) => log::warn!(error:% = error; "settings not used"),
@@ -85,6 +85,20 @@
     *last_text = text;
 }
 
+/// Returns the grace period that the settings file states now. The platform may have changed the file since the
+/// start, with or without a signal.
+fn grace_period<D: Protocol, I: Interpreter, S: Store>(context: &Context<D, I, S>) -> Span {
+    let settings = Settings::load(&context.settings_file);
+    let bounds = match &settings {
+        Ok(settings) => &settings.bounds,
+        Err(error) => {
+            log::warn!(error:% = error; "settings not used");
+            &context.settings.bounds
+        }
+    };
+    Span::from_secs(1).mul_f64(bounds.stop_grace_seconds)
+}
+
 /// Stops gracefully within the grace period. Lookup responses no longer name the instance, and readiness
 /// checks fail. New requests that can finish in time are admitted for the first part of the period, and
 /// connections are accepted a little longer. Requests that are still in flight near the end of the period
@@ -96,7 +110,7 @@
 ) {
     let handled = context.timer.now();
     let started = context.event_loop.lock().earliest_signal();
-    let period = Span::from_secs(1).mul_f64(context.settings.bounds.stop_grace_seconds);
+    let period = grace_period(context);
     let grace = Grace::new(started, handled, period);
     let late = handled.since(started);
     log::info!(grace_ms = period.as_millis(), late_ms = late.as_millis(); "leaving");
