feat(sg-proxy): count connections that close on requests

Nothing told how often callers' requests cross the close of their connection. sg_caller_connections_unanswered_total does, by whether the requests were read (a fault, or a response before them that broke off) or left unread (callers send them again).

A connection with unread bytes lingers for as long as one with a large response, 5 s or the time of its request, unless its caller closes: the close resets it, which would drop the tail of a response that a slow link delivers later than the idle bound of 1 s. Policy of the server moves to its own module.

--- a/crates/sg-gateway/src/servers.rs
+++ b/crates/sg-gateway/src/servers.rs
@@ -64,6 +64,7 @@
         header_timeout: IDLE_TIMEOUT,
         max_connections: budget.callers,
         early_ends: context.core.metrics.early_ends.clone(),
+        unanswered: context.core.metrics.unanswered.clone(),
         started_early: context.core.metrics.started_early.clone(),
         budget: context.core.memory.clone(),
     };
--- a/crates/sg-proxy/src/metrics.rs
+++ b/crates/sg-proxy/src/metrics.rs
@@ -70,6 +70,8 @@
     pub paused_targets: IntGauge,
     /// Connections of callers that ended early, by cause.
     pub early_ends: IntCounterVec,
+    /// Connections of callers that closed without the responses to requests, by whether these were read.
+    pub unanswered: IntCounterVec,
     /// Requests that were started while earlier responses of their connection were due.
     pub started_early: IntCounter,
     /// Callers that disconnected before their response.
@@ -175,6 +177,11 @@
                 "Connections of callers that ended before their requests were answered, by cause.",
                 &["cause"],
             )?,
+            unanswered: counters(
+                "sg_caller_connections_unanswered_total",
+                "Connections of callers that closed without the responses to requests, by whether these were read.",
+                &["requests"],
+            )?,
             started_early: counter(
                 "sg_requests_started_early_total",
                 "Requests that were started while earlier responses of their connection were due.",
--- a/crates/sg-proxy/src/server.rs
+++ b/crates/sg-proxy/src/server.rs
@@ -1,5 +1,6 @@
 //! Accepts and serves connections of callers.
 
+mod policy;
 mod reuse;
 
 use std::{convert::Infallible, future::poll_fn, task::Poll, time::Duration};
@@ -26,6 +27,7 @@
 };
 
 pub use crate::listener::{bind, limit_receive_buffer};
+pub use policy::{OneByOne, Policy};
 
 /// Delay after the system failed to accept a connection, most likely for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Span = Span::from_millis(50);
@@ -55,6 +57,8 @@
     pub max_connections: usize,
     /// Counts the connections that ended early, by cause.
     pub early_ends: IntCounterVec,
+    /// Counts the connections that closed without the responses to requests, by whether these were read.
+    pub unanswered: IntCounterVec,
     /// Counts the requests that were started while earlier responses of their connection were due.
     pub started_early: IntCounter,
     /// Memory budget that the connections are charged to.
@@ -72,12 +76,15 @@
         header_timeout: Duration,
         max_connections: usize,
     ) -> Self {
-        let name = prometheus::Opts::new("early_ends", "Connections that ended early.");
+        let early_ends = prometheus::Opts::new("early_ends", "Connections that ended early.");
+        let unanswered = prometheus::Opts::new("unanswered", "Connections closed on requests.");
+        let counters = |name, label| IntCounterVec::new(name, &[label]).expect("a valid name");
         Self {
             max_head_bytes,
             header_timeout,
             max_connections,
-            early_ends: IntCounterVec::new(name, &["cause"]).expect("a valid name"),
+            early_ends: counters(early_ends, "cause"),
+            unanswered: counters(unanswered, "requests"),
             started_early: IntCounter::new("started_early", "Requests that were started early.")
                 .expect("a valid name"),
             budget: Budget::new(Bytes::new(u64::MAX), Timer::new()),
@@ -85,38 +92,6 @@
     }
 }
 
-/// Decisions about callers' connections that depend on the configuration.
-pub trait Policy: Clone + Send + Sync + 'static {
-    /// Returns the time in which the head of a request has to be complete once its first byte was read.
-    fn head_timeout(&self) -> Span;
-
-    /// Returns whether any request may be handled while earlier responses of its connection are still due.
-    fn starts_early(&self) -> bool;
-
-    /// Returns whether the request with the head `head` may be handled while earlier responses of its
-    /// connection are still due.
-    fn may_start_early(&self, head: &Request<()>) -> bool;
-}
-
-/// Policy of a server whose requests are handled one after the other on each connection, with the time in which
-/// a head has to be complete.
-#[derive(Debug, Clone)]
-pub struct OneByOne<H>(pub H);
-
-impl<H: Fn() -> Span + Clone + Send + Sync + 'static> Policy for OneByOne<H> {
-    fn head_timeout(&self) -> Span {
-        (self.0)()
-    }
-
-    fn starts_early(&self) -> bool {
-        false
-    }
-
-    fn may_start_early(&self, _: &Request<()>) -> bool {
-        false
-    }
-}
-
 /// Request extension that states when the head of the request was read from the socket. A request may have
 /// waited since then for the responses to requests before it on the connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -258,6 +233,9 @@
                 .with_label_values(&[ending.as_str()]);
             ended.inc();
         }
+        if ending != Some(Ending::Gone) && self.socket.has_waiting_request() {
+            self.count_unanswered("read");
+        }
         // What was started early has no connection to be answered on.
         *self.pipeline.lock() = Pipeline::default();
         match ending {
@@ -273,6 +251,15 @@
             () = self.slot.wait_for_end() => {}
             () = self.socket.hold().evicted() => {}
         }
+        if self.socket.is_crossed() {
+            self.count_unanswered("unread");
+        }
+    }
+
+    /// Counts a connection that closes without the responses to requests that the caller sent.
+    fn count_unanswered(&self, requests: &str) {
+        let counter = &self.options.unanswered;
+        counter.with_label_values(&[requests]).inc();
     }
 
     /// Serves requests until the HTTP library ends the connection.
--- a/crates/sg-proxy/src/stream/linger.rs
+++ b/crates/sg-proxy/src/stream/linger.rs
@@ -7,11 +7,11 @@
 
 use super::{READ_SIZE, Socket};
 
-/// Time without bytes from the caller after which a lingering connection closes: some round trips between
+/// Time without bytes from the caller after which a lingering connection without unread bytes closes: some round trips between
 /// regions, in which the caller sees the end of the stream and closes its side.
 const LINGER_IDLE: Span = Span::from_secs(1);
-/// Maximum time for which a connection lingers while the caller still sends, or reads a large response, unless
-/// the time of its request is longer.
+/// Maximum time for which a connection lingers while the caller still sends or reads a large response, or bytes
+/// lie unread, unless the time of its request is longer.
 const LINGER_TIME: Span = Span::from_secs(5);
 /// Maximum number of bytes of a body that a lingering connection discards.
 const LINGER_BYTES: u64 = 16 << 20;
@@ -38,15 +38,15 @@
     /// The rest of a request's body is discarded, because the caller may read the response only behind it.
     /// Nothing else is read: nobody would respond to a further request.
     pub async fn linger(&self) {
-        let (is_over, unread, patient_until) = {
+        let (is_over, unread, mut is_patient, until) = {
             let mut state = self.state.lock();
             let unread = state.progress.unread_body();
             state.progress.ahead.clear();
             self.hold.shrink(std::mem::take(&mut state.charged));
             let progress = &state.progress;
             let is_large = progress.written() >= LARGE_RESPONSE_BYTES;
-            let patient_until = is_large.then(|| progress.until());
-            (progress.end.is_some(), unread, patient_until)
+            let is_patient = is_large || progress.is_crossed;
+            (progress.end.is_some(), unread, is_patient, progress.until())
         };
         let shut_down = SockRef::from(&self.stream).shutdown(Shutdown::Write);
         if is_over || shut_down.is_err() {
@@ -58,8 +58,10 @@
         };
         let limit = self.timer.now() + LINGER_TIME;
         loop {
-            let idle_limit = (self.timer.now() + LINGER_IDLE).min(limit);
-            let wait_limit = patient_until.map_or(idle_limit, |until| until.max(limit));
+            let wait_limit = match is_patient {
+                true => until.max(limit),
+                false => (self.timer.now() + LINGER_IDLE).min(limit),
+            };
             let readable = self.timer.until(wait_limit, self.stream.readable()).await;
             if !matches!(readable, Ok(Ok(()))) {
                 return;
@@ -72,6 +74,9 @@
                 return;
             } else {
                 self.wait_for_more();
+                // The close would reset the connection before a slow link has delivered the response.
+                is_patient = true;
+                self.state.lock().progress.is_crossed = true;
             }
         }
     }
--- a/crates/sg-proxy/src/stream/mod.rs
+++ b/crates/sg-proxy/src/stream/mod.rs
@@ -148,6 +148,11 @@
         self.state.lock().progress.end_framing();
     }
 
+    /// Returns whether the caller sent on behind the last request, which is left unread.
+    pub fn is_crossed(&self) -> bool {
+        self.state.lock().progress.is_crossed
+    }
+
     /// Returns whether the connection was reset while a request was handled.
     pub fn is_request_lost(&self) -> bool {
         self.state.lock().progress.is_request_lost()
@@ -255,6 +260,7 @@
                 return progress.record_end(end);
             }
             self.wait_for_more();
+            progress.is_crossed = true;
         }
     }
 
--- a/crates/sg-proxy/src/stream/progress.rs
+++ b/crates/sg-proxy/src/stream/progress.rs
@@ -101,6 +101,8 @@
     is_cut: bool,
     /// Whether the connection closes with the responses to the requests that were read.
     is_last: bool,
+    /// Whether bytes behind the last request lie unread.
+    pub is_crossed: bool,
     /// Bytes of a request's body that were not read when the response was complete.
     unread_body: u64,
     /// Time until which the caller may take to read the response.
@@ -121,6 +123,7 @@
             phase: Phase::Idle(now),
             is_cut: false,
             is_last: false,
+            is_crossed: false,
             unread_body: 0,
             until: now,
             written: 0,
@@ -199,6 +202,7 @@
 
     /// Records that what the caller sends on can't be told apart into requests.
     pub fn end_framing(&mut self) {
+        self.ahead.clear();
         self.unread_body = u64::MAX;
     }
 
--- a/crates/sg-proxy/tests/proxy/crossings.rs
+++ b/crates/sg-proxy/tests/proxy/crossings.rs
@@ -4,7 +4,6 @@
 
 use sg_proxy::server::Phase;
 use sg_types::prelude::*;
-use socket2::SockRef;
 use tokio::{
     io::AsyncWriteExt,
     net::TcpStream,
@@ -50,7 +49,7 @@
 async fn was_left_unread(stream: &TcpStream) -> bool {
     let until = Instant::now() + LINGERING;
     while Instant::now() < until {
-        let error = SockRef::from(stream).take_error();
+        let error = stream.take_error();
         if !matches!(error, Ok(None)) {
             return true;
         }
@@ -105,8 +104,14 @@
         return Err(format!("{first:?} instead of {:?}", crossing.status));
     }
     let second = caller.read_response().await.map(|text| status(&text));
+    let is_unread = second.is_none() && was_left_unread(&caller.stream).await;
+    let unanswered = &instance.core.metrics.unanswered;
+    let count = |requests| unanswered.with_label_values(&[requests]).get();
+    if (count("read"), count("unread")) != (0, u64::from(is_unread)) {
+        return Err("counted wrongly".to_owned());
+    }
     match second {
-        None if was_left_unread(&caller.stream).await => Ok(()),
+        None if is_unread => Ok(()),
         None => Err("read and not answered".to_owned()),
         Some(200 | 503) => Ok(()),
         Some(other) => Err(format!("answered with {other}")),
--- a/crates/sg-proxy/tests/proxy/harness.rs
+++ b/crates/sg-proxy/tests/proxy/harness.rs
@@ -415,6 +415,7 @@
             header_timeout: Duration::from_secs(20),
             max_connections,
             early_ends: core.metrics.early_ends.clone(),
+            unanswered: core.metrics.unanswered.clone(),
             started_early: core.metrics.started_early.clone(),
             budget: core.memory.clone(),
         };
