--- a/crates/sg-proxy/tests/proxy/crossings.rs
+++ b/crates/sg-proxy/tests/proxy/crossings.rs
@@ -118,6 +118,19 @@
     }
 }
 
+/// Lets all requests cross at the same time.
+async fn check(crossings: impl IntoIterator<Item = Crossing>) {
+    let mut rows = JoinSet::new();
+    for crossing in crossings {
+        rows.spawn(async move {
+            let result = cross(&crossing).await;
+            result.err().map(|error| (crossing.name, error))
+        });
+    }
+    let lost: Vec<_> = rows.join_all().await.into_iter().flatten().collect();
+    assert!(lost.is_empty(), "{lost:#?}");
+}
+
 /// A caller may not repeat a request that was read and not answered.
 #[tokio::test]
 async fn request_that_crosses_the_close_is_answered_or_left_unread() {
@@ -187,13 +200,41 @@
             ..crossing("behind a late head", Event::LateHead, 500)
         },
     ];
-    let mut rows = JoinSet::new();
-    for crossing in crossings {
-        rows.spawn(async move {
-            let result = cross(&crossing).await;
-            result.err().map(|error| (crossing.name, error))
-        });
-    }
-    let lost: Vec<_> = rows.join_all().await.into_iter().flatten().collect();
-    assert!(lost.is_empty(), "{lost:#?}");
+    check(crossings).await;
+}
+
+/// What follows a body in chunks must be told from the body.
+#[tokio::test]
+async fn request_behind_a_body_in_chunks_is_answered_or_left_unread() {
+    const CHUNKED: &str =
+        "POST /once/x HTTP/1.1\r\nhost: h\r\nid: a\r\ntransfer-encoding: chunked\r\n\r\n";
+    let second = kept_get("/safe/x", "b");
+    let crossing = |name, first: &str, after, second: &str| Crossing {
+        name,
+        event: Event::Stop,
+        first: format!("{CHUNKED}{first}"),
+        status: Some(200),
+        response: OK,
+        after,
+        second: second.to_owned(),
+    };
+    let whole = "4\r\nbody\r\nA\r\n0123456789\r\n0\r\n\r\n";
+    check([
+        crossing("behind the response", whole, 300, &second),
+        crossing("before the response", whole, 10, &second),
+        crossing("sent ahead", &format!("{whole}{second}"), 10, ""),
+        crossing(
+            "sent ahead, behind a part of the body",
+            "4\r\nbo",
+            10,
+            &format!("dy\r\n0\r\n\r\n{second}"),
+        ),
+        crossing(
+            "sent ahead, behind a part of the end",
+            "4\r\nbody\r\n0\r",
+            10,
+            &format!("\n\r\n{second}"),
+        ),
+    ])
+    .await;
 }
