fix(sg-proxy): tell a request from the body in chunks before it

Callers saw requests that were sent behind a body in chunks end with the connection and no answer in a stop, although they had been read.

Cause: nothing found the end of such a body, so that what followed was read and handed to the HTTP library with the body, was no waiting request when the response decided to close the connection, and counted as a part of a body when the connection lingered.

Now the end is found where every parser takes the same bytes for the body: sizes in hexadecimal digits and CRLF, no extensions, no trailers. What follows is kept for the next request, as behind a body with a length. Any other syntax is left to the HTTP library as before, so that no part of a body can be started as a request.

--- a/crates/sg-proxy/src/stream/ahead.rs
+++ b/crates/sg-proxy/src/stream/ahead.rs
@@ -5,6 +5,8 @@
 use bytes::{Buf, BytesMut};
 use sg_types::prelude::*;
 
+use super::chunks::Chunks;
+
 /// Resolution of the recorded read times. Bytes that are read within this span share one record, so that a
 /// caller that sends single bytes does not cost a multiple of its bytes.
 const TIME_RESOLUTION: Span = Span::from_millis(25);
@@ -18,8 +20,8 @@
     Head,
     /// The body of a request, of which so many bytes are left.
     Body(u64),
-    /// A body of unknown length. Bytes behind the body are not told apart from it.
-    ChunkedBody,
+    /// A body in chunks.
+    Chunks(Chunks),
     /// A request that waits for the response to the request before it.
     Next,
 }
@@ -131,7 +133,7 @@
         let skipped = match self.part {
             Part::Head | Part::Next => 0,
             Part::Body(left) => usize::try_from(left).unwrap_or(usize::MAX),
-            Part::ChunkedBody => return false,
+            Part::Chunks(_) => return false,
         };
         let bytes = self.bytes.get(skipped..);
         bytes.is_some_and(|bytes| head_length(bytes).is_some())
@@ -142,7 +144,14 @@
         match self.part {
             Part::Head | Part::Next => 0,
             Part::Body(left) => left.saturating_sub(self.bytes.len() as u64),
-            Part::ChunkedBody => u64::MAX,
+            Part::Chunks(_) => u64::MAX,
+        }
+    }
+
+    /// Records that no more bytes will be added. The HTTP library judges the rest.
+    pub fn end(&mut self) {
+        if let Part::Chunks(chunks) = &mut self.part {
+            chunks.end_search();
         }
     }
 
@@ -168,7 +177,14 @@
                 };
                 count
             }
-            Part::ChunkedBody => available,
+            Part::Chunks(mut chunks) => {
+                let count = chunks.take(&self.bytes, available);
+                self.part = match chunks.is_taken() {
+                    true => Part::Next,
+                    false => Part::Chunks(chunks),
+                };
+                count
+            }
             Part::Next => 0,
         };
         if count > 0 {
--- a/crates/sg-proxy/src/stream/mod.rs
+++ b/crates/sg-proxy/src/stream/mod.rs
@@ -10,6 +10,7 @@
 //! connection is decided, nothing behind its request is read.
 
 mod ahead;
+mod chunks;
 mod linger;
 mod progress;
 
--- a/crates/sg-proxy/src/stream/progress.rs
+++ b/crates/sg-proxy/src/stream/progress.rs
@@ -2,7 +2,10 @@
 
 use sg_types::prelude::*;
 
-use super::ahead::{Ahead, Part};
+use super::{
+    ahead::{Ahead, Part},
+    chunks::Chunks,
+};
 
 /// Time in which a request whose body ends early may be refused before its connection ends.
 const REFUSAL_TIME: Span = Span::from_millis(250);
@@ -162,7 +165,7 @@
         self.ahead.start(match length {
             Some(0) => Part::Next,
             Some(length) => Part::Body(length),
-            None => Part::ChunkedBody,
+            None => Part::Chunks(Chunks::new()),
         });
         Arrival { read_at, behind }
     }
@@ -232,6 +235,7 @@
     /// Records the end of the stream. A request behind the one in progress is not taken any more.
     pub fn record_end(&mut self, end: End) {
         self.end = Some(end);
+        self.ahead.end();
         if !matches!(self.phase, Phase::Idle(_)) {
             self.is_cut = true;
         }
--- a/crates/sg-proxy/tests/proxy/crossings.rs
+++ b/crates/sg-proxy/tests/proxy/crossings.rs
@@ -8,11 +8,13 @@
     io::AsyncWriteExt,
     net::TcpStream,
     task::JoinSet,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{
-    harness::{Instance, OK, ScriptedTarget, Step, catalog, get, post, status},
+    harness::{
+        Instance, OK, ScriptedTarget, Step, catalog, catalog_with_downloads, get, post, status,
+    },
     lingering::connect_slowly,
     pipelines::{Reader, kept_get, large_response},
 };
@@ -238,3 +240,43 @@
     ])
     .await;
 }
+
+/// A request that is hidden in a body must not run before the body is known to have ended.
+#[tokio::test]
+async fn end_of_a_body_that_parsers_read_differently_starts_no_request() {
+    let ends = [
+        "0\r\n\r\n",
+        "000\r\n\r\n",
+        "0\r\n\n",
+        "0\n\n",
+        "0\r\r\n",
+        "0 \r\n\r\n",
+        "+0\r\n\r\n",
+        "0;a=\"\r\n\r\n",
+        "0\r\nt: v\r\n",
+        "0\r\nt: v\r\n\r\n",
+        "10000000000000000\r\n\r\n",
+        "1\r\nab\r\n0\r\n\r\n",
+        "\r\n0\r\n\r\n",
+    ];
+    for end in ends {
+        let steps = vec![Step::RespondAfter(50, OK)];
+        let target = ScriptedTarget::start(steps).await;
+        let instance = Instance::start(&[&target]).await;
+        assert!(instance.core.replace_catalog(catalog_with_downloads()));
+        let mut caller = Reader::new(instance.connect().await);
+        let first =
+            "GET /safe/x HTTP/1.1\r\nhost: h\r\nid: a\r\ntransfer-encoding: chunked\r\n\r\n";
+        let hidden = kept_get("/safe/hidden", "b");
+        for part in [first, end, &hidden, "GET"] {
+            caller.send(part).await;
+            sleep(Duration::from_millis(20)).await;
+        }
+        let mut answered = 0;
+        let wait = Duration::from_millis(400);
+        while let Ok(Some(response)) = timeout(wait, caller.read_response()).await {
+            answered += usize::from(status(&response) == 200);
+        }
+        assert_eq!(target.count(), answered, "{end:?}");
+    }
+}
