test(sg-proxy): let a refused body close its connection outside of a stop

The row said that it guards the refusal of a body, but in a stop each response closes its connection. Without the stop it fails on the code before as well, and passes now.

--- a/crates/sg-proxy/tests/proxy/crossings.rs
+++ b/crates/sg-proxy/tests/proxy/crossings.rs
@@ -25,6 +25,7 @@
 /// Event after which a connection ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Event {
+    Nothing,
     Stop,
     LastPhase,
     ManyConnections,
@@ -71,7 +72,7 @@
             sleep(Duration::from_millis(1_700)).await;
             return Some(instance.connect().await);
         }
-        Event::LateHead | Event::ManyConnections | Event::ConnectionLimit => {}
+        Event::Nothing | Event::LateHead | Event::ManyConnections | Event::ConnectionLimit => {}
     }
     None
 }
@@ -167,7 +168,7 @@
             first: head.to_owned(),
             status: Some(404),
             second: rest.to_owned() + &kept_get("/safe/x", "b"),
-            ..crossing("behind a body that is refused", Event::Stop, 300)
+            ..crossing("behind a body that is refused", Event::Nothing, 300)
         },
         Crossing {
             response: large_response(540_000),
