--- a/crates/sg-proxy/src/stream/progress.rs
+++ b/crates/sg-proxy/src/stream/progress.rs
@@ -2,7 +2,10 @@
 
 use sg_types::prelude::*;
 
-use super::ahead::{Ahead, Part};
+use super::{
+    ahead::{Ahead, Part},
+    chunks::Chunks,
+};
 
 /// Time in which a request whose body ends early may be refused before its connection ends.
 const REFUSAL_TIME: Span = Span::from_millis(250);
@@ -101,6 +104,8 @@
     is_cut: bool,
     /// Whether the connection closes with the responses to the requests that were read.
     is_last: bool,
+    /// Whether bytes behind the last request lie unread.
+    pub is_crossed: bool,
     /// Bytes of a request's body that were not read when the response was complete.
     unread_body: u64,
     /// Time until which the caller may take to read the response.
@@ -121,6 +126,7 @@
             phase: Phase::Idle(now),
             is_cut: false,
             is_last: false,
+            is_crossed: false,
             unread_body: 0,
             until: now,
             written: 0,
@@ -159,7 +165,7 @@
         self.ahead.start(match length {
             Some(0) => Part::Next,
             Some(length) => Part::Body(length),
-            None => Part::ChunkedBody,
+            None => Part::Chunks(Chunks::new()),
         });
         Arrival { read_at, behind }
     }
@@ -199,6 +205,7 @@
 
     /// Records that what the caller sends on can't be told apart into requests.
     pub fn end_framing(&mut self) {
+        self.ahead.clear();
         self.unread_body = u64::MAX;
     }
 
@@ -228,6 +235,7 @@
     /// Records the end of the stream. A request behind the one in progress is not taken any more.
     pub fn record_end(&mut self, end: End) {
         self.end = Some(end);
+        self.ahead.end();
         if !matches!(self.phase, Phase::Idle(_)) {
             self.is_cut = true;
         }
--- a/crates/sg-proxy/tests/proxy/crossings.rs
+++ b/crates/sg-proxy/tests/proxy/crossings.rs
@@ -4,16 +4,17 @@
 
 use sg_proxy::server::Phase;
 use sg_types::prelude::*;
-use socket2::SockRef;
 use tokio::{
     io::AsyncWriteExt,
     net::TcpStream,
     task::JoinSet,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{
-    harness::{Instance, OK, ScriptedTarget, Step, catalog, get, post, status},
+    harness::{
+        Instance, OK, ScriptedTarget, Step, catalog, catalog_with_downloads, get, post, status,
+    },
     lingering::connect_slowly,
     pipelines::{Reader, kept_get, large_response},
 };
@@ -24,6 +25,7 @@
 /// Event after which a connection ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Event {
+    Nothing,
     Stop,
     LastPhase,
     ManyConnections,
@@ -50,7 +52,7 @@
 async fn was_left_unread(stream: &TcpStream) -> bool {
     let until = Instant::now() + LINGERING;
     while Instant::now() < until {
-        let error = SockRef::from(stream).take_error();
+        let error = stream.take_error();
         if !matches!(error, Ok(None)) {
             return true;
         }
@@ -70,7 +72,7 @@
             sleep(Duration::from_millis(1_700)).await;
             return Some(instance.connect().await);
         }
-        Event::LateHead | Event::ManyConnections | Event::ConnectionLimit => {}
+        Event::Nothing | Event::LateHead | Event::ManyConnections | Event::ConnectionLimit => {}
     }
     None
 }
@@ -105,14 +107,33 @@
         return Err(format!("{first:?} instead of {:?}", crossing.status));
     }
     let second = caller.read_response().await.map(|text| status(&text));
+    let is_unread = second.is_none() && was_left_unread(&caller.stream).await;
+    let unanswered = &instance.core.metrics.unanswered;
+    let count = |requests| unanswered.with_label_values(&[requests]).get();
+    if (count("read"), count("unread")) != (0, u64::from(is_unread)) {
+        return Err("counted wrongly".to_owned());
+    }
     match second {
-        None if was_left_unread(&caller.stream).await => Ok(()),
+        None if is_unread => Ok(()),
         None => Err("read and not answered".to_owned()),
         Some(200 | 503) => Ok(()),
         Some(other) => Err(format!("answered with {other}")),
     }
 }
 
+/// Lets all requests cross at the same time.
+async fn check(crossings: impl IntoIterator<Item = Crossing>) {
+    let mut rows = JoinSet::new();
+    for crossing in crossings {
+        rows.spawn(async move {
+            let result = cross(&crossing).await;
+            result.err().map(|error| (crossing.name, error))
+        });
+    }
+    let lost: Vec<_> = rows.join_all().await.into_iter().flatten().collect();
+    assert!(lost.is_empty(), "{lost:#?}");
+}
+
 /// A caller may not repeat a request that was read and not answered.
 #[tokio::test]
 async fn request_that_crosses_the_close_is_answered_or_left_unread() {
@@ -147,7 +168,7 @@
             first: head.to_owned(),
             status: Some(404),
             second: rest.to_owned() + &kept_get("/safe/x", "b"),
-            ..crossing("behind a body that is refused", Event::Stop, 300)
+            ..crossing("behind a body that is refused", Event::Nothing, 300)
         },
         Crossing {
             response: large_response(540_000),
@@ -182,13 +203,81 @@
             ..crossing("behind a late head", Event::LateHead, 500)
         },
     ];
-    let mut rows = JoinSet::new();
-    for crossing in crossings {
-        rows.spawn(async move {
-            let result = cross(&crossing).await;
-            result.err().map(|error| (crossing.name, error))
-        });
+    check(crossings).await;
+}
+
+/// What follows a body in chunks must be told from the body.
+#[tokio::test]
+async fn request_behind_a_body_in_chunks_is_answered_or_left_unread() {
+    const CHUNKED: &str =
+        "POST /once/x HTTP/1.1\r\nhost: h\r\nid: a\r\ntransfer-encoding: chunked\r\n\r\n";
+    let second = kept_get("/safe/x", "b");
+    let crossing = |name, first: &str, after, second: &str| Crossing {
+        name,
+        event: Event::Stop,
+        first: format!("{CHUNKED}{first}"),
+        status: Some(200),
+        response: OK,
+        after,
+        second: second.to_owned(),
+    };
+    let whole = "4\r\nbody\r\nA\r\n0123456789\r\n0\r\n\r\n";
+    check([
+        crossing("behind the response", whole, 300, &second),
+        crossing("before the response", whole, 10, &second),
+        crossing("sent ahead", &format!("{whole}{second}"), 10, ""),
+        crossing(
+            "sent ahead, behind a part of the body",
+            "4\r\nbo",
+            10,
+            &format!("dy\r\n0\r\n\r\n{second}"),
+        ),
+        crossing(
+            "sent ahead, behind a part of the end",
+            "4\r\nbody\r\n0\r",
+            10,
+            &format!("\n\r\n{second}"),
+        ),
+    ])
+    .await;
+}
+
+/// A request that is hidden in a body must not run before the body is known to have ended.
+#[tokio::test]
+async fn end_of_a_body_that_parsers_read_differently_starts_no_request() {
+    let ends = [
+        "0\r\n\r\n",
+        "000\r\n\r\n",
+        "0\r\n\n",
+        "0\n\n",
+        "0\r\r\n",
+        "0 \r\n\r\n",
+        "+0\r\n\r\n",
+        "0;a=\"\r\n\r\n",
+        "0\r\nt: v\r\n",
+        "0\r\nt: v\r\n\r\n",
+        "10000000000000000\r\n\r\n",
+        "1\r\nab\r\n0\r\n\r\n",
+        "\r\n0\r\n\r\n",
+    ];
+    for end in ends {
+        let steps = vec![Step::RespondAfter(50, OK)];
+        let target = ScriptedTarget::start(steps).await;
+        let instance = Instance::start(&[&target]).await;
+        assert!(instance.core.replace_catalog(catalog_with_downloads()));
+        let mut caller = Reader::new(instance.connect().await);
+        let first =
+            "GET /safe/x HTTP/1.1\r\nhost: h\r\nid: a\r\ntransfer-encoding: chunked\r\n\r\n";
+        let hidden = kept_get("/safe/hidden", "b");
+        for part in [first, end, &hidden, "GET"] {
+            caller.send(part).await;
+            sleep(Duration::from_millis(20)).await;
+        }
+        let mut answered = 0;
+        let wait = Duration::from_millis(400);
+        while let Ok(Some(response)) = timeout(wait, caller.read_response()).await {
+            answered += usize::from(status(&response) == 200);
+        }
+        assert_eq!(target.count(), answered, "{end:?}");
     }
-    let lost: Vec<_> = rows.join_all().await.into_iter().flatten().collect();
-    assert!(lost.is_empty(), "{lost:#?}");
 }
