test(sg-proxy): requests between their admission and their send in a stop

A body that ends after new requests are refused, a stop that begins while a connection is opened, and one that begins between two instances to which a request is passed on: each was sent and answered 502 at the stop.

--- a/crates/sg-proxy/tests/proxy/relays.rs
+++ b/crates/sg-proxy/tests/proxy/relays.rs
@@ -140,6 +140,24 @@
     }
 }
 
+/// A stop may begin while the connection to an instance is opened.
+#[tokio::test]
+async fn request_is_passed_on_to_no_further_instance_if_a_stop_could_give_it_up_by_then() {
+    let working = ScriptedTarget::start(vec![Step::RespondAfter(700, OK)]).await;
+    let peer = Instance::start(&[&working]).await;
+    let hanging = hanging_targets();
+    let instance = cut_off_instance(&hanging).await;
+    instance.set_peers(&[hanging[0].address]);
+    let request = post("/once/x", "a1", "body");
+    let stop = async {
+        sleep(Duration::from_millis(100)).await;
+        instance.drain_for(Span::from_millis(400));
+        instance.set_peers(&[peer.address]);
+    };
+    let (response, ()) = tokio::join!(instance.send(&request), stop);
+    assert_eq!((status(&response), working.count()), (503, 0));
+}
+
 #[tokio::test]
 async fn other_instance_checks_the_key_and_takes_the_token() {
     let working = ScriptedTarget::start(vec![Step::Respond(OK)]).await;
--- a/crates/sg-proxy/tests/proxy/stops.rs
+++ b/crates/sg-proxy/tests/proxy/stops.rs
@@ -9,7 +9,7 @@
 };
 use sg_types::prelude::*;
 use tokio::{
-    task::JoinSet,
+    task::{JoinSet, yield_now},
     time::{sleep, timeout},
 };
 
@@ -305,3 +305,46 @@
         }
     }
 }
+
+/// A request that its caller ends after new requests are refused counts as a new one.
+#[tokio::test]
+async fn request_whose_body_ends_late_in_a_stop_is_not_taken_and_given_up() {
+    for (stop, expected, runs) in [(500, 503, 0), (5_000, 200, 1)] {
+        let target = ScriptedTarget::start(vec![Step::RespondAfter(700, OK)]).await;
+        let instance = Instance::start(&[&target]).await;
+        instance.drain_for(Span::from_millis(stop));
+        let mut caller = Reader::new(instance.connect().await);
+        let request = post("/once/x", "a1", "body");
+        let (first, rest) = request.split_at(request.len() - 2);
+        caller.send(first).await;
+        sleep(Duration::from_millis(50)).await;
+        instance.core.refuse_new_requests();
+        caller.send(rest).await;
+        let response = caller.read_response().await.expect("a response");
+        assert_eq!((status(&response), target.count()), (expected, runs));
+    }
+}
+
+/// A stop may begin while the connection to a target is opened.
+#[tokio::test]
+async fn request_that_a_stop_could_give_up_is_not_sent_once_its_connection_is_open() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.set_nonblocking(true).expect("a listener");
+    let instance = Instance::start(&[]).await;
+    let address = listener.local_addr().expect("an address");
+    instance.core.upsert_target(target("t0", address));
+    let request = post("/once/x", "a1", "body");
+    // This task runs before that of the request, which finds its connection open in the same turn.
+    let stop = async {
+        let connection = loop {
+            match listener.accept() {
+                Ok(connection) => break connection,
+                Err(_) => yield_now().await,
+            }
+        };
+        instance.drain_for(Span::from_millis(20));
+        connection
+    };
+    let (response, _connection) = tokio::join!(instance.send(&request), stop);
+    assert_eq!(status(&response), 503);
+}
