--- a/crates/sg-proxy/tests/proxy/bodies.rs
+++ b/crates/sg-proxy/tests/proxy/bodies.rs
@@ -202,6 +202,25 @@
     assert_eq!(connections.iter().sum::<usize>(), 1, "{connections:?}");
 }
 
+/// Guards against giving up at the end of a stop what a target gets while its caller still sends it.
+#[tokio::test]
+async fn streamed_request_is_taken_in_a_stop_only_if_it_ends_before() {
+    for (stop, reads, expected, sends) in [(300, usize::MAX, 503, 0), (30_000, LONG_BYTES, 200, 1)]
+    {
+        let (address, _, connections) = start_target(reads, FINE).await;
+        let instance = start(&[address]).await;
+        instance.drain_for(Span::from_millis(stop));
+        let sent = if sends > 0 {
+            LONG_BYTES
+        } else {
+            LONG_BYTES - 1
+        };
+        let response = send(&instance, "/once/x", LONG_BYTES, sent).await;
+        let found = (status(&response), connections.load(Ordering::SeqCst));
+        assert_eq!(found, (expected, sends), "{response}");
+    }
+}
+
 /// Guards against occupying a target for a caller that can't send the rest in time.
 #[test]
 fn only_bodies_that_arrive_in_time_are_streamed() {
