fix(sg-proxy): a request counts as new in a stop until its body is complete

Callers saw: 502 at the end of a stop for a request whose last byte came after new requests were refused.

Cause: only the head was compared with the end of admission, when it was read.

Change: checked again once the body is read. A request whose deadline comes before the stop is still taken, because the stop can't end it.

Measured: a body that ends after the refusals have begun, with work that the stop would break off: 502 and one run before, 503 and none now.

--- a/crates/sg-proxy/src/core.rs
+++ b/crates/sg-proxy/src/core.rs
@@ -217,6 +217,13 @@
         *self.stop_at.borrow()
     }
 
+    /// Returns whether the stop of this instance comes before `deadline`, so that a request may be given up at the
+    /// stop.
+    #[must_use]
+    pub(crate) fn stops_before(&self, deadline: Instant) -> bool {
+        self.stop_at().is_some_and(|stop_at| stop_at < deadline)
+    }
+
     /// Waits for the time that was passed to [`start_draining`](Self::start_draining).
     pub(crate) async fn wait_for_stop(&self) {
         let mut stop_at = self.stop_at.subscribe();
--- a/crates/sg-proxy/src/serve.rs
+++ b/crates/sg-proxy/src/serve.rs
@@ -160,6 +160,11 @@
     if trace.may_have_run() {
         return Refusal::may_have_run(Reason::Leaving);
     }
+    leaving_refusal()
+}
+
+/// Returns the refusal of a request that another instance can serve, because this one stops.
+fn leaving_refusal() -> Refusal {
     Refusal::not_run(Reason::Leaving).with_retry_after(RETRY_AFTER_BOUNDS.0)
 }
 
@@ -176,7 +181,7 @@
     trace.id = request_info.id.into();
     trace.is_relayed = request_info.is_relayed;
     if core.refuses_new_requests() || is_sent_on(core, head, trace.arrived) {
-        return Err(Refusal::not_run(Reason::Leaving).with_retry_after(RETRY_AFTER_BOUNDS.0));
+        return Err(leaving_refusal());
     }
     let catalog = wait_for_catalog(core, &request_info, trace.arrived).await?;
     trace.revision = catalog.revision;
@@ -201,6 +206,10 @@
     let token = QuotaToken::take(core, account.clone(), trace).await?;
     let named = (head, account.as_deref());
     let (content, fingerprint) = read_body(core, &catalog, named, body, deadline, trace).await?;
+    // The caller may have taken long to send the body.
+    if core.refuses_new_requests() && core.stops_before(deadline) {
+        return Err(leaving_refusal());
+    }
     trace.object = object(&route, &request_info).map_or(0, |o| o.score(0u8));
     let call = Call {
         object: object(&route, &request_info),
