fix(sg-proxy): check the stop again when a connection is open

Callers saw: 502 at the end of a stop for requests that reached a target, or another instance, after the stop had begun and with too little time left.

Cause: the stop was checked before a connection was opened. That takes up to 300 ms; a request that is passed on may try three instances in turn.

Change: it is checked again once the connection is open, and before each further instance. Nothing has been sent by then, so that the caller gets 503.

--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -306,8 +306,21 @@
     call: &Call<'_>,
     choice: Choice,
 ) -> Result<Choice, Refusal> {
+    match ends_before_stop(core, call, &choice) {
+        true => Ok(choice),
+        false => Err(Refusal::not_run(Reason::Leaving)),
+    }
+}
+
+/// Returns whether this instance does not stop, or a request that is sent now to the chosen target is expected to
+/// end before.
+pub(crate) fn ends_before_stop<D: Dialect>(
+    core: &Core<D>,
+    call: &Call<'_>,
+    choice: &Choice,
+) -> bool {
     let Some(stop_at) = core.stop_at() else {
-        return Ok(choice);
+        return true;
     };
     let now = core.timer.now();
     let left = stop::Left {
@@ -317,10 +330,7 @@
     let work = core.state.lock().work(&call.route);
     // All requests without an object count as warm.
     let longest_ratio = work.longest_ratio(call.object.is_none());
-    match stop::may_take(&choice, longest_ratio, left) {
-        true => Ok(choice),
-        false => Err(Refusal::not_run(Reason::Leaving)),
-    }
+    stop::may_take(choice, longest_ratio, left)
 }
 
 /// Returns whether a request may abandon its current target. Another target must have room for the
--- a/crates/sg-proxy/src/relay.rs
+++ b/crates/sg-proxy/src/relay.rs
@@ -83,12 +83,12 @@
     relayed: &Relayed<'_>,
     trace: &mut Trace,
 ) -> Result<Response<Body>, Refusal> {
-    // This instance has no estimate of the time that the request takes at the other one.
-    if core.stop_at().is_some_and(|at| relayed.deadline > at) {
-        return Err(Refusal::not_run(Reason::Leaving).with_retry_after(Span::ZERO));
-    }
     let mut tried = Vec::new();
     while relayed.may_continue(tried.len(), core.timer.now()) {
+        // This instance has no estimate of the time that the request takes at the other one.
+        if core.stops_before(relayed.deadline) {
+            return Err(Refusal::not_run(Reason::Leaving).with_retry_after(Span::ZERO));
+        }
         let Some(peer) = choose_peer(core, relayed, &tried) else {
             break;
         };
@@ -146,9 +146,10 @@
         .relayed_headers(&relayed.head.headers, remaining);
     let request = send::build_request(relayed.head, relayed.content.outgoing(), headers);
     let reuse = send::reuse_policy(relayed.is_idempotent);
+    let may_send = || !core.stops_before(relayed.deadline);
     let sent = core
         .connections
-        .send(peer.address, request, reuse, CONNECT_TIMEOUT, || true)
+        .send(peer.address, request, reuse, CONNECT_TIMEOUT, may_send)
         .await;
     if let Some(failure) = sent.as_ref().err().and_then(failure::Failure::of_send) {
         core.metrics.record_connection_failure(failure);
--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -31,7 +31,8 @@
     Failed(Response<Body>),
     /// No byte of the request was sent.
     Unsent,
-    /// The target takes no more requests since it was chosen; no byte of the request was sent.
+    /// The target takes no more requests since it was chosen, or this instance stops too soon by now; no byte of
+    /// the request was sent.
     Withdrawn,
     /// The target refused the request for lack of capacity; the request did not run.
     Shed,
@@ -251,13 +252,12 @@
     let request = build_request(call.head, call.content.outgoing(), headers);
     // A body that is sent while it is read can't be sent again if the target has just closed the connection.
     let reuse = reuse_policy(call.route.idempotent && !call.content.is_streamed());
-    let sent = core.connections.send(
-        choice.target.address,
-        request,
-        reuse,
-        CONNECT_TIMEOUT,
-        || core.may_send(&choice.target),
-    );
+    let may_send =
+        || core.may_send(&choice.target) && attempt::ends_before_stop(core, call, choice);
+    let address = choice.target.address;
+    let sent = core
+        .connections
+        .send(address, request, reuse, CONNECT_TIMEOUT, may_send);
     let sent = tokio::select! {
         sent = sent => sent,
         () = call.content.stalled(call.catalog.limits.head_timeout) => {
