fix(sg-proxy): take a streamed body in a stop only if its deadline comes first

Callers saw: 502 at the end of a stop for a request that they were still sending and that had reached a target.

Cause: the expected time of a request leaves out how long its caller takes to send a body that is passed on while it is read.

Change: such a request is taken in a stop only if its deadline comes before the stop, as one that is passed on to another instance.

Measured: a body that lacks its last byte, 0.3 s before the stop: 502 and one send before, 503 and none now; with 30 s left 200 and one send as before.

--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -322,6 +322,10 @@
     let Some(stop_at) = core.stop_at() else {
         return true;
     };
+    // How long the caller of a streamed body takes to send the rest is not known.
+    if call.content.is_streamed() {
+        return call.deadline <= stop_at;
+    }
     let now = core.timer.now();
     let left = stop::Left {
         to_deadline: call.deadline.since(now).as_secs_f64(),
