test(sg-proxy): requests that wait behind one that a stop gives up

Connections close 0.18 s after the answers of a stopping instance (grace of 6 s). Refusals behind one another are 20 ms apart, so that no more than nine of the requests that were read behind one at work get an answer.

--- a/crates/sg-proxy/tests/proxy/stops.rs
+++ b/crates/sg-proxy/tests/proxy/stops.rs
@@ -348,3 +348,32 @@
     let (response, _connection) = tokio::join!(instance.send(&request), stop);
     assert_eq!(status(&response), 503);
 }
+
+/// Requests that waited behind one that the stop gives up must not wait beyond the close of the connections.
+#[tokio::test]
+async fn requests_behind_one_that_a_stop_gives_up_are_answered_before_the_connection_closes() {
+    const BEHIND: usize = 20;
+    // From the answers of the instance to the close of the connections, of a period of 6 s.
+    const LEFT: Duration = Duration::from_millis(180);
+    let target = ScriptedTarget::start(vec![Step::Silent]).await;
+    let instance = Instance::start(&[&target]).await;
+    let mut caller = Reader::new(instance.connect().await);
+    let requests = (0..=BEHIND).map(|index| {
+        let request = post("/once/x", &format!("a{index}"), "body");
+        request.replace("connection: close\r\n", "")
+    });
+    caller.send(&requests.collect::<String>()).await;
+    sleep(Duration::from_millis(100)).await;
+    instance.drain_for(Span::from_millis(200));
+    instance.core.refuse_new_requests();
+    instance.phase.send_replace(Phase::Closing);
+    let first = caller.read_response().await.expect("a response");
+    assert_eq!(status(&first), 502);
+    let answered = async {
+        for _ in 0..BEHIND {
+            let response = caller.read_response().await.expect("a response");
+            assert_eq!(status(&response), 503);
+        }
+    };
+    assert!(timeout(LEFT, answered).await.is_ok());
+}
