fix(sg-proxy): answer what waits on a connection before a stop closes it

Callers saw: of requests sent behind one another, those behind one that the stop gave up got no answer; the connection closed 0.95 into the grace.

Cause: refusals behind one another are 20 ms apart. From the answers of the instance to the close of the connections there are 0.03 of the grace, room for nine; in a process that runs 6 of every 60 ms, for none behind the first.

Change: refusals are kept apart for 40 ms from the answers of the instance, and follow each other at once from then on.

--- a/crates/sg-proxy/src/serve.rs
+++ b/crates/sg-proxy/src/serve.rs
@@ -75,7 +75,9 @@
             let response = core.dialect.refusal_response(&refusal, id);
             trace.finish(refusal.outcome, refusal.reason, response.status().as_u16());
             let mut response = response.map(Body::buffered);
-            response.extensions_mut().insert(server::Refused);
+            let stop_at = core.stop_at().unwrap_or(Instant::from_nanos(u64::MAX));
+            let latest = stop_at + server::LAST_SPACING;
+            response.extensions_mut().insert(server::Refused(latest));
             response
         }
     };
--- a/crates/sg-proxy/src/server.rs
+++ b/crates/sg-proxy/src/server.rs
@@ -36,6 +36,9 @@
 /// may discard what it reads together with the end of a response, and refusals in a row without a pause would
 /// take processor time from other callers.
 const REFUSAL_SPACING: Span = Span::from_millis(20);
+/// Time from the answers of a stopping instance for which refusals are kept apart, so that the requests that were
+/// read from a connection are answered before its close.
+pub(crate) const LAST_SPACING: Span = Span::from_millis(40);
 /// Memory of an open connection of a caller with its buffers, as measured with idle connections and heads of
 /// ordinary size.
 pub const CONNECTION_BYTES: Bytes = Bytes::new(24 << 10);
@@ -124,9 +127,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Behind;
 
-/// Response extension that marks the refusal of a request.
+/// Response extension that marks the refusal of a request, and states until when the refusal may be held back.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Refused;
+pub struct Refused(pub Instant);
 
 /// Response extension that states until when the caller may take to read the response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -336,9 +339,9 @@
             response.await
         };
         if let Some(last_response) = arrival.behind
-            && response.extensions().get::<Refused>().is_some()
+            && let Some(Refused(latest)) = response.extensions().get()
         {
-            let until = last_response + REFUSAL_SPACING;
+            let until = (last_response + REFUSAL_SPACING).min(*latest);
             self.timer.sleep_until(until).await;
         }
         let until = response.extensions_mut().remove::<Until>();
