feat(sg-proxy): say what speaks for a cut

Cause: the line 'cut off from all targets' did not say whether connects were late, refused or open without a response, nor whether responses arrived meanwhile, so that a full link could not be told from a cut. Change: the line has the targets that failed lately by how they failed, and the age of the last response. No decision changes.

--- a/crates/sg-place/src/reach.rs
+++ b/crates/sg-place/src/reach.rs
@@ -23,10 +23,36 @@
 /// say nothing of the cut.
 pub const DETECTION_TIME: Span = Span::from_secs(5);
 
+/// How a target failed on a new connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cause {
+    /// The connection was not open in time.
+    ConnectTimedOut,
+    /// The connection was refused, reset or could not be opened for another reason.
+    ConnectFailed,
+    /// The connection was open, and no response arrived.
+    NoResponse,
+}
+
+/// What speaks for and against a cut. The counts are those of targets that failed lately.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Evidence {
+    /// Targets at which a new connection was not open in time.
+    pub connects_timed_out: usize,
+    /// Targets at which a new connection could not be opened for another reason.
+    pub connects_failed: usize,
+    /// Targets that did not respond on an open connection, new or not.
+    pub unanswered: usize,
+    /// Time since the last response of any target; `None` if there was none.
+    pub response_age: Option<Span>,
+}
+
 /// The failures at one target since its last response.
 #[derive(Debug, Clone)]
 struct TargetFailures {
     domain: id::Domain,
+    /// Cause of the last failure.
+    cause: Cause,
     first: Instant,
     last: Instant,
 }
@@ -44,14 +70,16 @@
 }
 
 impl Failures {
-    fn record(&mut self, target: &id::Target, domain: &id::Domain, now: Instant) {
+    fn record(&mut self, target: &id::Target, domain: &id::Domain, cause: Cause, now: Instant) {
         self.by_target.retain(|_, failures| failures.is_recent(now));
         let failures = self.by_target.entry(target.clone());
         let failures = failures.or_insert_with(|| TargetFailures {
             domain: domain.clone(),
+            cause,
             first: now,
             last: now,
         });
+        failures.cause = cause;
         failures.last = now;
     }
 
@@ -94,18 +122,27 @@
     quarantined_at: Option<Instant>,
     /// The last time at which another instance of the failure domain was newly cut off.
     neighbor_cut_at: Option<Instant>,
+    /// The time of the last response on any connection.
+    response_at: Option<Instant>,
     cut_off_since: Option<Instant>,
 }
 
 impl Reach {
     /// Records that a new connection to a target could not be opened, or ended without a response.
-    pub fn record_unreached(&mut self, target: &id::Target, domain: &id::Domain, now: Instant) {
-        self.unreached.record(target, domain, now);
+    pub fn record_unreached(
+        &mut self,
+        target: &id::Target,
+        domain: &id::Domain,
+        cause: Cause,
+        now: Instant,
+    ) {
+        self.unreached.record(target, domain, cause, now);
     }
 
     /// Records that a target did not respond in time, or that the connection was lost before.
     pub fn record_unanswered(&mut self, target: &id::Target, domain: &id::Domain, now: Instant) {
-        self.unanswered.record(target, domain, now);
+        self.unanswered
+            .record(target, domain, Cause::NoResponse, now);
     }
 
     /// Records that a request is quarantined because of losses of this instance.
@@ -125,7 +162,8 @@
     }
 
     /// Records that a target responded. `is_new` says whether the connection was opened for the request.
-    pub fn record_response(&mut self, is_new: bool) {
+    pub fn record_response(&mut self, is_new: bool, now: Instant) {
+        self.response_at = Some(now);
         self.unanswered.by_target.clear();
         self.quarantined_at = None;
         if is_new {
@@ -151,6 +189,25 @@
             || self.unanswered.are_widespread(targets, domains, now)
     }
 
+    /// Returns what speaks for and against a cut.
+    #[must_use]
+    pub fn evidence(&self, now: Instant) -> Evidence {
+        let by_cause = |cause| {
+            let recent = self.unreached.recent(now);
+            recent.filter(|failures| failures.cause == cause).count()
+        };
+        let unanswered = self.unanswered.by_target.iter();
+        let on_open_connections = unanswered.filter(|(target, failures)| {
+            failures.is_recent(now) && !self.unreached.contains(target, now)
+        });
+        Evidence {
+            connects_timed_out: by_cause(Cause::ConnectTimedOut),
+            connects_failed: by_cause(Cause::ConnectFailed),
+            unanswered: by_cause(Cause::NoResponse) + on_open_connections.count(),
+            response_age: self.response_at.map(|at| now.since(at)),
+        }
+    }
+
     /// Returns whether the instance is cut off from all targets.
     #[must_use]
     pub fn is_cut_off(&self) -> bool {
@@ -173,8 +230,8 @@
 
     /// Records that a target responded to a health check on a new connection. Returns since when the
     /// instance was cut off, if it was: the time of the first failure.
-    pub fn record_reached(&mut self) -> Option<Instant> {
-        self.record_response(true);
+    pub fn record_reached(&mut self, now: Instant) -> Option<Instant> {
+        self.record_response(true, now);
         self.cut_off_since.take()
     }
 }
--- a/crates/sg-place/tests/place/reach.rs
+++ b/crates/sg-place/tests/place/reach.rs
@@ -3,7 +3,7 @@
 use sg_place::{
     member::Member,
     quarantine::{Suspicion, Table},
-    reach::Reach,
+    reach::{Cause, Evidence, Reach},
     relay::{self, Peer},
 };
 use sg_types::prelude::*;
@@ -23,7 +23,7 @@
 fn fail(reach: &mut Reach, numbers: impl IntoIterator<Item = usize>, from: u64) {
     for (number, millis) in numbers.into_iter().zip((from..).step_by(10)) {
         let (target, domain) = names(number);
-        reach.record_unreached(&target, &domain, at(millis));
+        reach.record_unreached(&target, &domain, Cause::ConnectFailed, at(millis));
         reach.record_unanswered(&target, &domain, at(millis));
     }
 }
@@ -42,6 +42,33 @@
     assert!(!reach.is_cut_off());
 }
 
+/// Guards against a line that says "cut off" and does not tell late connects from refused ones.
+#[test]
+fn evidence_tells_late_connects_from_refused_ones() {
+    let mut reach = Reach::default();
+    reach.record_response(false, at(100));
+    let causes = [
+        Cause::ConnectTimedOut,
+        Cause::ConnectTimedOut,
+        Cause::ConnectFailed,
+        Cause::NoResponse,
+    ];
+    for (number, cause) in causes.into_iter().enumerate() {
+        let (target, domain) = names(number);
+        reach.record_unreached(&target, &domain, cause, at(200));
+        reach.record_unanswered(&target, &domain, at(200));
+    }
+    let (on_open_connection, domain) = names(4);
+    reach.record_unanswered(&on_open_connection, &domain, at(200));
+    let expected = Evidence {
+        connects_timed_out: 2,
+        connects_failed: 1,
+        unanswered: 2,
+        response_age: Some(Span::from_millis(200)),
+    };
+    assert_eq!(reach.evidence(at(300)), expected);
+}
+
 #[test]
 fn loss_of_one_domain_raises_no_suspicion() {
     let mut reach = Reach::default();
@@ -61,9 +88,9 @@
 fn open_connections_that_outlive_the_path_do_not_refute_the_suspicion() {
     let mut reach = Reach::default();
     fail(&mut reach, [0, 1, 2], 0);
-    reach.record_response(false);
+    reach.record_response(false, at(0));
     assert!(needs_check(&reach, 100));
-    reach.record_response(true);
+    reach.record_response(true, at(0));
     assert!(!needs_check(&reach, 100));
 }
 
@@ -75,7 +102,7 @@
         reach.record_unanswered(&target, &domain, at(0));
     }
     assert!(needs_check(&reach, 100));
-    reach.record_response(false);
+    reach.record_response(false, at(0));
     assert!(!needs_check(&reach, 100));
 }
 
@@ -95,8 +122,8 @@
     assert_eq!(reach.record_failed_round(at(500)), Some(at(500)));
     assert_eq!(reach.record_failed_round(at(1_000)), None);
     assert!(reach.is_cut_off() && needs_check(&reach, 60_000));
-    assert_eq!(reach.record_reached(), Some(at(500)));
-    assert_eq!(reach.record_reached(), None);
+    assert_eq!(reach.record_reached(at(0)), Some(at(500)));
+    assert_eq!(reach.record_reached(at(0)), None);
     assert!(!needs_check(&reach, 60_000));
 }
 
@@ -105,7 +132,7 @@
     let mut reach = Reach::default();
     fail(&mut reach, [0, 1, 2], 200);
     assert_eq!(reach.record_failed_round(at(1_000)), Some(at(200)));
-    assert_eq!(reach.record_reached(), Some(at(200)));
+    assert_eq!(reach.record_reached(at(0)), Some(at(200)));
 }
 
 #[test]
@@ -194,9 +221,9 @@
     reach.record_neighbor_cut(at(1_000));
     assert!(needs_check(&reach, 1_000));
     assert!(!reach.is_cut_off());
-    reach.record_response(false);
+    reach.record_response(false, at(0));
     assert!(needs_check(&reach, 1_500));
-    assert_eq!(reach.record_reached(), None);
+    assert_eq!(reach.record_reached(at(0)), None);
     assert!(!needs_check(&reach, 1_500));
     reach.record_neighbor_cut(at(2_000));
     assert_eq!(reach.record_failed_round(at(2_500)), Some(at(2_500)));
@@ -210,7 +237,7 @@
     let mut reach = Reach::default();
     reach.record_neighbor_cut(at(1_000));
     assert!(needs_check(&reach, 1_000));
-    reach.record_response(true);
+    reach.record_response(true, at(0));
     assert!(!needs_check(&reach, 1_800));
     assert_eq!(reach.record_failed_round(at(1_800)), None);
     assert!(!reach.is_cut_off());
@@ -224,7 +251,7 @@
     fail(&mut reach, [1, 0, 2], 1_400);
     assert!(needs_check(&reach, 1_500));
     assert_eq!(reach.record_failed_round(at(1_800)), Some(at(1_000)));
-    assert_eq!(reach.record_reached(), Some(at(1_000)));
+    assert_eq!(reach.record_reached(at(0)), Some(at(1_000)));
 }
 
 /// Guards against a cut that nobody notices because all requests are quarantined before enough targets have
@@ -239,7 +266,7 @@
     let (target, _) = names(0);
     assert!(reach.has_failed(&target, at(1_100)));
     let mut answered = reach.clone();
-    answered.record_response(false);
+    answered.record_response(false, at(0));
     assert!(!needs_check(&answered, 1_100));
     assert!(!needs_check(&reach, 4_100));
     assert!(!reach.has_failed(&target, at(4_100)));
--- a/crates/sg-proxy/src/reach.rs
+++ b/crates/sg-proxy/src/reach.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use rand::seq::{IndexedRandom, SliceRandom};
-use sg_place::{Target, member::Member};
+use sg_place::{Target, member::Member, reach::Cause};
 use sg_types::prelude::*;
 
 use crate::{Core, state::State};
@@ -68,18 +68,18 @@
         self.state.lock().reach.record_neighbor_cut(now);
     }
 
-    /// Records that `target` could not be reached, or did not respond. `is_new` says whether the request
-    /// had a connection of its own.
-    pub(crate) fn record_unanswered(&self, target: &Target, is_new: bool) {
+    /// Records that `target` could not be reached, or did not respond. `cause` is how the connection failed
+    /// that was opened for the request; `None` if the request had an open one.
+    pub(crate) fn record_unanswered(&self, target: &Target, cause: Option<Cause>) {
         let now = self.timer.now();
         let mut state = self.state.lock();
         state
             .reach
             .record_unanswered(&target.id, &target.domain, now);
-        if is_new {
+        if let Some(cause) = cause {
             state
                 .reach
-                .record_unreached(&target.id, &target.domain, now);
+                .record_unreached(&target.id, &target.domain, cause, now);
         }
     }
 
@@ -118,19 +118,26 @@
         }
         let now = self.timer.now();
         let mut state = self.state.lock();
+        let evidence = state.reach.evidence(now);
         let Some(since) = state.reach.record_failed_round(now) else {
             return;
         };
         state.quarantine.forget_losses(None, since);
         drop(state);
-        log::warn!("cut off from all targets");
+        log::warn!(
+            connects_timed_out = evidence.connects_timed_out,
+            connects_failed = evidence.connects_failed,
+            unanswered = evidence.unanswered,
+            response_age_ms = evidence.response_age.map(Span::as_millis);
+            "cut off from all targets"
+        );
     }
 
     /// Records that a target responded on a new connection.
     pub fn record_reached(&self) {
         let now = self.timer.now();
         let mut state = self.state.lock();
-        let Some(since) = state.reach.record_reached() else {
+        let Some(since) = state.reach.record_reached(now) else {
             return;
         };
         for pool in state.pools.values_mut() {
--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -1,8 +1,10 @@
 //! Sends a request to one target.
 
+use std::io;
+
 use http::{HeaderMap, HeaderValue, Request, Response, Uri, Version, header, request};
 use hyper::body::Incoming;
-use sg_place::{Target, member::TargetOutcome, pool::Choice};
+use sg_place::{Target, member::TargetOutcome, pool::Choice, reach::Cause};
 use sg_types::prelude::*;
 
 use crate::{
@@ -187,7 +189,7 @@
         }
         SendOutcome::TimedOut | SendOutcome::Abandoned => {
             drop(state);
-            core.record_unanswered(&choice.target, false);
+            core.record_unanswered(&choice.target, None);
         }
         _ => {}
     }
@@ -287,14 +289,18 @@
         core.record_connection_failure(call, choice, failure);
     }
     match error {
-        SendError::NotSent(_) => {
-            core.record_unanswered(&choice.target, true);
+        SendError::NotSent(error) => {
+            let cause = match error.kind() {
+                io::ErrorKind::TimedOut => Cause::ConnectTimedOut,
+                _ => Cause::ConnectFailed,
+            };
+            core.record_unanswered(&choice.target, Some(cause));
             SendOutcome::Unsent
         }
         SendError::Withdrawn => SendOutcome::Withdrawn,
         SendError::Lost { is_new, .. } => {
             if !call.content.is_broken() {
-                core.record_unanswered(&choice.target, *is_new);
+                core.record_unanswered(&choice.target, is_new.then_some(Cause::NoResponse));
             }
             SendOutcome::Lost
         }
@@ -319,7 +325,9 @@
 fn record_contact<D>(core: &Core<D>, choice: &Choice, connection: &Connection) {
     let connect_time = connection.connect_time();
     let mut state = core.state.lock();
-    state.reach.record_response(connect_time.is_some());
+    state
+        .reach
+        .record_response(connect_time.is_some(), core.timer.now());
     if let Some(connect_time) = connect_time {
         let round_trips = &mut state.location.round_trips;
         round_trips.record(&choice.target.domain, connect_time.as_secs_f64());
