test(sg-proxy): connects that complete late are taken for a cut

Three tests that fail: a late connect counts as a failure for 3 s, closes the idle connections of its target, and confirms a cut while open connections are answered.

--- a/crates/sg-proxy/tests/proxy/harness.rs
+++ b/crates/sg-proxy/tests/proxy/harness.rs
@@ -80,6 +80,11 @@
     /// Starts a target that takes one step per request and repeats the last step.
     pub async fn start(steps: Vec<Step>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        Self::start_on(listener, steps)
+    }
+
+    /// Starts such a target that accepts connections from `listener`.
+    pub fn start_on(listener: TcpListener, steps: Vec<Step>) -> Self {
         let target = Self {
             address: listener.local_addr().expect("an address"),
             requests: Arc::default(),
@@ -198,7 +203,7 @@
 }
 
 /// Reads one request including its body.
-async fn read(stream: &mut TcpStream) -> Option<String> {
+pub async fn read(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     loop {
         let text = String::from_utf8_lossy(&bytes).into_owned();
--- a/crates/sg-proxy/tests/proxy/main.rs
+++ b/crates/sg-proxy/tests/proxy/main.rs
@@ -9,6 +9,7 @@
 mod endless;
 mod foreign;
 mod harness;
+mod late_connects;
 mod limits;
 mod lingering;
 mod memory;
--- a/crates/sg-proxy/tests/proxy/relays.rs
+++ b/crates/sg-proxy/tests/proxy/relays.rs
@@ -7,7 +7,7 @@
 };
 
 use sg_types::prelude::Span;
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 use tokio::{io::AsyncWriteExt, time::sleep};
 
 use crate::harness::{
@@ -16,13 +16,13 @@
 };
 
 /// Address that refuses connections, and that no other socket gets.
-struct RefusingAddress {
-    address: SocketAddr,
+pub struct RefusingAddress {
+    pub address: SocketAddr,
     _bound: Socket,
 }
 
 impl RefusingAddress {
-    fn new() -> Self {
+    pub fn new() -> Self {
         let (bound, address) = bound_socket();
         Self {
             address,
@@ -40,29 +40,42 @@
 }
 
 /// Address at which connection attempts get no answer, because its queue of connections is full.
-struct HangingAddress {
-    address: SocketAddr,
-    _listener: Socket,
+pub struct HangingAddress {
+    pub address: SocketAddr,
+    listener: Socket,
     _queued: Vec<Socket>,
 }
 
+/// Fills the queue of connections of a listener. Returns the connections; the last ones are in progress.
+pub fn fill_queue(listener: SockRef<'_>, address: SocketAddr) -> Vec<Socket> {
+    listener.listen(0).expect("a listener");
+    let queued = (0..4).map(|_| {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.set_nonblocking(true).expect("a socket");
+        let _ = socket.connect(&address.into());
+        socket
+    });
+    queued.collect()
+}
+
 impl HangingAddress {
-    fn new() -> Self {
+    pub fn new() -> Self {
         let (listener, address) = bound_socket();
-        listener.listen(0).expect("a listener");
-        let queued = (0..4).map(|_| {
-            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-            socket.set_nonblocking(true).expect("a socket");
-            // The connection is in progress; the first ones fill the queue.
-            let _ = socket.connect(&address.into());
-            socket
-        });
         Self {
             address,
-            _queued: queued.collect(),
-            _listener: listener,
+            _queued: fill_queue(SockRef::from(&listener), address),
+            listener,
         }
     }
+
+    /// Makes room for connections, which a target accepts. The system repeats attempts that got no answer after
+    /// a second.
+    pub fn accept(self) -> ScriptedTarget {
+        self.listener.set_nonblocking(true).expect("a listener");
+        self.listener.listen(64).expect("a listener");
+        let listener = tokio::net::TcpListener::from_std(self.listener.into());
+        ScriptedTarget::start_on(listener.expect("a listener"), vec![Step::Respond(OK)])
+    }
 }
 
 /// Starts an instance that is known to be cut off, with hanging targets.
