fix(sg-proxy): tell late connects from no connects

Cause: a connect over 300 ms counted as a failed one. It banned its target, closed the target's idle connections, and confirmed a cut although open connections were answered; health checks had 300 ms for a connect as well. Change: a late connection is waited for in the background, for as long as its failure counts, one a target. If it opens, the failure and the ban are withdrawn and the connection is kept for a request, for which it counts as new; only if it fails are idle connections closed. A round without a response confirms no cut, for 3 s from the first failure, while requests sent after that failure are answered and no connection was refused, reset or broken. A check has four times the longest connect of the last 3 s, 0.8 to 3 s, three quarters of it for the connect; failed checks of a round are failures like others. Why it works: a path that is away answers nothing or refuses; a full one answers late.

--- a/crates/sg-gateway/src/health.rs
+++ b/crates/sg-gateway/src/health.rs
@@ -5,7 +5,10 @@
 use http::{Request, Uri};
 use http_body_util::{BodyExt, Limited};
 use sg_place::Target;
-use sg_proxy::{connections::ReusePolicy, content::Outgoing};
+use sg_proxy::{
+    connections::{ReusePolicy, SendError},
+    content::Outgoing,
+};
 use sg_store::Store;
 use sg_types::prelude::*;
 use tokio::task::JoinSet;
@@ -15,10 +18,10 @@
 /// The interval between two rounds of health checks.
 const CHECK_INTERVAL: Span = Span::from_millis(500);
 /// The time limit of a health check, including the time for which the check waits for a slot of the
-/// target like any request.
+/// target like any request. On a slow link the limit is longer.
 const CHECK_TIMEOUT: Span = Span::from_millis(800);
-/// The time limit for connecting to a target.
-const CONNECT_TIMEOUT: Span = Span::from_millis(300);
+/// The part of the time limit for connecting to the target.
+const CONNECT_FRACTION: f64 = 0.75;
 /// The largest body of a response to a health check. A longer one may have no end.
 const MAX_BODY_BYTES: usize = 16 << 10;
 /// The largest number of targets checked in one round.
@@ -52,12 +55,15 @@
         return;
     }
     let mut checks = JoinSet::new();
-    for (_, address, path) in targets {
+    for (target, path) in targets {
         let context = context.clone();
         checks.spawn(async move {
-            let deadline = context.timer.now() + CHECK_TIMEOUT;
-            let exchange = request_health(&context, address, &path);
-            matches!(context.timer.until(deadline, exchange).await, Ok(Some(_)))
+            let health = request_health(&context, target.address, &path).await;
+            let is_reached = health.is_ok();
+            if let Err(error) = health {
+                context.core.record_failed_check(&target, error);
+            }
+            is_reached
         });
     }
     let mut is_reached = false;
@@ -78,12 +84,7 @@
     path: &str,
 ) {
     let sent_at = context.timer.now();
-    let exchange = request_health(context, target.address, path);
-    let result = context
-        .timer
-        .until(context.timer.now() + CHECK_TIMEOUT, exchange)
-        .await;
-    let Ok(Some(health)) = result else {
+    let Ok(health) = request_health(context, target.address, path).await else {
         return;
     };
     context.core.record_reached();
@@ -106,32 +107,47 @@
         .record_health_check(target, health.healthy, health.cold_for, &report);
 }
 
-/// Sends one health check; `None` if the target can't be reached or does not respond.
+/// Sends one health check. Returns the error if the target can't be reached, and none if the response is late or
+/// broken.
 async fn request_health<D: Protocol, I: Interpreter, S: Store>(
     context: &Context<D, I, S>,
     address: SocketAddr,
     path: &str,
-) -> Option<HealthReport> {
-    let mut request = Request::new(Outgoing::empty());
-    *request.uri_mut() = path.parse::<Uri>().ok()?;
-    *request.headers_mut() = context.core.dialect.health_check_headers();
-    let host = http::HeaderValue::from_str(&address.to_string()).ok()?;
-    request.headers_mut().insert(http::header::HOST, host);
+) -> Result<HealthReport, Option<SendError>> {
+    let timeout = context.core.check_timeout(CHECK_TIMEOUT);
+    let deadline = context.timer.now() + timeout;
+    let request = health_request(context, address, path).ok_or(None)?;
     let connections = &context.core.connections;
-    let (response, exchange) = connections
-        .send(
+    let exchange = async {
+        let sent = connections.send(
             address,
             request,
             ReusePolicy {
                 max_idle: Span::ZERO,
             },
-            CONNECT_TIMEOUT,
+            timeout.mul_f64(CONNECT_FRACTION),
             || true,
-        )
-        .await
-        .ok()?;
-    let (head, body) = response.into_parts();
-    Limited::new(body, MAX_BODY_BYTES).collect().await.ok()?;
-    connections.put_back(exchange, None);
-    Some(context.core.dialect.parse_health_check(&head))
+        );
+        let (response, exchange) = sent.await.map_err(Some)?;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+        body.map_err(|_| None)?;
+        connections.put_back(exchange, None);
+        Ok(context.core.dialect.parse_health_check(&head))
+    };
+    let exchange = context.timer.until(deadline, exchange).await;
+    exchange.unwrap_or(Err(None))
+}
+
+fn health_request<D: Protocol, I: Interpreter, S: Store>(
+    context: &Context<D, I, S>,
+    address: SocketAddr,
+    path: &str,
+) -> Option<Request<Outgoing>> {
+    let mut request = Request::new(Outgoing::empty());
+    *request.uri_mut() = path.parse::<Uri>().ok()?;
+    *request.headers_mut() = context.core.dialect.health_check_headers();
+    let host = http::HeaderValue::from_str(&address.to_string()).ok()?;
+    request.headers_mut().insert(http::header::HOST, host);
+    Some(request)
 }
--- a/crates/sg-place/src/member.rs
+++ b/crates/sg-place/src/member.rs
@@ -438,13 +438,24 @@
         self.banned_at = Some(now);
     }
 
+    /// Lifts the ban of the time `banned_at`, because its reason turned out to be none.
+    pub fn lift_ban(&mut self, banned_at: Instant, now: Instant) {
+        if self.banned_at == Some(banned_at) {
+            self.end_ban(now);
+        }
+    }
+
+    fn end_ban(&mut self, now: Instant) {
+        self.banned_at = None;
+        self.banned_until = now;
+        self.consecutive_bans = 0;
+        self.check_required = false;
+    }
+
     /// Forgets the failures since `since`, because this instance and not the target caused them.
     pub fn forget_failures(&mut self, since: Instant, now: Instant) {
         if self.banned_at.is_some_and(|at| at >= since) {
-            self.banned_at = None;
-            self.banned_until = now;
-            self.consecutive_bans = 0;
-            self.check_required = false;
+            self.end_ban(now);
         }
         if self.failure_rate_at >= since {
             self.last_failure_rate = 0.0;
--- a/crates/sg-place/src/reach.rs
+++ b/crates/sg-place/src/reach.rs
@@ -5,6 +5,10 @@
 //! the suspicion. Successes on open connections don't refute failures of new ones, because open
 //! connections may outlive the path to a target.
 //!
+//! A link that is full looks alike for a while: new connections open late. While responses to requests that were
+//! sent after the first failure arrive, or late connections open, failures that are only a lack of answers don't
+//! confirm the suspicion for [`MAX_DOUBT`].
+//!
 //! An instance of the same failure domain that is newly cut off raises the suspicion as well, because the
 //! instances of a domain often share the fault and have too few requests to notice at the same time.
 //!
@@ -18,7 +22,15 @@
 /// Number of failure domains of these targets, unless there are fewer.
 const MIN_FAILED_DOMAINS: usize = 2;
 /// How long a failure counts.
-const FAILURE_LIFETIME: Span = Span::from_secs(3);
+pub const FAILURE_LIFETIME: Span = Span::from_secs(3);
+/// Time after the first failure for which responses on open connections keep late connects from confirming the
+/// suspicion. The system repeats an unanswered attempt once within this time.
+const MAX_DOUBT: Span = Span::from_secs(3);
+/// How long an observed connect time counts.
+const CONNECT_TIME_LIFETIME: Span = Span::from_secs(3);
+/// Time limit of a health check, as a multiple of the longest connect time that was observed lately. A check is
+/// an exchange after the connect, each of which may take twice as long as the last connect.
+const CHECK_CONNECT_TIMES: f64 = 4.0;
 /// Greatest time from the start of a cut until this instance and the others know of the cut. Failures before
 /// say nothing of the cut.
 pub const DETECTION_TIME: Span = Span::from_secs(5);
@@ -124,6 +136,11 @@
     neighbor_cut_at: Option<Instant>,
     /// The time of the last response on any connection.
     response_at: Option<Instant>,
+    /// The latest time at which something was sent that was answered: a request, or the attempt to open a
+    /// connection.
+    answered_sent_at: Option<Instant>,
+    /// The longest connect time that was observed lately, and when.
+    longest_connect: Option<(Span, Instant)>,
     cut_off_since: Option<Instant>,
 }
 
@@ -145,6 +162,39 @@
             .record(target, domain, Cause::NoResponse, now);
     }
 
+    /// Records how long it took to open a connection.
+    pub fn record_connect(&mut self, time: Span, now: Instant) {
+        if self.longest_connect_time(now) <= time {
+            self.longest_connect = Some((time, now));
+        }
+    }
+
+    /// Records that the connection to `target` is open whose attempt began at `started` and was recorded as
+    /// timed out.
+    pub fn record_late_connect(&mut self, target: &id::Target, started: Instant, now: Instant) {
+        self.record_connect(now.since(started), now);
+        self.answered_sent_at = self.answered_sent_at.max(Some(started));
+        let unreached = self.unreached.by_target.get(target);
+        if unreached.is_some_and(|failures| failures.cause == Cause::ConnectTimedOut) {
+            self.unreached.by_target.swap_remove(target);
+            self.unanswered.by_target.swap_remove(target);
+        }
+    }
+
+    fn longest_connect_time(&self, now: Instant) -> Span {
+        let recent = self.longest_connect;
+        let recent = recent.filter(|(_, at)| now.since(*at) < CONNECT_TIME_LIFETIME);
+        recent.map_or(Span::ZERO, |(time, _)| time)
+    }
+
+    /// Returns the time limit of a health check: `usual`, or longer if connections have lately taken long to
+    /// open, up to [`MAX_DOUBT`].
+    #[must_use]
+    pub fn check_timeout(&self, usual: Span, now: Instant) -> Span {
+        let observed = self.longest_connect_time(now).mul_f64(CHECK_CONNECT_TIMES);
+        observed.min(MAX_DOUBT).max(usual)
+    }
+
     /// Records that a request is quarantined because of losses of this instance.
     pub fn record_quarantine(&mut self, now: Instant) {
         self.quarantined_at = Some(now);
@@ -161,9 +211,11 @@
         self.unreached.contains(target, now) || self.unanswered.contains(target, now)
     }
 
-    /// Records that a target responded. `is_new` says whether the connection was opened for the request.
-    pub fn record_response(&mut self, is_new: bool, now: Instant) {
+    /// Records that a target responded to a request of the time `sent_at`. `is_new` says whether the connection
+    /// carried no request before.
+    pub fn record_response(&mut self, is_new: bool, sent_at: Instant, now: Instant) {
         self.response_at = Some(now);
+        self.answered_sent_at = self.answered_sent_at.max(Some(sent_at));
         self.unanswered.by_target.clear();
         self.quarantined_at = None;
         if is_new {
@@ -172,11 +224,32 @@
         }
     }
 
-    /// Returns whether another instance of the failure domain or a quarantine raises the suspicion.
-    fn is_hinted(&self, now: Instant) -> bool {
+    /// Returns when another instance of the failure domain or a quarantine raised the suspicion.
+    fn hinted_at(&self, now: Instant) -> Option<Instant> {
         let hints = [self.quarantined_at, self.neighbor_cut_at];
-        let mut hints = hints.into_iter().flatten();
-        hints.any(|at| now.since(at) < FAILURE_LIFETIME)
+        let hints = hints.into_iter().flatten();
+        hints.filter(|at| now.since(*at) < FAILURE_LIFETIME).min()
+    }
+
+    /// Returns when the first failure happened that still counts.
+    fn first_failure(&self, now: Instant) -> Option<Instant> {
+        let failures = [&self.unreached, &self.unanswered];
+        let first = failures
+            .into_iter()
+            .filter_map(|failures| failures.first(now));
+        first.min()
+    }
+
+    /// Returns whether late connects are more likely than a cut: what was sent since the suspicion began is
+    /// answered, and no connection failed otherwise.
+    fn is_doubtful(&self, now: Instant) -> bool {
+        let began = self.first_failure(now).or(self.hinted_at(now));
+        let Some(began) = began.filter(|began| now.since(*began) < MAX_DOUBT) else {
+            return false;
+        };
+        let mut unreached = self.unreached.recent(now);
+        self.answered_sent_at.is_some_and(|at| at >= began)
+            && unreached.all(|failures| failures.cause == Cause::ConnectTimedOut)
     }
 
     /// Returns whether health checks should find out if the instance is cut off, or still is. The
@@ -184,7 +257,7 @@
     #[must_use]
     pub fn needs_check(&self, targets: usize, domains: usize, now: Instant) -> bool {
         self.is_cut_off()
-            || self.is_hinted(now)
+            || self.hinted_at(now).is_some()
             || self.unreached.are_widespread(targets, domains, now)
             || self.unanswered.are_widespread(targets, domains, now)
     }
@@ -216,14 +289,13 @@
 
     /// Records a round of health checks that no target responded to. Returns the time of the first failure,
     /// at most [`DETECTION_TIME`] ago, if the instance was not known to be cut off. The round counts for nothing
-    /// if responses have refuted the suspicion meanwhile.
+    /// if responses have refuted the suspicion meanwhile, or make it doubtful.
     pub fn record_failed_round(&mut self, now: Instant) -> Option<Instant> {
-        if self.is_cut_off() {
+        if self.is_cut_off() || self.is_doubtful(now) {
             return None;
         }
-        let first = [&self.unreached, &self.unanswered];
-        let first = first.into_iter().filter_map(|failures| failures.first(now));
-        let first = first.min().or(self.is_hinted(now).then_some(now))?;
+        let hinted = self.hinted_at(now).map(|_| now);
+        let first = self.first_failure(now).or(hinted)?;
         self.cut_off_since = Some(first.max(now - DETECTION_TIME));
         self.cut_off_since
     }
@@ -231,7 +303,7 @@
     /// Records that a target responded to a health check on a new connection. Returns since when the
     /// instance was cut off, if it was: the time of the first failure.
     pub fn record_reached(&mut self, now: Instant) -> Option<Instant> {
-        self.record_response(true, now);
+        self.record_response(true, now, now);
         self.cut_off_since.take()
     }
 }
--- a/crates/sg-place/tests/place/reach.rs
+++ b/crates/sg-place/tests/place/reach.rs
@@ -46,7 +46,7 @@
 #[test]
 fn evidence_tells_late_connects_from_refused_ones() {
     let mut reach = Reach::default();
-    reach.record_response(false, at(100));
+    reach.record_response(false, at(0), at(100));
     let causes = [
         Cause::ConnectTimedOut,
         Cause::ConnectTimedOut,
@@ -69,6 +69,55 @@
     assert_eq!(reach.evidence(at(300)), expected);
 }
 
+/// Guards against a full link that is taken for a cut, and against a cut that open connections hide for long.
+#[test]
+fn late_connects_confirm_no_cut_while_what_is_sent_is_answered() {
+    use Cause::{ConnectFailed, ConnectTimedOut, NoResponse};
+    for (cause, answered_sent_at, round_at, is_cut_off) in [
+        (ConnectTimedOut, Some(1_100), 3_900, false),
+        (ConnectTimedOut, Some(1_100), 4_000, true),
+        (ConnectTimedOut, Some(900), 1_500, true),
+        (ConnectTimedOut, None, 1_500, true),
+        (ConnectFailed, Some(1_100), 1_500, true),
+        (NoResponse, Some(1_100), 1_500, true),
+    ] {
+        let mut reach = Reach::default();
+        for millis in (1_000..round_at).step_by(500) {
+            for number in 0..3 {
+                let (target, domain) = names(number);
+                reach.record_unreached(&target, &domain, cause, at(millis));
+            }
+        }
+        if let Some(sent_at) = answered_sent_at {
+            reach.record_response(false, at(sent_at), at(1_400));
+        }
+        let name = format!("{cause:?}, {answered_sent_at:?}, {round_at}");
+        assert!(needs_check(&reach, round_at), "{name}");
+        let since = reach.record_failed_round(at(round_at));
+        assert_eq!(since.is_some(), is_cut_off, "{name}");
+    }
+}
+
+/// Guards against checks that are too short for a slow link, and against long ones on a usual link.
+#[test]
+fn health_checks_take_as_long_as_recent_connects_ask_for() {
+    let usual = Span::from_millis(800);
+    for (connects, asked_at, expected) in [
+        (&[][..], 0, 800),
+        (&[(70, 0)], 100, 800),
+        (&[(500, 0), (10, 50)], 100, 2_000),
+        (&[(500, 0)], 3_000, 800),
+        (&[(1_400, 0)], 100, 3_000),
+    ] {
+        let mut reach = Reach::default();
+        for (millis, observed_at) in connects {
+            reach.record_connect(Span::from_millis(*millis), at(*observed_at));
+        }
+        let timeout = reach.check_timeout(usual, at(asked_at));
+        assert_eq!(timeout, Span::from_millis(expected), "{connects:?}");
+    }
+}
+
 #[test]
 fn loss_of_one_domain_raises_no_suspicion() {
     let mut reach = Reach::default();
@@ -88,9 +137,9 @@
 fn open_connections_that_outlive_the_path_do_not_refute_the_suspicion() {
     let mut reach = Reach::default();
     fail(&mut reach, [0, 1, 2], 0);
-    reach.record_response(false, at(0));
+    reach.record_response(false, at(0), at(0));
     assert!(needs_check(&reach, 100));
-    reach.record_response(true, at(0));
+    reach.record_response(true, at(0), at(0));
     assert!(!needs_check(&reach, 100));
 }
 
@@ -102,7 +151,7 @@
         reach.record_unanswered(&target, &domain, at(0));
     }
     assert!(needs_check(&reach, 100));
-    reach.record_response(false, at(0));
+    reach.record_response(false, at(0), at(0));
     assert!(!needs_check(&reach, 100));
 }
 
@@ -221,7 +270,7 @@
     reach.record_neighbor_cut(at(1_000));
     assert!(needs_check(&reach, 1_000));
     assert!(!reach.is_cut_off());
-    reach.record_response(false, at(0));
+    reach.record_response(false, at(0), at(0));
     assert!(needs_check(&reach, 1_500));
     assert_eq!(reach.record_reached(at(0)), None);
     assert!(!needs_check(&reach, 1_500));
@@ -237,7 +286,7 @@
     let mut reach = Reach::default();
     reach.record_neighbor_cut(at(1_000));
     assert!(needs_check(&reach, 1_000));
-    reach.record_response(true, at(0));
+    reach.record_response(true, at(0), at(0));
     assert!(!needs_check(&reach, 1_800));
     assert_eq!(reach.record_failed_round(at(1_800)), None);
     assert!(!reach.is_cut_off());
@@ -266,7 +315,7 @@
     let (target, _) = names(0);
     assert!(reach.has_failed(&target, at(1_100)));
     let mut answered = reach.clone();
-    answered.record_response(false, at(0));
+    answered.record_response(false, at(0), at(0));
     assert!(!needs_check(&answered, 1_100));
     assert!(!needs_check(&reach, 4_100));
     assert!(!reach.has_failed(&target, at(4_100)));
--- a/crates/sg-proxy/src/connections.rs
+++ b/crates/sg-proxy/src/connections.rs
@@ -4,6 +4,7 @@
 //! closes the connection, so that the target can stop the work.
 
 pub(crate) mod failure;
+mod opening;
 
 use std::{
     io,
@@ -21,7 +22,12 @@
 use sg_clock::Timer;
 use sg_types::prelude::*;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{net::TcpSocket, task::AbortHandle};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::AbortHandle,
+};
+
+pub use self::opening::Opening;
 
 use crate::{
     content::Outgoing,
@@ -53,6 +59,9 @@
     /// No byte of the request can have reached the target.
     #[error("could not send the request to the target: {0}")]
     NotSent(io::Error),
+    /// The connection was not open in time. It may still open; no byte of the request was sent.
+    #[error("the connection to the target is late")]
+    Late(Opening),
     /// The request may no longer be sent to the target; no byte of it was sent.
     #[error("the target takes no more requests")]
     Withdrawn,
@@ -85,6 +94,8 @@
     sender: SendRequest<Outgoing>,
     task: AbortHandle,
     link: Link,
+    /// Time that it took to open the connection, if it has carried no request.
+    connect_time: Option<Span>,
     since: Instant,
     timeout: Span,
 }
@@ -114,6 +125,7 @@
 pub struct ConnectionPool {
     timer: Timer,
     idle: Mutex<Idle>,
+    awaited: opening::Awaited,
     options: Options,
     counters: Counters,
 }
@@ -187,7 +199,7 @@
 #[derive(Debug)]
 pub struct Connection {
     address: SocketAddr,
-    /// Time that it took to open the connection; `None` if the connection is reused.
+    /// Time that it took to open the connection; `None` if the connection has carried other requests.
     connect_time: Option<Span>,
     sender: Option<SendRequest<Outgoing>>,
     task: AbortHandle,
@@ -233,6 +245,7 @@
         Self {
             timer,
             idle: Mutex::default(),
+            awaited: opening::Awaited::default(),
             options,
             counters,
         }
@@ -242,7 +255,8 @@
     /// a new connection is open, because that takes a while.
     ///
     /// # Errors
-    /// Returns [`SendError::NotSent`] and [`SendError::Withdrawn`] only if no byte of the request was sent.
+    /// Returns [`SendError::NotSent`], [`SendError::Late`] and [`SendError::Withdrawn`] only if no byte of the
+    /// request was sent.
     pub async fn send(
         &self,
         address: SocketAddr,
@@ -258,17 +272,12 @@
                 Ok(response) => return Ok((response, connection)),
                 Err((_, Some(unsent))) => request = unsent,
                 Err((cause, None)) => {
-                    return Err(SendError::Lost {
-                        cause,
-                        is_new: false,
-                    });
+                    let is_new = connection.connect_time.is_some();
+                    return Err(SendError::Lost { cause, is_new });
                 }
             }
         }
-        let mut connection = self
-            .open(address, connect_timeout)
-            .await
-            .map_err(SendError::NotSent)?;
+        let mut connection = self.open(address, connect_timeout).await?;
         if !may_send() {
             return Err(SendError::Withdrawn);
         }
@@ -285,6 +294,11 @@
     /// Returns a connection to the pool once its response is complete. `stated_timeout` is the idle
     /// timeout that the target stated.
     pub fn put_back(&self, mut connection: Connection, stated_timeout: Option<Span>) {
+        connection.connect_time = None;
+        self.keep(connection, stated_timeout);
+    }
+
+    fn keep(&self, mut connection: Connection, stated_timeout: Option<Span>) {
         let Some(sender) = connection.sender.take() else {
             return;
         };
@@ -295,6 +309,7 @@
             sender,
             task: connection.task.clone(),
             link: connection.link.clone(),
+            connect_time: connection.connect_time,
             since: self.timer.now(),
             timeout: stated_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |stated| {
                 stated.mul_f64(IDLE_TIMEOUT_FRACTION)
@@ -343,7 +358,7 @@
             if now.since(idle.since) < idle.timeout && idle.sender.is_ready() {
                 return Some(Connection {
                     address,
-                    connect_time: None,
+                    connect_time: idle.connect_time,
                     sender: Some(idle.sender),
                     task: idle.task,
                     link: idle.link,
@@ -354,20 +369,43 @@
         None
     }
 
-    async fn open(&self, address: SocketAddr, timeout: Span) -> io::Result<Connection> {
-        let started = self.timer.now();
-        let deadline = started + timeout;
-        let connect = async {
-            let socket = TcpSocket::new_v4()?;
-            configure_socket(&SockRef::from(&socket))?;
-            if let Some(source) = self.options.source {
-                socket.bind(SocketAddr::new(source, 0))?;
-            }
-            socket.connect(address).await
+    /// Waits until a connection that was late is open, at most until `timeout` after the start of the attempt,
+    /// and keeps the connection for a request. Returns how long it took.
+    ///
+    /// # Errors
+    /// Returns the error of the system, or [`io::ErrorKind::TimedOut`].
+    pub async fn finish(&self, mut opening: Opening, timeout: Span) -> io::Result<Span> {
+        let stream = opening.wait(&self.timer, timeout).await;
+        let stream = stream.unwrap_or(Err(io::ErrorKind::TimedOut.into()))?;
+        let connection = self.establish(stream, &opening).await?;
+        let connect_time = connection.connect_time.unwrap_or_default();
+        self.keep(connection, None);
+        Ok(connect_time)
+    }
+
+    async fn open(&self, address: SocketAddr, timeout: Span) -> Result<Connection, SendError> {
+        let socket = self.socket().map_err(SendError::NotSent)?;
+        let mut opening = Opening::start(&self.timer, socket, address);
+        let stream = match opening.wait(&self.timer, timeout).await {
+            Some(opened) => opened.map_err(SendError::NotSent)?,
+            None if opening.note(&self.awaited) => return Err(SendError::Late(opening)),
+            None => return Err(SendError::NotSent(io::ErrorKind::TimedOut.into())),
         };
-        let stream = self.timer.until(deadline, connect).await;
-        let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        let connect_time = self.timer.now().since(started);
+        let connection = self.establish(stream, &opening).await;
+        connection.map_err(SendError::NotSent)
+    }
+
+    fn socket(&self) -> io::Result<TcpSocket> {
+        let socket = TcpSocket::new_v4()?;
+        configure_socket(&SockRef::from(&socket))?;
+        if let Some(source) = self.options.source {
+            socket.bind(SocketAddr::new(source, 0))?;
+        }
+        Ok(socket)
+    }
+
+    async fn establish(&self, stream: TcpStream, opening: &Opening) -> io::Result<Connection> {
+        let connect_time = self.timer.now().since(opening.started());
         self.counters.opened.inc();
         let link = Link::new(self.options.id_header.clone());
         let passed_over = self.counters.passed_over.clone();
@@ -382,7 +420,7 @@
             }
         });
         Ok(Connection {
-            address,
+            address: opening.address(),
             connect_time: Some(connect_time),
             sender: Some(sender),
             task: task.abort_handle(),
--- a/crates/sg-proxy/src/reach.rs
+++ b/crates/sg-proxy/src/reach.rs
@@ -1,13 +1,23 @@
 //! Finds out whether this instance has lost its paths to all targets.
 
-use std::net::SocketAddr;
+use std::io;
 
 use rand::seq::{IndexedRandom, SliceRandom};
-use sg_place::{Target, member::Member, reach::Cause};
+use sg_place::{
+    Target,
+    member::Member,
+    reach::{Cause, FAILURE_LIFETIME},
+};
 use sg_types::prelude::*;
 
-use crate::{Core, state::State};
+use crate::{
+    Core, Dialect,
+    connections::{Opening, SendError},
+    state::State,
+};
 
+/// Time for which a connection that is late is waited for. After that, its lateness counts no more either.
+const LATE_CONNECT_TIMEOUT: Span = FAILURE_LIFETIME;
 /// Maximum number of failure domains in which a target is checked in one round.
 const MAX_CHECKED_DOMAINS: usize = 8;
 
@@ -83,10 +93,17 @@
         }
     }
 
-    /// Returns a target of each failure domain for a round of health checks, with its address and the path
-    /// to request, while this instance may be cut off from all targets.
+    /// Returns the time limit of a health check that usually has `usual`: longer if connections to targets have
+    /// lately taken long to open.
     #[must_use]
-    pub fn reach_checks(&self) -> Vec<(id::Target, SocketAddr, Arc<str>)> {
+    pub fn check_timeout(&self, usual: Span) -> Span {
+        let now = self.timer.now();
+        self.state.lock().reach.check_timeout(usual, now)
+    }
+
+    /// Returns a target of each failure domain for a round of health checks, with the path to request, while this instance may be cut off from all targets.
+    #[must_use]
+    pub fn reach_checks(&self) -> Vec<(Target, Arc<str>)> {
         let Some(catalog) = self.catalog() else {
             return Vec::new();
         };
@@ -105,7 +122,7 @@
             if let Some(member) = state.member_mut(&target.id) {
                 member.rate_limit.take(now);
             }
-            checks.push((target.id, target.address, service.health_path.clone()));
+            checks.push((target, service.health_path.clone()));
         }
         checks
     }
@@ -147,3 +164,75 @@
         log::info!(after_ms = now.since(since).as_millis(); "targets reached again");
     }
 }
+
+impl<D: Dialect> Core<D> {
+    /// Records, at `now`, that a health check of `target` got no response.
+    pub fn record_failed_check(self: &Arc<Self>, target: &Target, error: Option<SendError>) {
+        match error {
+            Some(error) => self.record_send_failure(target, error, self.timer.now()),
+            None => self.record_unanswered(target, None),
+        }
+    }
+
+    /// Records that a send to `target` failed at `now`. A connection that is late is waited for further, and the
+    /// failure is withdrawn if the connection opens after all.
+    pub(crate) fn record_send_failure(
+        self: &Arc<Self>,
+        target: &Target,
+        error: SendError,
+        now: Instant,
+    ) {
+        match error {
+            SendError::Late(opening) => {
+                self.record_unanswered(target, Some(Cause::ConnectTimedOut));
+                tokio::spawn(finish_late(self.clone(), target.clone(), opening, now));
+            }
+            SendError::NotSent(error) if error.kind() == io::ErrorKind::TimedOut => {
+                self.record_unanswered(target, Some(Cause::ConnectTimedOut));
+            }
+            SendError::NotSent(_) => {
+                self.record_unanswered(target, Some(Cause::ConnectFailed));
+                self.connections.close_idle(target.address);
+            }
+            SendError::Lost { is_new, .. } => {
+                self.record_unanswered(target, is_new.then_some(Cause::NoResponse));
+            }
+            SendError::Withdrawn => {}
+        }
+    }
+
+    /// Waits for a late connection to another instance, so that a further request can use it.
+    pub(crate) fn keep_late_connection(self: &Arc<Self>, opening: Opening) {
+        let core = self.clone();
+        tokio::spawn(async move {
+            if let Err(error) = core.connections.finish(opening, LATE_CONNECT_TIMEOUT).await {
+                log::debug!(error:% = error; "instance not reached");
+            }
+        });
+    }
+}
+
+/// Waits for a late connection to `target`. If the connection opens, withdraws the failure, and the ban of the
+/// time `failed_at`; otherwise closes the idle connections.
+async fn finish_late<D: Dialect>(
+    core: Arc<Core<D>>,
+    target: Target,
+    opening: Opening,
+    failed_at: Instant,
+) {
+    let started = opening.started();
+    match core.connections.finish(opening, LATE_CONNECT_TIMEOUT).await {
+        Ok(_) => {
+            let now = core.timer.now();
+            let mut state = core.state.lock();
+            state.reach.record_late_connect(&target.id, started, now);
+            if let Some(member) = state.member_mut(&target.id) {
+                member.lift_ban(failed_at, now);
+            }
+        }
+        Err(error) => {
+            log::debug!(target_id:% = target.id, error:% = error; "connection did not open");
+            core.connections.close_idle(target.address);
+        }
+    }
+}
--- a/crates/sg-proxy/src/relay.rs
+++ b/crates/sg-proxy/src/relay.rs
@@ -79,7 +79,7 @@
 
 /// Passes the request on and returns the response of the other instance.
 pub(crate) async fn run<D: Dialect>(
-    core: &Core<D>,
+    core: &Arc<Core<D>>,
     relayed: &Relayed<'_>,
     trace: &mut Trace,
 ) -> Result<Response<Body>, Refusal> {
@@ -135,7 +135,7 @@
 /// Sends the request, which this instance admits by the configuration of `revision`, to `peer`, and returns
 /// its response and what that says of the request.
 async fn exchange<D: Dialect>(
-    core: &Core<D>,
+    core: &Arc<Core<D>>,
     relayed: &Relayed<'_>,
     peer: &Peer,
     revision: Revision,
@@ -155,6 +155,11 @@
     }
     let (response, connection) = match sent {
         Ok(sent) => sent,
+        Err(SendError::Late(opening)) => {
+            log::debug!(other:% = peer.instance; "connection late");
+            core.keep_late_connection(opening);
+            return Err(Failure::NotSent);
+        }
         Err(error @ (SendError::NotSent(_) | SendError::Withdrawn)) => {
             log::debug!(other:% = peer.instance, error:% = error; "instance not reached");
             return Err(Failure::NotSent);
--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -1,10 +1,8 @@
 //! Sends a request to one target.
 
-use std::io;
-
 use http::{HeaderMap, HeaderValue, Request, Response, Uri, Version, header, request};
 use hyper::body::Incoming;
-use sg_place::{Target, member::TargetOutcome, pool::Choice, reach::Cause};
+use sg_place::{Target, member::TargetOutcome, pool::Choice};
 use sg_types::prelude::*;
 
 use crate::{
@@ -179,7 +177,7 @@
                 );
             }
         }
-        SendOutcome::Unsent | SendOutcome::Misdirected => {
+        SendOutcome::Misdirected => {
             let pool = state.pool(service);
             if let Some(member) = pool.member_mut(&choice.target.id) {
                 member.ban(now);
@@ -268,9 +266,9 @@
     };
     let (response, connection) = match sent {
         Ok(sent) => sent,
-        Err(error) => return record_send_error(core, call, choice, &error),
+        Err(error) => return record_send_error(core, call, choice, error),
     };
-    record_contact(core, choice, &connection);
+    record_contact(core, choice, &connection, now);
     let count = connection.passed_over();
     if count > 0 && core.log_limiter.admit(core.timer.now()) {
         log::info!(request = call.id.as_ref(), target_id:% = choice.target.id, count; "foreign answers passed over");
@@ -279,32 +277,29 @@
 }
 
 /// Records that a send received no response, and returns its outcome.
-fn record_send_error<D>(
-    core: &Core<D>,
+fn record_send_error<D: Dialect>(
+    core: &Arc<Core<D>>,
     call: &Call<'_>,
     choice: &Choice,
-    error: &SendError,
+    error: SendError,
 ) -> SendOutcome {
-    if let Some(failure) = Failure::of_send(error) {
+    if let Some(failure) = Failure::of_send(&error) {
         core.record_connection_failure(call, choice, failure);
     }
-    match error {
-        SendError::NotSent(error) => {
-            let cause = match error.kind() {
-                io::ErrorKind::TimedOut => Cause::ConnectTimedOut,
-                _ => Cause::ConnectFailed,
-            };
-            core.record_unanswered(&choice.target, Some(cause));
+    let now = core.timer.now();
+    let outcome = match error {
+        SendError::NotSent(_) | SendError::Late(_) => {
+            if let Some(member) = core.state.lock().member_mut(&choice.target.id) {
+                member.ban(now);
+            }
             SendOutcome::Unsent
         }
         SendError::Withdrawn => SendOutcome::Withdrawn,
-        SendError::Lost { is_new, .. } => {
-            if !call.content.is_broken() {
-                core.record_unanswered(&choice.target, is_new.then_some(Cause::NoResponse));
-            }
-            SendOutcome::Lost
-        }
-    }
+        SendError::Lost { .. } if call.content.is_broken() => return SendOutcome::Lost,
+        SendError::Lost { .. } => SendOutcome::Lost,
+    };
+    core.record_send_failure(&choice.target, error, now);
+    outcome
 }
 
 impl<D> Core<D> {
@@ -321,14 +316,16 @@
     }
 }
 
-/// Records that the target responded.
-fn record_contact<D>(core: &Core<D>, choice: &Choice, connection: &Connection) {
+/// Records that the target responded to a request of the time `sent_at`.
+fn record_contact<D>(core: &Core<D>, choice: &Choice, connection: &Connection, sent_at: Instant) {
     let connect_time = connection.connect_time();
+    let now = core.timer.now();
     let mut state = core.state.lock();
     state
         .reach
-        .record_response(connect_time.is_some(), core.timer.now());
+        .record_response(connect_time.is_some(), sent_at, now);
     if let Some(connect_time) = connect_time {
+        state.reach.record_connect(connect_time, now);
         let round_trips = &mut state.location.round_trips;
         round_trips.record(&choice.target.domain, connect_time.as_secs_f64());
     }
--- a/crates/sg-proxy/tests/proxy/late_connects.rs
+++ b/crates/sg-proxy/tests/proxy/late_connects.rs
@@ -68,7 +68,7 @@
     };
     let (response, mut idle) = tokio::join!(caller, target);
     assert_eq!(status(&response), 200);
-    let _filled = fill_queue(SockRef::from(&listener), address);
+    let _filled = fill_queue(&SockRef::from(&listener), address);
     // A connection isn't used for the same id twice.
     let response = instance.send(&request).await;
     assert_eq!(status(&response), 503);
--- a/crates/sg-proxy/tests/proxy/relays.rs
+++ b/crates/sg-proxy/tests/proxy/relays.rs
@@ -47,7 +47,7 @@
 }
 
 /// Fills the queue of connections of a listener. Returns the connections; the last ones are in progress.
-pub fn fill_queue(listener: SockRef<'_>, address: SocketAddr) -> Vec<Socket> {
+pub fn fill_queue(listener: &SockRef<'_>, address: SocketAddr) -> Vec<Socket> {
     listener.listen(0).expect("a listener");
     let queued = (0..4).map(|_| {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
@@ -63,7 +63,7 @@
         let (listener, address) = bound_socket();
         Self {
             address,
-            _queued: fill_queue(SockRef::from(&listener), address),
+            _queued: fill_queue(&SockRef::from(&listener), address),
             listener,
         }
     }
