--- a/crates/sg-proxy/tests/proxy/relays.rs
+++ b/crates/sg-proxy/tests/proxy/relays.rs
@@ -2,13 +2,13 @@
 
 use std::{
     net::SocketAddr,
-    sync::atomic::Ordering,
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
 use sg_types::prelude::Span;
 use socket2::{Domain, SockRef, Socket, Type};
-use tokio::{io::AsyncWriteExt, time::sleep};
+use tokio::{io::AsyncWriteExt, task::JoinSet, time::sleep};
 
 use crate::harness::{
     Instance, KEY, OK, ScriptedTarget, Step, catalog_with_added_route, get, header, post, status,
@@ -153,6 +153,35 @@
     }
 }
 
+/// Guards against a request that is given up, or refused, by an instance that stops although a further one can
+/// finish it.
+#[tokio::test]
+async fn request_goes_on_to_an_instance_that_can_finish_it() {
+    for (name, stop, is_refusing) in [("short stop", 500, false), ("no new requests", 5_000, true)]
+    {
+        let working = ScriptedTarget::start(vec![Step::RespondAfter(700, OK)]).await;
+        let stopping = Instance::start(&[&working]).await;
+        let peer = Instance::start(&[&working]).await;
+        stopping.drain_for(Span::from_millis(stop));
+        if is_refusing {
+            stopping.core.refuse_new_requests();
+        }
+        let hanging = hanging_targets();
+        let instance = cut_off_instance(&hanging).await;
+        instance.set_peers(&[stopping.address, peer.address]);
+        let mut sends = JoinSet::new();
+        let instance = Arc::new(instance);
+        for index in 0..8 {
+            let instance = instance.clone();
+            let request = post("/once/x", &format!("a{index}"), "body");
+            sends.spawn(async move { status(&instance.send(&request).await) });
+        }
+        let statuses = sends.join_all().await;
+        assert_eq!(statuses, [200; 8], "{name}");
+        assert_eq!(working.count(), 8, "{name}");
+    }
+}
+
 #[tokio::test]
 async fn other_instance_checks_the_key_and_takes_the_token() {
     let working = ScriptedTarget::start(vec![Step::Respond(OK)]).await;
