fix(sg-proxy): a stopping instance takes no passed-on request that it may give up

What callers saw: 502 from an instance that had passed their request on to one that stopped before the deadline, while the target worked on it; or the 503 of that instance, although a further one could take the request. Cause: a stopping instance took requests that were passed on by the expected work, like those of callers, and its refusal went back to the caller. Change: it takes one only if the deadline comes before its end, as an instance that passes requests on does; the refusal is recognized, and the next instance is asked. Why it works: the instance that refuses is not the only one that can serve the request, and what it takes it can keep until the request's own end.

--- a/crates/sg-proxy/src/dialect.rs
+++ b/crates/sg-proxy/src/dialect.rs
@@ -78,6 +78,8 @@
     pub outcome: Outcome,
     /// Revision of the configuration that rejects the request, see [`Refusal::rejected_by`].
     pub rejected_by: Option<Revision>,
+    /// Whether the other instance stops and therefore refused the request.
+    pub is_leaving: bool,
 }
 
 /// Response that this instance generates itself, in place of a response from a target.
--- a/crates/sg-proxy/src/relay.rs
+++ b/crates/sg-proxy/src/relay.rs
@@ -1,7 +1,8 @@
 //! Passes requests on to another instance while this one is cut off from all targets.
 //!
 //! The other instance handles the request like any other: it checks the key, takes a token of the account
-//! and chooses a target. A request is passed on once; an instance that gets it this way and is cut off
+//! and chooses a target. An instance that stops takes it only if it can keep it until the deadline, because a further
+//! instance can take it instead. A request is passed on once; an instance that gets it this way and is cut off
 //! itself rejects it.
 
 use http::{Response, request};
@@ -73,6 +74,8 @@
     NotSent,
     /// The other instance rejected the request by an older configuration.
     Outdated,
+    /// The other instance stops before the request's deadline, and has not run the request.
+    Leaving,
     /// The connection was lost, or the response belongs to another request.
     Lost,
 }
@@ -84,9 +87,7 @@
     trace: &mut Trace,
 ) -> Result<Response<Body>, Refusal> {
     // This instance has no estimate of the time that the request takes at the other one.
-    if core.stop_at().is_some_and(|at| relayed.deadline > at) {
-        return Err(Refusal::not_run(Reason::Leaving).with_retry_after(Span::ZERO));
-    }
+    check_stop(core, relayed.deadline)?;
     let mut tried = Vec::new();
     while relayed.may_continue(tried.len(), core.timer.now()) {
         let Some(peer) = choose_peer(core, relayed, &tried) else {
@@ -100,6 +101,7 @@
             Ok(Ok(_)) => RelayEnd::Answered,
             Ok(Err(Failure::NotSent)) => RelayEnd::Unsent,
             Ok(Err(Failure::Outdated)) => RelayEnd::Outdated,
+            Ok(Err(Failure::Leaving)) => RelayEnd::Leaving,
             Ok(Err(Failure::Lost)) => RelayEnd::Lost,
             Err(_) => RelayEnd::Late,
         };
@@ -110,7 +112,7 @@
                 trace.relayed_outcome = Some(outcome);
                 return Ok(response);
             }
-            Ok(Err(Failure::NotSent | Failure::Outdated)) => {}
+            Ok(Err(Failure::NotSent | Failure::Outdated | Failure::Leaving)) => {}
             Ok(Err(Failure::Lost)) => {
                 return Err(Refusal::may_have_run(Reason::ConnectionLost));
             }
@@ -120,6 +122,15 @@
     Err(Refusal::not_run(Reason::ConnectFailed).with_retry_after(NO_PEER_RETRY_AFTER))
 }
 
+/// Refuses a request that is passed on, by this instance or to it, and whose deadline comes after the stop of this
+/// instance.
+pub(crate) fn check_stop<D>(core: &Core<D>, deadline: Instant) -> Result<(), Refusal> {
+    if core.stop_at().is_some_and(|at| deadline > at) {
+        return Err(Refusal::not_run(Reason::Leaving).with_retry_after(Span::ZERO));
+    }
+    Ok(())
+}
+
 /// Draws an instance that may take the request.
 fn choose_peer<D>(core: &Core<D>, relayed: &Relayed<'_>, tried: &[id::Instance]) -> Option<Peer> {
     let query = relay::Query {
@@ -177,6 +188,10 @@
         log::debug!(other:% = peer.instance; "rejected by an older configuration");
         return Err(Failure::Outdated);
     }
+    if info.is_leaving {
+        log::debug!(other:% = peer.instance; "instance stops");
+        return Err(Failure::Leaving);
+    }
     let received = receive::receive_body(core, relayed.head, body).await;
     let received = received.map_err(|error| {
         log::debug!(other:% = peer.instance, error:% = error; "connection lost");
--- a/crates/sg-proxy/src/serve.rs
+++ b/crates/sg-proxy/src/serve.rs
@@ -191,6 +191,9 @@
     trace.account = account.as_ref().map(|account| account.name.clone());
     let deadline = deadline(&route, &request_info, trace);
     trace.deadline = Some(deadline);
+    if request_info.is_relayed {
+        relay::check_stop(core, deadline)?;
+    }
     if core.is_cut_off() {
         let account = account.as_deref();
         let (content, _) =
--- a/crates/sg-proxy/src/trace.rs
+++ b/crates/sg-proxy/src/trace.rs
@@ -83,6 +83,8 @@
     Unsent,
     /// The other instance rejected the request by an older configuration.
     Outdated,
+    /// The other instance stops, and has not run the request.
+    Leaving,
     /// The connection was lost, or the response belongs to another request.
     Lost,
     /// The deadline passed.
@@ -97,6 +99,7 @@
             Self::Answered => "answered",
             Self::Unsent => "unsent",
             Self::Outdated => "outdated",
+            Self::Leaving => "leaving",
             Self::Lost => "lost",
             Self::Late => "late",
         }
@@ -104,7 +107,7 @@
 
     /// Returns whether the request may have run because of the attempt.
     const fn may_have_run(self) -> bool {
-        !matches!(self, Self::Unsent | Self::Outdated)
+        !matches!(self, Self::Unsent | Self::Outdated | Self::Leaving)
     }
 }
 
--- a/crates/sg-proxy/tests/proxy/dialect.rs
+++ b/crates/sg-proxy/tests/proxy/dialect.rs
@@ -112,6 +112,7 @@
             rejected_by: revision
                 .and_then(|text| text.parse().ok())
                 .map(Revision::new),
+            is_leaving: header(&head.headers, "reason") == Some("leaving"),
         })
     }
 
