test(sg-proxy): a request that may not be repeated is given up by our own time-out

Fails: 502 after 1.5 s where the target takes the request after 2.5 s and the deadline is 8 s. The test of large requests becomes a row of it.

--- a/crates/sg-proxy/tests/proxy/slow_peers.rs
+++ b/crates/sg-proxy/tests/proxy/slow_peers.rs
@@ -1,6 +1,9 @@
 //! Callers and targets that read slowly.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use sg_proxy::connections;
 use sg_types::prelude::{Bytes, Revision, Span};
@@ -8,6 +11,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpSocket,
+    task::JoinHandle,
     time::sleep,
 };
 
@@ -77,17 +81,52 @@
     assert_eq!(timeout, Some(Duration::from_millis(1_500)));
 }
 
-/// A target that reads a large body slowly gets the whole body.
+/// Guards against a request that is given up while its target can't take it, or its path does not carry it.
 #[tokio::test]
-async fn target_that_pauses_gets_a_large_request() {
+async fn target_that_pauses_gets_a_request_that_may_not_be_repeated() {
+    for (length, receive_buffer, is_relayed) in [
+        (2 << 20, 8 << 10, false),
+        (4_000, 1 << 10, false),
+        (4_000, 1 << 10, true),
+    ] {
+        let (address, reading) = start_pausing_target(length, receive_buffer);
+        let instance = Instance::start(&[]).await;
+        let mut wider = catalog();
+        wider.revision = Revision::new(2);
+        wider.limits.max_body = Bytes::new(8 << 20);
+        let mut slow = route("slow", "/slow/", false);
+        slow.timeout = Some(Span::from_secs(8));
+        wider.add_route("h", slow).expect("a known service");
+        assert!(instance.core.replace_catalog(wider));
+        if is_relayed {
+            instance.cut_off();
+            instance.set_peers(&[address]);
+        } else {
+            instance.core.upsert_target(target("t0", address));
+        }
+        let request = post("/slow/x", "a", &"y".repeat(length));
+        let request = request.replace("deadline: 1000", "deadline: 8000");
+        let response = instance.send(&request).await;
+        assert_eq!(
+            status(&response),
+            200,
+            "{length} bytes, relayed {is_relayed}: {response}"
+        );
+        assert!(reading.await.expect("a target") >= length);
+    }
+}
+
+/// Starts a target that reads a request of `length` bytes after a pause. Returns how many bytes it read.
+fn start_pausing_target(length: usize, receive_buffer: u32) -> (SocketAddr, JoinHandle<usize>) {
     let socket = TcpSocket::new_v4().expect("a socket");
-    socket.set_recv_buffer_size(8 << 10).expect("a buffer size");
+    socket
+        .set_recv_buffer_size(receive_buffer)
+        .expect("a buffer size");
     socket
         .bind("127.0.0.1:0".parse().expect("an address"))
         .expect("a port");
     let listener = socket.listen(8).expect("a listener");
     let address = listener.local_addr().expect("an address");
-    let length = 2 << 20;
     let reading = tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.expect("a connection");
         let mut received = vec![0; 64 << 10];
@@ -108,20 +147,7 @@
         sleep(Duration::from_millis(200)).await;
         count
     });
-    let instance = Instance::start(&[]).await;
-    let mut wider = catalog();
-    wider.revision = Revision::new(2);
-    wider.limits.max_body = Bytes::new(8 << 20);
-    let mut slow = route("slow", "/slow/", false);
-    slow.timeout = Some(Span::from_secs(8));
-    wider.add_route("h", slow).expect("a known service");
-    assert!(instance.core.replace_catalog(wider));
-    instance.core.upsert_target(target("t0", address));
-    let request = post("/slow/x", "a", &"y".repeat(length));
-    let request = request.replace("deadline: 1000", "deadline: 8000");
-    let response = instance.send(&request).await;
-    assert_eq!(status(&response), 200, "{response}");
-    assert!(reading.await.expect("a target") >= length);
+    (address, reading)
 }
 
 /// A caller that reads slowly does not make the target wait.
