fix(sg-proxy): end no connection at work for a slow link if the request can't be repeated

What callers saw: 502 after 1.5 s, long before the deadline, for a request whose target was at work or about to take it. Cause: the kernel closed a connection whose sent data was not acknowledged for 1.5 s, or whose keepalive probes were not answered, whatever was at work on it. A link that is full, or loses some packets in a row, does that for 2 to 3 s. Change: a request says for how long its target may be silent. One that can't be sent again, or that is sent while the instance stops, or passed on to another instance, keeps its connection until its deadline. Others keep 1.5 s, or four times the longest connect of the last 3 s, up to 3 s. The timeout is set with the request's first bytes, so that a connection whose state was lost is noticed as before by the next request that can be repeated. Why it works: ending a connection early is of use only where the request can go elsewhere; a server's silence is no reason to end an answer sooner.

--- a/crates/sg-gateway/src/health.rs
+++ b/crates/sg-gateway/src/health.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt, Limited};
 use sg_place::Target;
 use sg_proxy::{
-    connections::{ReusePolicy, SendError},
+    connections::{ReusePolicy, SendError, Timeouts},
     content::Outgoing,
 };
 use sg_store::Store;
@@ -114,7 +114,7 @@
     address: SocketAddr,
     path: &str,
 ) -> Result<HealthReport, Option<SendError>> {
-    let timeout = context.core.check_timeout(CHECK_TIMEOUT);
+    let timeout = context.core.stretch(CHECK_TIMEOUT);
     let deadline = context.timer.now() + timeout;
     let request = health_request(context, address, path).ok_or(None)?;
     let connections = &context.core.connections;
@@ -125,7 +125,7 @@
             ReusePolicy {
                 max_idle: Span::ZERO,
             },
-            timeout.mul_f64(CONNECT_FRACTION),
+            Timeouts::with_connect(timeout.mul_f64(CONNECT_FRACTION)),
             || true,
         );
         let (response, exchange) = sent.await.map_err(Some)?;
--- a/crates/sg-place/src/reach.rs
+++ b/crates/sg-place/src/reach.rs
@@ -28,9 +28,9 @@
 const MAX_DOUBT: Span = Span::from_secs(3);
 /// How long an observed connect time counts.
 const CONNECT_TIME_LIFETIME: Span = Span::from_secs(3);
-/// Time limit of a health check, as a multiple of the longest connect time that was observed lately. A check is
-/// an exchange after the connect, each of which may take twice as long as the last connect.
-const CHECK_CONNECT_TIMES: f64 = 4.0;
+/// Time limit of an exchange, as a multiple of the longest connect time that was observed lately: a connect and a
+/// response, each of which may take twice as long as the last connect.
+const EXCHANGE_CONNECT_TIMES: f64 = 4.0;
 /// Greatest time from the start of a cut until this instance and the others know of the cut. Failures before
 /// say nothing of the cut.
 pub const DETECTION_TIME: Span = Span::from_secs(5);
@@ -187,11 +187,13 @@
         recent.map_or(Span::ZERO, |(time, _)| time)
     }
 
-    /// Returns the time limit of a health check: `usual`, or longer if connections have lately taken long to
+    /// Returns the time limit of an exchange that is `usual`, or longer if connections have lately taken long to
     /// open, up to [`MAX_DOUBT`].
     #[must_use]
-    pub fn check_timeout(&self, usual: Span, now: Instant) -> Span {
-        let observed = self.longest_connect_time(now).mul_f64(CHECK_CONNECT_TIMES);
+    pub fn stretch(&self, usual: Span, now: Instant) -> Span {
+        let observed = self
+            .longest_connect_time(now)
+            .mul_f64(EXCHANGE_CONNECT_TIMES);
         observed.min(MAX_DOUBT).max(usual)
     }
 
--- a/crates/sg-place/tests/place/reach.rs
+++ b/crates/sg-place/tests/place/reach.rs
@@ -113,7 +113,7 @@
         for (millis, observed_at) in connects {
             reach.record_connect(Span::from_millis(*millis), at(*observed_at));
         }
-        let timeout = reach.check_timeout(usual, at(asked_at));
+        let timeout = reach.stretch(usual, at(asked_at));
         assert_eq!(timeout, Span::from_millis(expected), "{connects:?}");
     }
 }
--- a/crates/sg-proxy/src/connections.rs
+++ b/crates/sg-proxy/src/connections.rs
@@ -34,9 +34,9 @@
     target_stream::{Link, TargetStream, filter::IdHash},
 };
 
-/// Time for which sent data may stay unacknowledged before the kernel closes the connection to a target,
-/// unless a large request is sent. The timeout detects a connection whose state was lost by a device in
-/// between, and is long enough for a link that loses a packet or two to recover.
+/// Usual time for which sent data may stay unacknowledged before the kernel closes the connection to a target.
+/// The timeout detects a connection whose state was lost by a device in between, and is long enough for a link
+/// that loses a packet or two to recover. [`Timeouts::silence`] replaces it for a request.
 pub const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Idle time before the kernel sends a keepalive probe, and interval between probes.
 pub const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -89,6 +89,27 @@
     };
 }
 
+/// Time limits of a send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timeouts {
+    /// Time to open a connection.
+    pub connect: Span,
+    /// Time for which the target may acknowledge nothing of what was sent, or answer no keepalive probe, before
+    /// the kernel closes the connection.
+    pub silence: Span,
+}
+
+impl Timeouts {
+    /// Creates time limits that detect a dead connection early.
+    #[must_use]
+    pub fn with_connect(connect: Span) -> Self {
+        Self {
+            connect,
+            silence: TCP_USER_TIMEOUT.into(),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     sender: SendRequest<Outgoing>,
@@ -262,13 +283,13 @@
         address: SocketAddr,
         mut request: Request<Outgoing>,
         reuse: ReusePolicy,
-        connect_timeout: Span,
+        timeouts: Timeouts,
         may_send: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         let id = request.headers().get(&self.options.id_header).cloned();
         let id = id.as_ref().map(HeaderValue::as_bytes);
         while let Some(mut connection) = self.take_idle(address, reuse, id.map(IdHash::new)) {
-            match connection.try_send(request, id).await {
+            match connection.try_send(request, id, timeouts.silence).await {
                 Ok(response) => return Ok((response, connection)),
                 Err((_, Some(unsent))) => request = unsent,
                 Err((cause, None)) => {
@@ -277,11 +298,11 @@
                 }
             }
         }
-        let mut connection = self.open(address, connect_timeout).await?;
+        let mut connection = self.open(address, timeouts.connect).await?;
         if !may_send() {
             return Err(SendError::Withdrawn);
         }
-        match connection.try_send(request, id).await {
+        match connection.try_send(request, id, timeouts.silence).await {
             Ok(response) => Ok((response, connection)),
             Err((error, Some(_))) => Err(SendError::NotSent(io::Error::other(error))),
             Err((cause, None)) => Err(SendError::Lost {
@@ -460,6 +481,7 @@
         &mut self,
         request: Request<Outgoing>,
         id: Option<&[u8]>,
+        silence: Span,
     ) -> Result<Response<Incoming>, (hyper::Error, Unsent)> {
         let sender = self
             .sender
@@ -467,7 +489,7 @@
             .expect("sender is only taken when the connection returns to the pool");
         let length = request.body().size_hint().exact();
         self.link
-            .expect(id, request.method() == Method::HEAD, length);
+            .expect(id, request.method() == Method::HEAD, length, silence);
         sender.try_send_request(request).await.map_err(|mut error| {
             let unsent = error.take_message();
             (error.into_error(), unsent)
--- a/crates/sg-proxy/src/reach.rs
+++ b/crates/sg-proxy/src/reach.rs
@@ -93,12 +93,12 @@
         }
     }
 
-    /// Returns the time limit of a health check that usually has `usual`: longer if connections to targets have
-    /// lately taken long to open.
+    /// Returns a time limit that is usually `usual`, and longer if connections to targets have lately taken long to
+    /// open.
     #[must_use]
-    pub fn check_timeout(&self, usual: Span) -> Span {
+    pub fn stretch(&self, usual: Span) -> Span {
         let now = self.timer.now();
-        self.state.lock().reach.check_timeout(usual, now)
+        self.state.lock().reach.stretch(usual, now)
     }
 
     /// Returns a target of each failure domain for a round of health checks, with the path to request, while this instance may be cut off from all targets.
--- a/crates/sg-proxy/src/relay.rs
+++ b/crates/sg-proxy/src/relay.rs
@@ -18,7 +18,7 @@
     content::Content,
     dialect::{Refusal, RequestInfo},
     receive::{self, ReceivedFrom},
-    send::{self, CONNECT_TIMEOUT},
+    send,
     trace::{RelayEnd, RelayRecord, Trace},
 };
 
@@ -157,9 +157,11 @@
         .relayed_headers(&relayed.head.headers, remaining);
     let request = send::build_request(relayed.head, relayed.content.outgoing(), headers);
     let reuse = send::reuse_policy(relayed.is_idempotent);
+    // A request that may have run elsewhere is not passed on again.
+    let timeouts = send::timeouts(core, false, remaining);
     let sent = core
         .connections
-        .send(peer.address, request, reuse, CONNECT_TIMEOUT, || true)
+        .send(peer.address, request, reuse, timeouts, || true)
         .await;
     if let Some(failure) = sent.as_ref().err().and_then(failure::Failure::of_send) {
         core.metrics.record_connection_failure(failure);
--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -9,7 +9,7 @@
     Body, Core, Dialect,
     attempt::{self, Call},
     body::Cut,
-    connections::{Connection, ReusePolicy, SendError, failure::Failure},
+    connections::{Connection, ReusePolicy, SendError, Timeouts, failure::Failure},
     content::Outgoing,
     dialect::{ForwardInfo, Verdict},
     receive::{self, ReceivedFrom},
@@ -17,7 +17,7 @@
 };
 
 /// Timeout for opening a connection, several times the longest latency between regions.
-pub(crate) const CONNECT_TIMEOUT: Span = Span::from_millis(300);
+const CONNECT_TIMEOUT: Span = Span::from_millis(300);
 /// Maximum idle time of a connection that is reused for a request that must not be repeated. The
 /// target can't have closed the connection for idleness after so short a time.
 const NON_IDEMPOTENT_MAX_IDLE: Span = Span::from_millis(1_500);
@@ -250,14 +250,14 @@
         .forwarded_headers(&call.head.headers, &forward_info);
     let request = build_request(call.head, call.content.outgoing(), headers);
     // A body that is sent while it is read can't be sent again if the target has just closed the connection.
-    let reuse = reuse_policy(call.route.idempotent && !call.content.is_streamed());
-    let sent = core.connections.send(
-        choice.target.address,
-        request,
-        reuse,
-        CONNECT_TIMEOUT,
-        || core.may_send(&choice.target),
-    );
+    let is_repeatable = call.route.idempotent && !call.content.is_streamed();
+    let reuse = reuse_policy(is_repeatable);
+    let timeouts = timeouts(core, is_repeatable, call.deadline.since(now));
+    let sent = core
+        .connections
+        .send(choice.target.address, request, reuse, timeouts, || {
+            core.may_send(&choice.target)
+        });
     let sent = tokio::select! {
         sent = sent => sent,
         () = call.content.stalled(call.catalog.limits.head_timeout) => {
@@ -331,6 +331,17 @@
     }
 }
 
+/// Returns the time limits of a send that has `remaining` time. A silent connection is given up early only if the
+/// request can be sent again: otherwise its target may be at work, and the link may only be slow.
+pub(crate) fn timeouts<D>(core: &Core<D>, is_repeatable: bool, remaining: Span) -> Timeouts {
+    let usual = Timeouts::with_connect(CONNECT_TIMEOUT);
+    let silence = match is_repeatable && !core.is_draining() {
+        true => core.stretch(usual.silence),
+        false => usual.silence.max(remaining),
+    };
+    Timeouts { silence, ..usual }
+}
+
 /// Returns the limit on idle connections for a request.
 pub(crate) const fn reuse_policy(is_idempotent: bool) -> ReusePolicy {
     if is_idempotent {
--- a/crates/sg-proxy/src/target_stream/mod.rs
+++ b/crates/sg-proxy/src/target_stream/mod.rs
@@ -6,9 +6,8 @@
 use std::{
     io::{self, IoSlice},
     pin::Pin,
-    sync::atomic::{AtomicBool, Ordering},
+    sync::atomic::{AtomicU64, Ordering},
     task::{Context, Poll, ready},
-    time::Duration,
 };
 
 use http::HeaderName;
@@ -29,7 +28,7 @@
 
 /// Time for which data of a large request may stay unacknowledged. The kernel counts the time for which a
 /// target reads nothing toward this limit. The deadline of a request ends it earlier in most cases.
-const LARGE_REQUEST_TIMEOUT: Duration = Duration::from_secs(15);
+const LARGE_REQUEST_TIMEOUT: Span = Span::from_secs(15);
 /// Size of a body above which a request is large. The receive buffer of a target takes a smaller one even if
 /// the target does not read.
 const LARGE_BODY_BYTES: u64 = 4 << 10;
@@ -43,7 +42,8 @@
 
 #[derive(Debug)]
 struct LinkState {
-    is_large: AtomicBool,
+    /// Time in milliseconds for which the target may be silent while the request is at work.
+    silence_millis: AtomicU64,
     filter: Mutex<Filter>,
 }
 
@@ -51,15 +51,21 @@
     /// Creates a link of a connection whose target names requests in the field `id_header`.
     pub fn new(id_header: HeaderName) -> Self {
         Self(Arc::new(LinkState {
-            is_large: AtomicBool::new(false),
+            silence_millis: AtomicU64::new(Span::from(TCP_USER_TIMEOUT).as_millis()),
             filter: Mutex::new(Filter::new(id_header)),
         }))
     }
 
-    /// Records that the request `id` is sent next, with a body of `length` bytes, or of unknown length.
-    pub fn expect(&self, id: Option<&[u8]>, is_head: bool, length: Option<u64>) {
+    /// Records that the request `id` is sent next, with a body of `length` bytes, or of unknown length. The target
+    /// may be silent for `silence`.
+    pub fn expect(&self, id: Option<&[u8]>, is_head: bool, length: Option<u64>, silence: Span) {
         let is_large = length.is_none_or(|length| length > LARGE_BODY_BYTES);
-        self.0.is_large.store(is_large, Ordering::Relaxed);
+        let silence = match is_large {
+            true => silence.max(LARGE_REQUEST_TIMEOUT),
+            false => silence,
+        };
+        let silence_millis = &self.0.silence_millis;
+        silence_millis.store(silence.as_millis(), Ordering::Relaxed);
         self.0.filter.lock().expect(id, is_head);
     }
 
@@ -73,22 +79,22 @@
         self.0.filter.lock().passed_over()
     }
 
-    fn is_large(&self) -> bool {
-        self.0.is_large.load(Ordering::Relaxed)
+    fn silence(&self) -> Span {
+        Span::from_millis(self.0.silence_millis.load(Ordering::Relaxed))
     }
 }
 
 /// Stream that passes over responses to other requests, because the HTTP library takes one response for each
-/// request. It also gives a target more time to read a large request: the connection's socket starts with
-/// [`TCP_USER_TIMEOUT`], by which a silent target is noticed early.
+/// request. It also gives the connection's socket the time for which the target may be silent: the socket starts
+/// with [`TCP_USER_TIMEOUT`], by which a silent target is noticed early, and keeps the time of its last request.
 #[derive(Debug)]
 pub(crate) struct TargetStream {
     stream: TokioIo<TcpStream>,
     link: Link,
     /// Number of responses that were passed over.
     passed_over: IntCounter,
-    /// Whether the socket's timeout is the one for large requests.
-    is_large: bool,
+    /// The socket's timeout.
+    silence: Span,
 }
 
 impl TargetStream {
@@ -97,24 +103,19 @@
             stream: TokioIo::new(stream),
             link,
             passed_over,
-            is_large: false,
+            silence: TCP_USER_TIMEOUT.into(),
         }
     }
 
     /// Sets the socket's timeout for the request that is written.
     fn update_timeout(&mut self) {
-        let is_large = self.link.is_large();
-        if is_large == self.is_large {
+        let silence = self.link.silence();
+        if silence == self.silence {
             return;
         }
-        self.is_large = is_large;
-        let timeout = if is_large {
-            LARGE_REQUEST_TIMEOUT
-        } else {
-            TCP_USER_TIMEOUT
-        };
-        let set = SockRef::from(self.stream.inner()).set_tcp_user_timeout(Some(timeout));
-        if let Err(error) = set {
+        self.silence = silence;
+        let socket = SockRef::from(self.stream.inner());
+        if let Err(error) = socket.set_tcp_user_timeout(Some(silence.into())) {
             log::debug!(error:% = error; "timeout of a connection to a target not set");
         }
     }
--- a/crates/sg-proxy/tests/proxy/foreign.rs
+++ b/crates/sg-proxy/tests/proxy/foreign.rs
@@ -6,7 +6,10 @@
 use http_body_util::BodyExt;
 use quickcheck::{QuickCheck, TestResult};
 use sg_proxy::{
-    connections::ReusePolicy, content::Outgoing, core::Signal, target_stream::filter::Filter,
+    connections::{ReusePolicy, Timeouts},
+    content::Outgoing,
+    core::Signal,
+    target_stream::filter::Filter,
 };
 use sg_types::prelude::*;
 use tokio::time::sleep;
@@ -104,8 +107,8 @@
     let instance = Instance::start(&[&target]).await;
     let connections = &instance.core.connections;
     let check = Request::new(Outgoing::empty());
-    let timeout = Span::from_secs(1);
-    let sent = connections.send(target.address, check, ReusePolicy::ANY, timeout, || true);
+    let timeouts = Timeouts::with_connect(Span::from_secs(1));
+    let sent = connections.send(target.address, check, ReusePolicy::ANY, timeouts, || true);
     let (response, connection) = sent.await.expect("a response");
     response.collect().await.expect("a body");
     connections.put_back(connection, None);
--- a/crates/sg-proxy/tests/proxy/self_reports.rs
+++ b/crates/sg-proxy/tests/proxy/self_reports.rs
@@ -4,7 +4,7 @@
 
 use sg_clock::Timer;
 use sg_place::departure::Run;
-use sg_proxy::connections::{ConnectionPool, Counters, Options, ReusePolicy, SendError};
+use sg_proxy::connections::{ConnectionPool, Counters, Options, ReusePolicy, SendError, Timeouts};
 use sg_types::prelude::*;
 use tokio::time::sleep;
 
@@ -164,9 +164,11 @@
     };
     let pool = ConnectionPool::new(Timer::new(), options, counters);
     let request = http::Request::new(sg_proxy::content::Outgoing::empty());
-    let timeout = Span::from_secs(1);
+    let timeouts = Timeouts::with_connect(Span::from_secs(1));
     let sent = pool
-        .send(target.address, request, ReusePolicy::ANY, timeout, || false)
+        .send(target.address, request, ReusePolicy::ANY, timeouts, || {
+            false
+        })
         .await;
     assert!(matches!(sent, Err(SendError::Withdrawn)));
     assert_eq!(target.count(), 0);
