fix(sg-proxy): a check that fails after the suspicion was refuted counts for nothing

Cause: since failed checks of a round are failures like others, one that failed after a response on a new connection had refuted the suspicion raised it again, and the round confirmed a cut. Change: such a check is recorded only while the suspicion stands. Measured: check_that_fails_after_the_suspicion_is_refuted_confirms_no_cut failed before and passes; late_connects and relays of sg-proxy 21 of 21, reach of sg-place 22 of 22.

--- a/crates/sg-place/src/reach.rs
+++ b/crates/sg-place/src/reach.rs
@@ -242,10 +242,16 @@
         first.min()
     }
 
+    /// Returns when the suspicion began, by the first failure or else by a hint; `None` if it was refuted.
+    #[must_use]
+    pub fn suspected_since(&self, now: Instant) -> Option<Instant> {
+        self.first_failure(now).or(self.hinted_at(now))
+    }
+
     /// Returns whether late connects are more likely than a cut: what was sent since the suspicion began is
     /// answered, and no connection failed otherwise.
     fn is_doubtful(&self, now: Instant) -> bool {
-        let began = self.first_failure(now).or(self.hinted_at(now));
+        let began = self.suspected_since(now);
         let Some(began) = began.filter(|began| now.since(*began) < MAX_DOUBT) else {
             return false;
         };
--- a/crates/sg-proxy/src/reach.rs
+++ b/crates/sg-proxy/src/reach.rs
@@ -166,10 +166,15 @@
 }
 
 impl<D: Dialect> Core<D> {
-    /// Records, at `now`, that a health check of `target` got no response.
+    /// Records that a health check of `target` in a round got no response, for the reason `error` if nothing was
+    /// sent. The check counts for nothing if the suspicion was refuted meanwhile: busy targets fail checks as well.
     pub fn record_failed_check(self: &Arc<Self>, target: &Target, error: Option<SendError>) {
+        let now = self.timer.now();
+        if self.state.lock().reach.suspected_since(now).is_none() {
+            return;
+        }
         match error {
-            Some(error) => self.record_send_failure(target, error, self.timer.now()),
+            Some(error) => self.record_send_failure(target, error, now),
             None => self.record_unanswered(target, None),
         }
     }
--- a/crates/sg-proxy/tests/proxy/late_connects.rs
+++ b/crates/sg-proxy/tests/proxy/late_connects.rs
@@ -131,3 +131,23 @@
     assert_eq!(working.connections.load(Ordering::SeqCst), 1);
     instance
 }
+
+/// Guards against a round of checks at busy targets that confirms a suspicion which a response has refuted.
+#[tokio::test]
+async fn check_that_fails_after_the_suspicion_is_refuted_confirms_no_cut() {
+    for (is_refuted, is_cut_off) in [(true, false), (false, true)] {
+        let working = ScriptedTarget::start(vec![Step::Respond(OK)]).await;
+        let instance = Instance::start(&[&working]).await;
+        let core = &instance.core;
+        core.record_neighbor_cut();
+        let checked = core.reach_checks();
+        core.record_failed_check(&checked[0].0, None);
+        if is_refuted {
+            let response = instance.send(&get("/safe/x", "a1")).await;
+            assert_eq!(status(&response), 200);
+        }
+        core.record_failed_check(&checked[0].0, None);
+        core.record_reach_round(false);
+        assert_eq!(core.is_cut_off(), is_cut_off, "{is_refuted}");
+    }
+}
