--- a/crates/sg-proxy/tests/proxy/late_connects.rs
+++ b/crates/sg-proxy/tests/proxy/late_connects.rs
@@ -10,7 +10,7 @@
 use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
     time::{sleep, timeout},
 };
 
@@ -47,9 +47,8 @@
     assert_eq!(status(&response), 200);
 }
 
-/// Guards against working connections that are closed for a connect that was only slow.
-#[tokio::test]
-async fn connect_that_is_late_closes_no_idle_connection() {
+/// Starts an instance that has an idle connection to its target, which accepts no further one.
+async fn start_with_full_queue() -> (Instance, TcpStream, impl Sized) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     let instance = Instance::start(&[]).await;
@@ -58,24 +57,53 @@
     let caller = instance.send(&request);
     let target = async {
         let (mut stream, _) = listener.accept().await.expect("a connection");
-        read(&mut stream).await.expect("a request");
-        let response = OK.replace("{id}", "a1");
-        stream
-            .write_all(response.as_bytes())
-            .await
-            .expect("a write");
+        respond(&mut stream, "a1").await;
         stream
     };
-    let (response, mut idle) = tokio::join!(caller, target);
+    let (response, idle) = tokio::join!(caller, target);
     assert_eq!(status(&response), 200);
-    let _filled = fill_queue(&SockRef::from(&listener), address);
+    let filled = fill_queue(&SockRef::from(&listener), address);
+    (instance, idle, (listener, filled))
+}
+
+async fn respond(stream: &mut TcpStream, id: &str) {
+    read(stream).await.expect("a request");
+    let response = OK.replace("{id}", id);
+    let written = stream.write_all(response.as_bytes()).await;
+    written.expect("a write");
+}
+
+/// Guards against working connections that are closed for a connect that was only slow.
+#[tokio::test]
+async fn connect_that_is_late_closes_no_idle_connection() {
+    let (instance, mut idle, _full) = start_with_full_queue().await;
     // A connection isn't used for the same id twice.
-    let response = instance.send(&request).await;
+    let response = instance.send(&get("/safe/x", "a1")).await;
     assert_eq!(status(&response), 503);
     let closed = timeout(Duration::from_millis(300), idle.read_u8()).await;
     assert!(closed.is_err(), "{closed:?}");
 }
 
+/// Guards against targets that are left out although they answer, and against none being left out.
+#[tokio::test]
+async fn connect_that_is_late_bans_no_target_that_answers_meanwhile() {
+    for (answers, banned) in [(true, 0), (false, 1)] {
+        let (instance, mut idle, _full) = start_with_full_queue().await;
+        let request = get("/safe/x", "a1");
+        let late = instance.send(&request);
+        let answered = async {
+            if answers {
+                let request = get("/safe/x", "a2");
+                let sent = tokio::join!(instance.send(&request), respond(&mut idle, "a2"));
+                assert_eq!(status(&sent.0), 200);
+            }
+        };
+        let (response, ()) = tokio::join!(late, answered);
+        assert_eq!(status(&response), 503);
+        assert_eq!(instance.core.targets_to_check(1).len(), banned, "{answers}");
+    }
+}
+
 /// Guards against a full link, over which open connections are answered, that is taken for a cut.
 #[tokio::test]
 async fn round_without_an_answer_confirms_no_cut_while_only_connects_are_late() {
