--- a/crates/sg-proxy/src/connections.rs
+++ b/crates/sg-proxy/src/connections.rs
@@ -4,6 +4,7 @@
 //! closes the connection, so that the target can stop the work.
 
 pub(crate) mod failure;
+mod opening;
 
 use std::{
     io,
@@ -21,16 +22,21 @@
 use sg_clock::Timer;
 use sg_types::prelude::*;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{net::TcpSocket, task::AbortHandle};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::AbortHandle,
+};
+
+pub use self::opening::Opening;
 
 use crate::{
     content::Outgoing,
     target_stream::{Link, TargetStream, filter::IdHash},
 };
 
-/// Time for which sent data may stay unacknowledged before the kernel closes the connection to a target,
-/// unless a large request is sent. The timeout detects a connection whose state was lost by a device in
-/// between, and is long enough for a link that loses a packet or two to recover.
+/// Usual time for which sent data may stay unacknowledged before the kernel closes the connection to a target.
+/// The timeout detects a connection whose state was lost by a device in between, and is long enough for a link
+/// that loses a packet or two to recover. [`Timeouts::silence`] replaces it for a request.
 pub const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Idle time before the kernel sends a keepalive probe, and interval between probes.
 pub const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -53,6 +59,9 @@
     /// No byte of the request can have reached the target.
     #[error("could not send the request to the target: {0}")]
     NotSent(io::Error),
+    /// The connection was not open in time. It may still open; no byte of the request was sent.
+    #[error("the connection to the target is late")]
+    Late(Opening),
     /// The request may no longer be sent to the target; no byte of it was sent.
     #[error("the target takes no more requests")]
     Withdrawn,
@@ -80,11 +89,34 @@
     };
 }
 
+/// Time limits of a send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timeouts {
+    /// Time to open a connection.
+    pub connect: Span,
+    /// Time for which the target may acknowledge nothing of what was sent, or answer no keepalive probe, before
+    /// the kernel closes the connection.
+    pub silence: Span,
+}
+
+impl Timeouts {
+    /// Creates time limits that detect a dead connection early.
+    #[must_use]
+    pub fn with_connect(connect: Span) -> Self {
+        Self {
+            connect,
+            silence: TCP_USER_TIMEOUT.into(),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     sender: SendRequest<Outgoing>,
     task: AbortHandle,
     link: Link,
+    /// Time that it took to open the connection, if it has carried no request.
+    connect_time: Option<Span>,
     since: Instant,
     timeout: Span,
 }
@@ -114,6 +146,7 @@
 pub struct ConnectionPool {
     timer: Timer,
     idle: Mutex<Idle>,
+    awaited: opening::Awaited,
     options: Options,
     counters: Counters,
 }
@@ -187,7 +220,7 @@
 #[derive(Debug)]
 pub struct Connection {
     address: SocketAddr,
-    /// Time that it took to open the connection; `None` if the connection is reused.
+    /// Time that it took to open the connection; `None` if the connection has carried other requests.
     connect_time: Option<Span>,
     sender: Option<SendRequest<Outgoing>>,
     task: AbortHandle,
@@ -233,6 +266,7 @@
         Self {
             timer,
             idle: Mutex::default(),
+            awaited: opening::Awaited::default(),
             options,
             counters,
         }
@@ -242,37 +276,33 @@
     /// a new connection is open, because that takes a while.
     ///
     /// # Errors
-    /// Returns [`SendError::NotSent`] and [`SendError::Withdrawn`] only if no byte of the request was sent.
+    /// Returns [`SendError::NotSent`], [`SendError::Late`] and [`SendError::Withdrawn`] only if no byte of the
+    /// request was sent.
     pub async fn send(
         &self,
         address: SocketAddr,
         mut request: Request<Outgoing>,
         reuse: ReusePolicy,
-        connect_timeout: Span,
+        timeouts: Timeouts,
         may_send: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         let id = request.headers().get(&self.options.id_header).cloned();
         let id = id.as_ref().map(HeaderValue::as_bytes);
         while let Some(mut connection) = self.take_idle(address, reuse, id.map(IdHash::new)) {
-            match connection.try_send(request, id).await {
+            match connection.try_send(request, id, timeouts.silence).await {
                 Ok(response) => return Ok((response, connection)),
                 Err((_, Some(unsent))) => request = unsent,
                 Err((cause, None)) => {
-                    return Err(SendError::Lost {
-                        cause,
-                        is_new: false,
-                    });
+                    let is_new = connection.connect_time.is_some();
+                    return Err(SendError::Lost { cause, is_new });
                 }
             }
         }
-        let mut connection = self
-            .open(address, connect_timeout)
-            .await
-            .map_err(SendError::NotSent)?;
+        let mut connection = self.open(address, timeouts.connect).await?;
         if !may_send() {
             return Err(SendError::Withdrawn);
         }
-        match connection.try_send(request, id).await {
+        match connection.try_send(request, id, timeouts.silence).await {
             Ok(response) => Ok((response, connection)),
             Err((error, Some(_))) => Err(SendError::NotSent(io::Error::other(error))),
             Err((cause, None)) => Err(SendError::Lost {
@@ -285,6 +315,11 @@
     /// Returns a connection to the pool once its response is complete. `stated_timeout` is the idle
     /// timeout that the target stated.
     pub fn put_back(&self, mut connection: Connection, stated_timeout: Option<Span>) {
+        connection.connect_time = None;
+        self.keep(connection, stated_timeout);
+    }
+
+    fn keep(&self, mut connection: Connection, stated_timeout: Option<Span>) {
         let Some(sender) = connection.sender.take() else {
             return;
         };
@@ -295,6 +330,7 @@
             sender,
             task: connection.task.clone(),
             link: connection.link.clone(),
+            connect_time: connection.connect_time,
             since: self.timer.now(),
             timeout: stated_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |stated| {
                 stated.mul_f64(IDLE_TIMEOUT_FRACTION)
@@ -343,7 +379,7 @@
             if now.since(idle.since) < idle.timeout && idle.sender.is_ready() {
                 return Some(Connection {
                     address,
-                    connect_time: None,
+                    connect_time: idle.connect_time,
                     sender: Some(idle.sender),
                     task: idle.task,
                     link: idle.link,
@@ -354,20 +390,43 @@
         None
     }
 
-    async fn open(&self, address: SocketAddr, timeout: Span) -> io::Result<Connection> {
-        let started = self.timer.now();
-        let deadline = started + timeout;
-        let connect = async {
-            let socket = TcpSocket::new_v4()?;
-            configure_socket(&SockRef::from(&socket))?;
-            if let Some(source) = self.options.source {
-                socket.bind(SocketAddr::new(source, 0))?;
-            }
-            socket.connect(address).await
+    /// Waits until a connection that was late is open, at most until `timeout` after the start of the attempt,
+    /// and keeps the connection for a request. Returns how long it took.
+    ///
+    /// # Errors
+    /// Returns the error of the system, or [`io::ErrorKind::TimedOut`].
+    pub async fn finish(&self, mut opening: Opening, timeout: Span) -> io::Result<Span> {
+        let stream = opening.wait(&self.timer, timeout).await;
+        let stream = stream.unwrap_or(Err(io::ErrorKind::TimedOut.into()))?;
+        let connection = self.establish(stream, &opening).await?;
+        let connect_time = connection.connect_time.unwrap_or_default();
+        self.keep(connection, None);
+        Ok(connect_time)
+    }
+
+    async fn open(&self, address: SocketAddr, timeout: Span) -> Result<Connection, SendError> {
+        let socket = self.socket().map_err(SendError::NotSent)?;
+        let mut opening = Opening::start(&self.timer, socket, address);
+        let stream = match opening.wait(&self.timer, timeout).await {
+            Some(opened) => opened.map_err(SendError::NotSent)?,
+            None if opening.note(&self.awaited) => return Err(SendError::Late(opening)),
+            None => return Err(SendError::NotSent(io::ErrorKind::TimedOut.into())),
         };
-        let stream = self.timer.until(deadline, connect).await;
-        let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        let connect_time = self.timer.now().since(started);
+        let connection = self.establish(stream, &opening).await;
+        connection.map_err(SendError::NotSent)
+    }
+
+    fn socket(&self) -> io::Result<TcpSocket> {
+        let socket = TcpSocket::new_v4()?;
+        configure_socket(&SockRef::from(&socket))?;
+        if let Some(source) = self.options.source {
+            socket.bind(SocketAddr::new(source, 0))?;
+        }
+        Ok(socket)
+    }
+
+    async fn establish(&self, stream: TcpStream, opening: &Opening) -> io::Result<Connection> {
+        let connect_time = self.timer.now().since(opening.started());
         self.counters.opened.inc();
         let link = Link::new(self.options.id_header.clone());
         let passed_over = self.counters.passed_over.clone();
@@ -382,7 +441,7 @@
             }
         });
         Ok(Connection {
-            address,
+            address: opening.address(),
             connect_time: Some(connect_time),
             sender: Some(sender),
             task: task.abort_handle(),
@@ -422,6 +481,7 @@
         &mut self,
         request: Request<Outgoing>,
         id: Option<&[u8]>,
+        silence: Span,
     ) -> Result<Response<Incoming>, (hyper::Error, Unsent)> {
         let sender = self
             .sender
@@ -429,7 +489,7 @@
             .expect("sender is only taken when the connection returns to the pool");
         let length = request.body().size_hint().exact();
         self.link
-            .expect(id, request.method() == Method::HEAD, length);
+            .expect(id, request.method() == Method::HEAD, length, silence);
         sender.try_send_request(request).await.map_err(|mut error| {
             let unsent = error.take_message();
             (error.into_error(), unsent)
--- a/crates/sg-proxy/src/reach.rs
+++ b/crates/sg-proxy/src/reach.rs
@@ -1,13 +1,23 @@
 //! Finds out whether this instance has lost its paths to all targets.
 
-use std::net::SocketAddr;
+use std::io;
 
 use rand::seq::{IndexedRandom, SliceRandom};
-use sg_place::{Target, member::Member};
+use sg_place::{
+    Target,
+    member::Member,
+    reach::{Cause, FAILURE_LIFETIME},
+};
 use sg_types::prelude::*;
 
-use crate::{Core, state::State};
+use crate::{
+    Core, Dialect,
+    connections::{Opening, SendError},
+    state::State,
+};
 
+/// Time for which a connection that is late is waited for. After that, its lateness counts no more either.
+const LATE_CONNECT_TIMEOUT: Span = FAILURE_LIFETIME;
 /// Maximum number of failure domains in which a target is checked in one round.
 const MAX_CHECKED_DOMAINS: usize = 8;
 
@@ -68,25 +78,32 @@
         self.state.lock().reach.record_neighbor_cut(now);
     }
 
-    /// Records that `target` could not be reached, or did not respond. `is_new` says whether the request
-    /// had a connection of its own.
-    pub(crate) fn record_unanswered(&self, target: &Target, is_new: bool) {
+    /// Records that `target` could not be reached, or did not respond. `cause` is how the connection failed
+    /// that was opened for the request; `None` if the request had an open one.
+    pub(crate) fn record_unanswered(&self, target: &Target, cause: Option<Cause>) {
         let now = self.timer.now();
         let mut state = self.state.lock();
         state
             .reach
             .record_unanswered(&target.id, &target.domain, now);
-        if is_new {
+        if let Some(cause) = cause {
             state
                 .reach
-                .record_unreached(&target.id, &target.domain, now);
+                .record_unreached(&target.id, &target.domain, cause, now);
         }
     }
 
-    /// Returns a target of each failure domain for a round of health checks, with its address and the path
-    /// to request, while this instance may be cut off from all targets.
+    /// Returns a time limit that is usually `usual`, and longer if connections to targets have lately taken long to
+    /// open.
     #[must_use]
-    pub fn reach_checks(&self) -> Vec<(id::Target, SocketAddr, Arc<str>)> {
+    pub fn stretch(&self, usual: Span) -> Span {
+        let now = self.timer.now();
+        self.state.lock().reach.stretch(usual, now)
+    }
+
+    /// Returns a target of each failure domain for a round of health checks, with the path to request, while this instance may be cut off from all targets.
+    #[must_use]
+    pub fn reach_checks(&self) -> Vec<(Target, Arc<str>)> {
         let Some(catalog) = self.catalog() else {
             return Vec::new();
         };
@@ -105,7 +122,7 @@
             if let Some(member) = state.member_mut(&target.id) {
                 member.rate_limit.take(now);
             }
-            checks.push((target.id, target.address, service.health_path.clone()));
+            checks.push((target, service.health_path.clone()));
         }
         checks
     }
@@ -118,19 +135,26 @@
         }
         let now = self.timer.now();
         let mut state = self.state.lock();
+        let evidence = state.reach.evidence(now);
         let Some(since) = state.reach.record_failed_round(now) else {
             return;
         };
         state.quarantine.forget_losses(None, since);
         drop(state);
-        log::warn!("cut off from all targets");
+        log::warn!(
+            connects_timed_out = evidence.connects_timed_out,
+            connects_failed = evidence.connects_failed,
+            unanswered = evidence.unanswered,
+            response_age_ms = evidence.response_age.map(Span::as_millis);
+            "cut off from all targets"
+        );
     }
 
     /// Records that a target responded on a new connection.
     pub fn record_reached(&self) {
         let now = self.timer.now();
         let mut state = self.state.lock();
-        let Some(since) = state.reach.record_reached() else {
+        let Some(since) = state.reach.record_reached(now) else {
             return;
         };
         for pool in state.pools.values_mut() {
@@ -140,3 +164,80 @@
         log::info!(after_ms = now.since(since).as_millis(); "targets reached again");
     }
 }
+
+impl<D: Dialect> Core<D> {
+    /// Records that a health check of `target` in a round got no response, for the reason `error` if nothing was
+    /// sent. The check counts for nothing if the suspicion was refuted meanwhile: busy targets fail checks as well.
+    pub fn record_failed_check(self: &Arc<Self>, target: &Target, error: Option<SendError>) {
+        let now = self.timer.now();
+        if self.state.lock().reach.suspected_since(now).is_none() {
+            return;
+        }
+        match error {
+            Some(error) => self.record_send_failure(target, error, now),
+            None => self.record_unanswered(target, None),
+        }
+    }
+
+    /// Records that a send to `target` failed at `now`. A connection that is late is waited for further, and the
+    /// failure is withdrawn if the connection opens after all.
+    pub(crate) fn record_send_failure(
+        self: &Arc<Self>,
+        target: &Target,
+        error: SendError,
+        now: Instant,
+    ) {
+        match error {
+            SendError::Late(opening) => {
+                self.record_unanswered(target, Some(Cause::ConnectTimedOut));
+                tokio::spawn(finish_late(self.clone(), target.clone(), opening, now));
+            }
+            SendError::NotSent(error) if error.kind() == io::ErrorKind::TimedOut => {
+                self.record_unanswered(target, Some(Cause::ConnectTimedOut));
+            }
+            SendError::NotSent(_) => {
+                self.record_unanswered(target, Some(Cause::ConnectFailed));
+                self.connections.close_idle(target.address);
+            }
+            SendError::Lost { is_new, .. } => {
+                self.record_unanswered(target, is_new.then_some(Cause::NoResponse));
+            }
+            SendError::Withdrawn => {}
+        }
+    }
+
+    /// Waits for a late connection to another instance, so that a further request can use it.
+    pub(crate) fn keep_late_connection(self: &Arc<Self>, opening: Opening) {
+        let core = self.clone();
+        tokio::spawn(async move {
+            if let Err(error) = core.connections.finish(opening, LATE_CONNECT_TIMEOUT).await {
+                log::debug!(error:% = error; "instance not reached");
+            }
+        });
+    }
+}
+
+/// Waits for a late connection to `target`. If the connection opens, withdraws the failure, and the ban of the
+/// time `failed_at`; otherwise closes the idle connections.
+async fn finish_late<D: Dialect>(
+    core: Arc<Core<D>>,
+    target: Target,
+    opening: Opening,
+    failed_at: Instant,
+) {
+    let started = opening.started();
+    match core.connections.finish(opening, LATE_CONNECT_TIMEOUT).await {
+        Ok(_) => {
+            let now = core.timer.now();
+            let mut state = core.state.lock();
+            state.reach.record_late_connect(&target.id, started, now);
+            if let Some(member) = state.member_mut(&target.id) {
+                member.lift_ban(failed_at, now);
+            }
+        }
+        Err(error) => {
+            log::debug!(target_id:% = target.id, error:% = error; "connection did not open");
+            core.connections.close_idle(target.address);
+        }
+    }
+}
--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -9,7 +9,7 @@
     Body, Core, Dialect,
     attempt::{self, Call},
     body::Cut,
-    connections::{Connection, ReusePolicy, SendError, failure::Failure},
+    connections::{Connection, ReusePolicy, SendError, Timeouts, failure::Failure},
     content::Outgoing,
     dialect::{ForwardInfo, Verdict},
     open_sends::Abandonment,
@@ -18,7 +18,7 @@
 };
 
 /// Timeout for opening a connection, several times the longest latency between regions.
-pub(crate) const CONNECT_TIMEOUT: Span = Span::from_millis(300);
+const CONNECT_TIMEOUT: Span = Span::from_millis(300);
 /// Maximum idle time of a connection that is reused for a request that must not be repeated. The
 /// target can't have closed the connection for idleness after so short a time.
 const NON_IDEMPOTENT_MAX_IDLE: Span = Span::from_millis(1_500);
@@ -137,7 +137,7 @@
     if !matches!(outcome, SendOutcome::TimedOut) {
         record_outcome(core, call, service, choice, &outcome, started);
     } else if !abandonment.is_set() {
-        core.record_unanswered(&choice.target, false);
+        core.record_unanswered(&choice.target, None);
     }
     outcome
 }
@@ -151,7 +151,7 @@
         member.record_outcome(TargetOutcome::Late, senders, now);
     }
     drop(state);
-    core.record_unanswered(target, false);
+    core.record_unanswered(target, None);
 }
 
 /// Updates the state with the outcome of a send.
@@ -190,7 +190,7 @@
                 );
             }
         }
-        SendOutcome::Unsent | SendOutcome::Misdirected => {
+        SendOutcome::Misdirected => {
             let pool = state.pool(service);
             if let Some(member) = pool.member_mut(&choice.target.id) {
                 member.ban(now);
@@ -259,13 +259,15 @@
         .forwarded_headers(&call.head.headers, &forward_info);
     let request = build_request(call.head, call.content.outgoing(), headers);
     // A body that is sent while it is read can't be sent again if the target has just closed the connection.
-    let reuse = reuse_policy(call.route.idempotent && !call.content.is_streamed());
+    let is_repeatable = call.route.idempotent && !call.content.is_streamed();
+    let reuse = reuse_policy(is_repeatable);
+    let timeouts = timeouts(core, is_repeatable, call.deadline.since(now));
     let may_send =
         || core.may_send(&choice.target) && attempt::ends_before_stop(core, call, choice);
     let address = choice.target.address;
     let sent = core
         .connections
-        .send(address, request, reuse, CONNECT_TIMEOUT, may_send);
+        .send(address, request, reuse, timeouts, may_send);
     let sent = tokio::select! {
         sent = sent => sent,
         () = call.content.stalled(call.catalog.limits.head_timeout) => {
@@ -274,9 +276,9 @@
     };
     let (response, connection) = match sent {
         Ok(sent) => sent,
-        Err(error) => return record_send_error(core, call, choice, &error),
+        Err(error) => return record_send_error(core, call, choice, error),
     };
-    record_contact(core, choice, &connection);
+    record_contact(core, choice, &connection, now);
     let count = connection.passed_over();
     if count > 0 && core.log_limiter.admit(core.timer.now()) {
         log::info!(request = call.id.as_ref(), target_id:% = choice.target.id, count; "foreign answers passed over");
@@ -285,28 +287,29 @@
 }
 
 /// Records that a send received no response, and returns its outcome.
-fn record_send_error<D>(
-    core: &Core<D>,
+fn record_send_error<D: Dialect>(
+    core: &Arc<Core<D>>,
     call: &Call<'_>,
     choice: &Choice,
-    error: &SendError,
+    error: SendError,
 ) -> SendOutcome {
-    if let Some(failure) = Failure::of_send(error) {
+    if let Some(failure) = Failure::of_send(&error) {
         core.record_connection_failure(call, choice, failure);
     }
-    match error {
-        SendError::NotSent(_) => {
-            core.record_unanswered(&choice.target, true);
+    let now = core.timer.now();
+    let outcome = match error {
+        SendError::NotSent(_) | SendError::Late(_) => {
+            if let Some(member) = core.state.lock().member_mut(&choice.target.id) {
+                member.ban(now);
+            }
             SendOutcome::Unsent
         }
         SendError::Withdrawn => SendOutcome::Withdrawn,
-        SendError::Lost { is_new, .. } => {
-            if !call.content.is_broken() {
-                core.record_unanswered(&choice.target, *is_new);
-            }
-            SendOutcome::Lost
-        }
-    }
+        SendError::Lost { .. } if call.content.is_broken() => return SendOutcome::Lost,
+        SendError::Lost { .. } => SendOutcome::Lost,
+    };
+    core.record_send_failure(&choice.target, error, now);
+    outcome
 }
 
 impl<D> Core<D> {
@@ -323,17 +326,32 @@
     }
 }
 
-/// Records that the target responded.
-fn record_contact<D>(core: &Core<D>, choice: &Choice, connection: &Connection) {
+/// Records that the target responded to a request of the time `sent_at`.
+fn record_contact<D>(core: &Core<D>, choice: &Choice, connection: &Connection, sent_at: Instant) {
     let connect_time = connection.connect_time();
+    let now = core.timer.now();
     let mut state = core.state.lock();
-    state.reach.record_response(connect_time.is_some());
+    state
+        .reach
+        .record_response(connect_time.is_some(), sent_at, now);
     if let Some(connect_time) = connect_time {
+        state.reach.record_connect(connect_time, now);
         let round_trips = &mut state.location.round_trips;
         round_trips.record(&choice.target.domain, connect_time.as_secs_f64());
     }
 }
 
+/// Returns the time limits of a send that has `remaining` time. A silent connection is given up early only if the
+/// request can be sent again: otherwise its target may be at work, and the link may only be slow.
+pub(crate) fn timeouts<D>(core: &Core<D>, is_repeatable: bool, remaining: Span) -> Timeouts {
+    let usual = Timeouts::with_connect(CONNECT_TIMEOUT);
+    let silence = match is_repeatable && !core.is_draining() {
+        true => core.stretch(usual.silence),
+        false => usual.silence.max(remaining),
+    };
+    Timeouts { silence, ..usual }
+}
+
 /// Returns the limit on idle connections for a request.
 pub(crate) const fn reuse_policy(is_idempotent: bool) -> ReusePolicy {
     if is_idempotent {
--- a/crates/sg-proxy/tests/proxy/relays.rs
+++ b/crates/sg-proxy/tests/proxy/relays.rs
@@ -2,13 +2,13 @@
 
 use std::{
     net::SocketAddr,
-    sync::atomic::Ordering,
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
 use sg_types::prelude::Span;
-use socket2::{Domain, Socket, Type};
-use tokio::{io::AsyncWriteExt, time::sleep};
+use socket2::{Domain, SockRef, Socket, Type};
+use tokio::{io::AsyncWriteExt, task::JoinSet, time::sleep};
 
 use crate::harness::{
     Instance, KEY, OK, ScriptedTarget, Step, catalog_with_added_route, get, header, post, status,
@@ -16,13 +16,13 @@
 };
 
 /// Address that refuses connections, and that no other socket gets.
-struct RefusingAddress {
-    address: SocketAddr,
+pub struct RefusingAddress {
+    pub address: SocketAddr,
     _bound: Socket,
 }
 
 impl RefusingAddress {
-    fn new() -> Self {
+    pub fn new() -> Self {
         let (bound, address) = bound_socket();
         Self {
             address,
@@ -40,29 +40,42 @@
 }
 
 /// Address at which connection attempts get no answer, because its queue of connections is full.
-struct HangingAddress {
-    address: SocketAddr,
-    _listener: Socket,
+pub struct HangingAddress {
+    pub address: SocketAddr,
+    listener: Socket,
     _queued: Vec<Socket>,
 }
 
+/// Fills the queue of connections of a listener. Returns the connections; the last ones are in progress.
+pub fn fill_queue(listener: &SockRef<'_>, address: SocketAddr) -> Vec<Socket> {
+    listener.listen(0).expect("a listener");
+    let queued = (0..4).map(|_| {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.set_nonblocking(true).expect("a socket");
+        let _ = socket.connect(&address.into());
+        socket
+    });
+    queued.collect()
+}
+
 impl HangingAddress {
-    fn new() -> Self {
+    pub fn new() -> Self {
         let (listener, address) = bound_socket();
-        listener.listen(0).expect("a listener");
-        let queued = (0..4).map(|_| {
-            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-            socket.set_nonblocking(true).expect("a socket");
-            // The connection is in progress; the first ones fill the queue.
-            let _ = socket.connect(&address.into());
-            socket
-        });
         Self {
             address,
-            _queued: queued.collect(),
-            _listener: listener,
+            _queued: fill_queue(&SockRef::from(&listener), address),
+            listener,
         }
     }
+
+    /// Makes room for connections, which a target accepts. The system repeats attempts that got no answer after
+    /// a second.
+    pub fn accept(self) -> ScriptedTarget {
+        self.listener.set_nonblocking(true).expect("a listener");
+        self.listener.listen(64).expect("a listener");
+        let listener = tokio::net::TcpListener::from_std(self.listener.into());
+        ScriptedTarget::start_on(listener.expect("a listener"), vec![Step::Respond(OK)])
+    }
 }
 
 /// Starts an instance that is known to be cut off, with hanging targets.
@@ -158,6 +171,35 @@
     assert_eq!((status(&response), working.count()), (503, 0));
 }
 
+/// Guards against a request that is given up, or refused, by an instance that stops although a further one can
+/// finish it.
+#[tokio::test]
+async fn request_goes_on_to_an_instance_that_can_finish_it() {
+    for (name, stop, is_refusing) in [("short stop", 500, false), ("no new requests", 5_000, true)]
+    {
+        let working = ScriptedTarget::start(vec![Step::RespondAfter(700, OK)]).await;
+        let stopping = Instance::start(&[&working]).await;
+        let peer = Instance::start(&[&working]).await;
+        stopping.drain_for(Span::from_millis(stop));
+        if is_refusing {
+            stopping.core.refuse_new_requests();
+        }
+        let hanging = hanging_targets();
+        let instance = cut_off_instance(&hanging).await;
+        instance.set_peers(&[stopping.address, peer.address]);
+        let mut sends = JoinSet::new();
+        let instance = Arc::new(instance);
+        for index in 0..8 {
+            let instance = instance.clone();
+            let request = post("/once/x", &format!("a{index}"), "body");
+            sends.spawn(async move { status(&instance.send(&request).await) });
+        }
+        let statuses = sends.join_all().await;
+        assert_eq!(statuses, [200; 8], "{name}");
+        assert_eq!(working.count(), 8, "{name}");
+    }
+}
+
 #[tokio::test]
 async fn other_instance_checks_the_key_and_takes_the_token() {
     let working = ScriptedTarget::start(vec![Step::Respond(OK)]).await;
