test(sg-proxy): responses whose framing never ends beside other requests

The table of floods gains lines of chunk sizes, white space, extensions, trailers and interim responses without an end, written in pieces of 64 KiB.

--- a/crates/sg-proxy/tests/proxy/endless.rs
+++ b/crates/sg-proxy/tests/proxy/endless.rs
@@ -1,19 +1,30 @@
 //! Targets that send bytes without end: in a head, in a body, at once or as a trickle.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant},
+};
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    runtime::Runtime,
+    task::JoinSet,
+    time::sleep,
+};
 
 use crate::harness::{Instance, OK, ScriptedTarget, Step, get, header, post, status};
 
 /// The deadline of the test's requests, with a margin for a busy machine.
 const LATEST_END: Duration = Duration::from_millis(1_800);
+/// The time in which the instance answers a request without a target, and closes an abandoned connection, on a
+/// busy machine.
+const LONGEST_WAIT: Duration = Duration::from_millis(400);
 
 fn floods() -> Vec<Step> {
     let length = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-length: 99999999999\r\n\r\n";
     let by_close = "HTTP/1.1 200 OK\r\nid: {id}\r\n\r\n";
     let chunked = "HTTP/1.1 200 OK\r\nid: {id}\r\ntransfer-encoding: chunked\r\n\r\n";
-    vec![
+    let mut floods = vec![
         Step::Flood(
             "HTTP/1.1 200 OK\r\nid: {id}\r\n",
             "x: yyyyyyyyyyyyyyyy\r\n",
@@ -27,9 +38,35 @@
         Step::Flood(length, "yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy", 0),
         Step::Flood(chunked, "10\r\nyyyyyyyyyyyyyyyy\r\n", 0),
         Step::Flood(chunked, "1\r\ny\r\n", 20),
+        Step::Flood("", "HTTP/1.1 100 Continue\r\n\r\n", 5),
+    ];
+    floods.extend(framing_floods());
+    floods
+}
+
+/// Floods of bytes that frame a response and hold no data.
+fn framing_floods() -> Vec<Step> {
+    const CHUNKED: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ntransfer-encoding: chunked\r\n\r\n";
+    let coded = "HTTP/1.1 200 OK\r\nid: {id}\r\ntransfer-encoding: gzip, Chunked\r\n\r\n";
+    let spaces = "HTTP/1.1 200 OK\r\nid: {id}\r\ntransfer-encoding: chunked\r\n\r\n1";
+    let extension = "HTTP/1.1 200 OK\r\nid: {id}\r\ntransfer-encoding: chunked\r\n\r\n1;";
+    let trailers = "HTTP/1.1 200 OK\r\nid: {id}\r\ntransfer-encoding: chunked\r\n\r\n0\r\n";
+    let sparse = format!("{}1\r\ny\r\n", "0".repeat(1 << 10));
+    vec![
+        Step::Flood(CHUNKED, "0", 0),
+        Step::Flood(coded, "0", 0),
+        Step::Flood(spaces, " ", 0),
+        Step::Flood(extension, "x", 0),
+        Step::Flood(trailers, "x: y\r\n", 0),
+        Step::Flood(CHUNKED, leak(sparse), 0),
+        Step::Flood("", "HTTP/1.1 100 Continue\r\n\r\n", 0),
     ]
 }
 
+fn leak(text: String) -> &'static str {
+    Box::leak(text.into_boxed_str())
+}
+
 /// Sends a request and reads, without keeping the bytes. Returns the first kilobytes, the last bytes and the
 /// number of bytes.
 async fn read_through(instance: &Instance, request: &str) -> (String, Vec<u8>, usize) {
@@ -81,7 +118,7 @@
         let target = ScriptedTarget::start(vec![flood.clone()]).await;
         let instance = Instance::start(&[&target]).await;
         read_through(&instance, &post("/once/x", "a1", "body")).await;
-        tokio::time::sleep(Duration::from_millis(200)).await;
+        sleep(Duration::from_millis(200)).await;
         assert_eq!(target.closed_floods(), 1, "{flood:?}");
     }
 }
@@ -90,7 +127,8 @@
 /// target.
 #[tokio::test]
 async fn idempotent_request_is_served_by_another_target() {
-    for flood in [floods().swap_remove(0), floods().swap_remove(3)] {
+    let heads = [floods().swap_remove(0), floods().swap_remove(3)];
+    for flood in heads.into_iter().chain(framing_floods()) {
         let faulty = ScriptedTarget::start(vec![flood.clone()]).await;
         let sound = ScriptedTarget::start(vec![Step::Respond(OK)]).await;
         let instance = Instance::start(&[&faulty, &sound]).await;
@@ -104,3 +142,44 @@
         assert!(faulty.count() < 10, "held responsible: {flood:?}");
     }
 }
+
+/// Guards against a thread that reads the responses of a few targets and serves nothing else, and against
+/// connections that are read after their callers left.
+#[tokio::test]
+async fn responses_without_end_keep_no_other_request_waiting() {
+    let elsewhere = Runtime::new().expect("a runtime");
+    for flood in framing_floods() {
+        let mut targets = Vec::new();
+        for _ in 0..15 {
+            let target = elsewhere.spawn(ScriptedTarget::start(vec![flood.clone()]));
+            targets.push(target.await.expect("a target"));
+        }
+        let instance = Arc::new(Instance::start(&targets.iter().collect::<Vec<_>>()).await);
+        let mut callers = JoinSet::new();
+        for caller in 0..60 {
+            let instance = instance.clone();
+            callers.spawn(async move {
+                for index in 0.. {
+                    let request = post("/once/x", &format!("a{caller}-{index}"), "body");
+                    read_through(&instance, &request).await;
+                    sleep(Duration::from_millis(10)).await;
+                }
+            });
+        }
+        sleep(Duration::from_millis(100)).await;
+        for _ in 0..10 {
+            let started = Instant::now();
+            let response = instance.send(&get("/nowhere", "b1")).await;
+            let elapsed = started.elapsed();
+            assert_eq!(status(&response), 404);
+            assert!(elapsed < LONGEST_WAIT, "{elapsed:?}: {flood:?}");
+        }
+        callers.shutdown().await;
+        sleep(LONGEST_WAIT).await;
+        for target in targets {
+            let opened = target.connections.load(Ordering::SeqCst);
+            assert_eq!(target.closed_floods(), opened, "still open: {flood:?}");
+        }
+    }
+    elsewhere.shutdown_background();
+}
--- a/crates/sg-proxy/tests/proxy/harness.rs
+++ b/crates/sg-proxy/tests/proxy/harness.rs
@@ -41,6 +41,9 @@
 /// Size of a send buffer that does not take a whole large response.
 const SMALL_SEND_BUFFER: usize = 32 << 10;
 
+/// Size of a write of a flood without pauses.
+const FLOOD_WRITE: usize = 64 << 10;
+
 /// Behaviour of a scripted target for one request.
 #[derive(Debug, Clone)]
 pub enum Step {
@@ -187,7 +190,10 @@
 /// Writes `first`, then `again` without end, until the connection is closed.
 async fn flood(stream: &mut TcpStream, first: &str, again: &str, pause_millis: u64) {
     // Fewer, larger writes keep the test short.
-    let again = again.repeat(if pause_millis == 0 { 512 } else { 1 });
+    let again = match pause_millis {
+        0 => again.repeat(FLOOD_WRITE / again.len()),
+        _ => again.to_owned(),
+    };
     let mut bytes = first.as_bytes();
     while stream.write_all(bytes).await.is_ok() {
         bytes = again.as_bytes();
