test(sg-proxy): requests whose framing never ends beside other requests

The same flood from callers: beside 60 callers whose chunk-size line never ends the instance took 14.3 s for a 404 of its own, where 0.4 s are allowed; with that bound taken out, a run had no end in 10 minutes.

--- a/crates/sg-proxy/tests/proxy/endless.rs
+++ b/crates/sg-proxy/tests/proxy/endless.rs
@@ -1,12 +1,14 @@
 //! Targets that send bytes without end: in a head, in a body, at once or as a trickle.
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
     runtime::Runtime,
     task::JoinSet,
     time::sleep,
@@ -16,6 +18,8 @@
 
 /// The deadline of the test's requests, with a margin for a busy machine.
 const LATEST_END: Duration = Duration::from_millis(1_800);
+/// The deadline, and the time for which a connection lingers while its caller still sends.
+const LATEST_CLOSE: Duration = Duration::from_millis(1_800 + 5_000);
 /// The time in which the instance answers a request without a target, and closes an abandoned connection, on a
 /// busy machine.
 const LONGEST_WAIT: Duration = Duration::from_millis(400);
@@ -147,6 +151,17 @@
     }
 }
 
+/// Checks that the instance answers requests that need no target in time.
+async fn assert_serves_others(instance: &Instance, flood: &str) {
+    for _ in 0..10 {
+        let started = Instant::now();
+        let response = instance.send(&get("/nowhere", "b1")).await;
+        let elapsed = started.elapsed();
+        assert_eq!(status(&response), 404);
+        assert!(elapsed < LONGEST_WAIT, "{elapsed:?}: {flood}");
+    }
+}
+
 /// Guards against a thread that reads the responses of a few targets and serves nothing else, and against
 /// connections that are read after their callers left.
 #[tokio::test]
@@ -171,13 +186,7 @@
             });
         }
         sleep(Duration::from_millis(100)).await;
-        for _ in 0..10 {
-            let started = Instant::now();
-            let response = instance.send(&get("/nowhere", "b1")).await;
-            let elapsed = started.elapsed();
-            assert_eq!(status(&response), 404);
-            assert!(elapsed < LONGEST_WAIT, "{elapsed:?}: {flood:?}");
-        }
+        assert_serves_others(&instance, &format!("{flood:?}")).await;
         callers.shutdown().await;
         sleep(LONGEST_WAIT).await;
         for target in targets {
@@ -187,3 +196,60 @@
     }
     elsewhere.shutdown_background();
 }
+
+/// Sends a request whose end never comes. Returns the response, and the time until the connection was closed.
+async fn flood(address: SocketAddr, first: &str, again: &str) -> (String, Duration) {
+    let started = Instant::now();
+    let stream = TcpStream::connect(address).await.expect("a connection");
+    let (mut reader, mut writer) = stream.into_split();
+    let (first, again) = (first.to_owned(), again.repeat((64 << 10) / again.len()));
+    let writing = tokio::spawn(async move {
+        let mut bytes = first.as_bytes();
+        while writer.write_all(bytes).await.is_ok() {
+            bytes = again.as_bytes();
+        }
+    });
+    let mut response = Vec::new();
+    let _ = reader.read_to_end(&mut response).await;
+    writing.await.expect("a writer");
+    let response = String::from_utf8_lossy(&response).into_owned();
+    (response, started.elapsed())
+}
+
+/// Guards against a thread that reads the requests of a few callers and serves nothing else.
+#[tokio::test]
+async fn requests_without_end_keep_no_other_request_waiting() {
+    let head = "POST /once/x HTTP/1.1\r\nhost: h\r\nid: a1\r\ndeadline: 1000\r\n\
+                transfer-encoding: chunked\r\n\r\n";
+    let sparse = format!("{}1\r\ny\r\n", "0".repeat(1 << 10));
+    let elsewhere = Runtime::new().expect("a runtime");
+    for (first, again) in [
+        (format!("{head}0"), "0"),
+        (format!("{head}1"), " "),
+        (format!("{head}1;"), "x"),
+        (format!("{head}0\r\n"), "x: y\r\n"),
+        (head.to_owned(), sparse.as_str()),
+        (String::new(), "\r\n"),
+    ] {
+        let target = ScriptedTarget::start(vec![Step::Respond(OK)]).await;
+        let instance = Instance::start(&[&target]).await;
+        let address = instance.address;
+        let mut callers = JoinSet::new();
+        for _ in 0..60 {
+            let (first, again) = (first.clone(), again.to_owned());
+            callers.spawn_on(
+                async move { flood(address, &first, &again).await },
+                elsewhere.handle(),
+            );
+        }
+        sleep(Duration::from_millis(100)).await;
+        assert_serves_others(&instance, again).await;
+        while let Some(end) = callers.join_next().await {
+            let (response, elapsed) = end.expect("a caller");
+            assert!(elapsed < LATEST_CLOSE, "{elapsed:?}: {again:?}");
+            assert!(!response.starts_with("HTTP/1.1 2"), "{again:?}");
+        }
+        assert_eq!(target.count(), 0, "{again:?}");
+    }
+    elsewhere.shutdown_background();
+}
