fix(sg-proxy): bound what frames a caller's request

Callers saw: beside a few callers whose chunk-size line never ends, the instance answered nobody and heeded no deadline.

Change: the framing of bodies in chunks moves to a module of its own, and the read-ahead of callers' connections follows it with the bounds that responses have: 16 KiB, and four bytes for each byte of data. Beyond it the body is broken, and the request is refused as not run.

--- a/crates/sg-proxy/src/lib.rs
+++ b/crates/sg-proxy/src/lib.rs
@@ -10,6 +10,7 @@
 mod attempt;
 pub mod body;
 pub mod callers;
+mod chunks;
 pub mod connections;
 pub mod content;
 pub mod core;
--- a/crates/sg-proxy/src/stream/ahead.rs
+++ b/crates/sg-proxy/src/stream/ahead.rs
@@ -5,6 +5,8 @@
 use bytes::{Buf, BytesMut};
 use sg_types::prelude::*;
 
+use crate::chunks::Framing;
+
 /// Resolution of the recorded read times. Bytes that are read within this span share one record, so that a
 /// caller that sends single bytes does not cost a multiple of its bytes.
 const TIME_RESOLUTION: Span = Span::from_millis(25);
@@ -19,7 +21,7 @@
     /// The body of a request, of which so many bytes are left.
     Body(u64),
     /// A body of unknown length. Bytes behind the body are not told apart from it.
-    ChunkedBody,
+    ChunkedBody(Framing),
     /// A request that waits for the response to the request before it.
     Next,
 }
@@ -77,6 +79,11 @@
         self.part
     }
 
+    /// Returns whether the body has more framing than its data allows, and may have no end.
+    pub fn is_endless(&self) -> bool {
+        matches!(self.part, Part::ChunkedBody(framing) if !framing.is_within_bounds())
+    }
+
     /// Returns the time at which the first byte of an incomplete head was read.
     pub fn head_since(&self) -> Option<Instant> {
         self.head_since
@@ -131,7 +138,7 @@
         let skipped = match self.part {
             Part::Head | Part::Next => 0,
             Part::Body(left) => usize::try_from(left).unwrap_or(usize::MAX),
-            Part::ChunkedBody => return false,
+            Part::ChunkedBody(_) => return false,
         };
         let bytes = self.bytes.get(skipped..);
         bytes.is_some_and(|bytes| head_length(bytes).is_some())
@@ -159,7 +166,11 @@
                 };
                 count
             }
-            Part::ChunkedBody => available,
+            Part::ChunkedBody(mut framing) => {
+                framing.follow(&self.bytes[..available]);
+                self.part = Part::ChunkedBody(framing);
+                available
+            }
             Part::Next => 0,
         };
         if count > 0 {
--- a/crates/sg-proxy/src/stream/mod.rs
+++ b/crates/sg-proxy/src/stream/mod.rs
@@ -379,6 +379,10 @@
             .progress
             .ahead
             .take(max, |bytes| buffer.put_slice(bytes));
+        if state.progress.ahead.is_endless() {
+            let error = "the end of a request can't be found within the bounds";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
+        }
         if count > 0 || state.progress.is_at_end() {
             return Poll::Ready(Ok(()));
         }
--- a/crates/sg-proxy/src/stream/progress.rs
+++ b/crates/sg-proxy/src/stream/progress.rs
@@ -3,6 +3,7 @@
 use sg_types::prelude::*;
 
 use super::ahead::{Ahead, Part};
+use crate::chunks::Framing;
 
 /// Time in which a request whose body ends early may be refused before its connection ends.
 const REFUSAL_TIME: Span = Span::from_millis(250);
@@ -141,7 +142,7 @@
         self.ahead.start(match length {
             Some(0) => Part::Next,
             Some(length) => Part::Body(length),
-            None => Part::ChunkedBody,
+            None => Part::ChunkedBody(Framing::chunks()),
         });
         Arrival { read_at, behind }
     }
--- a/crates/sg-proxy/src/target_stream/filter.rs
+++ b/crates/sg-proxy/src/target_stream/filter.rs
@@ -7,18 +7,14 @@
 
 use http::HeaderName;
 
-use super::framing::{BodyLength, Head, Parsed, Rest, Step};
-use crate::connections::MAX_HEAD_BYTES;
+use super::framing::{BodyLength, Head, Parsed};
+use crate::{
+    chunks::{Framing, Rest, Step},
+    connections::MAX_HEAD_BYTES,
+};
 
 /// Maximum size of the responses that are passed over for one request.
 const MAX_PASSED_OVER_BYTES: u64 = 1 << 20;
-/// Maximum number of bytes that frame the response to a request: interim responses, lines with the sizes of
-/// chunks, trailers. Each byte of data allows [`FRAMING_PER_DATA_BYTE`] more.
-const MAX_FRAMING_BYTES: u64 = 16 << 10;
-/// Number of bytes that may frame a byte of data. A chunk with one byte has three before its data.
-const FRAMING_PER_DATA_BYTE: u64 = 4;
-/// Maximum number of interim responses to a request.
-const MAX_INTERIM_RESPONSES: u64 = 32;
 /// Number of requests that a connection remembers.
 const MAX_CARRIED: usize = 128;
 
@@ -50,39 +46,12 @@
     Pass,
     /// The head of a response comes next.
     Head,
-    /// The rest of the response to the request in flight comes next, in chunks.
-    Body(Rest),
     /// The rest of a foreign response comes next.
     Discard(Rest),
-    /// The end of a response can't be found within the bounds.
+    /// The end of a foreign response can't be found.
     Failed,
 }
 
-/// What was read of the response to the request in flight.
-#[derive(Debug, Clone, Copy, Default)]
-struct Volume {
-    interim_responses: u64,
-    framing_bytes: u64,
-    data_bytes: u64,
-}
-
-impl Volume {
-    fn record(&mut self, rest: Rest, count: usize) {
-        let bytes = if rest.is_data() {
-            &mut self.data_bytes
-        } else {
-            &mut self.framing_bytes
-        };
-        *bytes += count as u64;
-    }
-
-    fn is_within_bounds(&self) -> bool {
-        let data_allows = self.data_bytes.saturating_mul(FRAMING_PER_DATA_BYTE);
-        self.interim_responses <= MAX_INTERIM_RESPONSES
-            && self.framing_bytes <= MAX_FRAMING_BYTES.saturating_add(data_allows)
-    }
-}
-
 /// Whose a response is.
 enum Owner {
     Request,
@@ -105,7 +74,8 @@
     /// Responses passed over for the request in flight, and their bytes.
     passed_over: u64,
     passed_over_bytes: u64,
-    volume: Volume,
+    /// Framing of the response to the request in flight.
+    framing: Framing,
 }
 
 impl Filter {
@@ -122,7 +92,7 @@
             carried: VecDeque::new(),
             passed_over: 0,
             passed_over_bytes: 0,
-            volume: Volume::default(),
+            framing: Framing::default(),
         }
     }
 
@@ -138,7 +108,7 @@
         }
         self.passed_over = 0;
         self.passed_over_bytes = 0;
-        self.volume = Volume::default();
+        self.framing = Framing::default();
         self.id = id.map(<[u8]>::to_vec);
         // What is left came after the response to the last request.
         self.ready = 0;
@@ -160,13 +130,13 @@
     /// Returns whether bytes can be read past the filter, which is told of them by [`Filter::pass`].
     #[must_use]
     pub fn is_open(&self) -> bool {
-        matches!(self.state, State::Pass | State::Body(_)) && self.bytes.is_empty()
+        self.state == State::Pass && self.bytes.is_empty()
     }
 
     /// Returns whether the end of a response can't be found within the bounds.
     #[must_use]
     pub fn has_failed(&self) -> bool {
-        self.state == State::Failed
+        self.state == State::Failed || !self.framing.is_within_bounds()
     }
 
     /// Adds bytes that were read.
@@ -175,12 +145,8 @@
     }
 
     /// Examines bytes that were read past the filter.
-    pub fn pass(&mut self, mut bytes: &[u8]) {
-        while let State::Body(rest) = self.state
-            && !bytes.is_empty()
-        {
-            bytes = &bytes[self.follow(rest, bytes)..];
-        }
+    pub fn pass(&mut self, bytes: &[u8]) {
+        self.framing.follow(bytes);
     }
 
     /// Passes everything through, because no more bytes come.
@@ -218,18 +184,13 @@
     fn step(&mut self) -> bool {
         match self.state {
             State::Pass => {
+                self.framing.follow(&self.bytes[self.ready..]);
                 self.ready = self.bytes.len();
                 false
             }
+            _ if self.has_failed() || self.ready == self.bytes.len() => false,
             State::Failed => false,
-            _ if self.ready == self.bytes.len() => false,
             State::Head => self.step_head(),
-            State::Body(rest) => {
-                let bytes = std::mem::take(&mut self.bytes);
-                self.ready += self.follow(rest, &bytes[self.ready..]);
-                self.bytes = bytes;
-                true
-            }
             State::Discard(rest) => self.step_discard(rest),
         }
     }
@@ -253,43 +214,20 @@
         match owner {
             Owner::Request if is_interim => {
                 self.ready += length;
-                self.volume.interim_responses += 1;
-                self.volume.framing_bytes += length as u64;
-                self.check_volume();
+                self.framing.record_interim_response(length);
             }
-            Owner::Request if has_chunks => {
+            Owner::Request => {
                 self.ready += length;
-                self.state = State::Body(Rest::CHUNKS);
+                self.state = State::Pass;
+                if has_chunks {
+                    self.framing.start_chunks();
+                }
             }
-            Owner::Request => self.state = State::Pass,
             Owner::Other => self.pass_over(length, body),
         }
         true
     }
 
-    /// Follows the body of the response to the request in flight by one step. Returns the number of bytes.
-    fn follow(&mut self, rest: Rest, bytes: &[u8]) -> usize {
-        match rest.step(bytes) {
-            Step::Consumed(count, next) => {
-                self.volume.record(rest, count);
-                self.state = next.map_or(State::Pass, State::Body);
-                self.check_volume();
-                count
-            }
-            // The HTTP library reports what is wrong.
-            Step::Invalid => {
-                self.state = State::Pass;
-                0
-            }
-        }
-    }
-
-    fn check_volume(&mut self) {
-        if !self.volume.is_within_bounds() {
-            self.state = State::Failed;
-        }
-    }
-
     fn owner(&self, head: &Head<'_>) -> Owner {
         match head.id {
             _ if self.id.is_none() => Owner::Request,
