fix(sg-proxy): wait behind a few bytes that are no response

Callers saw: 502 for a request at work, because its target had written bytes that are no response in front of its own response on a kept connection; in a stop too.

Cause: what couldn't be parsed went to the HTTP library at once, which breaks the connection.

Change: on a connection on which the target has named a request, up to 4 KiB of such bytes are held back. If a complete head follows, what came before that head is discarded; the id tells whose the response is, as with any other. Otherwise the library gets all bytes at the end of the stream, or with the first byte over 4 KiB, and breaks the connection as before. What it costs: a request that isn't idempotent and whose target answers with a little garbage on such a connection gets 504 at its deadline, where it got 502 at once; an idempotent one leaves by its patience. On connections without a named response nothing changes.

--- a/crates/sg-proxy/src/target_stream/filter.rs
+++ b/crates/sg-proxy/src/target_stream/filter.rs
@@ -15,6 +15,10 @@
 
 /// Maximum size of the responses that are passed over for one request.
 const MAX_PASSED_OVER_BYTES: u64 = 1 << 20;
+/// Maximum number of bytes that are no response, in front of the response to a request.
+const MAX_SURPLUS_BYTES: usize = 4 << 10;
+/// Start of the head of a response.
+const HEAD_START: &[u8] = b"HTTP/1.";
 /// Number of requests that a connection remembers.
 const MAX_CARRIED: usize = 128;
 
@@ -199,6 +203,7 @@
         let bytes = &self.bytes[self.ready..];
         let head = match Head::parse(bytes, &self.id_header) {
             Parsed::Partial if bytes.len() <= MAX_HEAD_BYTES => return false,
+            Parsed::Invalid if self.waits_behind_surplus() => return self.skip_surplus(),
             // The HTTP library reports what is wrong.
             Parsed::Partial | Parsed::Invalid => {
                 self.state = State::Pass;
@@ -228,6 +233,29 @@
         true
     }
 
+    /// Returns whether the response may follow bytes that are none. A target that has named requests on the
+    /// connection names the one in flight, too, so that its response is found by the id.
+    fn waits_behind_surplus(&self) -> bool {
+        let is_short = self.bytes.len() - self.ready <= MAX_SURPLUS_BYTES;
+        is_short && self.id.is_some() && self.names_requests
+    }
+
+    /// Discards the bytes before the next head, if one has begun. The bytes are kept until then, for the HTTP
+    /// library to judge if no head follows.
+    fn skip_surplus(&mut self) -> bool {
+        let bytes = &self.bytes[self.ready..];
+        let starts = bytes.windows(HEAD_START.len()).enumerate().skip(1);
+        let mut starts = starts.filter(|(_, window)| *window == HEAD_START);
+        let head = starts.find_map(|(at, _)| match Head::parse(&bytes[at..], &self.id_header) {
+            Parsed::Complete(_) => Some(at),
+            Parsed::Partial | Parsed::Invalid => None,
+        });
+        if let Some(at) = head {
+            self.discard(at);
+        }
+        head.is_some()
+    }
+
     fn owner(&self, head: &Head<'_>) -> Owner {
         match head.id {
             _ if self.id.is_none() => Owner::Request,
--- a/crates/sg-proxy/tests/proxy/foreign.rs
+++ b/crates/sg-proxy/tests/proxy/foreign.rs
@@ -117,13 +117,36 @@
 /// Guards against a send that ends because of bytes that are no response, in front of its own.
 #[tokio::test]
 async fn late_bytes_that_are_no_response_end_no_request_at_work() {
-    for surplus in ["surplus", "surplus\r\n\r\n", "HTTP/1.1 200 OK\r\n"] {
+    for surplus in [
+        "surplus",
+        "surplus\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n",
+        "surplus HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfake",
+    ] {
         let steps = vec![Step::Respond(OK), Step::RespondTwice(surplus, 10, OK)];
         let target = ScriptedTarget::start(steps).await;
         let instance = Instance::start(&[&target]).await;
         instance.send(&get("/safe/x", "a1")).await;
         let response = instance.send(&post("/once/x", "a2", "body")).await;
         assert_eq!((status(&response), target.count()), (200, 2), "{surplus:?}");
+        assert!(response.ends_with("\r\n\r\nfine"), "{surplus:?}");
+    }
+}
+
+/// Guards against a wait behind bytes that are no response for as long as they come, and against a second run.
+#[tokio::test]
+async fn bytes_that_are_no_response_are_waited_behind_only_while_they_are_few() {
+    let few = Step::Respond("surplus");
+    for (step, expected) in [(Step::Flood("", "surplus", 0), 502), (few, 504)] {
+        let target = ScriptedTarget::start(vec![Step::Respond(OK), step.clone()]).await;
+        let instance = Instance::start(&[&target]).await;
+        instance.send(&get("/safe/x", "a1")).await;
+        let response = instance.send(&post("/once/x", "a2", "body")).await;
+        assert_eq!(
+            (status(&response), target.count()),
+            (expected, 2),
+            "{step:?}"
+        );
     }
 }
 
