--- a/crates/sg-proxy/src/stream/ahead.rs
+++ b/crates/sg-proxy/src/stream/ahead.rs
@@ -79,6 +79,11 @@
         self.part
     }
 
+    /// Returns whether the body has more framing than its data allows, and may have no end.
+    pub fn is_endless(&self) -> bool {
+        matches!(self.part, Part::Chunks(chunks) if chunks.is_endless())
+    }
+
     /// Returns the time at which the first byte of an incomplete head was read.
     pub fn head_since(&self) -> Option<Instant> {
         self.head_since
--- a/crates/sg-proxy/src/stream/chunks.rs
+++ b/crates/sg-proxy/src/stream/chunks.rs
@@ -1,5 +1,7 @@
 //! End of a request's body in chunks.
 
+use crate::chunks::Framing;
+
 /// Maximum length of the line with the size of a chunk, without its end.
 const MAX_SIZE_DIGITS: usize = 15;
 /// End of a line.
@@ -29,6 +31,8 @@
     part: Part,
     /// Number of the next bytes that belong to the body up to `part`.
     known: usize,
+    /// Framing of the bytes that were taken.
+    framing: Framing,
 }
 
 impl Chunks {
@@ -37,6 +41,7 @@
         Self {
             part: Part::Size,
             known: 0,
+            framing: Framing::chunks(),
         }
     }
 
@@ -55,9 +60,15 @@
         }
         let count = available.min(self.known);
         self.known -= count;
+        self.framing.follow(&bytes[..count]);
         count
     }
 
+    /// Returns whether the body has more framing than its data allows, and may have no end.
+    pub fn is_endless(&self) -> bool {
+        !self.framing.is_within_bounds()
+    }
+
     /// Returns whether all bytes of the body were taken.
     pub fn is_taken(&self) -> bool {
         self.part == Part::Complete && self.known == 0
