fix(sg-proxy): a late connect bans no target that answers meanwhile

What callers saw: on a full link targets were left out, although their open connections were answered, and requests were unsent or went elsewhere. Cause: a connect over 300 ms banned its target, and counted as a lost request. Change: neither, if the target has responded since the connect started. The limits of a send have a module of their own.

--- a/crates/sg-place/src/member.rs
+++ b/crates/sg-place/src/member.rs
@@ -134,6 +134,8 @@
     /// When the ban began, if failures of sends are the only reason for the required check.
     banned_at: Option<Instant>,
     check_required: bool,
+    /// When the target last responded, with success or not.
+    responded_at: Option<Instant>,
     warm_objects: Vec<(Object, Instant)>,
 }
 
@@ -161,6 +163,7 @@
             banned_until: Instant::START,
             banned_at: None,
             check_required: false,
+            responded_at: None,
             warm_objects: Vec::new(),
         }
     }
@@ -397,6 +400,9 @@
         self.last_failure_rate =
             self.failure_rate(now) * (1.0 - FAILURE_SMOOTHING) + failed * FAILURE_SMOOTHING;
         self.failure_rate_at = now;
+        if !matches!(outcome, TargetOutcome::Late | TargetOutcome::Lost) {
+            self.responded_at = Some(now);
+        }
         self.pause.record_end(matches!(
             outcome,
             TargetOutcome::Answered | TargetOutcome::Failed
@@ -438,25 +444,25 @@
         self.banned_at = Some(now);
     }
 
-    /// Lifts the ban of the time `banned_at`, because its reason turned out to be none.
-    pub fn lift_ban(&mut self, banned_at: Instant, now: Instant) {
-        if self.banned_at == Some(banned_at) {
-            self.end_ban(now);
-        }
+    /// Returns whether the target responded to a request at `since` or later.
+    #[must_use]
+    pub fn has_responded_since(&self, since: Instant) -> bool {
+        self.responded_at.is_some_and(|at| at >= since)
     }
 
-    fn end_ban(&mut self, now: Instant) {
-        self.banned_at = None;
-        self.banned_until = now;
-        self.consecutive_bans = 0;
-        self.check_required = false;
+    /// Lifts a ban that began at `since` or later, because its reason turned out to be none.
+    pub fn lift_ban(&mut self, since: Instant, now: Instant) {
+        if self.banned_at.is_some_and(|at| at >= since) {
+            self.banned_at = None;
+            self.banned_until = now;
+            self.consecutive_bans = 0;
+            self.check_required = false;
+        }
     }
 
     /// Forgets the failures since `since`, because this instance and not the target caused them.
     pub fn forget_failures(&mut self, since: Instant, now: Instant) {
-        if self.banned_at.is_some_and(|at| at >= since) {
-            self.end_ban(now);
-        }
+        self.lift_ban(since, now);
         if self.failure_rate_at >= since {
             self.last_failure_rate = 0.0;
             self.limit = Limit::default();
--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -413,6 +413,8 @@
         | SendOutcome::Lost
         | SendOutcome::Foreign => TargetOutcome::Lost,
         SendOutcome::TimedOut | SendOutcome::Abandoned => TargetOutcome::Late,
-        SendOutcome::Withdrawn | SendOutcome::BodyBroken => TargetOutcome::Unknown,
+        SendOutcome::ConnectLate | SendOutcome::Withdrawn | SendOutcome::BodyBroken => {
+            TargetOutcome::Unknown
+        }
     }
 }
--- a/crates/sg-proxy/src/connections.rs
+++ b/crates/sg-proxy/src/connections.rs
@@ -4,6 +4,7 @@
 //! closes the connection, so that the target can stop the work.
 
 pub(crate) mod failure;
+mod limits;
 mod opening;
 
 use std::{
@@ -27,7 +28,10 @@
     task::AbortHandle,
 };
 
-pub use self::opening::Opening;
+pub use self::{
+    limits::{ReusePolicy, Timeouts},
+    opening::Opening,
+};
 
 use crate::{
     content::Outgoing,
@@ -59,9 +63,14 @@
     /// No byte of the request can have reached the target.
     #[error("could not send the request to the target: {0}")]
     NotSent(io::Error),
-    /// The connection was not open in time. It may still open; no byte of the request was sent.
+    /// The connection was not open in time; no byte of the request was sent.
     #[error("the connection to the target is late")]
-    Late(Opening),
+    Late {
+        /// When the attempt started.
+        started: Instant,
+        /// The connection, which may still open; `None` if another one to the target is late already.
+        opening: Option<Opening>,
+    },
     /// The request may no longer be sent to the target; no byte of it was sent.
     #[error("the target takes no more requests")]
     Withdrawn,
@@ -75,41 +84,6 @@
     },
 }
 
-/// Limits which idle connections a request may use.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ReusePolicy {
-    /// Maximum time for which the connection may have been idle.
-    pub max_idle: Span,
-}
-
-impl ReusePolicy {
-    /// Allows any connection that the target still keeps open.
-    pub const ANY: Self = Self {
-        max_idle: Span::from_secs(3_600),
-    };
-}
-
-/// Time limits of a send.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Timeouts {
-    /// Time to open a connection.
-    pub connect: Span,
-    /// Time for which the target may acknowledge nothing of what was sent, or answer no keepalive probe, before
-    /// the kernel closes the connection.
-    pub silence: Span,
-}
-
-impl Timeouts {
-    /// Creates time limits that detect a dead connection early.
-    #[must_use]
-    pub fn with_connect(connect: Span) -> Self {
-        Self {
-            connect,
-            silence: TCP_USER_TIMEOUT.into(),
-        }
-    }
-}
-
 #[derive(Debug)]
 struct IdleConnection {
     sender: SendRequest<Outgoing>,
@@ -409,8 +383,7 @@
         let mut opening = Opening::start(&self.timer, socket, address);
         let stream = match opening.wait(&self.timer, timeout).await {
             Some(opened) => opened.map_err(SendError::NotSent)?,
-            None if opening.note(&self.awaited) => return Err(SendError::Late(opening)),
-            None => return Err(SendError::NotSent(io::ErrorKind::TimedOut.into())),
+            None => return Err(opening.into_late(&self.awaited)),
         };
         let connection = self.establish(stream, &opening).await;
         connection.map_err(SendError::NotSent)
--- a/crates/sg-proxy/src/connections/failure.rs
+++ b/crates/sg-proxy/src/connections/failure.rs
@@ -39,7 +39,7 @@
     pub fn of_send(error: &SendError) -> Option<Self> {
         let (stage, error) = match error {
             SendError::NotSent(error) => (Stage::Connect, label(error)),
-            SendError::Late(_) => (Stage::Connect, label(&io::ErrorKind::TimedOut.into())),
+            SendError::Late { .. } => (Stage::Connect, label(&io::ErrorKind::TimedOut.into())),
             SendError::Withdrawn => return None,
             SendError::Lost { cause, .. } => (Stage::Head, http_label(cause)),
         };
--- a/crates/sg-proxy/src/connections/opening.rs
+++ b/crates/sg-proxy/src/connections/opening.rs
@@ -10,6 +10,8 @@
     task::JoinHandle,
 };
 
+use super::SendError;
+
 /// Addresses whose late connections are waited for, at most one connection each.
 pub(super) type Awaited = Arc<Mutex<IndexSet<SocketAddr>>>;
 
@@ -65,10 +67,13 @@
         Some(opened.unwrap_or_else(|error| Err(io::Error::other(error))))
     }
 
-    /// Notes that the connection is late. Returns false if another one to the address is late as well.
-    pub(super) fn note(&mut self, awaited: &Awaited) -> bool {
+    /// Returns the error of a send for which the connection is late, with the connection unless another one to the
+    /// address is late already.
+    pub(super) fn into_late(mut self, awaited: &Awaited) -> SendError {
+        let started = self.started;
         let is_only = awaited.lock().insert(self.address);
         self.awaited = is_only.then(|| awaited.clone());
-        is_only
+        let opening = is_only.then_some(self);
+        SendError::Late { started, opening }
     }
 }
--- a/crates/sg-proxy/src/history.rs
+++ b/crates/sg-proxy/src/history.rs
@@ -29,7 +29,9 @@
                 self.may_have_run = true;
                 self.failure = Some(response);
             }
-            SendOutcome::Unsent | SendOutcome::Withdrawn => self.connect_failures += 1,
+            SendOutcome::Unsent | SendOutcome::ConnectLate | SendOutcome::Withdrawn => {
+                self.connect_failures += 1;
+            }
             SendOutcome::Shed | SendOutcome::Misdirected => self.sends += 1,
             SendOutcome::Lost
             | SendOutcome::Foreign
--- a/crates/sg-proxy/src/reach.rs
+++ b/crates/sg-proxy/src/reach.rs
@@ -188,9 +188,11 @@
         now: Instant,
     ) {
         match error {
-            SendError::Late(opening) => {
+            SendError::Late { opening, .. } => {
                 self.record_unanswered(target, Some(Cause::ConnectTimedOut));
-                tokio::spawn(finish_late(self.clone(), target.clone(), opening, now));
+                if let Some(opening) = opening {
+                    tokio::spawn(finish_late(self.clone(), target.clone(), opening, now));
+                }
             }
             SendError::NotSent(error) if error.kind() == io::ErrorKind::TimedOut => {
                 self.record_unanswered(target, Some(Cause::ConnectTimedOut));
@@ -207,7 +209,10 @@
     }
 
     /// Waits for a late connection to another instance, so that a further request can use it.
-    pub(crate) fn keep_late_connection(self: &Arc<Self>, opening: Opening) {
+    pub(crate) fn keep_late_connection(self: &Arc<Self>, opening: Option<Opening>) {
+        let Some(opening) = opening else {
+            return;
+        };
         let core = self.clone();
         tokio::spawn(async move {
             if let Err(error) = core.connections.finish(opening, LATE_CONNECT_TIMEOUT).await {
--- a/crates/sg-proxy/src/relay.rs
+++ b/crates/sg-proxy/src/relay.rs
@@ -168,7 +168,7 @@
     }
     let (response, connection) = match sent {
         Ok(sent) => sent,
-        Err(SendError::Late(opening)) => {
+        Err(SendError::Late { opening, .. }) => {
             log::debug!(other:% = peer.instance; "connection late");
             core.keep_late_connection(opening);
             return Err(Failure::NotSent);
--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -31,6 +31,8 @@
     Failed(Response<Body>),
     /// No byte of the request was sent.
     Unsent,
+    /// No byte of the request was sent, because a new connection is late; the target responds on others.
+    ConnectLate,
     /// The target takes no more requests since it was chosen; no byte of the request was sent.
     Withdrawn,
     /// The target refused the request for lack of capacity; the request did not run.
@@ -58,7 +60,7 @@
     pub const fn is_not_run(&self) -> bool {
         matches!(
             self,
-            Self::Unsent | Self::Withdrawn | Self::Shed | Self::Misdirected
+            Self::Unsent | Self::ConnectLate | Self::Withdrawn | Self::Shed | Self::Misdirected
         )
     }
 
@@ -68,7 +70,7 @@
         match self {
             Self::Answered(_) => "answered",
             Self::Failed(_) => "failed",
-            Self::Unsent => "unsent",
+            Self::Unsent | Self::ConnectLate => "unsent",
             Self::Withdrawn => "withdrawn",
             Self::Shed => "shed",
             Self::Misdirected => "misdirected",
@@ -288,12 +290,7 @@
     }
     let now = core.timer.now();
     let outcome = match error {
-        SendError::NotSent(_) | SendError::Late(_) => {
-            if let Some(member) = core.state.lock().member_mut(&choice.target.id) {
-                member.ban(now);
-            }
-            SendOutcome::Unsent
-        }
+        SendError::NotSent(_) | SendError::Late { .. } => record_unsent(core, choice, &error, now),
         SendError::Withdrawn => SendOutcome::Withdrawn,
         SendError::Lost { .. } if call.content.is_broken() => return SendOutcome::Lost,
         SendError::Lost { .. } => SendOutcome::Lost,
@@ -302,6 +299,28 @@
     outcome
 }
 
+/// Bans a target that nothing could be sent to, unless it responded while a connection was late.
+fn record_unsent<D>(
+    core: &Core<D>,
+    choice: &Choice,
+    error: &SendError,
+    now: Instant,
+) -> SendOutcome {
+    let connect_started = match error {
+        SendError::Late { started, .. } => *started,
+        _ => now,
+    };
+    let mut state = core.state.lock();
+    let Some(member) = state.member_mut(&choice.target.id) else {
+        return SendOutcome::Unsent;
+    };
+    if member.has_responded_since(connect_started) {
+        return SendOutcome::ConnectLate;
+    }
+    member.ban(now);
+    SendOutcome::Unsent
+}
+
 impl<D> Core<D> {
     /// Counts a failed connection to a target, and logs its error.
     fn record_connection_failure(&self, call: &Call<'_>, choice: &Choice, failure: Failure) {
