fix(sg-proxy): wait for late connections as long as said, and close none that work

Cause: the kernel's limit of 1.5 s counts the time to connect too, so that a late connection failed before its 3 s; then the idle connections of its target were closed, although the target responded on them. Change: sockets get their limit once they are open; idle connections stay if the target has responded since the attempt began.

--- a/crates/sg-proxy/src/connections.rs
+++ b/crates/sg-proxy/src/connections.rs
@@ -391,7 +391,6 @@
 
     fn socket(&self) -> io::Result<TcpSocket> {
         let socket = TcpSocket::new_v4()?;
-        configure_socket(&SockRef::from(&socket))?;
         if let Some(source) = self.options.source {
             socket.bind(SocketAddr::new(source, 0))?;
         }
@@ -400,6 +399,8 @@
 
     async fn establish(&self, stream: TcpStream, opening: &Opening) -> io::Result<Connection> {
         let connect_time = self.timer.now().since(opening.started());
+        // The kernel counts the time to connect toward its limit too.
+        configure_socket(&SockRef::from(&stream))?;
         self.counters.opened.inc();
         let link = Link::new(self.options.id_header.clone());
         let passed_over = self.counters.passed_over.clone();
--- a/crates/sg-proxy/src/reach.rs
+++ b/crates/sg-proxy/src/reach.rs
@@ -101,7 +101,8 @@
         self.state.lock().reach.stretch(usual, now)
     }
 
-    /// Returns a target of each failure domain for a round of health checks, with the path to request, while this instance may be cut off from all targets.
+    /// Returns a target of each failure domain for a round of health checks, with the path to request, while this
+    /// instance may be cut off from all targets.
     #[must_use]
     pub fn reach_checks(&self) -> Vec<(Target, Arc<str>)> {
         let Some(catalog) = self.catalog() else {
@@ -222,8 +223,8 @@
     }
 }
 
-/// Waits for a late connection to `target`. If the connection opens, withdraws the failure, and the ban of the
-/// time `failed_at`; otherwise closes the idle connections.
+/// Waits for a late connection to `target`. If the connection opens, withdraws the failure, and the ban that began
+/// at `failed_at`; otherwise closes the idle connections, unless the target has responded on one of them.
 async fn finish_late<D: Dialect>(
     core: Arc<Core<D>>,
     target: Target,
@@ -231,18 +232,21 @@
     failed_at: Instant,
 ) {
     let started = opening.started();
-    match core.connections.finish(opening, LATE_CONNECT_TIMEOUT).await {
-        Ok(_) => {
-            let now = core.timer.now();
-            let mut state = core.state.lock();
-            state.reach.record_late_connect(&target.id, started, now);
-            if let Some(member) = state.member_mut(&target.id) {
-                member.lift_ban(failed_at, now);
-            }
-        }
-        Err(error) => {
-            log::debug!(target_id:% = target.id, error:% = error; "connection did not open");
+    let opened = core.connections.finish(opening, LATE_CONNECT_TIMEOUT).await;
+    let now = core.timer.now();
+    let mut state = core.state.lock();
+    if let Err(error) = opened {
+        log::debug!(target_id:% = target.id, error:% = error; "connection did not open");
+        let member = state.member_mut(&target.id);
+        let is_silent = member.is_none_or(|member| !member.has_responded_since(started));
+        drop(state);
+        if is_silent {
             core.connections.close_idle(target.address);
         }
+        return;
+    }
+    state.reach.record_late_connect(&target.id, started, now);
+    if let Some(member) = state.member_mut(&target.id) {
+        member.lift_ban(failed_at, now);
     }
 }
--- a/crates/sg-proxy/tests/proxy/late_connects.rs
+++ b/crates/sg-proxy/tests/proxy/late_connects.rs
@@ -82,6 +82,14 @@
     assert_eq!(status(&response), 503);
     let closed = timeout(Duration::from_millis(300), idle.read_u8()).await;
     assert!(closed.is_err(), "{closed:?}");
+    // The connect fails after 3 s.
+    for id in ["a2", "a3", "a4", "a5"] {
+        let request = get("/safe/x", id);
+        let answered = async { tokio::join!(instance.send(&request), respond(&mut idle, id)).0 };
+        let response = timeout(Duration::from_secs(1), answered).await;
+        assert_eq!(status(&response.expect("an open connection")), 200);
+        sleep(Duration::from_millis(900)).await;
+    }
 }
 
 /// Guards against targets that are left out although they answer, and against none being left out.
