--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -589,8 +589,9 @@
         | SendOutcome::Lost
         | SendOutcome::Foreign => TargetOutcome::Lost,
         SendOutcome::TimedOut => TargetOutcome::Late,
-        SendOutcome::Withdrawn | SendOutcome::BodyBroken | SendOutcome::Abandoned => {
-            TargetOutcome::Unknown
-        }
+        SendOutcome::ConnectLate
+        | SendOutcome::Withdrawn
+        | SendOutcome::BodyBroken
+        | SendOutcome::Abandoned => TargetOutcome::Unknown,
     }
 }
--- a/crates/sg-proxy/src/connections.rs
+++ b/crates/sg-proxy/src/connections.rs
@@ -4,6 +4,7 @@
 //! closes the connection, so that the target can stop the work.
 
 pub(crate) mod failure;
+mod limits;
 mod opening;
 
 use std::{
@@ -28,7 +29,10 @@
     task::AbortHandle,
 };
 
-pub use self::opening::Opening;
+pub use self::{
+    limits::{ReusePolicy, Timeouts},
+    opening::Opening,
+};
 
 use crate::{
     content::Outgoing,
@@ -60,9 +64,14 @@
     /// No byte of the request can have reached the target.
     #[error("could not send the request to the target: {0}")]
     NotSent(io::Error),
-    /// The connection was not open in time. It may still open; no byte of the request was sent.
+    /// The connection was not open in time; no byte of the request was sent.
     #[error("the connection to the target is late")]
-    Late(Opening),
+    Late {
+        /// When the attempt started.
+        started: Instant,
+        /// The connection, which may still open; `None` if another one to the target is late already.
+        opening: Option<Opening>,
+    },
     /// The request may no longer be sent to the target; no byte of it was sent.
     #[error("the target takes no more requests")]
     Withdrawn,
@@ -76,41 +85,6 @@
     },
 }
 
-/// Limits which idle connections a request may use.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ReusePolicy {
-    /// Maximum time for which the connection may have been idle.
-    pub max_idle: Span,
-}
-
-impl ReusePolicy {
-    /// Allows any connection that the target still keeps open.
-    pub const ANY: Self = Self {
-        max_idle: Span::from_secs(3_600),
-    };
-}
-
-/// Time limits of a send.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Timeouts {
-    /// Time to open a connection.
-    pub connect: Span,
-    /// Time for which the target may acknowledge nothing of what was sent, or answer no keepalive probe, before
-    /// the kernel closes the connection.
-    pub silence: Span,
-}
-
-impl Timeouts {
-    /// Creates time limits that detect a dead connection early.
-    #[must_use]
-    pub fn with_connect(connect: Span) -> Self {
-        Self {
-            connect,
-            silence: TCP_USER_TIMEOUT.into(),
-        }
-    }
-}
-
 #[derive(Debug)]
 struct IdleConnection {
     sender: SendRequest<Outgoing>,
@@ -410,8 +384,7 @@
         let mut opening = Opening::start(&self.timer, socket, address);
         let stream = match opening.wait(&self.timer, timeout).await {
             Some(opened) => opened.map_err(SendError::NotSent)?,
-            None if opening.note(&self.awaited) => return Err(SendError::Late(opening)),
-            None => return Err(SendError::NotSent(io::ErrorKind::TimedOut.into())),
+            None => return Err(opening.into_late(&self.awaited)),
         };
         let connection = self.establish(stream, &opening).await;
         connection.map_err(SendError::NotSent)
@@ -419,7 +392,6 @@
 
     fn socket(&self) -> io::Result<TcpSocket> {
         let socket = TcpSocket::new_v4()?;
-        configure_socket(&SockRef::from(&socket))?;
         if let Some(source) = self.options.source {
             socket.bind(SocketAddr::new(source, 0))?;
         }
@@ -428,6 +400,8 @@
 
     async fn establish(&self, stream: TcpStream, opening: &Opening) -> io::Result<Connection> {
         let connect_time = self.timer.now().since(opening.started());
+        // The kernel counts the time to connect toward its limit too.
+        configure_socket(&SockRef::from(&stream))?;
         self.counters.opened.inc();
         let link = Link::new(self.options.id_header.clone());
         let passed_over = self.counters.passed_over.clone();
--- a/crates/sg-proxy/src/history.rs
+++ b/crates/sg-proxy/src/history.rs
@@ -31,7 +31,9 @@
                 self.may_have_run = true;
                 self.failure = Some(response);
             }
-            SendOutcome::Unsent | SendOutcome::Withdrawn => self.connect_failures += 1,
+            SendOutcome::Unsent | SendOutcome::ConnectLate | SendOutcome::Withdrawn => {
+                self.connect_failures += 1;
+            }
             SendOutcome::Shed | SendOutcome::Misdirected => self.sends += count,
             SendOutcome::Lost
             | SendOutcome::Foreign
