--- a/crates/sg-proxy/tests/proxy/stops.rs
+++ b/crates/sg-proxy/tests/proxy/stops.rs
@@ -9,6 +9,7 @@
 };
 use sg_types::prelude::*;
 use tokio::{
+    net::TcpListener,
     task::{JoinSet, yield_now},
     time::{sleep, timeout},
 };
@@ -377,3 +378,24 @@
     };
     assert!(timeout(LEFT, answered).await.is_ok());
 }
+
+/// A request whose target broke off must not be refused although another target would answer it: its caller can't
+/// tell whether it ran.
+#[tokio::test]
+async fn request_that_may_have_run_is_sent_again_in_a_stop_that_could_give_it_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let instance = Instance::start(&[]).await;
+    let address = listener.local_addr().expect("an address");
+    instance.core.upsert_target(target("t0", address));
+    let working = ScriptedTarget::start(vec![Step::Respond(OK)]).await;
+    let request = get("/safe/x", "a1");
+    let stop = async {
+        let (connection, _) = listener.accept().await.expect("a connection");
+        connection.peek(&mut [0]).await.expect("a request");
+        instance.core.upsert_target(target("t1", working.address));
+        instance.drain_for(Span::from_millis(60));
+        drop(connection);
+    };
+    let (response, ()) = tokio::join!(instance.send(&request), stop);
+    assert_eq!((status(&response), working.count()), (200, 1), "{response}");
+}
