fix(sg-proxy): send a request that may have run again whatever a stop leaves of its time

Callers saw: 502 some milliseconds after SIGTERM for requests whose target had broken off or been left, although another target would have answered.

Cause: the check of the stop refused the second send like a first one. A first one gets 503 and another instance serves it; one that may have run gets 502.

Change: the stop is checked for requests that did not run only. At the stop, the instance answers such a request with 502 all the same if need be.

--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -126,7 +126,11 @@
         let until = send_deadline(core, call, &choice, &history);
         call.may_have_run.store(true, Ordering::Relaxed);
         let may_abandon = || may_abandon(core, call, &service, &history.tried);
-        let outcome = send::send(core, call, &service, &choice, until, may_abandon).await;
+        let may_send = || {
+            core.may_send(&choice.target)
+                && (history.may_have_run || ends_before_stop(core, call, &choice))
+        };
+        let outcome = send::send(core, call, &service, &choice, until, may_abandon, may_send).await;
         if let Some(slot) = slot {
             slot.finish(core, call, &service, &choice, &outcome);
         }
@@ -205,8 +209,13 @@
     history: &History,
     arrived: Instant,
 ) -> Result<Choice, Refusal> {
-    let choice = choose_target(core, call, service, &history.tried)
-        .and_then(|choice| check_stop(core, call, choice));
+    let choice = choose_target(core, call, service, &history.tried).and_then(|choice| {
+        match history.may_have_run {
+            // The caller of a refused request could not tell whether it ran either.
+            true => Ok(choice),
+            false => check_stop(core, call, choice),
+        }
+    });
     let choice = match history.tried.is_empty() {
         true => price::check(core, call, service, arrived, choice),
         false => choice,
@@ -314,11 +323,7 @@
 
 /// Returns whether this instance does not stop, or a request that is sent now to the chosen target is expected to
 /// end before.
-pub(crate) fn ends_before_stop<D: Dialect>(
-    core: &Core<D>,
-    call: &Call<'_>,
-    choice: &Choice,
-) -> bool {
+fn ends_before_stop<D: Dialect>(core: &Core<D>, call: &Call<'_>, choice: &Choice) -> bool {
     let Some(stop_at) = core.stop_at() else {
         return true;
     };
--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -103,7 +103,7 @@
 
 /// Sends the request to the chosen target and waits for the complete response. At `until`, the
 /// request abandons the target if `may_abandon` returns true; otherwise it waits until its
-/// deadline.
+/// deadline. `may_send` is asked again once a new connection is open.
 pub async fn send<D: Dialect>(
     core: &Arc<Core<D>>,
     call: &Call<'_>,
@@ -111,6 +111,7 @@
     choice: &Choice,
     until: Instant,
     may_abandon: impl Fn() -> bool,
+    may_send: impl Fn() -> bool,
 ) -> SendOutcome {
     let mut in_flight = InFlight {
         core,
@@ -119,7 +120,7 @@
         outcome: TargetOutcome::Unknown,
     };
     let started = core.timer.now();
-    let mut exchange = std::pin::pin!(exchange(core, call, choice, started));
+    let mut exchange = std::pin::pin!(exchange(core, call, choice, started, may_send));
     let outcome = match core.timer.until(until, exchange.as_mut()).await {
         Ok(outcome) => outcome,
         Err(_) if until < call.deadline && may_abandon() => SendOutcome::Abandoned,
@@ -237,6 +238,7 @@
     call: &Call<'_>,
     choice: &Choice,
     now: Instant,
+    may_send: impl Fn() -> bool,
 ) -> SendOutcome {
     let deadline = call
         .caller_deadline
@@ -252,8 +254,6 @@
     let request = build_request(call.head, call.content.outgoing(), headers);
     // A body that is sent while it is read can't be sent again if the target has just closed the connection.
     let reuse = reuse_policy(call.route.idempotent && !call.content.is_streamed());
-    let may_send =
-        || core.may_send(&choice.target) && attempt::ends_before_stop(core, call, choice);
     let address = choice.target.address;
     let sent = core
         .connections
