--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -107,8 +107,12 @@
             index,
             choice,
             abandonment,
+            may_have_run,
         } = assigned;
-        let outcome = send::send(core, call, service, &choice, &abandonment).await;
+        let may_send = || {
+            core.may_send(&choice.target) && (may_have_run || ends_before_stop(core, call, &choice))
+        };
+        let outcome = send::send(core, call, service, &choice, &abandonment, may_send).await;
         (index, outcome)
     };
     let mut attempt = Attempt {
@@ -144,6 +148,8 @@
     index: usize,
     choice: Arc<Choice>,
     abandonment: Abandonment,
+    /// Whether the request may have run at another target.
+    may_have_run: bool,
 }
 
 /// The sends of one request.
@@ -205,6 +211,7 @@
             index,
             choice: choice.clone(),
             abandonment: abandonment.clone(),
+            may_have_run: self.history.may_have_run,
         });
         let sent = OpenSend {
             index,
@@ -375,8 +382,13 @@
     history: &History,
     arrived: Instant,
 ) -> Result<Choice, Refusal> {
-    let choice = choose_target(core, call, service, &history.tried)
-        .and_then(|choice| check_stop(core, call, choice));
+    let choice = choose_target(core, call, service, &history.tried).and_then(|choice| {
+        match history.may_have_run {
+            // The caller of a refused request could not tell whether it ran either.
+            true => Ok(choice),
+            false => check_stop(core, call, choice),
+        }
+    });
     let choice = match history.tried.is_empty() {
         true => price::check(core, call, service, arrived, choice),
         false => choice,
@@ -484,11 +496,7 @@
 
 /// Returns whether this instance does not stop, or a request that is sent now to the chosen target is expected to
 /// end before.
-pub(crate) fn ends_before_stop<D: Dialect>(
-    core: &Core<D>,
-    call: &Call<'_>,
-    choice: &Choice,
-) -> bool {
+fn ends_before_stop<D: Dialect>(core: &Core<D>, call: &Call<'_>, choice: &Choice) -> bool {
     let Some(stop_at) = core.stop_at() else {
         return true;
     };
--- a/crates/sg-proxy/src/send.rs
+++ b/crates/sg-proxy/src/send.rs
@@ -105,12 +105,14 @@
 }
 
 /// Sends the request to the chosen target and waits for the complete response until the request's deadline.
+/// `may_send` is asked again once a new connection is open.
 pub async fn send<D: Dialect>(
     core: &Arc<Core<D>>,
     call: &Call<'_>,
     service: &id::Service,
     choice: &Choice,
     abandonment: &Abandonment,
+    may_send: impl Fn() -> bool,
 ) -> SendOutcome {
     let mut in_flight = InFlight {
         core,
@@ -119,7 +121,7 @@
         outcome: TargetOutcome::Unknown,
     };
     let started = core.timer.now();
-    let exchange = exchange(core, call, choice, started);
+    let exchange = exchange(core, call, choice, started, may_send);
     let outcome = core.timer.until(call.deadline, exchange).await;
     let outcome = outcome.unwrap_or(SendOutcome::TimedOut);
     let outcome = match outcome {
@@ -247,6 +249,7 @@
     call: &Call<'_>,
     choice: &Choice,
     now: Instant,
+    may_send: impl Fn() -> bool,
 ) -> SendOutcome {
     let deadline = call
         .caller_deadline
@@ -264,8 +267,6 @@
     let is_repeatable = call.route.idempotent && !call.content.is_streamed();
     let reuse = reuse_policy(is_repeatable);
     let timeouts = timeouts(core, is_repeatable, call.deadline.since(now));
-    let may_send =
-        || core.may_send(&choice.target) && attempt::ends_before_stop(core, call, choice);
     let address = choice.target.address;
     let sent = core
         .connections
