--- a/crates/sg-proxy/tests/proxy/crossings.rs
+++ b/crates/sg-proxy/tests/proxy/crossings.rs
@@ -281,3 +281,44 @@
         assert_eq!(target.count(), answered, "{end:?}");
     }
 }
+
+/// A caller sends its next request on a connection whose end it was not told.
+#[tokio::test]
+async fn connection_is_kept_unless_the_response_says_that_it_closes() {
+    let chunked = "POST /none/x HTTP/1.1\r\nhost: h\r\nid: a\r\ntransfer-encoding: chunked\r\n\r\n";
+    let large = "y".repeat(30_000);
+    let declared = |path: &str, body: &str| {
+        let request = post(path, "a", body).replace("connection: close\r\n", "");
+        let length = request.len() - body.len();
+        (request[..length].to_owned(), body.to_owned())
+    };
+    let in_chunks = (chunked.to_owned(), "4\r\nbody\r\n0\r\n\r\n".to_owned());
+    // The number of bytes of the body that arrive before the response.
+    let refused = [
+        (declared("/none/x", "body"), 0),
+        (declared("/none/x", "body"), 2),
+        (declared("/none/x", "body"), 4),
+        (declared("/none/x", "b\n\n\r\n\r\ny"), 8),
+        (declared("/keyed/x", "body"), 0),
+        (declared("/none/x", &large), 30_000),
+        (declared("/once/x", "body"), 4),
+        (in_chunks.clone(), 0),
+        (in_chunks, 14),
+    ];
+    let mut broken = Vec::new();
+    for ((head, body), early) in refused {
+        let target = ScriptedTarget::start(vec![Step::Respond(OK)]).await;
+        let instance = Instance::start(&[&target]).await;
+        let mut caller = Reader::new(instance.connect().await);
+        caller.send(&format!("{head}{}", &body[..early])).await;
+        let response = caller.read_response().await.expect("a response");
+        caller.send(&body[early..]).await;
+        caller.send(&kept_get("/safe/x", "b")).await;
+        let next = timeout(Duration::from_secs(1), caller.read_response()).await;
+        let next = next.expect("a response or an end");
+        if next.is_some() == response.contains("connection: close") {
+            broken.push((head, early, next.is_some()));
+        }
+    }
+    assert!(broken.is_empty(), "{broken:#?}");
+}
