fix(sg-proxy): say so when a refusal closes its connection

Callers whose request was refused before its body had arrived (unknown route, refused key, no token, no room) got a response without a close, and lost their next request: they sent it on a connection that was closed behind the response. These callers send one request after the other; the body only has to be in a later segment than the head, as on a full link.

Cause: the HTTP library reads once more for the rest of the body when the response is written and closes the connection if it isn't complete, after the head has gone out.

Now the response says that its connection closes if the library can't take the rest of the body at once. The rest of a body also stays a body behind the response: its bytes were handed over as those of a head. connection_is_kept_unless_the_response_says_that_it_closes: 5 of 9 rows failed before, none after, two runs of the whole file.

--- a/crates/sg-proxy/src/server.rs
+++ b/crates/sg-proxy/src/server.rs
@@ -445,6 +445,9 @@
         let load = self.slot.set_idle(self.timer.now());
         let load = if self.is_refused { Load::Full } else { load };
         reuse::limit(response, load);
+        if self.socket.is_body_due() {
+            reuse::close(response);
+        }
         if ends_connection || reuse::says(response.headers(), "close") {
             self.socket.end_requests();
         }
--- a/crates/sg-proxy/src/server/reuse.rs
+++ b/crates/sg-proxy/src/server/reuse.rs
@@ -26,17 +26,20 @@
 
 /// Tells the caller how long its connection is kept, if the load shortens that time.
 pub(super) fn limit<B>(response: &mut Response<B>, load: Load) {
-    let headers = response.headers_mut();
     match load {
         Load::Normal => {}
         Load::ShortIdle => {
             let seconds = SHORT_IDLE_TIMEOUT.as_millis() / 1_000;
             if let Ok(value) = HeaderValue::from_str(&format!("timeout={seconds}")) {
-                headers.insert(KEEP_ALIVE, value);
+                response.headers_mut().insert(KEEP_ALIVE, value);
             }
         }
-        Load::NoReuse | Load::Full | Load::Overflow => {
-            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
-        }
+        Load::NoReuse | Load::Full | Load::Overflow => close(response),
     }
 }
+
+/// Tells the caller that its connection closes with `response`.
+pub(super) fn close<B>(response: &mut Response<B>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+}
--- a/crates/sg-proxy/src/stream/ahead.rs
+++ b/crates/sg-proxy/src/stream/ahead.rs
@@ -13,6 +13,10 @@
 /// Maximum number of recorded read times, enough for 6 s of bytes that arrive without a break.
 const MAX_READS: usize = 256;
 
+/// Maximum size of the rest of a body that the HTTP library takes at once behind a response, the smallest size of
+/// its buffer. Behind a larger one, the library closes the connection.
+const MAX_DRAINED: u64 = 8 << 10;
+
 /// Part of a request that the next bytes belong to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Part {
@@ -43,6 +47,8 @@
     bytes: BytesMut,
     reads: VecDeque<Read>,
     part: Part,
+    /// Whether the response to the request that the part belongs to is complete.
+    is_answered: bool,
     /// Whether the line of the head that the last taken byte belongs to is empty so far.
     is_line_empty: bool,
     /// Time at which the first byte of an incomplete head was read.
@@ -58,6 +64,7 @@
             bytes: BytesMut::new(),
             reads: VecDeque::new(),
             part: Part::Head,
+            is_answered: false,
             is_line_empty: false,
             head_since: None,
             last_taken: now,
@@ -107,10 +114,34 @@
     /// Starts the next part. A head starts at the next byte.
     pub fn start(&mut self, part: Part) {
         self.part = part;
+        self.is_answered = false;
         self.is_line_empty = false;
         self.head_since = None;
     }
 
+    /// Starts the next head behind the rest of the body of the request that was answered.
+    pub fn end_response(&mut self) {
+        match self.part {
+            Part::Head | Part::Next => self.start(Part::Head),
+            Part::Body(_) | Part::Chunks(_) => self.is_answered = true,
+        }
+    }
+
+    /// Returns whether the next bytes belong to a request whose response is complete.
+    pub fn is_answered(&self) -> bool {
+        self.is_answered
+    }
+
+    /// Returns whether the HTTP library closes the connection with a response that is written now, because it
+    /// can't take the rest of the request's body.
+    pub fn is_body_due(&self) -> bool {
+        match self.part {
+            Part::Head | Part::Next => false,
+            Part::Body(left) => left > MAX_DRAINED || self.unread_body() > 0,
+            Part::Chunks(_) => true,
+        }
+    }
+
     /// Returns the complete head that begins `skipped` bytes behind the request in progress, and the time at
     /// which its last byte was read.
     pub fn waiting_head(&self, skipped: usize) -> Option<(&[u8], Instant)> {
@@ -166,7 +197,10 @@
         let Some(read) = self.reads.front().copied() else {
             return 0;
         };
-        let available = read.bytes.min(max);
+        let available = match self.part {
+            Part::Body(_) => self.bytes.len().min(max),
+            _ => read.bytes.min(max),
+        };
         let count = match self.part {
             Part::Head => self.take_head(available, read.at),
             Part::Body(left) => {
@@ -187,9 +221,12 @@
             }
             Part::Next => 0,
         };
+        if self.is_answered && self.part == Part::Next {
+            self.start(Part::Head);
+        }
         if count > 0 {
             sink(&self.bytes[..count]);
-            self.advance(count, read.at);
+            self.advance(count);
         }
         count
     }
@@ -212,11 +249,16 @@
         available
     }
 
-    fn advance(&mut self, count: usize, read_at: Instant) {
-        self.last_taken = read_at;
+    fn advance(&mut self, count: usize) {
         self.bytes.advance(count);
-        if let Some(read) = self.reads.front_mut() {
-            read.bytes -= count;
+        let mut left = count;
+        while left > 0
+            && let Some(read) = self.reads.front_mut()
+        {
+            self.last_taken = read.at;
+            let taken = left.min(read.bytes);
+            left -= taken;
+            read.bytes -= taken;
             if read.bytes == 0 {
                 self.reads.pop_front();
             }
--- a/crates/sg-proxy/src/stream/mod.rs
+++ b/crates/sg-proxy/src/stream/mod.rs
@@ -149,6 +149,12 @@
         self.state.lock().progress.end_framing();
     }
 
+    /// Returns whether the connection closes with a response that is written now, because the rest of the
+    /// request's body is due.
+    pub fn is_body_due(&self) -> bool {
+        self.state.lock().progress.ahead.is_body_due()
+    }
+
     /// Returns whether the caller sent on behind the last request, which is left unread.
     pub fn is_crossed(&self) -> bool {
         self.state.lock().progress.is_crossed
@@ -208,7 +214,6 @@
             let max = match progress.next_read() {
                 NextRead::UpTo(max) => max,
                 NextRead::OnlyEnd => return self.poll_end(progress, cx),
-                NextRead::Nothing => return,
             };
             let room = self.room(progress.ahead.len(), &mut state.charged);
             progress.is_full = room == 0;
--- a/crates/sg-proxy/src/stream/progress.rs
+++ b/crates/sg-proxy/src/stream/progress.rs
@@ -22,7 +22,7 @@
     Gone,
     /// The caller does not read its response.
     Stalled,
-    /// The head of a request is not complete in time.
+    /// The head of a request is not complete in time, or the rest of a body behind the response.
     LateHead,
     /// The memory of the connection is needed.
     Evicted,
@@ -66,8 +66,6 @@
     UpTo(usize),
     /// No bytes. The end of the stream is waited for.
     OnlyEnd,
-    /// Nothing, because the connection is about to linger.
-    Nothing,
 }
 
 /// End of the stream from the caller.
@@ -106,8 +104,8 @@
     is_last: bool,
     /// Whether bytes behind the last request lie unread.
     pub is_crossed: bool,
-    /// Bytes of a request's body that were not read when the response was complete.
-    unread_body: u64,
+    /// Whether what the caller sends on can't be told apart into requests.
+    is_unframed: bool,
     /// Time until which the caller may take to read the response.
     until: Instant,
     /// Bytes written since the last request.
@@ -127,7 +125,7 @@
             is_cut: false,
             is_last: false,
             is_crossed: false,
-            unread_body: 0,
+            is_unframed: false,
             until: now,
             written: 0,
             stalled_since: None,
@@ -161,7 +159,6 @@
         self.phase = Phase::Busy;
         self.is_cut |= self.end.is_some();
         self.written = 0;
-        self.unread_body = 0;
         self.ahead.start(match length {
             Some(0) => Part::Next,
             Some(length) => Part::Body(length),
@@ -189,9 +186,8 @@
         if self.phase != Phase::Flushing {
             return false;
         }
-        self.unread_body = self.unread_body();
         self.phase = Phase::Idle(now);
-        self.ahead.start(Part::Head);
+        self.ahead.end_response();
         if self.is_cut {
             self.ahead.clear();
         }
@@ -206,14 +202,14 @@
     /// Records that what the caller sends on can't be told apart into requests.
     pub fn end_framing(&mut self) {
         self.ahead.clear();
-        self.unread_body = u64::MAX;
+        self.is_unframed = true;
     }
 
     /// Returns how many bytes of the body of the latest request were not read from the socket.
     pub fn unread_body(&self) -> u64 {
-        match self.phase {
-            Phase::Idle(_) => self.unread_body,
-            _ => self.ahead.unread_body(),
+        match self.is_unframed {
+            true => u64::MAX,
+            false => self.ahead.unread_body(),
         }
     }
 
@@ -227,7 +223,6 @@
         }
         match self.unread_body() {
             0 => NextRead::OnlyEnd,
-            _ if is_idle => NextRead::Nothing,
             unread => NextRead::UpTo(usize::try_from(unread).unwrap_or(usize::MAX)),
         }
     }
@@ -265,10 +260,13 @@
     /// Returns the next check and its time.
     pub fn next_check(&self, head_timeout: impl Fn() -> Span) -> Option<(Instant, Check)> {
         let head = match self.phase {
-            Phase::Idle(since) => self.ahead.head_since().map(|started| {
-                let late_at = started.max(since) + head_timeout();
-                (late_at, Check::End(Ending::LateHead))
-            }),
+            Phase::Idle(since) => {
+                let rest_since = self.ahead.is_answered().then_some(since);
+                self.ahead.head_since().or(rest_since).map(|started| {
+                    let late_at = started.max(since) + head_timeout();
+                    (late_at, Check::End(Ending::LateHead))
+                })
+            }
             Phase::Busy | Phase::Delivering | Phase::Flushing => None,
         };
         let stall = self.stalled_since.map(|since| {
