fix(sg-proxy): tell unread bytes of a closing connection from its end

A connection that closes looks at the next byte without taking it: not every system reports the end of the stream apart from bytes that are unread, and a socket that is readable has no unread bytes for sure. The readiness is cleared before the look, so that what arrives after it wakes the task.

A caller that closes its side frees its place at once on every system, and sg_caller_connections_unanswered_total{requests="unread"} counts only connections with bytes.

--- a/crates/sg-proxy/src/stream/linger.rs
+++ b/crates/sg-proxy/src/stream/linger.rs
@@ -5,7 +5,7 @@
 use sg_types::prelude::*;
 use socket2::SockRef;
 
-use super::{READ_SIZE, Socket};
+use super::{READ_SIZE, Socket, Unread};
 
 /// Time without bytes from the caller after which a lingering connection without unread bytes closes: some round trips between
 /// regions, in which the caller sees the end of the stream and closes its side.
@@ -70,13 +70,16 @@
                 if !self.discard(&mut rest) {
                     return;
                 }
-            } else if self.find_end().is_some() {
-                return;
-            } else {
-                self.wait_for_more();
-                // The close would reset the connection before a slow link has delivered the response.
-                is_patient = true;
-                self.state.lock().progress.is_crossed = true;
+                continue;
+            }
+            match self.find_unread() {
+                Unread::End(_) => return,
+                Unread::Bytes => {
+                    // The close would reset the connection before a slow link has delivered the response.
+                    is_patient = true;
+                    self.state.lock().progress.is_crossed = true;
+                }
+                Unread::Nothing => {}
             }
         }
     }
--- a/crates/sg-proxy/src/stream/mod.rs
+++ b/crates/sg-proxy/src/stream/mod.rs
@@ -17,6 +17,7 @@
 use std::{
     future::poll_fn,
     io::{self, IoSlice},
+    mem::MaybeUninit,
     net::Shutdown,
     pin::{Pin, pin},
     task::{Context, Poll, Waker},
@@ -63,6 +64,14 @@
     is_whole: bool,
 }
 
+/// What follows the bytes of a stream that were read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Unread {
+    End(End),
+    Bytes,
+    Nothing,
+}
+
 impl Socket {
     /// Creates the socket of a connection that was just accepted and whose memory is charged to `hold`.
     #[must_use]
@@ -262,19 +271,31 @@
     fn poll_end(&self, progress: &mut Progress, cx: &mut Context<'_>) {
         progress.is_full = false;
         while let Poll::Ready(Ok(())) = self.stream.poll_read_ready(cx) {
-            if let Some(end) = self.find_end() {
-                return progress.record_end(end);
+            match self.find_unread() {
+                Unread::End(end) => return progress.record_end(end),
+                Unread::Bytes => progress.is_crossed = true,
+                Unread::Nothing => {}
             }
-            self.wait_for_more();
-            progress.is_crossed = true;
         }
     }
 
-    /// Lets the socket become readable again only with the next bytes or the end of the stream.
-    fn wait_for_more(&self) {
+    /// Returns what follows the bytes that were read. The socket becomes readable again only with more bytes or
+    /// the end of the stream.
+    fn find_unread(&self) -> Unread {
+        // Cleared before the check, so that what arrives after the check wakes the task.
         let unread = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
         // The error is the one that is passed in.
         let _ = self.stream.try_io(Interest::READABLE, unread);
+        if let Some(end) = self.find_end() {
+            return Unread::End(end);
+        }
+        // Not every system reports the end of the stream apart from its bytes.
+        let next = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+        match next {
+            Ok(0) => Unread::End(End::Closed(self.timer.now())),
+            Ok(_) => Unread::Bytes,
+            Err(_) => Unread::Nothing,
+        }
     }
 
     /// Checks whether the caller has closed its side behind bytes that do not fit into the buffer.
@@ -290,7 +311,7 @@
     /// Returns the end of the stream behind bytes that may be unread.
     fn find_end(&self) -> Option<End> {
         let is_reset = !matches!(self.stream.take_error(), Ok(None));
-        // The socket is readable, so that the state is available without a wait.
+        // The state is available without a wait.
         let ready = pin!(self.stream.ready(Interest::READABLE))
             .poll(&mut Context::from_waker(Waker::noop()));
         let is_closed = matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed());
