test(sg-proxy): keep responses in transit that a request crosses

The send buffer took the large response at once, so that the rows of requests that cross a response in transit passed also when the decision to close didn't stop the reading (trial). With small buffers both rows, one of them new, fail then with one request counted as read.

--- a/crates/sg-proxy/tests/proxy/crossings.rs
+++ b/crates/sg-proxy/tests/proxy/crossings.rs
@@ -71,7 +71,10 @@
         NewConnectionWhileIdle => (4, 0),
         _ => (1_000, 0),
     };
-    let instance = Instance::start_limited(&[&target], limit).await;
+    let instance = match is_large {
+        true => Instance::start_with_small_buffers(&[&target]).await,
+        false => Instance::start_limited(&[&target], limit).await,
+    };
     let mut shorter = catalog();
     shorter.revision = Revision::new(2);
     shorter.limits.head_timeout = Span::from_millis(300);
@@ -142,6 +145,7 @@
         (Stop, 300, split, end, 200),
         (Nothing, 300, head, behind_body, 404),
         (LastPhaseInTransit, 20, a, b, 200),
+        (LastPhaseInTransit, 300, a, b, 200),
         (LastPhase, 300, a, b, 200),
         (ManyConnections, 200, a, b, 200),
         (ConnectionLimit, 200, a, b, 503),
