--- a/crates/sg-proxy/src/connections.rs
+++ b/crates/sg-proxy/src/connections.rs
@@ -19,6 +19,7 @@
 };
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
+use prometheus::IntCounter;
 use sg_clock::Timer;
 use sg_types::prelude::*;
 use socket2::{SockRef, TcpKeepalive};
@@ -105,9 +106,24 @@
 #[derive(Debug, Clone)]
 pub struct Counters {
     /// Connections that were opened.
-    pub opened: prometheus::IntCounter,
+    pub opened: IntCounter,
     /// Responses to other requests that were passed over.
-    pub passed_over: prometheus::IntCounter,
+    pub passed_over: IntCounter,
+}
+
+impl Counters {
+    /// Returns counters that no registry has.
+    ///
+    /// # Panics
+    /// Never, because the names of the counters are valid.
+    #[must_use]
+    pub fn unregistered() -> Self {
+        let counter = |name, help| IntCounter::new(name, help).expect("a valid name");
+        Self {
+            opened: counter("opened", "Connections that were opened."),
+            passed_over: counter("passed_over", "Responses that were passed over."),
+        }
+    }
 }
 
 /// Pool of connections to all targets.
@@ -359,7 +375,10 @@
         let started = self.timer.now();
         let deadline = started + timeout;
         let connect = async {
-            let socket = TcpSocket::new_v4()?;
+            let socket = match address {
+                SocketAddr::V4(_) => TcpSocket::new_v4()?,
+                SocketAddr::V6(_) => TcpSocket::new_v6()?,
+            };
             configure_socket(&SockRef::from(&socket))?;
             if let Some(source) = self.options.source {
                 socket.bind(SocketAddr::new(source, 0))?;
