--- a/crates/sg-forward/tests/forward/responses.rs
+++ b/crates/sg-forward/tests/forward/responses.rs
@@ -1,11 +1,14 @@
 //! Tests that a caller gets the complete response to its own request, or an error that is
 //! recognisable as one.
 
+use std::{net::SocketAddr, time::Duration};
+
 use sg_steer::Completion;
 use sg_types::prelude::*;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpListener, TcpStream},
+    runtime::Runtime,
     task::JoinSet,
 };
 
@@ -270,3 +273,64 @@
         assert_eq!(is_taken_for_whole, is_whole, "{}", response.head);
     }
 }
+
+/// The time in which an instance answers a request without a target, on a busy machine.
+const LONGEST_WAIT: Duration = Duration::from_millis(400);
+
+/// Starts a server, on threads of its own, that writes the beginning of a response, and then zeros without end.
+async fn flood(elsewhere: &Runtime) -> SocketAddr {
+    let listener = elsewhere.spawn(TcpListener::bind("127.0.0.1:0"));
+    let listener = listener.await.expect("a task").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    elsewhere.spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(write_zeros(
+                stream,
+                "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+            ));
+        }
+    });
+    address
+}
+
+async fn write_zeros(mut stream: TcpStream, first: impl AsRef<[u8]>) {
+    let zeros = vec![b'0'; 64 << 10];
+    let mut bytes = first.as_ref();
+    while stream.write_all(bytes).await.is_ok() {
+        bytes = &zeros;
+    }
+}
+
+/// Guards against threads that read messages whose framing never ends and serve nothing else meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn messages_without_end_keep_no_other_request_waiting() {
+    let elsewhere = Runtime::new().expect("a runtime");
+    let env = TestEnv::new(&[flood(&elsewhere).await]);
+    env.set_view(view(1, &[]));
+    let entry = Entry::start("e1", 1, &env).await;
+    let head = request("POST", "/read", &[bearer(KEY_A)], "");
+    let head = head.replace("\r\n\r\n", "\r\ntransfer-encoding: chunked\r\n\r\n");
+    for is_from_callers in [false, true] {
+        let mut callers = JoinSet::new();
+        for _ in 0..8 {
+            let (address, head) = (entry.address, head.clone());
+            let flood = async move {
+                if is_from_callers {
+                    let stream = TcpStream::connect(address).await.expect("a connection");
+                    write_zeros(stream, head).await;
+                } else {
+                    exchange(address, read("/read")).await;
+                }
+            };
+            callers.spawn_on(flood, elsewhere.handle());
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let probe = exchange(entry.address, request("GET", "/nowhere", &[], ""));
+        let probe =
+            elsewhere.spawn(async { tokio::time::timeout(LONGEST_WAIT, probe).await.is_ok() });
+        let is_answered = probe.await.expect("a task");
+        assert!(is_answered, "from callers: {is_from_callers}");
+        callers.shutdown().await;
+    }
+    elsewhere.shutdown_background();
+}
