fix(sg-proxy): refuse late requests of a stop by the clock, not by a task

What callers saw: beside a busy machine, requests sent 51 to 138 ms after half of the grace were taken and answered 502 at its end (11 of them in one run of stops::signal_handled_later_than_sent_counts_from_when_it_was_sent at a load of 21). Cause: a task set a flag at half of the grace. A process that gets no processor time then handles the requests that have arrived before it runs the task. Change: the time from which requests are refused is known from the start of the stop and compared with the clock at each request. Measured: request_is_refused_late_in_a_stop_whenever_the_process_gets_to_run holds the thread over that time; it uses the new call, and passes.

--- a/crates/sg-gateway/src/shutdown.rs
+++ b/crates/sg-gateway/src/shutdown.rs
@@ -115,8 +115,7 @@
     let late = handled.since(started);
     log::info!(grace_ms = period.as_millis(), late_ms = late.as_millis(); "leaving");
     context.core.start_draining(grace.answer_at());
-    context.timer.sleep_through(grace.admit_until()).await;
-    context.core.refuse_new_requests();
+    context.core.refuse_new_requests_from(grace.admit_until());
     context.timer.sleep_through(grace.accept_until()).await;
     phases.callers.send_replace(Phase::Closing);
     // Only the server for callers ends in this phase, so its task is the one that is joined.
--- a/crates/sg-proxy/src/core.rs
+++ b/crates/sg-proxy/src/core.rs
@@ -4,7 +4,7 @@
     net::IpAddr,
     sync::{
         OnceLock,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
 };
 
@@ -91,7 +91,8 @@
     /// Time at which the instance answers every request that is still in flight, once it drains.
     stop_at: watch::Sender<Option<Instant>>,
     draining_since: OnceLock<Instant>,
-    refusing_new: AtomicBool,
+    /// Time from which new requests are refused, in nanoseconds.
+    refuses_from: AtomicU64,
     /// When the configuration and the targets were first known.
     pub(crate) loaded_at: watch::Sender<Option<Instant>>,
     pub(crate) tokens_credited: Notify,
@@ -149,7 +150,7 @@
             catalog: ArcSwapOption::empty(),
             stop_at: watch::Sender::new(None),
             draining_since: OnceLock::new(),
-            refusing_new: AtomicBool::new(false),
+            refuses_from: AtomicU64::new(u64::MAX),
             loaded_at: watch::Sender::new(None),
             tokens_credited: Notify::new(),
             signals,
@@ -235,15 +236,21 @@
         }
     }
 
-    /// Refuses all further requests, because too little time remains to finish them.
+    /// Refuses all requests from `at` on, because too little time remains to finish them. A process that is short
+    /// of processor time may get to run long after `at`.
+    pub fn refuse_new_requests_from(&self, at: Instant) {
+        self.refuses_from.store(at.as_nanos(), Ordering::Release);
+    }
+
+    /// Refuses all further requests.
     pub fn refuse_new_requests(&self) {
-        self.refusing_new.store(true, Ordering::Release);
+        self.refuse_new_requests_from(self.timer.now());
     }
 
     /// Returns whether new requests are refused.
     #[must_use]
     pub fn refuses_new_requests(&self) -> bool {
-        self.refusing_new.load(Ordering::Acquire)
+        self.timer.now().as_nanos() >= self.refuses_from.load(Ordering::Acquire)
     }
 
     /// Returns whether responses close their connections because the instance is about to stop.
--- a/crates/sg-proxy/tests/proxy/stops.rs
+++ b/crates/sg-proxy/tests/proxy/stops.rs
@@ -9,6 +9,7 @@
 };
 use sg_types::prelude::*;
 use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
     task::{JoinSet, yield_now},
     time::{sleep, timeout},
@@ -399,3 +400,26 @@
     let (response, ()) = tokio::join!(instance.send(&request), stop);
     assert_eq!((status(&response), working.count()), (200, 1), "{response}");
 }
+
+/// Guards against requests that are taken late because the process got no processor time.
+#[tokio::test]
+async fn request_is_refused_late_in_a_stop_whenever_the_process_gets_to_run() {
+    let target = ScriptedTarget::start(vec![Step::Respond(OK)]).await;
+    let instance = Instance::start(&[&target]).await;
+    let mut connection = instance.connect().await;
+    instance.drain_for(Span::from_secs(30));
+    let late = instance.core.timer.now() + Span::from_millis(50);
+    instance.core.refuse_new_requests_from(late);
+    let request = post("/once/x", "a1", "body");
+    connection
+        .write_all(request.as_bytes())
+        .await
+        .expect("a write");
+    std::thread::sleep(Duration::from_millis(100));
+    let mut response = String::new();
+    connection
+        .read_to_string(&mut response)
+        .await
+        .expect("an end");
+    assert_eq!((status(&response), target.count()), (503, 0), "{response}");
+}
