--- a/crates/sg-proxy/tests/proxy/stops.rs
+++ b/crates/sg-proxy/tests/proxy/stops.rs
@@ -379,8 +379,7 @@
     assert!(timeout(LEFT, answered).await.is_ok());
 }
 
-/// A request whose target broke off must not be refused although another target would answer it: its caller can't
-/// tell whether it ran.
+/// Guards against 502 for a request whose target broke off, although another target would answer it.
 #[tokio::test]
 async fn request_that_may_have_run_is_sent_again_in_a_stop_that_could_give_it_up() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
