--- a/crates/sg-place/src/reach.rs
+++ b/crates/sg-place/src/reach.rs
@@ -7,7 +7,7 @@
 //!
 //! A link that is full looks alike for a while: new connections open late. While responses to requests that were
 //! sent after the first failure arrive, or late connections open, failures that are only a lack of answers don't
-//! confirm the suspicion for [`MAX_DOUBT`].
+//! confirm the suspicion for 3 s.
 //!
 //! An instance of the same failure domain that is newly cut off raises the suspicion as well, because the
 //! instances of a domain often share the fault and have too few requests to notice at the same time.
@@ -188,7 +188,7 @@
     }
 
     /// Returns the time limit of an exchange that is `usual`, or longer if connections have lately taken long to
-    /// open, up to [`MAX_DOUBT`].
+    /// open, up to 3 s.
     #[must_use]
     pub fn stretch(&self, usual: Span, now: Instant) -> Span {
         let observed = self
