--- a/crates/sg-proxy/tests/proxy/stops.rs
+++ b/crates/sg-proxy/tests/proxy/stops.rs
@@ -275,6 +275,9 @@
     let second = [
         kept_get("/safe/x", "b"),
         post("/once/x", "b", "body").replace("connection: close\r\n", ""),
+        "POST /once/x HTTP/1.1\r\nhost: h\r\nid: b\r\ntransfer-encoding: chunked\r\n\r\n\
+         4\r\nbody\r\n0\r\n\r\n"
+            .to_owned(),
     ];
     for second in second {
         for closes in [false, true] {
