fix(sg-proxy): answer a request that waits behind a body in chunks

Callers saw: no answer to a request that was sent behind one whose body comes in chunks, when the connection closed with the response in between: in a stop, and also while the instance only drained.

Cause: where a body in chunks ends wasn't known, so that nothing was taken for a request behind it.

From there on the next request waits as it does behind a body with a length: it is told apart, its read time is that of its own bytes, and the connection stays open until it has its response.

--- a/crates/sg-proxy/src/chunks.rs
+++ b/crates/sg-proxy/src/chunks.rs
@@ -43,20 +43,30 @@
         self.rest = Some(Rest::CHUNKS);
     }
 
-    /// Follows the next bytes of the message, until the bounds are passed.
-    pub fn follow(&mut self, mut bytes: &[u8]) {
+    /// Follows the next bytes of the message, until the body ends or the bounds are passed. Returns the number
+    /// of bytes that belong to the body.
+    pub fn follow(&mut self, bytes: &[u8]) -> usize {
+        let mut followed = 0;
         while let Some(rest) = self.rest
-            && !bytes.is_empty()
+            && followed < bytes.len()
             && self.is_within_bounds()
         {
-            // The HTTP library reports what is wrong with an invalid body.
-            self.rest = None;
-            if let Step::Consumed(count, next) = rest.step(bytes) {
-                self.record(rest, count);
-                self.rest = next;
-                bytes = &bytes[count..];
+            match rest.step(&bytes[followed..]) {
+                Step::Consumed(count, next) => {
+                    self.record(rest, count);
+                    self.rest = next;
+                    followed += count;
+                }
+                // The HTTP library reports what is wrong.
+                Step::Invalid => self.rest = Some(Rest::Bytes(u64::MAX)),
             }
         }
+        followed
+    }
+
+    /// Returns whether no body in chunks is left.
+    pub fn has_ended(&self) -> bool {
+        self.rest.is_none()
     }
 
     /// Returns whether the message has no more framing than its data allows.
--- a/crates/sg-proxy/src/stream/ahead.rs
+++ b/crates/sg-proxy/src/stream/ahead.rs
@@ -20,7 +20,7 @@
     Head,
     /// The body of a request, of which so many bytes are left.
     Body(u64),
-    /// A body of unknown length. Bytes behind the body are not told apart from it.
+    /// A body in chunks.
     ChunkedBody(Framing),
     /// A request that waits for the response to the request before it.
     Next,
@@ -167,9 +167,12 @@
                 count
             }
             Part::ChunkedBody(mut framing) => {
-                framing.follow(&self.bytes[..available]);
-                self.part = Part::ChunkedBody(framing);
-                available
+                let count = framing.follow(&self.bytes[..available]);
+                self.part = match framing.has_ended() {
+                    true => Part::Next,
+                    false => Part::ChunkedBody(framing),
+                };
+                count
             }
             Part::Next => 0,
         };
