fix(sg-proxy): read empty lines before a head in one piece

Callers saw: answers of the instance late by up to a second beside 60 callers that send empty lines without end.

Cause: the read-ahead took two empty lines for the end of a head, so that the HTTP library got four bytes at a time and parsed all that it held after each, up to its limit of 16 KiB.

Change: empty lines before a head don't end it.

--- a/crates/sg-proxy/src/stream/ahead.rs
+++ b/crates/sg-proxy/src/stream/ahead.rs
@@ -45,6 +45,8 @@
     part: Part,
     /// Whether the line of the head that the last taken byte belongs to is empty so far.
     is_line_empty: bool,
+    /// Whether nothing but empty lines was taken of the head. They come before the head, and do not end it.
+    is_head_empty: bool,
     /// Time at which the first byte of an incomplete head was read.
     head_since: Option<Instant>,
     /// Time at which the last taken byte was read.
@@ -59,6 +61,7 @@
             reads: VecDeque::new(),
             part: Part::Head,
             is_line_empty: false,
+            is_head_empty: true,
             head_since: None,
             last_taken: now,
         }
@@ -113,6 +116,7 @@
     pub fn start(&mut self, part: Part) {
         self.part = part;
         self.is_line_empty = false;
+        self.is_head_empty = true;
         self.head_since = None;
     }
 
@@ -188,14 +192,15 @@
         self.head_since.get_or_insert(read_at);
         for (index, byte) in self.bytes[..available].iter().enumerate() {
             match byte {
-                b'\n' if self.is_line_empty => {
+                b'\n' if self.is_line_empty && !self.is_head_empty => {
                     self.is_line_empty = false;
+                    self.is_head_empty = true;
                     self.head_since = None;
                     return index + 1;
                 }
                 b'\n' => self.is_line_empty = true,
                 b'\r' => {}
-                _ => self.is_line_empty = false,
+                _ => (self.is_line_empty, self.is_head_empty) = (false, false),
             }
         }
         available
