--- a/crates/sg-proxy/src/content.rs
+++ b/crates/sg-proxy/src/content.rs
@@ -333,16 +333,6 @@
     }
 }
 
-impl From<Bytes> for Outgoing {
-    fn from(bytes: Bytes) -> Self {
-        Self {
-            left: bytes.len() as u64,
-            segments: VecDeque::from([bytes]),
-            streamed: None,
-        }
-    }
-}
-
 impl Streamed {
     fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
         self.has_begun = true;
