--- a/crates/sg-proxy/tests/proxy/crossings.rs
+++ b/crates/sg-proxy/tests/proxy/crossings.rs
@@ -236,3 +236,25 @@
     }
     assert!(broken.is_empty(), "{broken:?}");
 }
+
+/// Guards against a connection that stays open and is not read any more.
+#[tokio::test]
+async fn connection_near_the_limit_is_served_or_closes_when_others_have_ended() {
+    let target = ScriptedTarget::start(vec![Step::RespondAfter(100, OK)]).await;
+    let instance = Instance::start_limited(&[&target], 8).await;
+    let mut others = Vec::new();
+    for _ in 0..5 {
+        others.push(instance.connect().await);
+    }
+    let mut caller = Reader::new(instance.connect().await);
+    let [a, b, c] = ["a", "b", "c"].map(|id| kept_get("/safe/x", id));
+    caller.send(&format!("{a}{b}")).await;
+    for others in [others, Vec::new()] {
+        let response = caller.read_response().await.expect("a response");
+        assert_eq!(status(&response), 200);
+        drop(others);
+    }
+    caller.send(&c).await;
+    let next = timeout(Duration::from_secs(2), caller.read_response()).await;
+    assert!(next.is_ok(), "neither a response nor an end");
+}
