test(sg-proxy): a target at work is given up because another one failed

An idempotent request abandons a slow target, and the other one responds with a failure. The row joins the table of targets that turn out to be full, broken, silent or unreachable.

--- a/crates/sg-proxy/tests/proxy/endings.rs
+++ b/crates/sg-proxy/tests/proxy/endings.rs
@@ -133,11 +133,16 @@
     )])
     .await;
     let broken = ScriptedTarget::start(vec![Step::RespondAndReset("HTTP/1.1 2")]).await;
+    let failing = ScriptedTarget::start(vec![Step::Respond(
+        "HTTP/1.1 500 Failed\r\nid: {id}\r\ncontent-length: 0\r\n\r\n",
+    )])
+    .await;
     let silent = ScriptedTarget::start(vec![Step::Silent]).await;
     let unreachable = ScriptedTarget::unreachable().await;
     for (name, other, responds) in [
         ("full", &full, true),
         ("broken", &broken, true),
+        ("failing", &failing, true),
         ("silent", &silent, false),
         ("unreachable", &unreachable, false),
     ] {
