fix(sg-proxy): close a connection that is not read any more

Callers saw: a request on a kept connection got neither a response nor an end.

Cause: near the limit of connections, the response to a request with others read behind it decides that the connection ends with these, and that nothing more is read. The response to the last of them asked for the load anew: if other connections had ended meanwhile, it kept the connection open, which nobody read until the time for a further head was over.

Change: the last response closes the connection once that was decided.

crossings::connection_near_the_limit_is_served_or_closes_when_others_have_ended: no response or end within 2 s in four of four runs before; closed after. The 17 tests of crossings, lingering and pipelines pass.

--- a/crates/sg-proxy/src/server.rs
+++ b/crates/sg-proxy/src/server.rs
@@ -448,7 +448,8 @@
         let load = self.slot.set_idle(self.timer.now());
         let load = if self.is_refused { Load::Full } else { load };
         reuse::limit(response, load);
-        if self.socket.is_body_due() {
+        // The load may have fallen since the end was decided.
+        if self.socket.is_body_due() || self.socket.is_ending() {
             reuse::close(response);
         }
         if ends_connection || reuse::says(response.headers(), "close") {
--- a/crates/sg-proxy/src/stream/mod.rs
+++ b/crates/sg-proxy/src/stream/mod.rs
@@ -153,6 +153,11 @@
         self.state.lock().progress.end_requests();
     }
 
+    /// Returns whether the connection closes with the responses to the requests that were read.
+    pub fn is_ending(&self) -> bool {
+        self.state.lock().progress.is_last
+    }
+
     /// Records that what the caller sends on can't be told apart into requests.
     pub fn end_framing(&self) {
         self.state.lock().progress.end_framing();
--- a/crates/sg-proxy/src/stream/progress.rs
+++ b/crates/sg-proxy/src/stream/progress.rs
@@ -101,7 +101,7 @@
     /// Whether nothing more is taken from the connection.
     is_cut: bool,
     /// Whether the connection closes with the responses to the requests that were read.
-    is_last: bool,
+    pub is_last: bool,
     /// Whether bytes behind the last request lie unread.
     pub is_crossed: bool,
     /// Whether what the caller sends on can't be told apart into requests.
