fix(sg-proxy): keep targets at work when another one fails

Callers saw: a failure (500) for an idempotent request at which its first, slower target was at work and responded in time.

Cause: a failure of the last target that may be tried ended the sends to the targets that were abandoned, while a target that was full, broken or silent there did not; and a failure with a retry left, but no target for it, did not.

Change: the request waits for them in both cases, and the failure is what the caller gets if none of them responds. If this instance stops before the deadline, the failure is passed on at once, so that no refusal of the stop replaces it.

--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -126,9 +126,11 @@
     loop {
         match attempt.reserve(trace.arrived).await? {
             Ok((choice, slot)) => attempt.start(choice, slot, trace),
-            // The targets that were abandoned are still at work.
-            Err(_) if !attempt.open.is_empty() => {}
-            Err(refusal) => return attempt.result(refusal),
+            Err(_) if attempt.waits_for_abandoned() => {}
+            Err(refusal) => {
+                attempt.end_open();
+                return attempt.result(refusal);
+            }
         }
         if let Next::Finish(result) = attempt.wait(trace).await {
             return result;
@@ -284,7 +286,7 @@
                 core.metrics.record_retry(service, label);
                 Some(Next::SendAgain)
             }
-            Err(_) if !self.open.is_empty() && self.history.failure.is_none() => None,
+            Err(_) if self.waits_for_abandoned() => None,
             Err(reason) => {
                 self.end_open();
                 Some(Next::Finish(self.result(Refusal::not_run(reason))))
@@ -292,6 +294,14 @@
         }
     }
 
+    /// Returns whether the request waits for the targets that were abandoned, which are still at work. Another target's failure is passed
+    /// on at once if this instance stops before the deadline.
+    fn waits_for_abandoned(&self) -> bool {
+        let may_wait =
+            self.history.failure.is_none() || !self.core.stops_before(self.call.deadline);
+        may_wait && !self.open.is_empty()
+    }
+
     /// Sends the request to another target as well, if one has room, because the target of a send is slow.
     /// The first target stays at work: a target that was chosen may turn out to be unreachable or full.
     fn abandon(&mut self, index: usize, trace: &mut Trace) -> bool {
