test(sg-proxy): a refused body in chunks closes its connection on a request behind

A caller sends a body in two chunks to no route, and a request behind it at once. It gets 404 for the first, and the end of the connection without an answer to the second, which was read whole: four of four runs. Also tidies a comment.

--- a/crates/sg-proxy/src/attempt.rs
+++ b/crates/sg-proxy/src/attempt.rs
@@ -294,8 +294,8 @@
         }
     }
 
-    /// Returns whether the request waits for the targets that were abandoned, which are still at work. Another target's failure is passed
-    /// on at once if this instance stops before the deadline.
+    /// Returns whether the request waits for the targets that were abandoned, which are still at work. The failure
+    /// of another target is passed on at once if this instance stops before the deadline.
     fn waits_for_abandoned(&self) -> bool {
         let may_wait =
             self.history.failure.is_none() || !self.core.stops_before(self.call.deadline);
--- a/crates/sg-proxy/tests/proxy/crossings.rs
+++ b/crates/sg-proxy/tests/proxy/crossings.rs
@@ -176,6 +176,14 @@
     .await;
 }
 
+/// Guards against a refusal that closes its connection on a request that was read behind it.
+#[tokio::test]
+async fn request_behind_a_refused_body_in_chunks_is_answered_or_left_unread() {
+    let b = kept_get("/safe/x", "b");
+    let both = format!("POST /none/x HTTP/1.1\r\n{CHUNKED}1\r\ny\r\n1\r\ny\r\n0\r\n\r\n{b}");
+    check([(Nothing, 10, &*both.leak(), "", 404)]).await;
+}
+
 /// A request that is hidden in a body must not run before the body is known to have ended.
 #[tokio::test]
 async fn end_of_a_body_that_parsers_read_differently_starts_no_request() {
