--- a/crates/sg-forward/tests/forward/retries.rs
+++ b/crates/sg-forward/tests/forward/retries.rs
@@ -38,6 +38,29 @@
     }
 }
 
+/// Guards against work that is given up although no other target can take the request.
+#[tokio::test]
+async fn a_repeatable_request_waits_for_its_target_if_no_other_one_can_take_it() {
+    let slow = Behavior::RespondAfter(
+        Duration::from_millis(1_500),
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi".into(),
+    );
+    let full = "HTTP/1.1 503 Full\r\nsg-outcome: not-run\r\ncontent-length: 0\r\n\r\n";
+    for other in [None, Some(Behavior::Respond(full.into()))] {
+        let behavior = slow.clone();
+        let target = Target::start(move |_, _| behavior.clone()).await;
+        let mut addresses = vec![target.address];
+        if let Some(other) = other {
+            let other = Target::start(move |_, _| other.clone()).await;
+            addresses.push(other.address);
+        }
+        let env = TestEnv::new(&addresses);
+        let entry = Entry::start("e1", 1, &env).await;
+        let response = exchange(entry.address, read()).await;
+        response.expect(Outcome::Ran, Reason::Answered);
+    }
+}
+
 #[tokio::test]
 async fn one_stalled_connection_retires_all_pooled_connections_to_its_target() {
     const OLD_CONNECTIONS: u32 = 6;
