--- a/crates/sg-proxy/tests/proxy/crossings.rs
+++ b/crates/sg-proxy/tests/proxy/crossings.rs
@@ -176,6 +176,14 @@
     .await;
 }
 
+/// Guards against a refusal that closes its connection on a request that was read behind it.
+#[tokio::test]
+async fn request_behind_a_refused_body_in_chunks_is_answered_or_left_unread() {
+    let b = kept_get("/safe/x", "b");
+    let both = format!("POST /none/x HTTP/1.1\r\n{CHUNKED}1\r\ny\r\n1\r\ny\r\n0\r\n\r\n{b}");
+    check([(Nothing, 10, &*both.leak(), "", 404)]).await;
+}
+
 /// A request that is hidden in a body must not run before the body is known to have ended.
 #[tokio::test]
 async fn end_of_a_body_that_parsers_read_differently_starts_no_request() {
@@ -236,3 +244,25 @@
     }
     assert!(broken.is_empty(), "{broken:?}");
 }
+
+/// Guards against a connection that stays open and is not read any more.
+#[tokio::test]
+async fn connection_near_the_limit_is_served_or_closes_when_others_have_ended() {
+    let target = ScriptedTarget::start(vec![Step::RespondAfter(100, OK)]).await;
+    let instance = Instance::start_limited(&[&target], 8).await;
+    let mut others = Vec::new();
+    for _ in 0..5 {
+        others.push(instance.connect().await);
+    }
+    let mut caller = Reader::new(instance.connect().await);
+    let [a, b, c] = ["a", "b", "c"].map(|id| kept_get("/safe/x", id));
+    caller.send(&format!("{a}{b}")).await;
+    for others in [others, Vec::new()] {
+        let response = caller.read_response().await.expect("a response");
+        assert_eq!(status(&response), 200);
+        drop(others);
+    }
+    caller.send(&c).await;
+    let next = timeout(Duration::from_secs(2), caller.read_response()).await;
+    assert!(next.is_ok(), "neither a response nor an end");
+}
