fix(sg-proxy): let other tasks run while a closing connection discards a body

Cause, suspected by the review from reading: the wait for bytes returns at once while bytes wait, so that up to 16 MiB were discarded in one turn of the task.

--- a/crates/sg-proxy/src/stream/linger.rs
+++ b/crates/sg-proxy/src/stream/linger.rs
@@ -70,6 +70,8 @@
                 if !self.discard(&mut rest) {
                     return;
                 }
+                // The socket stays ready while more bytes wait.
+                tokio::task::yield_now().await;
                 continue;
             }
             match self.find_unread() {
