feat(sg-gateway): tell how far a fetch from another instance came, and how long an instance is behind

Cause: 'changes not relayed' told that an exchange took over a second and not whether no byte came or nearly all of them, so that a narrow link, a full one and a cut one looked the same, and nothing said that an instance knew that it was behind.

Change: the lines of fetches have bytes, took_ms, behind_ms and the version known; counters and a histogram by prefix, and sg_behind_seconds. No logic is changed.

--- a/crates/sg-gateway/src/daemon.rs
+++ b/crates/sg-gateway/src/daemon.rs
@@ -109,6 +109,7 @@
     /// The era of the store.
     pub era_gauge: prometheus::IntGauge,
     pub unread: UnreadCounters,
+    pub fetches: following::Metrics,
 }
 
 /// Counters of what this build can't read.
@@ -196,6 +197,7 @@
     let era_gauge = prometheus::IntGauge::new("sg_store_era", "Era of the platform's store")?;
     registry.register(Box::new(era_gauge.clone()))?;
     let unread = UnreadCounters::register(&registry)?;
+    let fetches = following::Metrics::register(&registry)?;
     let (signal_sender, signal_receiver) = mpsc::unbounded_channel();
     let core = Core::new(
         dialect,
@@ -229,6 +231,7 @@
         registry,
         era_gauge,
         unread,
+        fetches,
     });
     context.core.slots.set_run(context.incarnation);
     let phases = Phases::default();
--- a/crates/sg-gateway/src/following.rs
+++ b/crates/sg-gateway/src/following.rs
@@ -3,11 +3,12 @@
 
 use std::net::SocketAddr;
 
+use prometheus::{GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry};
 use sg_mesh::{
     duty,
     lag::{self, Lag},
     members::Member,
-    relay,
+    relay::{self, Outcome},
 };
 use sg_store::{Store, Version};
 use sg_types::prelude::*;
@@ -24,6 +25,74 @@
 /// The time beyond the watch timeout after which the store counts as silent if no call succeeded.
 const SILENCE_MARGIN: Span = Span::from_secs(1);
 
+/// The names of the followed prefixes in metrics.
+const PREFIX_NAMES: [&str; INSTANCE_INDEX + 1] = ["operator", "targets", "instances"];
+/// Upper bounds of the buckets of the times of fetches, in seconds.
+const FETCH_BUCKETS: [f64; 9] = [0.01, 0.03, 0.1, 0.3, 0.6, 1.0, 2.0, 4.0, 8.0];
+
+/// Metrics of the fetches from other instances, by prefix.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    fetches: IntCounterVec,
+    bytes: IntCounterVec,
+    seconds: HistogramVec,
+    behind: GaugeVec,
+}
+
+impl Metrics {
+    /// Creates the metrics and registers them.
+    pub fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let metrics = Self {
+            fetches: IntCounterVec::new(
+                Opts::new(
+                    "sg_fetches_total",
+                    "Fetches of changes from other instances.",
+                ),
+                &["prefix", "end"],
+            )?,
+            bytes: IntCounterVec::new(
+                Opts::new("sg_fetched_bytes_total", "Bytes of fetched responses."),
+                &["prefix"],
+            )?,
+            seconds: HistogramVec::new(
+                HistogramOpts::new("sg_fetch_seconds", "Times of fetches.")
+                    .buckets(FETCH_BUCKETS.to_vec()),
+                &["prefix"],
+            )?,
+            behind: GaugeVec::new(
+                Opts::new(
+                    "sg_behind_seconds",
+                    "Time for which another instance has known a newer version.",
+                ),
+                &["prefix"],
+            )?,
+        };
+        registry.register(Box::new(metrics.fetches.clone()))?;
+        registry.register(Box::new(metrics.bytes.clone()))?;
+        registry.register(Box::new(metrics.seconds.clone()))?;
+        registry.register(Box::new(metrics.behind.clone()))?;
+        Ok(metrics)
+    }
+
+    fn record_behind(&self, index: usize, behind: Span) {
+        let gauge = self.behind.with_label_values(&[PREFIX_NAMES[index]]);
+        gauge.set(behind.as_secs_f64());
+    }
+
+    fn record_fetch(&self, index: usize, took: Span, result: &Result<Outcome, relay::Error>) {
+        let prefix = PREFIX_NAMES[index];
+        let (end, bytes) = match result {
+            Ok(outcome) => ("applied", outcome.bytes),
+            Err(error) => (error.kind(), error.received()),
+        };
+        self.fetches.with_label_values(&[prefix, end]).inc();
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.bytes.with_label_values(&[prefix]).inc_by(bytes);
+        let seconds = self.seconds.with_label_values(&[prefix]);
+        seconds.observe(took.as_secs_f64());
+    }
+}
+
 /// Returns whether this instance follows the store and reached it lately.
 pub(crate) fn reaches_store<D, I, S>(context: &Context<D, I, S>, now: Instant) -> bool {
     let has_contact = |index: usize| {
@@ -103,12 +172,14 @@
             let ahead = instances_ahead(&context, index, now.since(progress.advanced_at), now);
             if ahead.is_empty() {
                 progress.behind_since = None;
+                context.fetches.record_behind(index, Span::ZERO);
                 continue;
             }
             let since = *progress.behind_since.get_or_insert(now);
+            context.fetches.record_behind(index, now.since(since));
             if is_fetch_due(&context, index, since, now) {
                 let chosen = ahead[rand::random_range(0..ahead.len())];
-                fetch_changes(&context, index, chosen).await;
+                fetch_changes(&context, index, chosen, since).await;
             }
         }
     }
@@ -162,10 +233,35 @@
     lag.must_fetch(now)
 }
 
-/// Fetches the changes of the prefix at `index` from another instance and logs the outcome.
-async fn fetch_changes<D, I, S>(context: &Context<D, I, S>, index: usize, from: SocketAddr) {
-    match relay::fetch(&context.replica, &context.timer, from, index).await {
-        Ok(count) => log::info!(from:% = from, index, count; "changes relayed"),
-        Err(error) => log::warn!(from:% = from, index, error:% = error; "changes not relayed"),
+/// Fetches the changes of the prefix at `index` from another instance and logs the outcome. Others have known more
+/// since `behind_since`.
+async fn fetch_changes<D, I, S>(
+    context: &Context<D, I, S>,
+    index: usize,
+    from: SocketAddr,
+    behind_since: Instant,
+) {
+    let started = context.timer.now();
+    let result = relay::fetch(&context.replica, &context.timer, from, index).await;
+    let now = context.timer.now();
+    let took = now.since(started);
+    context.fetches.record_fetch(index, took, &result);
+    let (took_ms, behind_ms) = (took.as_millis(), now.since(behind_since).as_millis());
+    match result {
+        Ok(outcome) => {
+            let (count, bytes) = (outcome.changes, outcome.bytes);
+            let version = context.replica.position(index);
+            log::info!(
+                from:% = from, index, count, bytes, took_ms, behind_ms, version:% = version;
+                "changes relayed"
+            );
+        }
+        Err(error) => {
+            let bytes = error.received();
+            log::warn!(
+                from:% = from, index, bytes, took_ms, behind_ms, error:% = error;
+                "changes not relayed"
+            );
+        }
     }
 }
--- a/crates/sg-mesh/src/relay.rs
+++ b/crates/sg-mesh/src/relay.rs
@@ -107,13 +107,47 @@
     Malformed(String),
     /// The exchange took longer than the time limit.
     #[error(
-        "the other instance did not respond in time; if this persists, check the network between the instances"
+        "the other instance did not respond in time ({received} bytes arrived); if this persists, check the network between the instances"
     )]
-    Timeout,
+    Timeout {
+        /// The number of bytes of the response that arrived; zero if none did, or if no connection opened.
+        received: usize,
+    },
+}
+
+impl Error {
+    /// Returns a name of the kind of error, for metrics.
+    #[must_use]
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Io(_) => "connection",
+            Self::Malformed(_) => "malformed",
+            Self::Timeout { received: 0 } => "silent",
+            Self::Timeout { .. } => "slow",
+        }
+    }
+
+    /// Returns the number of bytes that arrived before a time limit ended the exchange.
+    #[must_use]
+    pub const fn received(&self) -> usize {
+        match self {
+            Self::Timeout { received } => *received,
+            Self::Io(_) | Self::Malformed(_) => 0,
+        }
+    }
+}
+
+/// What a fetch brought.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Outcome {
+    /// The number of changes in the response.
+    pub changes: usize,
+    /// The size of the response in bytes.
+    pub bytes: usize,
 }
 
 /// Requests the changes of the prefix at `index` that `replica` lacks from the instance at `address`
-/// and applies them. Returns the number of changes received.
+/// and applies them.
 ///
 /// # Errors
 /// Returns [`Error`] if the exchange fails or times out.
@@ -122,11 +156,11 @@
     timer: &Timer,
     address: SocketAddr,
     index: usize,
-) -> Result<usize, Error> {
-    let snapshot = fetch_snapshot(replica, timer, address, index).await?;
-    let count = snapshot.changes.len();
+) -> Result<Outcome, Error> {
+    let (snapshot, bytes) = fetch_snapshot(replica, timer, address, index).await?;
+    let changes = snapshot.changes.len();
     replica.merge(index, snapshot);
-    Ok(count)
+    Ok(Outcome { changes, bytes })
 }
 
 /// Like [`fetch`], but also applies the state of an instance that has not noticed the store's era yet. It
@@ -140,22 +174,27 @@
     address: SocketAddr,
     index: usize,
 ) -> Result<(), Error> {
-    let snapshot = fetch_snapshot(replica, timer, address, index).await?;
+    let (snapshot, _) = fetch_snapshot(replica, timer, address, index).await?;
     replica.merge_retaining(index, snapshot);
     Ok(())
 }
 
-/// Requests what `replica` lacks of the prefix at `index`.
+/// Requests what `replica` lacks of the prefix at `index`. Returns it with the size of the response in bytes.
 async fn fetch_snapshot(
     replica: &Replica,
     timer: &Timer,
     address: SocketAddr,
     index: usize,
-) -> Result<Snapshot, Error> {
+) -> Result<(Snapshot, usize), Error> {
     let after = replica.position(index);
-    let exchange = request(address, index, after);
-    let response = timer.until(timer.now() + EXCHANGE_TIMEOUT, exchange).await;
-    let response = response.map_err(|_| Error::Timeout)??;
+    let mut bytes = Vec::new();
+    let exchange = request(address, index, after, &mut bytes);
+    let exchanged = timer.until(timer.now() + EXCHANGE_TIMEOUT, exchange).await;
+    exchanged.map_err(|_| Error::Timeout {
+        received: bytes.len(),
+    })??;
+    let response: Response =
+        serde_json::from_slice(&bytes).map_err(|error| malformed_error(&error))?;
     if let Some(recovered_ms) = response.recovered_ms {
         let at = timer.now() - Span::from_millis(recovered_ms);
         replica.record_relayed_recovery(index, at);
@@ -164,7 +203,7 @@
         encoded.into_iter().map(Change::try_from).collect()
     };
     let at = |revision| Version::at(Era::new(response.era), revision);
-    Ok(Snapshot {
+    let snapshot = Snapshot {
         changes: decode(response.changes)?,
         is_listing: response.listing,
         retained: decode(response.retained)?,
@@ -173,11 +212,17 @@
             after: at(after),
             before: at(before),
         }),
-    })
+    };
+    Ok((snapshot, bytes.len()))
 }
 
-/// Sends one request and reads the response.
-async fn request(address: SocketAddr, index: usize, after: Version) -> Result<Response, Error> {
+/// Sends one request and reads the response into `bytes`.
+async fn request(
+    address: SocketAddr,
+    index: usize,
+    after: Version,
+    bytes: &mut Vec<u8>,
+) -> Result<(), Error> {
     let mut stream = TcpStream::connect(address).await?;
     let request = Request {
         index,
@@ -187,12 +232,8 @@
     let mut line = serde_json::to_vec(&request).map_err(|error| malformed_error(&error))?;
     line.push(b'\n');
     stream.write_all(&line).await?;
-    let mut bytes = Vec::new();
-    stream
-        .take(MAX_RESPONSE_BYTES)
-        .read_to_end(&mut bytes)
-        .await?;
-    serde_json::from_slice(&bytes).map_err(|error| malformed_error(&error))
+    stream.take(MAX_RESPONSE_BYTES).read_to_end(bytes).await?;
+    Ok(())
 }
 
 fn malformed_error(error: &serde_json::Error) -> Error {
--- a/crates/sg-mesh/tests/mesh/follower.rs
+++ b/crates/sg-mesh/tests/mesh/follower.rs
@@ -91,10 +91,10 @@
     let address = listener.local_addr().expect("an address");
     tokio::spawn(relay::serve(near.clone(), timer.clone(), listener));
     let (far, mut far_updates) = Replica::new(1);
-    let count = relay::fetch(&far, &timer, address, 0)
+    let fetched = relay::fetch(&far, &timer, address, 0)
         .await
         .expect("changes");
-    assert_eq!(count, 2);
+    assert_eq!(fetched.changes, 2);
     assert_eq!(next_changes(&mut far_updates).await.len(), 2);
     assert_eq!(far.position(0), near.position(0));
     assert!(far.position(0) > Version::default());
@@ -102,7 +102,8 @@
     assert_eq!(
         relay::fetch(&far, &timer, address, 0)
             .await
-            .expect("a response"),
+            .expect("a response")
+            .changes,
         0
     );
     assert!(relay::fetch(&far, &timer, address, 9).await.is_err());
