fix(sg-mesh): end a fetch for lack of progress and not for its duration, and compress it

Callers saw an instance decide by a configuration three versions old, 3.7 s after the newest had been acknowledged: routes that were added got 404, requests went where an older split sent them.

Cause: a fetch of what another instance knows had 1 s for its connection and all bytes, at both ends, and began again at its first byte. A configuration of 4,200 routes, Base64 in JSON, needs 0.9 s of a free link of 10 Mbit/s.

Change: a fetch goes on while bytes arrive at least each second and with 8 KiB/s on average, at both ends; the first of several sources that accepts is taken, 300 ms apart, so that one lost packet doesn't cost the second. An instance that reads them gets packed responses: values as text in DEFLATE format, a large one in a frame of its own that the sender keeps for the next who asks, behind the small changes, which are applied as soon as they have arrived. Earlier builds get and send what they did. A link that is really cut costs the same second as before, for each prefix; a source that refuses costs nothing.

Evidence: configurations_that_take_long_to_copy_are_in_force_in_time failed with 1,400 and 14,000 routes and passes; 1,400 routes take 22,935 bytes, 14,000 take 223,620. The table of transfers in sg-mesh has rows that last over 2 s, stall, drip, end early and stay silent.

--- a/crates/sg-gateway/src/following.rs
+++ b/crates/sg-gateway/src/following.rs
@@ -242,7 +242,7 @@
     behind_since: Instant,
 ) {
     let started = context.timer.now();
-    let result = relay::fetch(&context.replica, &context.timer, from, index).await;
+    let result = relay::fetch(&context.replica, &context.timer, [from], index).await;
     let now = context.timer.now();
     let took = now.since(started);
     context.fetches.record_fetch(index, took, &result);
--- a/crates/sg-mesh/src/follower.rs
+++ b/crates/sg-mesh/src/follower.rs
@@ -92,10 +92,13 @@
         positions.collect()
     }
 
-    /// Returns the store version of the last known change of each prefix.
+    /// Returns the store version of the last known change of each prefix up to which all changes are known.
     #[must_use]
     pub fn last_changes(&self) -> Vec<Version> {
-        let changes = self.mirrors.iter().map(|mirror| mirror.lock().changed_at());
+        let changes = self.mirrors.iter().map(|mirror| {
+            let mirror = mirror.lock();
+            mirror.changed_at().min(mirror.position())
+        });
         changes.collect()
     }
 
@@ -199,6 +202,11 @@
         self.update(index, |mirror| mirror.merge(snapshot));
     }
 
+    /// Applies some changes of `era` that another instance returned. Others before them may be missing still.
+    pub fn merge_part(&self, index: usize, era: Era, changes: Vec<Change>) {
+        self.update(index, |mirror| mirror.merge_part(era, changes));
+    }
+
     /// Applies the state that another instance returned to this instance, which has just started.
     pub fn merge_retaining(&self, index: usize, snapshot: Snapshot) {
         self.update(index, |mirror| mirror.merge_retaining(snapshot));
--- a/crates/sg-mesh/src/mirror.rs
+++ b/crates/sg-mesh/src/mirror.rs
@@ -337,6 +337,18 @@
         applied
     }
 
+    /// Applies some changes of `era` and returns those that were new. The position stays, because others may be
+    /// missing. Changes of another era than the mirror's change nothing.
+    pub fn merge_part(&mut self, era: Era, changes: Vec<Change>) -> Vec<Change> {
+        if era != self.position.era() {
+            return Vec::new();
+        }
+        let changes = changes.into_iter();
+        changes
+            .filter_map(|change| self.apply_change(change))
+            .collect()
+    }
+
     /// Like [`merge`](Self::merge), but retains the values of a state of an older era. It is for an
     /// instance that has just started: its own state has no values of earlier eras.
     pub fn merge_retaining(&mut self, snapshot: Snapshot) -> Vec<Change> {
--- a/crates/sg-mesh/src/relay.rs
+++ b/crates/sg-mesh/src/relay.rs
@@ -1,98 +1,35 @@
-//! Fetches changes of the store from an instance with a newer copy, for use while this instance can't
-//! reach the store.
+//! Fetches changes of the store from an instance with a newer copy, for use while this instance doesn't follow the
+//! store, or can't reach it in time.
 //!
-//! One TCP connection carries one request, a line of JSON, and one response, a JSON document.
+//! One TCP connection carries one request, a line of JSON, and one response. The response of an instance that knows
+//! how is compressed, and has its large values last, so that orders and targets don't wait for them.
+
+mod connection;
+mod message;
 
 use std::{io, net::SocketAddr};
 
-use base64::{Engine as _, engine::general_purpose::STANDARD};
-use serde::{Deserialize, Serialize};
+use parking_lot::Mutex;
 use sg_clock::Timer;
 use sg_store::{Version, version::Era};
 use sg_types::prelude::*;
-use tokio::{
-    io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
-    net::{TcpListener, TcpStream},
-};
+use tokio::net::{TcpListener, TcpStream};
 
+use self::{
+    connection::Connection,
+    message::{EncodedChange, FrameCache, PACKED, Request, Response, malformed_error},
+};
 use crate::{
     follower::Replica,
     mirror::{Change, Gap, Snapshot},
 };
 
-/// The time limit of one exchange. An exchange between two instances takes about 100 ms; one that takes
-/// much longer means that the network is partitioned.
-const EXCHANGE_TIMEOUT: Span = Span::from_millis(1_000);
-/// The largest response, in bytes. The complete state of a fleet takes a few hundred kilobytes.
-const MAX_RESPONSE_BYTES: u64 = 16 << 20;
+/// The largest response without compression, and the largest frame, in bytes.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// The largest request, in bytes.
-const MAX_REQUEST_BYTES: u64 = 1_024;
-
-/// A request for the changes of one prefix after a store version.
-#[derive(Debug, Serialize, Deserialize)]
-struct Request {
-    index: usize,
-    after: u64,
-    #[serde(default)]
-    era: u64,
-}
-
-/// The changes, complete up to the store version `position`.
-#[derive(Debug, Serialize, Deserialize)]
-struct Response {
-    position: u64,
-    #[serde(default)]
-    era: u64,
-    changes: Vec<EncodedChange>,
-    /// Whether the changes are a listing: keys without a change are gone.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    listing: bool,
-    /// Values of earlier eras that the sender retains.
-    #[serde(default)]
-    retained: Vec<EncodedChange>,
-    /// The revisions between which the changes would not have been complete, of the same era. Earlier
-    /// releases don't tell them.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    gap: Option<(u64, u64)>,
-    /// The time since the sender last reached the store again after a failure, in milliseconds.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    recovered_ms: Option<u64>,
-}
-
-/// A change whose value is encoded in Base64; no value means that the key was deleted.
-#[derive(Debug, Serialize, Deserialize)]
-struct EncodedChange {
-    key: Arc<str>,
-    version: u64,
-    #[serde(default)]
-    era: u64,
-    value: Option<String>,
-}
-
-impl From<Change> for EncodedChange {
-    fn from(change: Change) -> Self {
-        Self {
-            key: change.key,
-            version: change.version.revision(),
-            era: change.version.era().get(),
-            value: change.value.map(|value| STANDARD.encode(value)),
-        }
-    }
-}
-
-impl TryFrom<EncodedChange> for Change {
-    type Error = Error;
-
-    fn try_from(encoded: EncodedChange) -> Result<Self, Error> {
-        let value = encoded.value.map(|text| STANDARD.decode(text)).transpose();
-        let value = value.map_err(|error| Error::Malformed(error.to_string()))?;
-        Ok(Self {
-            key: encoded.key,
-            value: value.map(Into::into),
-            version: Version::at(Era::new(encoded.era), encoded.version),
-        })
-    }
-}
+const MAX_REQUEST_BYTES: usize = 1_024;
+/// The time after which connections are accepted again after an error.
+const ACCEPT_RETRY_DELAY: Span = Span::from_millis(100);
 
 /// An error in an exchange with another instance.
 #[derive(Debug, thiserror::Error)]
@@ -105,7 +42,7 @@
     /// The request or the response can't be encoded or decoded, or the request names an unknown prefix.
     #[error("a relay message is invalid ({0}); check that both instances run the same version")]
     Malformed(String),
-    /// The exchange took longer than the time limit.
+    /// No byte came for too long, or too few came on average.
     #[error(
         "the other instance did not respond in time ({received} bytes arrived); if this persists, check the network between the instances"
     )]
@@ -140,61 +77,109 @@
 /// What a fetch brought.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Outcome {
+    /// The instance that responded.
+    pub from: SocketAddr,
     /// The number of changes in the response.
     pub changes: usize,
     /// The size of the response in bytes.
     pub bytes: usize,
 }
 
-/// Requests the changes of the prefix at `index` that `replica` lacks from the instance at `address`
-/// and applies them.
+/// Requests the changes of the prefix at `index` that `replica` lacks from the first of `sources` that can be
+/// reached, and applies them.
 ///
 /// # Errors
-/// Returns [`Error`] if the exchange fails or times out.
+/// Returns [`Error`] if the exchange fails, or makes no progress for a second.
 pub async fn fetch(
     replica: &Replica,
     timer: &Timer,
-    address: SocketAddr,
+    sources: impl IntoIterator<Item = SocketAddr>,
     index: usize,
 ) -> Result<Outcome, Error> {
-    let (snapshot, bytes) = fetch_snapshot(replica, timer, address, index).await?;
-    let changes = snapshot.changes.len();
+    let (snapshot, outcome) = fetch_snapshot(replica, timer, sources, index).await?;
     replica.merge(index, snapshot);
-    Ok(Outcome { changes, bytes })
+    Ok(outcome)
 }
 
 /// Like [`fetch`], but also applies the state of an instance that has not noticed the store's era yet. It
 /// is for an instance that has just started.
 ///
 /// # Errors
-/// Returns [`Error`] if the exchange fails or times out.
+/// Returns [`Error`] if the exchange fails, or makes no progress for a second.
 pub async fn fetch_retaining(
     replica: &Replica,
     timer: &Timer,
-    address: SocketAddr,
+    source: SocketAddr,
     index: usize,
 ) -> Result<(), Error> {
-    let (snapshot, _) = fetch_snapshot(replica, timer, address, index).await?;
+    let (snapshot, _) = fetch_snapshot(replica, timer, [source], index).await?;
     replica.merge_retaining(index, snapshot);
     Ok(())
 }
 
-/// Requests what `replica` lacks of the prefix at `index`. Returns it with the size of the response in bytes.
+/// Requests what `replica` lacks of the prefix at `index`. Changes that arrive before a large value are applied at
+/// once.
 async fn fetch_snapshot(
     replica: &Replica,
     timer: &Timer,
-    address: SocketAddr,
+    sources: impl IntoIterator<Item = SocketAddr>,
     index: usize,
-) -> Result<(Snapshot, usize), Error> {
+) -> Result<(Snapshot, Outcome), Error> {
     let after = replica.position(index);
-    let mut bytes = Vec::new();
-    let exchange = request(address, index, after, &mut bytes);
-    let exchanged = timer.until(timer.now() + EXCHANGE_TIMEOUT, exchange).await;
-    exchanged.map_err(|_| Error::Timeout {
-        received: bytes.len(),
-    })??;
-    let response: Response =
-        serde_json::from_slice(&bytes).map_err(|error| malformed_error(&error))?;
+    let (mut connection, from) = Connection::open(timer, sources).await?;
+    let request = Request {
+        index,
+        after: after.revision(),
+        era: after.era().get(),
+        packed: true,
+    };
+    let mut line = serde_json::to_vec(&request).map_err(malformed_error)?;
+    line.push(b'\n');
+    connection.ask(&line, timer).await?;
+    let first = connection.read_exact(1).await?;
+    let mut snapshot = if first == [PACKED] {
+        let response: Response = message::unpack(&read_frame(&mut connection).await?)?;
+        let frames = response.frames;
+        let mut snapshot = decode(replica, timer, index, response)?;
+        if frames > 0 && !snapshot.is_listing {
+            replica.merge_part(index, snapshot.position.era(), snapshot.changes.clone());
+        }
+        for _ in 0..frames {
+            let change: EncodedChange = message::unpack(&read_frame(&mut connection).await?)?;
+            snapshot.changes.push(change.try_into()?);
+        }
+        snapshot
+    } else {
+        let json = connection.read_to_end(first, MAX_RESPONSE_BYTES).await?;
+        decode(replica, timer, index, message::parse(&json)?)?
+    };
+    snapshot.changes.sort_by_key(|change| change.version);
+    let outcome = Outcome {
+        from,
+        changes: snapshot.changes.len(),
+        bytes: connection.bytes(),
+    };
+    Ok((snapshot, outcome))
+}
+
+/// Reads one frame without its length.
+async fn read_frame(connection: &mut Connection) -> Result<Vec<u8>, Error> {
+    let length = connection.read_exact(size_of::<u32>()).await?;
+    let length = length.try_into().map(u32::from_le_bytes);
+    let length = length.ok().and_then(|length| usize::try_from(length).ok());
+    match length.filter(|length| *length <= MAX_RESPONSE_BYTES) {
+        Some(length) => connection.read_exact(length).await,
+        None => Err(malformed_error("the frame is too long")),
+    }
+}
+
+/// Returns the state in a response, and records when its sender last regained the store.
+fn decode(
+    replica: &Replica,
+    timer: &Timer,
+    index: usize,
+    response: Response,
+) -> Result<Snapshot, Error> {
     if let Some(recovered_ms) = response.recovered_ms {
         let at = timer.now() - Span::from_millis(recovered_ms);
         replica.record_relayed_recovery(index, at);
@@ -203,7 +188,7 @@
         encoded.into_iter().map(Change::try_from).collect()
     };
     let at = |revision| Version::at(Era::new(response.era), revision);
-    let snapshot = Snapshot {
+    Ok(Snapshot {
         changes: decode(response.changes)?,
         is_listing: response.listing,
         retained: decode(response.retained)?,
@@ -212,88 +197,102 @@
             after: at(after),
             before: at(before),
         }),
-    };
-    Ok((snapshot, bytes.len()))
-}
-
-/// Sends one request and reads the response into `bytes`.
-async fn request(
-    address: SocketAddr,
-    index: usize,
-    after: Version,
-    bytes: &mut Vec<u8>,
-) -> Result<(), Error> {
-    let mut stream = TcpStream::connect(address).await?;
-    let request = Request {
-        index,
-        after: after.revision(),
-        era: after.era().get(),
-    };
-    let mut line = serde_json::to_vec(&request).map_err(|error| malformed_error(&error))?;
-    line.push(b'\n');
-    stream.write_all(&line).await?;
-    stream.take(MAX_RESPONSE_BYTES).read_to_end(bytes).await?;
-    Ok(())
+    })
 }
 
-fn malformed_error(error: &serde_json::Error) -> Error {
-    Error::Malformed(error.to_string())
+/// What the responses of an instance are made of.
+struct Sender {
+    replica: Arc<Replica>,
+    timer: Timer,
+    cache: Mutex<FrameCache>,
 }
 
 /// Responds to requests of other instances until the future is dropped.
 pub async fn serve(replica: Arc<Replica>, timer: Timer, listener: TcpListener) {
+    let sender = Arc::new(Sender {
+        replica,
+        timer,
+        cache: Mutex::default(),
+    });
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
                 log::warn!(error:% = error; "relay connection not accepted");
-                timer.sleep(EXCHANGE_TIMEOUT).await;
+                sender.timer.sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             }
         };
-        let (replica, timer) = (replica.clone(), timer.clone());
+        let sender = sender.clone();
         tokio::spawn(async move {
-            let exchange = respond(&replica, &timer, stream);
-            match timer.until(timer.now() + EXCHANGE_TIMEOUT, exchange).await {
-                Ok(Ok(())) => {}
-                Ok(Err(error)) => log::debug!(error:% = error; "relay question not answered"),
-                Err(_) => log::debug!("relay question took too long"),
+            if let Err(error) = sender.respond(stream).await {
+                log::debug!(error:% = error; "relay question not answered");
             }
         });
     }
 }
 
-/// Reads one request and sends the response.
-async fn respond(replica: &Replica, timer: &Timer, mut stream: TcpStream) -> Result<(), Error> {
-    let (read_half, mut write_half) = stream.split();
-    let mut line = Vec::new();
-    let mut reader = BufReader::new(read_half.take(MAX_REQUEST_BYTES));
-    reader.read_until(b'\n', &mut line).await?;
-    let request: Request =
-        serde_json::from_slice(&line).map_err(|error| malformed_error(&error))?;
-    let after = Version::at(Era::new(request.era), request.after);
-    let Some(snapshot) = replica.snapshot_after(request.index, after) else {
-        return Err(Error::Malformed(
-            "the request names an unknown prefix".to_owned(),
-        ));
-    };
-    let encode = |changes: Vec<Change>| changes.into_iter().map(EncodedChange::from).collect();
-    let response = Response {
-        position: snapshot.position.revision(),
-        era: snapshot.position.era().get(),
-        changes: encode(snapshot.changes),
-        listing: snapshot.is_listing,
-        retained: encode(snapshot.retained),
-        gap: snapshot
-            .gap
-            .map(|gap| (gap.after.revision(), gap.before.revision())),
-        recovered_ms: replica
-            .contact(request.index)
-            .last_recovery
-            .map(|at| timer.now().since(at).as_millis()),
-    };
-    let bytes = serde_json::to_vec(&response).map_err(|error| malformed_error(&error))?;
-    write_half.write_all(&bytes).await?;
-    write_half.shutdown().await?;
-    Ok(())
+impl Sender {
+    /// Reads one request and sends the response.
+    async fn respond(&self, stream: TcpStream) -> Result<(), Error> {
+        let mut connection = Connection::new(stream, &self.timer);
+        let line = connection.read_line(MAX_REQUEST_BYTES).await?;
+        let request: Request = message::parse(&line)?;
+        let after = Version::at(Era::new(request.era), request.after);
+        let Some(snapshot) = self.replica.snapshot_after(request.index, after) else {
+            return Err(malformed_error("the request names an unknown prefix"));
+        };
+        if request.packed {
+            let frames = self.pack(request.index, snapshot)?;
+            connection.write(&[PACKED]).await?;
+            for frame in frames {
+                connection.write(&frame).await?;
+            }
+        } else {
+            let response = self.encode(request.index, &snapshot, false);
+            let json = serde_json::to_vec(&response).map_err(malformed_error)?;
+            connection.write(&json).await?;
+        }
+        connection.finish().await
+    }
+
+    /// Returns the frames of a packed response.
+    fn pack(&self, index: usize, mut snapshot: Snapshot) -> Result<Vec<Arc<[u8]>>, Error> {
+        let is_large = |change: &mut Change| {
+            let value = change.value.as_ref();
+            value.is_some_and(|value| value.len() >= message::LARGE_VALUE_BYTES)
+        };
+        let large: Vec<Change> = snapshot.changes.extract_if(.., is_large).collect();
+        let mut response = self.encode(index, &snapshot, true);
+        response.frames = large.len();
+        let mut frames: Vec<Arc<[u8]>> = vec![message::pack(&response)?.into()];
+        let mut cache = self.cache.lock();
+        for change in &large {
+            frames.push(cache.frame(change)?);
+        }
+        Ok(frames)
+    }
+
+    fn encode(&self, index: usize, snapshot: &Snapshot, text_is_allowed: bool) -> Response {
+        let encode = |changes: &[Change]| {
+            let encoded = changes.iter();
+            encoded
+                .map(|change| EncodedChange::new(change, text_is_allowed))
+                .collect()
+        };
+        let now = self.timer.now();
+        let recovered_at = self.replica.contact(index).last_recovery;
+        Response {
+            position: snapshot.position.revision(),
+            era: snapshot.position.era().get(),
+            changes: encode(&snapshot.changes),
+            listing: snapshot.is_listing,
+            retained: encode(&snapshot.retained),
+            gap: snapshot
+                .gap
+                .map(|gap| (gap.after.revision(), gap.before.revision())),
+            recovered_ms: recovered_at.map(|at| now.since(at).as_millis()),
+            frames: 0,
+        }
+    }
 }
--- a/crates/sg-mesh/tests/mesh/main.rs
+++ b/crates/sg-mesh/tests/mesh/main.rs
@@ -8,5 +8,6 @@
 mod lag;
 mod members;
 mod mirror;
+mod relay;
 mod restore;
 mod slots;
