fix(sg-gateway): fetch each prefix by itself, from the own failure domain first

All instances of all domains asked the first instance that announced a configuration, 20 of them within 50 ms: 19 MB left one instance in a second. A follower whose watch was slow, but had not failed, asked nobody.

Change: a task for each prefix. Other domains are asked for orders and configurations 300 ms after a newer one was announced, by when the own domain's follower has mostly read it, and if no neighbour accepts. An instance that follows the store and has lacked a configuration or an order for 500 ms asks those that know it.

--- a/crates/sg-gateway/src/beacon.rs
+++ b/crates/sg-gateway/src/beacon.rs
@@ -143,7 +143,7 @@
     }
     apply_to_core(context, &beacon);
     let (incarnation, instance) = (beacon.incarnation, beacon.instance.clone());
-    let is_ahead = is_ahead(context, &beacon);
+    let prefixes_ahead = prefixes_ahead(context, &beacon);
     let mut members = context.members.lock();
     let previous = members.beacon(&instance);
     let is_urgent = previous.is_some_and(|previous| beacon.is_urgent_after(previous));
@@ -162,8 +162,8 @@
             "instance heard"
         );
     }
-    if is_ahead {
-        context.ahead.notify_one();
+    for index in prefixes_ahead {
+        context.ahead[index].notify_one();
     }
     if is_urgent {
         slots::update(context, now);
@@ -171,11 +171,12 @@
     is_urgent
 }
 
-/// Returns whether the sender of `beacon` knows of a change that this instance doesn't know.
-fn is_ahead<D, I, S>(context: &Context<D, I, S>, beacon: &Beacon) -> bool {
+/// Returns the prefixes of which the sender of `beacon` knows a change that this instance doesn't know.
+fn prefixes_ahead<D, I, S>(context: &Context<D, I, S>, beacon: &Beacon) -> Vec<usize> {
     let positions = context.replica.positions();
-    let mut positions = positions.iter().enumerate();
-    positions.any(|(index, position)| beacon.last_change(index) > *position)
+    let positions = positions.iter().enumerate();
+    let ahead = positions.filter(|(index, position)| beacon.last_change(*index) > **position);
+    ahead.map(|(index, _)| index).collect()
 }
 
 /// Returns the addresses of all known instances: live instances, the instances that their beacons
--- a/crates/sg-gateway/src/daemon.rs
+++ b/crates/sg-gateway/src/daemon.rs
@@ -99,8 +99,8 @@
     pub next_loan_number: AtomicU64,
     pub digests: digests::State,
     pub slots: slots::State,
-    /// Notified when another instance knows of a change that this one doesn't know.
-    pub ahead: Notify,
+    /// Notified when another instance knows of a change of a followed prefix that this one doesn't know.
+    pub ahead: [Notify; INSTANCE_INDEX + 1],
     /// Notified when this instance has applied changes of the store.
     pub changed: Notify,
     /// The last steps of the event loop.
@@ -225,7 +225,7 @@
         next_loan_number: AtomicU64::new(1),
         digests: digests::State::default(),
         slots: slots::State::new(&registry)?,
-        ahead: Notify::new(),
+        ahead: Default::default(),
         changed: Notify::new(),
         event_loop,
         registry,
@@ -326,7 +326,9 @@
     tasks.spawn(exchange::receive_frames(context.clone()));
     tasks.spawn(exchange::send_frames(context.clone(), signals));
     tasks.spawn(slots::run(context.clone()));
-    tasks.spawn(following::catch_up(context.clone()));
+    for index in 0..=INSTANCE_INDEX {
+        tasks.spawn(following::catch_up(context.clone(), index));
+    }
     tasks.spawn(health::run(context.clone()));
 }
 
--- a/crates/sg-gateway/src/following.rs
+++ b/crates/sg-gateway/src/following.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use prometheus::{GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry};
+use rand::seq::SliceRandom;
 use sg_mesh::{
     duty,
     lag::{self, Lag},
@@ -22,6 +23,8 @@
 /// The interval at which the store versions that other instances announce are compared with this
 /// instance's versions.
 const CATCH_UP_INTERVAL: Span = Span::from_millis(300);
+/// The largest number of instances that one fetch tries to reach.
+const MAX_SOURCES: usize = 3;
 /// The time beyond the watch timeout after which the store counts as silent if no call succeeded.
 const SILENCE_MARGIN: Span = Span::from_secs(1);
 
@@ -142,114 +145,139 @@
     position: Version,
     /// Since when others have known more.
     behind_since: Option<Instant>,
+    /// Since when others have known of a change that this instance lacks.
+    lacking_since: Option<Instant>,
 }
 
 impl Progress {
-    fn update(&mut self, position: Version, now: Instant) {
+    fn update(&mut self, position: Version, ahead: &Ahead, now: Instant) {
         if self.position != position {
             self.position = position;
             self.advanced_at = now;
         }
+        let since = |known: Option<Instant>, holds: bool| holds.then(|| known.unwrap_or(now));
+        self.behind_since = since(self.behind_since, ahead.is_any());
+        self.lacking_since = since(self.lacking_since, ahead.has_changes);
     }
 }
 
-/// Fetches changes from instances that know a newer store version, while this instance doesn't follow the
-/// store or can't reach it.
+/// Fetches changes of the prefix at `index` from instances that know a newer store version, while this instance
+/// doesn't follow the store or can't reach it in time. Each prefix has a task of its own: none waits for another.
 pub(crate) async fn catch_up<D: Protocol, I: Interpreter, S: Store>(
     context: Arc<Context<D, I, S>>,
+    index: usize,
 ) {
-    let mut ticks = context.timer.every(CATCH_UP_INTERVAL);
-    let mut progress = [Progress::default(); INSTANCE_INDEX + 1];
+    let mut progress = Progress::default();
+    let mut wait = CATCH_UP_INTERVAL;
     loop {
         // Without a notification, the time is needed for fetches that failed.
         tokio::select! {
-            _ = ticks.tick() => {}
-            () = context.ahead.notified() => {}
+            () = context.timer.sleep(wait) => {}
+            () = context.ahead[index].notified() => {}
         }
         let now = context.timer.now();
-        for (index, progress) in progress.iter_mut().enumerate() {
-            progress.update(context.replica.position(index), now);
-            let ahead = instances_ahead(&context, index, now.since(progress.advanced_at), now);
-            if ahead.is_empty() {
-                progress.behind_since = None;
-                context.fetches.record_behind(index, Span::ZERO);
-                continue;
-            }
-            let since = *progress.behind_since.get_or_insert(now);
-            context.fetches.record_behind(index, now.since(since));
-            if is_fetch_due(&context, index, since, now) {
-                let chosen = ahead[rand::random_range(0..ahead.len())];
-                fetch_changes(&context, index, chosen, since).await;
-            }
+        let ahead = Ahead::find(&context, index, now);
+        progress.update(context.replica.position(index), &ahead, now);
+        let elapsed = |since: Option<Instant>| since.map_or(Span::ZERO, |at| now.since(at));
+        let behind = elapsed(progress.behind_since);
+        wait = CATCH_UP_INTERVAL.min(lag::head_start_left(behind).unwrap_or(CATCH_UP_INTERVAL));
+        let may_ask_far = context.replica.is_following()
+            || match index {
+                OPERATOR_INDEX => lag::head_start_left(behind).is_none(),
+                _ => lag::may_ask_other_domains(now.since(progress.advanced_at)),
+            };
+        let sources = ahead.sources(may_ask_far);
+        if sources.is_empty() {
+            context.fetches.record_behind(index, Span::ZERO);
+            continue;
+        }
+        context.fetches.record_behind(index, behind);
+        let lag = Lag {
+            is_initialized: context.replica.is_initialized(index),
+            is_following: context.replica.is_following(),
+            contact: context.replica.contact(index),
+            silence_timeout: WATCH_TIMEOUTS[index] + SILENCE_MARGIN,
+            behind,
+            lacking: match index {
+                OPERATOR_INDEX => elapsed(progress.lacking_since),
+                _ => Span::ZERO,
+            },
+        };
+        if lag.must_fetch(now) {
+            fetch_changes(&context, index, sources, now - behind).await;
         }
     }
 }
 
-/// Returns the live instances that know a newer store version of the prefix at `index` and may be asked for
-/// its changes. `standstill` is the time since this instance last learnt of one.
-fn instances_ahead<D, I, S>(
-    context: &Context<D, I, S>,
-    index: usize,
-    standstill: Span,
-    now: Instant,
-) -> Vec<SocketAddr> {
-    let own = context.replica.position(index);
-    let is_following = context.replica.is_following();
-    let members = context.members.lock();
-    let ahead = members.alive(now).filter(|member| match is_following {
-        true => member.beacon.position(index) > own,
-        false => member.beacon.last_change(index) > own,
-    });
-    let (near, far): (Vec<&Member>, Vec<&Member>) =
-        ahead.partition(|member| member.beacon.location.domain == context.settings.domain);
-    let chosen = if !near.is_empty() {
-        near
-    } else if index == OPERATOR_INDEX || is_following || lag::may_ask_other_domains(standstill) {
-        far
-    } else {
-        Vec::new()
-    };
-    let addresses = chosen
-        .iter()
-        .map(|member| member.beacon.location.mesh_address);
-    addresses.collect()
+/// The live instances that know a newer store version of a prefix.
+struct Ahead {
+    /// Those of the own failure domain.
+    near: Vec<SocketAddr>,
+    far: Vec<SocketAddr>,
+    /// Whether they know of a change that this instance lacks. Positions advance without changes as well.
+    has_changes: bool,
 }
 
-/// Returns whether to fetch the changes of the prefix at `index` from an instance that has known more since
-/// `behind_since`.
-fn is_fetch_due<D, I, S>(
-    context: &Context<D, I, S>,
-    index: usize,
-    behind_since: Instant,
-    now: Instant,
-) -> bool {
-    let lag = Lag {
-        is_initialized: context.replica.is_initialized(index),
-        is_following: context.replica.is_following(),
-        contact: context.replica.contact(index),
-        silence_timeout: WATCH_TIMEOUTS[index] + SILENCE_MARGIN,
-        behind: now.since(behind_since),
-    };
-    lag.must_fetch(now)
+impl Ahead {
+    fn find<D, I, S>(context: &Context<D, I, S>, index: usize, now: Instant) -> Self {
+        let own = context.replica.position(index);
+        let members = context.members.lock();
+        let has_change = |member: &Member| member.beacon.last_change(index) > own;
+        let has_changes = members.alive(now).any(has_change);
+        let by_position = context.replica.is_following() && !has_changes;
+        let ahead = members.alive(now).filter(|member| match by_position {
+            true => member.beacon.position(index) > own,
+            false => has_change(member),
+        });
+        let (near, far): (Vec<&Member>, Vec<&Member>) =
+            ahead.partition(|member| member.beacon.location.domain == context.settings.domain);
+        let addresses = |members: Vec<&Member>| {
+            let addresses = members.into_iter();
+            let addresses = addresses.map(|member| member.beacon.location.mesh_address);
+            let mut addresses: Vec<SocketAddr> = addresses.collect();
+            addresses.shuffle(&mut rand::rng());
+            addresses
+        };
+        Self {
+            near: addresses(near),
+            far: addresses(far),
+            has_changes,
+        }
+    }
+
+    fn is_any(&self) -> bool {
+        !self.near.is_empty() || !self.far.is_empty()
+    }
+
+    /// Returns the instances to ask, in the order in which they are tried: those of the own failure domain, then
+    /// the others, if those may be asked.
+    fn sources(mut self, may_ask_far: bool) -> Vec<SocketAddr> {
+        if may_ask_far {
+            self.near.append(&mut self.far);
+        }
+        self.near.truncate(MAX_SOURCES);
+        self.near
+    }
 }
 
-/// Fetches the changes of the prefix at `index` from another instance and logs the outcome. Others have known more
+/// Fetches the changes of the prefix at `index` from one of `sources` and logs the outcome. Others have known more
 /// since `behind_since`.
 async fn fetch_changes<D, I, S>(
     context: &Context<D, I, S>,
     index: usize,
-    from: SocketAddr,
+    sources: Vec<SocketAddr>,
     behind_since: Instant,
 ) {
     let started = context.timer.now();
-    let result = relay::fetch(&context.replica, &context.timer, [from], index).await;
+    let from = sources[0];
+    let result = relay::fetch(&context.replica, &context.timer, sources, index).await;
     let now = context.timer.now();
     let took = now.since(started);
     context.fetches.record_fetch(index, took, &result);
     let (took_ms, behind_ms) = (took.as_millis(), now.since(behind_since).as_millis());
     match result {
         Ok(outcome) => {
-            let (count, bytes) = (outcome.changes, outcome.bytes);
+            let (from, count, bytes) = (outcome.from, outcome.changes, outcome.bytes);
             let version = context.replica.position(index);
             log::info!(
                 from:% = from, index, count, bytes, took_ms, behind_ms, version:% = version;
--- a/crates/sg-mesh/src/lag.rs
+++ b/crates/sg-mesh/src/lag.rs
@@ -18,6 +18,22 @@
 /// Targets change all the time, so that an instance whose domain keeps up learns of changes more often.
 const MAX_STANDSTILL: Span = Span::from_secs(1);
 
+/// Time that a failure domain has to learn of an order or a configuration from its own follower before its
+/// instances ask other domains. All would ask the one that knows first.
+const HEAD_START: Span = Span::from_millis(300);
+
+/// Time for which an instance that follows the store may lack a change that others know. A narrow link may need
+/// longer for what the store returns than for what other instances do.
+const SLOW_STORE_DELAY: Span = Span::from_millis(500);
+
+/// Returns how long an instance that has been behind for `behind` still waits for the follower of its failure domain
+/// before it asks other domains for orders and configurations.
+#[must_use]
+pub fn head_start_left(behind: Span) -> Option<Span> {
+    let left = HEAD_START.saturating_sub(behind);
+    (left > Span::ZERO).then_some(left)
+}
+
 /// Returns whether an instance that rests on a follower of its own failure domain, and has learnt of no change
 /// for `standstill`, asks other domains that know more.
 ///
@@ -41,6 +57,8 @@
     pub silence_timeout: Span,
     /// Time for which another instance has known more.
     pub behind: Span,
+    /// Time for which another instance has known a change that has to be in force soon, and that this one lacks.
+    pub lacking: Span,
 }
 
 impl Lag {
@@ -48,7 +66,7 @@
     ///
     /// That is so while calls to the store fail and while the instance doesn't follow the store, but not before
     /// its first listing had time to end. An instance that follows the store waits for the store unless the
-    /// store is silent.
+    /// store is silent, or slow with a change that has to be in force soon.
     #[must_use]
     pub fn must_fetch(&self, now: Instant) -> bool {
         if self.contact.failing_since.is_some() {
@@ -61,6 +79,7 @@
             return true;
         };
         let is_silent = now.since(last_success) > self.silence_timeout;
-        !self.is_following || is_silent && self.behind >= SILENT_STORE_DELAY
+        let is_slow = self.lacking >= SLOW_STORE_DELAY;
+        !self.is_following || is_slow || is_silent && self.behind >= SILENT_STORE_DELAY
     }
 }
--- a/crates/sg-mesh/tests/mesh/lag.rs
+++ b/crates/sg-mesh/tests/mesh/lag.rs
@@ -21,6 +21,7 @@
         },
         silence_timeout: Span::from_secs(3),
         behind: Span::ZERO,
+        lacking: Span::ZERO,
     }
 }
 
@@ -68,6 +69,25 @@
     assert!(!lag.must_fetch(at(4_100)));
 }
 
+/// Guards against a follower that waits for a narrow link to the store while others know a change already.
+#[test]
+fn follower_asks_others_for_a_change_that_the_store_is_slow_to_tell() {
+    let mut lag = follower();
+    lag.lacking = Span::from_millis(450);
+    assert!(!lag.must_fetch(at(1_500)));
+    lag.lacking = Span::from_millis(550);
+    assert!(lag.must_fetch(at(1_600)));
+}
+
+/// Guards against all instances of a fleet that ask the first one that knows a configuration.
+#[test]
+fn the_own_failure_domain_has_a_head_start() {
+    let left = |millis| lag::head_start_left(Span::from_millis(millis));
+    assert_eq!(left(0), Some(Span::from_millis(300)));
+    assert_eq!(left(200), Some(Span::from_millis(100)));
+    assert_eq!(left(300), None);
+}
+
 /// Guards against heartbeats of all targets that cross regions again and again, because some other domain is
 /// always ahead by a few.
 #[test]
