fix(sg-mesh): keep attempts open while other instances are asked

Change: an attempt goes on for up to 4 s while the next instance is asked after 400 ms, and one of them again each second; the first response that begins is taken and the others are dropped. From its first byte on a transfer may pause for 2 s. A link that is really cut costs 4 s for a fetch, in which a new attempt is made each second as before; an instance that is frozen costs 400 ms before its first byte where it cost 1 s, and 2 s in the middle of a response.

--- a/crates/sg-gateway/src/following.rs
+++ b/crates/sg-gateway/src/following.rs
@@ -270,7 +270,7 @@
 ) {
     let started = context.timer.now();
     let from = sources[0];
-    let result = relay::fetch(&context.replica, &context.timer, sources, index).await;
+    let result = relay::fetch(&context.replica, &context.timer, &sources, index).await;
     let now = context.timer.now();
     let took = now.since(started);
     context.fetches.record_fetch(index, took, &result);
--- a/crates/sg-mesh/src/relay.rs
+++ b/crates/sg-mesh/src/relay.rs
@@ -85,15 +85,15 @@
     pub bytes: usize,
 }
 
-/// Requests the changes of the prefix at `index` that `replica` lacks from the first of `sources` that can be
-/// reached, and applies them.
+/// Requests the changes of the prefix at `index` that `replica` lacks from the first of `sources` that responds, and
+/// applies them.
 ///
 /// # Errors
-/// Returns [`Error`] if the exchange fails, or makes no progress for a second.
+/// Returns [`Error`] if no response begins within 4 s, or if it then makes no progress for 2 s.
 pub async fn fetch(
     replica: &Replica,
     timer: &Timer,
-    sources: impl IntoIterator<Item = SocketAddr>,
+    sources: &[SocketAddr],
     index: usize,
 ) -> Result<Outcome, Error> {
     let (snapshot, outcome) = fetch_snapshot(replica, timer, sources, index).await?;
@@ -105,14 +105,14 @@
 /// is for an instance that has just started.
 ///
 /// # Errors
-/// Returns [`Error`] if the exchange fails, or makes no progress for a second.
+/// Returns [`Error`] like [`fetch`].
 pub async fn fetch_retaining(
     replica: &Replica,
     timer: &Timer,
     source: SocketAddr,
     index: usize,
 ) -> Result<(), Error> {
-    let (snapshot, _) = fetch_snapshot(replica, timer, [source], index).await?;
+    let (snapshot, _) = fetch_snapshot(replica, timer, &[source], index).await?;
     replica.merge_retaining(index, snapshot);
     Ok(())
 }
@@ -122,11 +122,10 @@
 async fn fetch_snapshot(
     replica: &Replica,
     timer: &Timer,
-    sources: impl IntoIterator<Item = SocketAddr>,
+    sources: &[SocketAddr],
     index: usize,
 ) -> Result<(Snapshot, Outcome), Error> {
     let after = replica.position(index);
-    let (mut connection, from) = Connection::open(timer, sources).await?;
     let request = Request {
         index,
         after: after.revision(),
@@ -135,9 +134,8 @@
     };
     let mut line = serde_json::to_vec(&request).map_err(malformed_error)?;
     line.push(b'\n');
-    connection.ask(&line, timer).await?;
-    let first = connection.read_exact(1).await?;
-    let mut snapshot = if first == [PACKED] {
+    let (mut connection, from, first) = Connection::open(timer, sources, &line.into()).await?;
+    let mut snapshot = if first == PACKED {
         let response: Response = message::unpack(&read_frame(&mut connection).await?)?;
         let frames = response.frames;
         let mut snapshot = decode(replica, timer, index, response)?;
@@ -150,7 +148,9 @@
         }
         snapshot
     } else {
-        let json = connection.read_to_end(first, MAX_RESPONSE_BYTES).await?;
+        let json = connection
+            .read_to_end(vec![first], MAX_RESPONSE_BYTES)
+            .await?;
         decode(replica, timer, index, message::parse(&json)?)?
     };
     snapshot.changes.sort_by_key(|change| change.version);
--- a/crates/sg-mesh/src/relay/connection.rs
+++ b/crates/sg-mesh/src/relay/connection.rs
@@ -12,14 +12,18 @@
 
 use super::Error;
 
-/// The limit of one transfer. An exchange between two instances takes about 100 ms; silence for the longest
-/// time means that the network is partitioned.
+/// The limit of a transfer from its first byte on. An exchange between two instances takes about 100 ms, but packets
+/// wait for over a second at a link that callers fill.
 const TRANSFER_LIMIT: Limit = Limit {
-    stall: Span::from_millis(1_000),
+    stall: Span::from_secs(2),
     min_rate: 8 << 10,
 };
-/// The time after which another instance is tried while the connection to the one before has not opened.
-const CONNECT_STAGGER: Span = Span::from_millis(300);
+/// The time within which the first byte of a response has to arrive.
+const RESPONSE_TIMEOUT: Span = Span::from_secs(4);
+/// The time after which the next instance is asked as well while no response has begun.
+const STAGGER: Span = Span::from_millis(400);
+/// The time after which all instances have been asked and one is asked again.
+const REPEAT_INTERVAL: Span = Span::from_secs(1);
 /// The size of the parts in which a response is read and written, in bytes.
 const PART_BYTES: usize = 16 << 10;
 
@@ -39,38 +43,63 @@
         }
     }
 
-    /// Connects to the first of `sources` that accepts. The next one is tried as well when one has failed or has not
-    /// accepted in a while: on a full link the first packet may be lost.
+    /// Sends `request` to one of `sources` after the other until a response begins, and returns that connection with
+    /// the first byte. An attempt goes on beside the later ones: on a full link, one that began again every
+    /// second would never get as far as the response.
+    ///
+    /// # Errors
+    /// Returns the last error if all sources fail, or [`Error::Timeout`].
     pub async fn open(
         timer: &Timer,
-        sources: impl IntoIterator<Item = SocketAddr>,
-    ) -> Result<(Self, SocketAddr), Error> {
-        let deadline = timer.now() + TRANSFER_LIMIT.stall;
-        let mut sources = sources.into_iter().peekable();
-        let mut connects = JoinSet::new();
+        sources: &[SocketAddr],
+        request: &Arc<[u8]>,
+    ) -> Result<(Self, SocketAddr, u8), Error> {
+        let deadline = timer.now() + RESPONSE_TIMEOUT;
+        let mut attempts = JoinSet::new();
+        let mut next_at = timer.now();
         let mut error = Error::Timeout { received: 0 };
-        loop {
-            if let Some(source) = sources.next() {
-                connects.spawn(async move { (source, TcpStream::connect(source).await) });
-            }
-            if connects.is_empty() {
-                return Err(error);
-            }
-            let until = match sources.peek() {
-                Some(_) => deadline.min(timer.now() + CONNECT_STAGGER),
-                None => deadline,
+        let mut failed = 0;
+        for (number, source) in sources.iter().copied().cycle().enumerate() {
+            let (own_timer, request) = (timer.clone(), request.clone());
+            attempts.spawn(async move {
+                let attempt = Self::attempt(&own_timer, source, &request).await;
+                attempt.map(|(connection, first)| (connection, source, first))
+            });
+            let pause = match number + 1 < sources.len() {
+                true => STAGGER,
+                false => REPEAT_INTERVAL,
             };
-            match timer.until(until, connects.join_next()).await {
-                Ok(Some(Ok((source, Ok(stream))))) => {
-                    return Ok((Self::new(stream, timer), source));
+            next_at = deadline.min(next_at + pause);
+            match timer.until(next_at, attempts.join_next()).await {
+                Ok(Some(Ok(Ok(opened)))) => return Ok(opened),
+                Ok(Some(Ok(Err(failure)))) => {
+                    error = failure;
+                    failed += 1;
+                    next_at = timer.now();
                 }
-                Ok(Some(Ok((_, Err(failure))))) => error = Error::Io(failure),
-                // Connects don't panic and are not aborted.
-                Ok(Some(Err(_)) | None) => {}
-                Err(_) if timer.now() >= deadline => return Err(error),
-                Err(_) => {}
+                // Attempts don't panic and are not aborted.
+                Ok(Some(Err(_)) | None) | Err(_) => {}
+            }
+            let is_over = failed >= sources.len() && attempts.is_empty();
+            if is_over || timer.now() >= deadline {
+                break;
             }
         }
+        Err(error)
+    }
+
+    /// Connects to `source`, sends `request` and waits for the first byte of the response.
+    async fn attempt(
+        timer: &Timer,
+        source: SocketAddr,
+        request: &[u8],
+    ) -> Result<(Self, u8), Error> {
+        let mut connection = Self::new(TcpStream::connect(source).await?, timer);
+        connection.stream.write_all(request).await?;
+        let first = connection.stream.read_u8().await?;
+        connection.progress = Progress::start(timer, TRANSFER_LIMIT);
+        connection.progress.record(1);
+        Ok((connection, first))
     }
 
     /// Returns the number of bytes that were read or written so far.
@@ -159,13 +188,6 @@
         Ok(())
     }
 
-    /// Writes a request. The progress of the response begins then.
-    pub async fn ask(&mut self, request: &[u8], timer: &Timer) -> Result<(), Error> {
-        self.write(request).await?;
-        self.progress = Progress::start(timer, TRANSFER_LIMIT);
-        Ok(())
-    }
-
     /// Tells the other side that nothing follows.
     pub async fn finish(mut self) -> Result<(), Error> {
         Ok(self.stream.shutdown().await?)
