--- a/crates/sg-gateway/src/daemon.rs
+++ b/crates/sg-gateway/src/daemon.rs
@@ -99,8 +99,8 @@
     pub next_loan_number: AtomicU64,
     pub digests: digests::State,
     pub slots: slots::State,
-    /// Notified when another instance knows of a change that this one doesn't know.
-    pub ahead: Notify,
+    /// Notified when another instance knows of a change of a followed prefix that this one doesn't know.
+    pub ahead: [Notify; INSTANCE_INDEX + 1],
     /// Notified when this instance has applied changes of the store.
     pub changed: Notify,
     /// The last steps of the event loop.
@@ -109,6 +109,7 @@
     /// The era of the store.
     pub era_gauge: prometheus::IntGauge,
     pub unread: UnreadCounters,
+    pub fetches: following::Metrics,
 }
 
 /// Counters of what this build can't read.
@@ -196,6 +197,7 @@
     let era_gauge = prometheus::IntGauge::new("sg_store_era", "Era of the platform's store")?;
     registry.register(Box::new(era_gauge.clone()))?;
     let unread = UnreadCounters::register(&registry)?;
+    let fetches = following::Metrics::register(&registry)?;
     let (signal_sender, signal_receiver) = mpsc::unbounded_channel();
     let core = Core::new(
         dialect,
@@ -223,12 +225,13 @@
         next_loan_number: AtomicU64::new(1),
         digests: digests::State::default(),
         slots: slots::State::new(&registry)?,
-        ahead: Notify::new(),
+        ahead: Default::default(),
         changed: Notify::new(),
         event_loop,
         registry,
         era_gauge,
         unread,
+        fetches,
     });
     context.core.slots.set_run(context.incarnation);
     let phases = Phases::default();
@@ -323,7 +326,9 @@
     tasks.spawn(exchange::receive_frames(context.clone()));
     tasks.spawn(exchange::send_frames(context.clone(), signals));
     tasks.spawn(slots::run(context.clone()));
-    tasks.spawn(following::catch_up(context.clone()));
+    for index in 0..=INSTANCE_INDEX {
+        tasks.spawn(following::catch_up(context.clone(), index));
+    }
     tasks.spawn(health::run(context.clone()));
 }
 
