fix(sg-store): let a response take as long as it keeps arriving

Change: the time limit ends with the head; the body may go on while bytes arrive within the same time and with 32 KiB/s on average.

--- a/crates/sg-store/src/http.rs
+++ b/crates/sg-store/src/http.rs
@@ -24,7 +24,8 @@
     pub addresses: Vec<SocketAddr>,
     /// Timeout of connection attempts.
     pub connect_timeout: Span,
-    /// Timeout of a call, including the connection attempt.
+    /// Timeout of a call until the head of its response, including the connection attempt, and the longest pause in
+    /// the rest of the response.
     pub timeout: Span,
 }
 
--- a/crates/sg-store/src/http/call.rs
+++ b/crates/sg-store/src/http/call.rs
@@ -1,9 +1,10 @@
-//! Sends calls to the addresses of the store in turn within a deadline, limits the size of
+//! Sends calls to the addresses of the store in turn within a deadline, limits the size and the pace of
 //! responses, and reports whether a write may have taken effect.
 
 use std::fmt;
 
 use serde::{Serialize, de::DeserializeOwned};
+use sg_clock::{Progress, progress::Limit};
 use sg_types::time::Instant;
 
 use super::{Client, wire};
@@ -11,6 +12,8 @@
 
 /// Maximum size of a response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// Least average rate of a body, in bytes per second.
+const MIN_BODY_RATE: u64 = 32 << 10;
 /// Maximum length of the store's error message, in characters.
 const MAX_MESSAGE_CHARS: usize = 256;
 /// Error message of the store for an unknown lease.
@@ -62,21 +65,20 @@
         body: Vec<u8>,
         deadline: Instant,
     ) -> Result<Vec<u8>, Error> {
-        let call = async {
-            let response = self.send(url, body).await?;
-            let status = response.status().as_u16();
-            let body = read_body(response).await?;
-            if (200..300).contains(&status) {
-                Ok(body)
-            } else {
-                Err(status_error(kind, status, &body))
-            }
+        let timer = &self.inner.timer;
+        let sent = timer.until(deadline, self.send(url, body)).await;
+        let response = sent.map_err(|_| response_lost("no response before the timeout"))??;
+        let status = response.status().as_u16();
+        let limit = Limit {
+            stall: self.inner.options.timeout,
+            min_rate: MIN_BODY_RATE,
         };
-        self.inner
-            .timer
-            .until(deadline, call)
-            .await
-            .unwrap_or_else(|_| Err(response_lost("no response before the timeout")))
+        let body = read_body(response, Progress::start(timer, limit)).await?;
+        if (200..300).contains(&status) {
+            Ok(body)
+        } else {
+            Err(status_error(kind, status, &body))
+        }
     }
 
     pub(super) async fn send(&self, url: &str, body: Vec<u8>) -> Result<reqwest::Response, Error> {
@@ -106,15 +108,24 @@
     }
 }
 
-async fn read_body(mut response: reqwest::Response) -> Result<Vec<u8>, Error> {
+/// Reads the body of a response for as long as it keeps arriving.
+async fn read_body(
+    mut response: reqwest::Response,
+    mut progress: Progress,
+) -> Result<Vec<u8>, Error> {
     let mut body = Vec::new();
-    while let Some(chunk) = response.chunk().await.map_err(response_lost)? {
+    loop {
+        let chunk = progress.step(response.chunk()).await;
+        let chunk = chunk.map_err(|_| response_lost("the response stalled"))?;
+        let Some(chunk) = chunk.map_err(response_lost)? else {
+            return Ok(body);
+        };
         if body.len() + chunk.len() > MAX_RESPONSE_BYTES {
             return Err(response_lost("the response exceeds the size limit"));
         }
+        progress.record(chunk.len());
         body.extend_from_slice(&chunk);
     }
-    Ok(body)
 }
 
 /// Returns the error for an unsuccessful status. After a write, a server error leaves open whether
