fix(sg-peer): ask for smaller chunks of a tree when a link can't carry one in time

A link of less than 256 kB/s never carried the first one, and the download began again.

Change: after a time-out the same chunk is asked for with a quarter of the size, down to 8 KiB; what has arrived is kept. Earlier releases ignore the wish and send what they did.

--- a/crates/sg-peer/src/handler.rs
+++ b/crates/sg-peer/src/handler.rs
@@ -6,7 +6,7 @@
     Frame,
     frame::Rejection,
     shared::Shared,
-    transport::{Chunk, ChunkRequest, Error, MAX_CHUNK_BYTES},
+    transport::{Chunk, ChunkRequest, Error, MAX_CHUNK_BYTES, MIN_CHUNK_BYTES},
 };
 
 /// Handler for frames and requests for trees. All clones answer for the same instance.
@@ -59,7 +59,9 @@
             .tree_text(request.revision)
             .ok_or(Error::Absent)?;
         let rest = text.get(request.offset..).ok_or(Error::Absent)?;
-        let mut end = rest.len().min(MAX_CHUNK_BYTES);
+        let wanted = request.max_bytes.unwrap_or(MAX_CHUNK_BYTES);
+        let max_bytes = wanted.clamp(MIN_CHUNK_BYTES, MAX_CHUNK_BYTES);
+        let mut end = rest.len().min(max_bytes);
         while !rest.is_char_boundary(end) {
             end -= 1;
         }
--- a/crates/sg-peer/src/task/fetch.rs
+++ b/crates/sg-peer/src/task/fetch.rs
@@ -10,11 +10,13 @@
 use crate::{
     config::Origin,
     shared::{FetchRequest, Shared},
-    transport::{ChunkRequest, Error, MAX_TREE_BYTES, Transport},
+    transport::{ChunkRequest, Error, MAX_CHUNK_BYTES, MAX_TREE_BYTES, MIN_CHUNK_BYTES, Transport},
 };
 
 /// The timeout for one chunk.
 const CHUNK_TIMEOUT: Span = Span::from_secs(2);
+/// The factor by which chunks become smaller after one did not arrive in time.
+const CHUNK_REDUCTION: usize = 4;
 /// The interval between checks of whether the candidate is backed.
 const CHECK_INTERVAL: Span = Span::from_millis(100);
 
@@ -102,7 +104,8 @@
     None
 }
 
-/// Downloads a tree from an instance, chunk by chunk.
+/// Downloads a tree from an instance, chunk by chunk. Over a link that can't carry a chunk in time, the chunks
+/// become smaller.
 async fn download(
     shared: &Arc<Shared>,
     transport: &impl Transport,
@@ -112,16 +115,24 @@
     let place = shared.core.lock().members().place(from).cloned();
     let address = place.ok_or(Error::Absent)?.peer;
     let mut text = String::new();
+    let mut max_bytes = MAX_CHUNK_BYTES;
     loop {
         let request = ChunkRequest {
             revision,
             offset: text.len(),
+            max_bytes: Some(max_bytes),
         };
         let deadline = shared.timer.now() + CHUNK_TIMEOUT;
         let response = shared
             .timer
             .until(deadline, transport.tree_chunk(address, request));
-        let chunk = response.await.unwrap_or(Err(Error::Timeout))?;
+        let chunk = match response.await.unwrap_or(Err(Error::Timeout)) {
+            Err(Error::Timeout) if max_bytes > MIN_CHUNK_BYTES => {
+                max_bytes = (max_bytes / CHUNK_REDUCTION).max(MIN_CHUNK_BYTES);
+                continue;
+            }
+            chunk => chunk?,
+        };
         if chunk.total > MAX_TREE_BYTES || chunk.text.is_empty() || chunk.head.revision != revision
         {
             return Err(Error::Malformed(
--- a/crates/sg-peer/src/transport.rs
+++ b/crates/sg-peer/src/transport.rs
@@ -10,6 +10,8 @@
 
 /// The maximum size of one chunk of a tree's text, in bytes.
 pub const MAX_CHUNK_BYTES: usize = 256 << 10;
+/// The least size to which a downloader reduces the chunks that it asks for, in bytes.
+pub const MIN_CHUNK_BYTES: usize = 8 << 10;
 /// The maximum size of the text of a fetched tree, in bytes.
 pub const MAX_TREE_BYTES: usize = 64 << 20;
 
@@ -20,6 +22,9 @@
     pub revision: Revision,
     /// The offset of the chunk, in bytes.
     pub offset: usize,
+    /// The largest size of the chunk that the sender wants, in bytes. Earlier releases neither send nor read it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_bytes: Option<usize>,
 }
 
 /// A chunk of a tree's text.
--- a/crates/sg-peer/tests/peer/net.rs
+++ b/crates/sg-peer/tests/peer/net.rs
@@ -14,6 +14,9 @@
 /// The maximum overhead of an exchange over sockets, in bytes, as checked by the loopback test.
 pub const ENVELOPE_BYTES: u64 = 260;
 
+/// The time limit of a request for a chunk of a tree.
+const REQUEST_TIMEOUT: Span = Span::from_secs(1);
+
 #[derive(Default)]
 struct State {
     handlers: IndexMap<SocketAddr, Handler>,
@@ -22,6 +25,8 @@
     delay: Span,
     lose_responses: bool,
     lose_trees: bool,
+    /// Bytes of trees per second; `None` for no limit.
+    tree_rate: Option<f64>,
     frames: u64,
     bytes: u64,
 }
@@ -84,6 +89,11 @@
         self.state.lock().lose_trees = lose;
     }
 
+    /// Sets the bytes of trees per second that a link carries.
+    pub fn set_tree_rate(&self, rate: f64) {
+        self.state.lock().tree_rate = Some(rate);
+    }
+
     /// Returns the number and bytes of all frames, requests and responses together.
     pub fn traffic(&self) -> (u64, u64) {
         let state = self.state.lock();
@@ -134,9 +144,21 @@
 
     async fn tree_chunk(&self, to: SocketAddr, request: ChunkRequest) -> Result<Chunk, Error> {
         let handler = self.reach(to).await?;
-        match self.state.lock().lose_trees {
-            true => Err(Error::Timeout),
-            false => handler.tree_chunk(request),
+        let (is_lost, rate) = {
+            let state = self.state.lock();
+            (state.lose_trees, state.tree_rate)
+        };
+        if is_lost {
+            return Err(Error::Timeout);
+        }
+        let chunk = handler.tree_chunk(request)?;
+        if let Some(rate) = rate {
+            let time = Span::from_secs(1).mul_f64(chunk.text.len() as f64 / rate);
+            self.timer.sleep(time.min(REQUEST_TIMEOUT)).await;
+            if time > REQUEST_TIMEOUT {
+                return Err(Error::Timeout);
+            }
         }
+        Ok(chunk)
     }
 }
--- a/crates/sg-peer/tests/peer/spreading.rs
+++ b/crates/sg-peer/tests/peer/spreading.rs
@@ -69,6 +69,28 @@
     assert!(took.is_some());
 }
 
+/// Guards against a tree whose chunks take longer than a request may, and that begins again each time.
+#[tokio::test(start_paused = true)]
+async fn tree_arrives_over_a_narrow_link() {
+    for (rate, bound) in [(200e3, IN_FORCE_WITHIN), (20e3, Span::from_secs(25))] {
+        let fleet = Fleet::start(7, 3).await;
+        fleet.set_store_fault(STORE_DOWN, 1..7);
+        fleet.net.set_tree_rate(rate);
+        fleet.sleep(Span::from_secs(20)).await;
+        let mut large = tree(7, None);
+        for key in 0..2_500 {
+            let digest = Digest::of(&key.to_string()).to_string();
+            let path = format!("/accounts/a/keys/k{key}/digest");
+            large.set(&path.parse().expect("valid path"), &digest);
+        }
+        let revision = fleet.publish(&large).await;
+        let all: Vec<_> = fleet.all().collect();
+        let took = fleet.wait_until_in_force(revision, &all, bound).await;
+        println!("{rate} bytes per second: in force everywhere after {took:?}");
+        assert!(took.is_some(), "{rate} bytes per second");
+    }
+}
+
 /// Votes of a majority must replace confirmations while the store is down.
 #[tokio::test(start_paused = true)]
 async fn freshness_survives_a_store_outage_of_an_hour() {
