--- a/crates/sg-peer/tests/peer/spreading.rs
+++ b/crates/sg-peer/tests/peer/spreading.rs
@@ -79,7 +79,7 @@
         fleet.sleep(Span::from_secs(20)).await;
         let mut large = tree(7, None);
         for key in 0..2_500 {
-            let digest = Digest::of(&key.to_string()).to_string();
+            let digest = Digest::of(key.to_string()).to_string();
             let path = format!("/accounts/a/keys/k{key}/digest");
             large.set(&path.parse().expect("valid path"), &digest);
         }
