fix(sg-mesh): wait before an instance is asked again also if it refuses

Cause: an attempt that failed made the next one begin at once. While an earlier attempt was open, an instance that refused or ended its connections, such as one that starts again, was asked in a loop for up to 4 s.

Change: the next instance is asked at its time; only if all attempts have failed the fetch ends at once, or goes on to the next instance that was not asked yet.

--- a/crates/sg-mesh/src/relay/connection.rs
+++ b/crates/sg-mesh/src/relay/connection.rs
@@ -56,9 +56,7 @@
     ) -> Result<(Self, SocketAddr, u8), Error> {
         let deadline = timer.now() + RESPONSE_TIMEOUT;
         let mut attempts = JoinSet::new();
-        let mut next_at = timer.now();
         let mut error = Error::Timeout { received: 0 };
-        let mut failed = 0;
         for (number, source) in sources.iter().copied().cycle().enumerate() {
             let (own_timer, request) = (timer.clone(), request.clone());
             attempts.spawn(async move {
@@ -69,19 +67,19 @@
                 true => STAGGER,
                 false => REPEAT_INTERVAL,
             };
-            next_at = deadline.min(next_at + pause);
-            match timer.until(next_at, attempts.join_next()).await {
-                Ok(Some(Ok(Ok(opened)))) => return Ok(opened),
-                Ok(Some(Ok(Err(failure)))) => {
-                    error = failure;
-                    failed += 1;
-                    next_at = timer.now();
+            let next_at = deadline.min(timer.now() + pause);
+            // Ends when the next source is due, and at once if all have failed.
+            while let Ok(attempt) = timer.until(next_at, attempts.join_next()).await {
+                match attempt {
+                    Some(Ok(Ok(opened))) => return Ok(opened),
+                    Some(Ok(Err(failure))) => error = failure,
+                    // Attempts don't panic and are not aborted.
+                    Some(Err(_)) => {}
+                    None if number + 1 < sources.len() => break,
+                    None => return Err(error),
                 }
-                // Attempts don't panic and are not aborted.
-                Ok(Some(Err(_)) | None) | Err(_) => {}
             }
-            let is_over = failed >= sources.len() && attempts.is_empty();
-            if is_over || timer.now() >= deadline {
+            if timer.now() >= deadline {
                 break;
             }
         }
--- a/crates/sg-mesh/tests/mesh/relay.rs
+++ b/crates/sg-mesh/tests/mesh/relay.rs
@@ -17,7 +17,7 @@
     net::{TcpListener, TcpStream},
     sync::mpsc,
     task::JoinSet,
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 const LARGE_BYTES: usize = 300_000;
@@ -264,3 +264,22 @@
     let changes = updates.flat_map(|update| update.changes);
     changes.map(|change| change.key.to_string()).collect()
 }
+
+/// Guards against attempts in a loop at an instance that ends each connection while an earlier one is open.
+#[tokio::test]
+async fn attempts_that_fail_are_not_repeated_at_once() {
+    let (address, listener) = listen().await;
+    let ending = tokio::spawn(async move {
+        let _silent = listener.accept().await.expect("a connection");
+        let mut count = 0;
+        while let Ok(Ok(_)) = timeout(Duration::from_secs(5), listener.accept()).await {
+            count += 1;
+        }
+        count
+    });
+    let (replica, _updates) = outdated();
+    let fetched = relay::fetch(&replica, &Timer::new(), &[address], 0).await;
+    assert!(fetched.is_err(), "{fetched:?}");
+    let count = ending.await.expect("a count");
+    assert!((1..=4).contains(&count), "{count} attempts");
+}
