--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -10,6 +10,7 @@
 mod memory;
 mod node;
 mod record;
+mod restore;
 mod server;
 mod store;
 
@@ -24,6 +25,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match case.as_str() {
         "memory" => memory::play(folder, has_trouble),
+        "restore" => restore::play(folder, has_trouble),
         other => Err(std::io::Error::other(format!("no case is called '{other}'"))),
     };
     match result {
--- a/review/standins-2/memory.rs
+++ b/review/standins-2/memory.rs
@@ -239,12 +239,12 @@
 }
 
 /// Returns a port that nothing listens on at `ip`.
-fn free_port(ip: IpAddr) -> io::Result<u16> {
+pub fn free_port(ip: IpAddr) -> io::Result<u16> {
     Ok(TcpListener::bind((ip, 0))?.local_addr()?.port())
 }
 
 /// Returns the ports of the deployment. Each deployment has a loopback network of its own.
-fn ports(ip: IpAddr) -> io::Result<Ports> {
+pub fn ports(ip: IpAddr) -> io::Result<Ports> {
     Ok(Ports {
         front: free_port(ip)?,
         ready: 8_666,
@@ -254,7 +254,7 @@
     })
 }
 
-fn wait_until_ready(node: &Node) -> io::Result<()> {
+pub fn wait_until_ready(node: &Node) -> io::Result<()> {
     let until = Instant::now() + Duration::from_secs(10);
     while Instant::now() < until {
         let ready = request(node.ready(), "GET /ready HTTP/1.1\r\nHost: ready\r\n\r\n");
@@ -267,7 +267,7 @@
 }
 
 /// Sends a request on a new connection and returns the status of the response.
-fn request(address: SocketAddr, text: &str) -> io::Result<u16> {
+pub fn request(address: SocketAddr, text: &str) -> io::Result<u16> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
     stream.set_read_timeout(Some(Duration::from_secs(3)))?;
     stream.write_all(text.as_bytes())?;
--- a/review/standins-2/node.rs
+++ b/review/standins-2/node.rs
@@ -142,6 +142,16 @@
         Some(kilobytes << 10)
     }
 
+    /// Sends the signal SIG`name` to the process.
+    ///
+    /// # Errors
+    /// Returns an error if the process does not run.
+    pub fn signal(&self, name: &str) -> std::io::Result<()> {
+        let id = self.id().ok_or(std::io::ErrorKind::NotFound)?;
+        Command::new("kill").args(["-s", name, &id.to_string()]).status()?;
+        Ok(())
+    }
+
     /// Returns whether the process has ended by itself, and forgets it if so.
     pub fn has_ended(&mut self) -> bool {
         let ended = match &mut self.child {
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -17,6 +17,14 @@
 /// The largest number of items of one page.
 const PAGE: usize = 500;
 
+/// A copy of the store's data.
+#[derive(Debug, Clone)]
+pub struct Copy {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    leases: HashMap<u64, Duration>,
+}
+
 #[derive(Debug, Clone)]
 struct Item {
     /// The value in base64.
@@ -40,6 +48,12 @@
     changes: Vec<(u64, String, String)>,
     leases: HashMap<u64, Lease>,
     last_lease: u64,
+    /// The revision up to which the changes are not known.
+    oldest: u64,
+    /// Number of times that the store came back from a copy.
+    era: u64,
+    /// Whether the store is away: it answers nothing and takes nothing.
+    is_away: bool,
 }
 
 /// The store. Clones share its state.
@@ -156,18 +170,70 @@
     pub fn put(&self, key: &str, value: &str) {
         let (state, changed) = &*self.shared;
         let mut state = state.lock().expect("no panic");
-        state.put(key, encode_base64(value.as_bytes()), 0);
+        if !state.is_away {
+            state.put(key, encode_base64(value.as_bytes()), 0);
+            changed.notify_all();
+        }
+    }
+
+    /// Returns a copy of the data as they are now.
+    pub fn copy(&self) -> Copy {
+        let state = self.shared.0.lock().expect("no panic");
+        let leases = state.leases.iter();
+        Copy {
+            revision: state.revision,
+            items: state.items.clone(),
+            leases: leases.map(|(lease, known)| (*lease, known.ttl)).collect(),
+        }
+    }
+
+    /// Takes the store away.
+    pub fn take_away(&self) {
+        let (state, changed) = &*self.shared;
+        state.lock().expect("no panic").is_away = true;
         changed.notify_all();
     }
 
+    /// Brings the store back from a copy, in a new era.
+    pub fn bring_back(&self, copy: Copy) {
+        let (state, changed) = &*self.shared;
+        let mut state = state.lock().expect("no panic");
+        let now = Instant::now();
+        let leases = copy.leases.into_iter();
+        state.leases = leases
+            .map(|(lease, ttl)| (lease, Lease { ttl, ends_at: now + ttl }))
+            .collect();
+        state.revision = copy.revision;
+        state.oldest = copy.revision;
+        state.items = copy.items;
+        state.changes.clear();
+        state.era += 1;
+        state.is_away = false;
+        changed.notify_all();
+    }
+
+    /// Returns the era, or `None` while the store is away.
+    fn era(&self) -> Option<u64> {
+        let state = self.shared.0.lock().expect("no panic");
+        (!state.is_away).then_some(state.era)
+    }
+
     fn serve_connection(&self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
         loop {
             let request = http::read(&mut reader)?;
+            let Some(era) = self.era() else {
+                return Ok(());
+            };
             let (status, body) = self.handle(&request);
-            let fields = [("Content-Type", "application/json")];
+            // Nothing that was asked before a copy came back is answered.
+            if self.era() != Some(era) {
+                return Ok(());
+            }
+            let era = era.to_string();
+            let fields = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
             http::respond(&mut writer, status, &fields, body.as_bytes())?;
         }
     }
@@ -213,8 +279,13 @@
         let until = Instant::now() + wait;
         let (state, changed) = &*self.shared;
         let mut state = state.lock().expect("no panic");
+        let era = state.era;
         loop {
             state.end_leases();
+            let is_known = state.era == era && (state.oldest..=state.revision).contains(&after);
+            if state.is_away || !is_known {
+                return (410, "{}".to_owned());
+            }
             let first = state.changes.partition_point(|(revision, ..)| *revision <= after);
             let events = state.changes[first..].iter();
             let events = events.filter(|(_, key, _)| key.starts_with(prefix));
