test(review): case 6 leaves no process and exits with 2 if it can't run

Cause: a script that was interrupted, or whose driver ended, left its daemons running, a panic of the driver exited with 101, and nothing bounded its time.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -14,7 +14,10 @@
 mod server;
 mod store;
 
-use std::process::ExitCode;
+use std::{process::ExitCode, thread, time::Duration};
+
+/// The time after which a case could not run.
+const TIME_LIMIT: Duration = Duration::from_secs(110);
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -22,6 +25,11 @@
         eprintln!("usage: standins CASE FOLDER");
         return ExitCode::from(2);
     };
+    thread::spawn(|| {
+        thread::sleep(TIME_LIMIT);
+        eprintln!("the case could not run: the time is over");
+        std::process::exit(2);
+    });
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match case.as_str() {
         "memory" => memory::play(folder, has_trouble),
--- a/review/standins-2/node.rs
+++ b/review/standins-2/node.rs
@@ -3,10 +3,18 @@
 use std::{
     fs,
     net::{IpAddr, SocketAddr},
+    os::unix::process::CommandExt as _,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
 };
 
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+/// `PR_SET_PDEATHSIG`
+const SIGNAL_AT_PARENTS_END: i32 = 1;
+const SIGKILL: u64 = 9;
+
 /// The program of the deploy file, from the repository's root.
 const PROGRAM: &str = "target/deploy/sg-node";
 const SETTINGS_VARIABLE: &str = "SASSAFRASGAUGE_NODE_FILE";
@@ -119,12 +127,21 @@
     /// Returns the error of the system.
     pub fn start(&mut self) -> std::io::Result<()> {
         let log = fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
-        let child = Command::new(Path::new(PROGRAM))
+        let mut command = Command::new(Path::new(PROGRAM));
+        command
             .env(SETTINGS_VARIABLE, &self.settings)
             .stdin(Stdio::null())
             .stderr(log.try_clone()?)
-            .stdout(log)
-            .spawn()?;
+            .stdout(log);
+        // SAFETY: the call between fork and exec only sets an attribute of the new process.
+        unsafe {
+            command.pre_exec(|| {
+                // The process ends with the driver, however that ends.
+                prctl(SIGNAL_AT_PARENTS_END, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command.spawn()?;
         self.child = Some(child);
         Ok(())
     }
