test(review): case 9, a server that had left is used again after a restore

Cause: a change of the store's era drops the deletions of the era before. An instance that has started since a server's removal takes the server's entry in the copy for a new one, and no other instance tells it. The stand-ins of cases 6 and 8 get a server's new field; what they do stays.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,6 +7,7 @@
 mod crowd;
 mod http;
 mod json;
+mod left;
 mod memory;
 mod node;
 mod record;
@@ -33,6 +34,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match case.as_str() {
         "memory" => memory::play(folder, has_trouble),
+        "left" => left::play(folder, has_trouble),
         "restore" => restore::play(folder, has_trouble),
         other => Err(std::io::Error::other(format!("no case is called '{other}'"))),
     };
--- a/review/standins-2/memory.rs
+++ b/review/standins-2/memory.rs
@@ -75,6 +75,7 @@
             slots: 6,
             work: Duration::from_millis(100),
             running: Arc::default(),
+            is_leaving: Arc::default(),
         };
         server.start(&store, record)?;
     }
--- a/review/standins-2/restore.rs
+++ b/review/standins-2/restore.rs
@@ -65,6 +65,7 @@
             slots: 6,
             work: Duration::from_millis(50),
             running: Arc::default(),
+            is_leaving: Arc::default(),
         };
         server.start(&store, record)?;
     }
--- a/review/standins-2/server.rs
+++ b/review/standins-2/server.rs
@@ -5,7 +5,7 @@
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -26,6 +26,8 @@
     pub slots: u32,
     pub work: Duration,
     pub running: Arc<AtomicU64>,
+    /// Whether the server leaves: it writes its entry no more and says so in its answers.
+    pub is_leaving: Arc<AtomicBool>,
 }
 
 impl Server {
@@ -49,6 +51,9 @@
         thread::spawn(move || {
             for sequence in 2_u64.. {
                 thread::sleep(HEARTBEAT);
+                if server.is_leaving.load(Ordering::SeqCst) {
+                    return;
+                }
                 server.write_entry(&store, born, sequence);
             }
         });
@@ -64,6 +69,12 @@
         store.put(&format!("servers/{}", self.id), &entry);
     }
 
+    /// Leaves without a report of `draining`: the entry is removed, and the server serves on.
+    pub fn leave(&self, store: &Store) {
+        self.is_leaving.store(true, Ordering::SeqCst);
+        store.delete(&format!("servers/{}", self.id));
+    }
+
     fn serve_connection(&self, stream: TcpStream, record: &Record) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut writer = stream.try_clone()?;
@@ -82,13 +93,17 @@
     ) -> io::Result<()> {
         let path = request.start.get(1).map_or("", String::as_str);
         let load = |running: u64| format!("{running},0,{}", self.slots);
+        let is_leaving = self.is_leaving.load(Ordering::SeqCst);
+        let leaving = is_leaving.then_some(("Server-Leaving", "1"));
         if path == "/health" {
             let load = load(self.running.load(Ordering::SeqCst));
-            let fields = [
+            let mut fields = vec![
                 ("X-Sassafrasgauge-Instance-Id", self.id.as_str()),
                 ("X-Sassafrasgauge-Server-Load", &load),
             ];
-            return http::respond(writer, 200, &fields, b"");
+            fields.extend(leaving);
+            let status = if is_leaving { 503 } else { 200 };
+            return http::respond(writer, status, &fields, b"");
         }
         let expected = request.field("x-sassafrasgauge-expect-instance");
         if expected.is_some_and(|expected| expected != self.id) {
@@ -99,10 +114,11 @@
         let running = self.running.fetch_add(1, Ordering::SeqCst) + 1;
         if running > u64::from(self.slots) {
             self.running.fetch_sub(1, Ordering::SeqCst);
-            let fields = [
+            let mut fields = vec![
                 ("X-Sassafrasgauge-Request-Id", id),
                 ("X-Sassafrasgauge-Not-Executed", "1"),
             ];
+            fields.extend(leaving);
             return http::respond(writer, 503, &fields, b"");
         }
         record.note(&format!("server {} runs {id} {path}", self.id));
@@ -110,11 +126,12 @@
         let running = self.running.fetch_sub(1, Ordering::SeqCst);
         let load = load(running - 1);
         let stamp = format!("3e1b.{id}");
-        let fields = [
+        let mut fields = vec![
             ("X-Sassafrasgauge-Request-Id", id),
             ("X-Sassafrasgauge-Server-Stamp", &stamp),
             ("X-Sassafrasgauge-Server-Load", &load),
         ];
+        fields.extend(leaving);
         http::respond(writer, 200, &fields, format!("{} ran {id}", self.id).as_bytes())
     }
 }
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -176,6 +176,16 @@
         }
     }
 
+    /// Removes a key, as a server that leaves does.
+    pub fn delete(&self, key: &str) {
+        let (state, changed) = &*self.shared;
+        let mut state = state.lock().expect("no panic");
+        if !state.is_away {
+            state.delete(key);
+            changed.notify_all();
+        }
+    }
+
     /// Returns a copy of the data as they are now.
     pub fn copy(&self) -> Copy {
         let state = self.shared.0.lock().expect("no panic");
