feat(sg-gateway): tell size and time of a configuration, and how much is retained

Cause: a slow link, a slow processor and a slow thread look the same in the line of a configuration, and no metric shows that one instance retains what another one lacks after a restore. Change: bytes and took_ms on the line; the gauge sg_retained_keys by prefix.

--- a/crates/sg-gateway/src/following.rs
+++ b/crates/sg-gateway/src/following.rs
@@ -3,7 +3,9 @@
 
 use std::net::SocketAddr;
 
-use prometheus::{GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry};
+use prometheus::{
+    GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
+};
 use rand::seq::SliceRandom;
 use sg_mesh::{
     duty,
@@ -40,6 +42,7 @@
     bytes: IntCounterVec,
     seconds: HistogramVec,
     behind: GaugeVec,
+    retained: IntGaugeVec,
 }
 
 impl Metrics {
@@ -69,11 +72,19 @@
                 ),
                 &["prefix"],
             )?,
+            retained: IntGaugeVec::new(
+                Opts::new(
+                    "sg_retained_keys",
+                    "Keys whose state of before a restore of the store still holds.",
+                ),
+                &["prefix"],
+            )?,
         };
         registry.register(Box::new(metrics.fetches.clone()))?;
         registry.register(Box::new(metrics.bytes.clone()))?;
         registry.register(Box::new(metrics.seconds.clone()))?;
         registry.register(Box::new(metrics.behind.clone()))?;
+        registry.register(Box::new(metrics.retained.clone()))?;
         Ok(metrics)
     }
 
@@ -82,6 +93,11 @@
         gauge.set(behind.as_secs_f64());
     }
 
+    fn record_retained(&self, index: usize, count: usize) {
+        let gauge = self.retained.with_label_values(&[PREFIX_NAMES[index]]);
+        gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     fn record_fetch(&self, index: usize, took: Span, result: &Result<Outcome, relay::Error>) {
         let prefix = PREFIX_NAMES[index];
         let (end, bytes) = match result {
@@ -176,6 +192,8 @@
             () = context.ahead[index].notified() => {}
         }
         let now = context.timer.now();
+        let retained = context.replica.retained_count(index);
+        context.fetches.record_retained(index, retained);
         let ahead = Ahead::find(&context, index, now);
         progress.update(context.replica.position(index), &ahead, now);
         let elapsed = |since: Option<Instant>| since.map_or(Span::ZERO, |at| now.since(at));
--- a/crates/sg-gateway/src/updates.rs
+++ b/crates/sg-gateway/src/updates.rs
@@ -1,5 +1,6 @@
 //! Applies changes of the store to the request path.
 
+use bytes::Bytes;
 use sg_catalog::Catalog;
 use sg_mesh::{follower::Update, mirror::Change};
 use sg_place::Target;
@@ -22,6 +23,14 @@
 /// registrations themselves would have lasted.
 const REGISTRATION_RETENTION: Span = registry::REGISTRATION_TTL;
 
+/// How a configuration was read.
+#[derive(Debug, Clone, Copy)]
+struct Read {
+    /// The size of the configuration in the store.
+    bytes: usize,
+    started: Instant,
+}
+
 /// Gives up what is retained from before the store was restored from a copy, once the owners have had
 /// time to write it again. The operators' values are retained until the operators write newer ones.
 pub(crate) async fn release_retained<D: Protocol, I: Interpreter, S: Store>(
@@ -85,6 +94,7 @@
     let version = change.version.to_string();
     let version = version.as_str();
     let key = change.key.as_ref();
+    let started = context.timer.now();
     let value = context
         .interpreter
         .interpret(&change.key, change.value.as_deref());
@@ -101,7 +111,13 @@
         }
     };
     match value {
-        StoreValue::Catalog(catalog) => adopt_catalog(context, entries, *catalog, version),
+        StoreValue::Catalog(catalog) => {
+            let read = Read {
+                bytes: change.value.as_ref().map_or(0, Bytes::len),
+                started,
+            };
+            adopt_catalog(context, entries, *catalog, version, read);
+        }
         StoreValue::Target(target) => {
             let catalog = context.core.catalog();
             if let Some(target) = entries.admit(*target, catalog.as_deref(), version) {
@@ -142,6 +158,7 @@
     entries: &mut Entries,
     catalog: Catalog,
     version: &str,
+    read: Read,
 ) {
     let (revision, unread) = (catalog.revision.get(), catalog.unread.count());
     context.unread.parts.inc_by(unread);
@@ -149,7 +166,8 @@
         log::warn!(revision, version, unread, first; "parts of the configuration not read");
     }
     let adopted = context.core.replace_catalog(catalog);
-    log::info!(revision, version, adopted, unread; "configuration read");
+    let took_ms = context.timer.now().since(read.started).as_millis();
+    log::info!(revision, version, adopted, unread, bytes = read.bytes, took_ms; "configuration read");
     let catalog = context.core.catalog();
     for target in catalog.map_or_else(Vec::new, |catalog| entries.release(&catalog)) {
         upsert_target(context, &target, version);
