fix(sg-mesh): tell of what holds from before a restore until every instance knows it

Callers: after the store came back from an older copy, an instance that started meanwhile accepted a withdrawn key until the operators wrote again; one that was restarted after a target had left sent orders to that target once more. Cause: what others retain of the time before a restore was asked for once, for 400 ms, at the start; deletions were dropped when an era began and never passed on. Positions of the new era are equal everywhere, so that nothing asked again. Change: beacons tell the versions of what an instance retains until its owners write again; whoever may lack some of it fetches it, at any time, until it has it. Mirrors of targets retain deletions: the entry that a copy brings back doesn't count until the target writes again. Values that were given up and orders that were removed again don't come back from an instance that is late.

--- a/crates/sg-gateway/src/beacon.rs
+++ b/crates/sg-gateway/src/beacon.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::atomic::Ordering};
 
 use sg_mesh::{
-    frame::{Beacon, Frame, Location, RateStatement},
+    frame::{Beacon, Frame, Location, RateStatement, Retained},
     members::Member,
 };
 use sg_place::rate_limit;
@@ -86,6 +86,7 @@
             .iter()
             .map(|version| version.revision())
             .collect(),
+        retained: retained(context),
         follows: following::reaches_store(context, now),
         takes_digests: true,
         takes_slots,
@@ -205,6 +206,16 @@
     }
 }
 
+/// Returns the versions of what this instance retains of earlier eras of the store.
+fn retained<D, I, S>(context: &Context<D, I, S>) -> Vec<Retained> {
+    let lasting = context.replica.lasting().into_iter();
+    let retained = lasting.map(|(index, versions)| Retained {
+        index,
+        versions: versions.into(),
+    });
+    retained.collect()
+}
+
 /// Returns what targets stated to this instance lately about the rates that they take.
 fn rate_statements<D, I, S>(context: &Context<D, I, S>) -> Vec<RateStatement> {
     let statements = context.core.rate_statements().into_iter();
--- a/crates/sg-gateway/src/daemon.rs
+++ b/crates/sg-gateway/src/daemon.rs
@@ -9,6 +9,7 @@
     follower::{self, Replica, Update},
     gossip::Gossip,
     relay,
+    retention::Retention,
 };
 use sg_place::{
     location::{Location, RoundTrips},
@@ -49,6 +50,10 @@
     Span::from_millis(4_000),
     Span::from_secs(15),
 ];
+/// What is kept of each followed prefix from before the store was restored from a copy, until the owners write again.
+/// A registration that the copy brings back lapses.
+const RETENTIONS: [Retention; INSTANCE_INDEX + 1] =
+    [Retention::Values, Retention::Deletions, Retention::Nothing];
 /// The minimum time between the starts of two watches of the targets' or the instances' prefix. It is a
 /// fraction of the time for which a leaving target keeps serving, so that instances know that the target
 /// is leaving before it stops.
@@ -206,7 +211,7 @@
         core_options(&settings, &budget),
         signal_sender,
     );
-    let (replica, updates) = Replica::new(INSTANCE_INDEX + 1);
+    let (replica, updates) = Replica::new(RETENTIONS);
     // Lists the store at once, and follows it from when the neighbours have been heard.
     replica.set_following(false);
     let gossip = Gossip::bind(settings.mesh_address()).await?;
@@ -329,6 +334,9 @@
     for index in 0..=INSTANCE_INDEX {
         tasks.spawn(following::catch_up(context.clone(), index));
     }
+    for index in [OPERATOR_INDEX, TARGET_INDEX] {
+        tasks.spawn(following::learn_retained(context.clone(), index));
+    }
     tasks.spawn(health::run(context.clone()));
 }
 
--- a/crates/sg-gateway/src/following.rs
+++ b/crates/sg-gateway/src/following.rs
@@ -227,6 +227,45 @@
     }
 }
 
+/// Fetches what other instances retain of the prefix at `index` from before the store was restored from a copy, and this
+/// one may not know, because it started afterwards or was behind. Positions tell nothing of it.
+pub(crate) async fn learn_retained<D: Protocol, I: Interpreter, S: Store>(
+    context: Arc<Context<D, I, S>>,
+    index: usize,
+) {
+    let mut ticks = context.timer.every(CATCH_UP_INTERVAL);
+    let mut lacking_since = None;
+    loop {
+        let now = ticks.tick().await.now;
+        let sources = retaining(&context, index, now);
+        if sources.is_empty() {
+            lacking_since = None;
+            continue;
+        }
+        let since = *lacking_since.get_or_insert_with(|| {
+            log::info!(index, from:% = sources[0]; "retained state not known");
+            now
+        });
+        fetch_changes(&context, index, sources, since).await;
+    }
+}
+
+/// Returns the addresses of some live instances that retain state of the prefix at `index` which this one may not know.
+fn retaining<D, I, S>(context: &Context<D, I, S>, index: usize, now: Instant) -> Vec<SocketAddr> {
+    let members = context.members.lock();
+    let alive = members.alive(now).map(|member| &member.beacon);
+    let retaining = alive.filter(|beacon| {
+        let versions = beacon.retained(index);
+        let position = beacon.position(index);
+        versions.is_some_and(|versions| context.replica.lacks(index, position, versions))
+    });
+    let addresses = retaining.map(|beacon| beacon.location.mesh_address);
+    let mut addresses: Vec<SocketAddr> = addresses.collect();
+    addresses.shuffle(&mut rand::rng());
+    addresses.truncate(MAX_SOURCES);
+    addresses
+}
+
 /// The live instances that know a newer store version of a prefix.
 struct Ahead {
     /// Those of the own failure domain.
--- a/crates/sg-gateway/src/updates.rs
+++ b/crates/sg-gateway/src/updates.rs
@@ -195,13 +195,7 @@
     let context = context.clone();
     tokio::spawn(async move {
         context.timer.sleep(wait).await;
-        let (changes, _) = context
-            .replica
-            .changes_after(TARGET_INDEX, sg_store::Version::default())
-            .unwrap_or_default();
-        let is_back = changes
-            .iter()
-            .any(|change| change.key == key && change.value.is_some());
+        let is_back = context.replica.has_value(TARGET_INDEX, &key);
         if !is_back {
             remove_target(&context, &target);
         }
--- a/crates/sg-mesh/src/follower.rs
+++ b/crates/sg-mesh/src/follower.rs
@@ -10,6 +10,7 @@
 use crate::{
     Mirror,
     mirror::{Change, Snapshot},
+    retention::{Range, Retention},
 };
 
 /// The delay before the first retry after a failed call. It is short because most failures end at once.
@@ -71,13 +72,17 @@
 }
 
 impl Replica {
-    /// Creates a replica of `count` prefixes, with the receiver of its updates.
+    /// Creates a replica of a prefix for each of `retentions`, with the receiver of its updates.
     #[must_use]
-    pub fn new(count: usize) -> (Arc<Self>, mpsc::UnboundedReceiver<Update>) {
+    pub fn new(
+        retentions: impl IntoIterator<Item = Retention>,
+    ) -> (Arc<Self>, mpsc::UnboundedReceiver<Update>) {
         let (updates, receiver) = mpsc::unbounded_channel();
+        let mirrors = retentions.into_iter().map(Mirror::new).map(Mutex::new);
+        let mirrors: Vec<_> = mirrors.collect();
         let replica = Self {
-            mirrors: (0..count).map(|_| Mutex::default()).collect(),
-            contacts: (0..count).map(|_| Mutex::default()).collect(),
+            contacts: mirrors.iter().map(|_| Mutex::default()).collect(),
+            mirrors,
             updates,
             era: watch::Sender::default(),
             following: watch::Sender::new(true),
@@ -163,14 +168,6 @@
             .unwrap_or_default()
     }
 
-    /// Returns the changes of the prefix at `index` after `version`, and the store version up to which
-    /// they are complete.
-    #[must_use]
-    pub fn changes_after(&self, index: usize, version: Version) -> Option<(Vec<Change>, Version)> {
-        let mirror = self.mirrors.get(index)?.lock();
-        Some((mirror.changes_after(version), mirror.position()))
-    }
-
     /// Returns the state of the prefix at `index` that an instance lacks which knows the prefix up to
     /// `version`.
     #[must_use]
@@ -178,11 +175,35 @@
         Some(self.mirrors.get(index)?.lock().snapshot_after(version))
     }
 
-    /// Returns the number of values of the prefix at `index` that are retained from earlier eras.
+    /// Returns the number of keys of the prefix at `index` whose state of earlier eras holds.
     #[must_use]
     pub fn retained_count(&self, index: usize) -> usize {
         let mirror = self.mirrors.get(index);
-        mirror.map_or(0, |mirror| mirror.lock().retained().len())
+        mirror.map_or(0, |mirror| mirror.lock().retained_count())
+    }
+
+    /// Returns the versions of what holds of earlier eras until its owners write again, with the index of each prefix
+    /// that has such state.
+    #[must_use]
+    pub fn lasting(&self) -> Vec<(usize, Range)> {
+        let mirrors = self.mirrors.iter().enumerate();
+        let ranges = mirrors.filter_map(|(index, mirror)| Some((index, mirror.lock().lasting()?)));
+        ranges.collect()
+    }
+
+    /// Returns whether an instance at the position `other` of the prefix at `index`, whose lasting state of earlier eras
+    /// has the versions `range`, may retain what this one doesn't.
+    #[must_use]
+    pub fn lacks(&self, index: usize, other: Version, range: Range) -> bool {
+        let mirror = self.mirrors.get(index);
+        mirror.is_some_and(|mirror| mirror.lock().lacks(other, range))
+    }
+
+    /// Returns whether the key of the prefix at `index` has a value that counts.
+    #[must_use]
+    pub fn has_value(&self, index: usize, key: &str) -> bool {
+        let mirror = self.mirrors.get(index);
+        mirror.is_some_and(|mirror| mirror.lock().has_value(key))
     }
 
     /// Returns the newest era of any prefix.
@@ -226,7 +247,7 @@
             let mut mirror = mirror.lock();
             let before = mirror.position();
             let changes = change(&mut mirror);
-            (changes, before, mirror.position(), mirror.retained().len())
+            (changes, before, mirror.position(), mirror.retained_count())
         };
         if after.era() > before.era() && before.revision() > 0 {
             log::warn!(index, before:% = before, after:% = after, retained; "store restored from a copy");
--- a/crates/sg-mesh/src/frame.rs
+++ b/crates/sg-mesh/src/frame.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     digest::{self, Digest},
+    retention::{EncodedRange, Range},
     slots::{self, Packet},
 };
 
@@ -51,6 +52,15 @@
     pub started_at_millis: u64,
 }
 
+/// The versions of what an instance retains of earlier eras of a prefix.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Retained {
+    /// The index of the followed prefix.
+    pub index: usize,
+    /// The versions.
+    pub versions: EncodedRange,
+}
+
 /// The state that an instance announces several times a second.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Beacon {
@@ -78,6 +88,9 @@
     /// Positions advance without changes of the prefix as well.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub changed: Vec<u64>,
+    /// What the sender retains of earlier eras of the store until the owners write again.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub retained: Vec<Retained>,
     /// Whether the sender follows the store and reached it lately.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub follows: bool,
@@ -198,6 +211,14 @@
         Version::at(Era::new(at(&self.eras)), at(&self.changed))
     }
 
+    /// Returns the versions of what the sender retains of earlier eras of the prefix at `index`.
+    #[must_use]
+    pub fn retained(&self, index: usize) -> Option<Range> {
+        let mut retained = self.retained.iter();
+        let retained = retained.find(|retained| retained.index == index)?;
+        Some(retained.versions.into())
+    }
+
     /// Returns whether other instances have to know at once that `self` has replaced `previous`.
     #[must_use]
     pub fn is_urgent_after(&self, previous: &Self) -> bool {
--- a/crates/sg-mesh/src/lib.rs
+++ b/crates/sg-mesh/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`mirror`] holds the last known value of each followed key. Changes arrive from the store or from
 //!   other instances in any order; the higher version wins.
+//! - [`retention`] is what a mirror keeps of the time before the store was restored from a copy.
 //! - [`follower`] keeps a mirror up to date from the store.
 //! - [`frame`] defines the datagrams between instances; [`gossip`] sends and receives them.
 //! - [`digest`] packs the beacons of a failure domain; [`duty`] decides which instances send them, and
@@ -21,6 +22,7 @@
 pub mod members;
 pub mod mirror;
 pub mod relay;
+pub mod retention;
 pub mod slots;
 
 pub use members::Members;
--- a/crates/sg-mesh/src/mirror.rs
+++ b/crates/sg-mesh/src/mirror.rs
@@ -2,12 +2,15 @@
 //!
 //! When the store comes back from an older copy, in a new era, the mirror retains the values that the
 //! copy lacks or has in an older state, because what was in force must not go back. A retained value
-//! ends when the new era has caught up with the value, or when the owner of the mirror gives it up.
+//! ends when the new era has caught up with the value, or when the owner of the mirror gives it up. A mirror may
+//! also retain deletions of keys that the copy brings back.
 
 use bytes::Bytes;
 use sg_store::{Changes, Entry, Event, Page, Version, version::Era};
 use sg_types::prelude::*;
 
+use crate::retention::{Deletion, Earlier, Range, Retention};
+
 /// The largest number of tombstones, which are records of deleted keys. A tombstone's version prevents
 /// an older value that arrives late from restoring the key.
 const MAX_TOMBSTONES: usize = 4_096;
@@ -45,8 +48,8 @@
     gap: Option<Gap>,
     /// The number of records without a value, which stand for deleted keys.
     tombstones: usize,
-    /// Values of earlier eras that the current era has not caught up with.
-    retained: IndexMap<Arc<str>, Record>,
+    /// What holds of earlier eras.
+    earlier: Earlier,
 }
 
 /// The versions between two listings, both excluded. A listing does not show the keys that came and went
@@ -83,6 +86,10 @@
     pub is_listing: bool,
     /// The retained values.
     pub retained: Vec<Change>,
+    /// The retained deletions.
+    pub deletions: Vec<Deletion>,
+    /// The versions of earlier eras whose lasting state is among these.
+    pub known: Option<Range>,
     /// The version up to which the changes are complete.
     pub position: Version,
     /// The versions from which the changes would not have been complete.
@@ -90,6 +97,15 @@
 }
 
 impl Mirror {
+    /// Creates a mirror that keeps what `retention` says of earlier eras.
+    #[must_use]
+    pub fn new(retention: Retention) -> Self {
+        Self {
+            earlier: Earlier::new(retention),
+            ..Self::default()
+        }
+    }
+
     /// Returns the store version up to which every change is known, zero if nothing was read yet.
     #[must_use]
     pub fn position(&self) -> Version {
@@ -102,14 +118,15 @@
         self.changed_at
     }
 
-    /// Applies one change and returns it; `None` if the mirror knows the same or a newer version.
+    /// Applies one change and returns it; `None` if the mirror knows the same or a newer version, or if the change is
+    /// the entry of a key that was deleted before the store was restored.
     pub fn apply_change(&mut self, change: Change) -> Option<Change> {
         if let Some(known) = self.records.get(&change.key)
             && known.version >= change.version
         {
             return None;
         }
-        self.release_if_caught_up(&change);
+        let is_copied = self.earlier.supersede(&change);
         self.changed_at = self.changed_at.max(change.version);
         let record = Record {
             version: change.version,
@@ -120,7 +137,7 @@
         self.tombstones =
             self.tombstones - usize::from(was_deleted) + usize::from(change.value.is_none());
         self.evict_tombstone();
-        Some(change)
+        (!is_copied).then_some(change)
     }
 
     /// Applies the changes of a watch and returns those that were new. Changes of another era than the
@@ -180,28 +197,19 @@
         applied
     }
 
-    /// Replaces the records by a listing of a newer era and retains the values that it lacks. Returns the
-    /// listed entries.
+    /// Replaces the records by a listing of a newer era and retains what the listing lacks. Returns the listed entries
+    /// that count.
     fn start_era(&mut self, page: Page) -> Vec<Change> {
         let earlier = std::mem::take(&mut self.records);
         self.tombstones = 0;
-        let earlier = earlier
-            .into_iter()
-            .chain(std::mem::take(&mut self.retained));
-        let listed: IndexMap<&str, &Entry> = page
-            .entries
-            .iter()
-            .map(|entry| (entry.key.as_ref(), entry))
-            .collect();
-        self.retained = earlier
-            .filter(|(key, record)| match &record.value {
-                None => false,
-                Some(value) => listed
-                    .get(key.as_ref())
-                    .is_none_or(|entry| entry.value != *value),
-            })
-            .collect();
-        drop(listed);
+        let gap_end = self.gap.map_or(Version::default(), |gap| gap.before);
+        let followed = Range {
+            oldest: self.deletions_since.max(gap_end),
+            newest: self.position,
+        };
+        if self.position > Version::default() {
+            self.earlier.start_era(earlier, followed, &page);
+        }
         self.position = page.version;
         self.changed_at = page.version;
         self.deletions_since = page.version;
@@ -221,40 +229,43 @@
         self.gap = joined.filter(|gap| gap.before > self.deletions_since);
     }
 
-    /// Ends the retention of a key once the current era has its value again or deletes the key.
-    fn release_if_caught_up(&mut self, change: &Change) {
-        let is_caught_up = self
-            .retained
-            .get(&change.key)
-            .is_some_and(|record| change.value.is_none() || record.value == change.value);
-        if is_caught_up {
-            self.retained.swap_remove(&change.key);
-        }
-    }
-
     /// Returns the values of earlier eras that the current era has not caught up with.
     #[must_use]
     pub fn retained(&self) -> Vec<Change> {
-        let retained = self.retained.iter().map(|(key, record)| Change {
-            key: key.clone(),
-            value: record.value.clone(),
-            version: record.version,
-        });
-        retained.collect()
+        self.earlier.values()
+    }
+
+    /// Returns the number of keys whose state of earlier eras holds.
+    #[must_use]
+    pub fn retained_count(&self) -> usize {
+        self.earlier.len()
+    }
+
+    /// Returns the versions of what holds of earlier eras until its owners write again.
+    #[must_use]
+    pub fn lasting(&self) -> Option<Range> {
+        self.earlier.lasting()
+    }
+
+    /// Returns whether another mirror at the position `other`, whose lasting state of earlier eras has the versions
+    /// `range`, may retain what this one doesn't.
+    #[must_use]
+    pub fn lacks(&self, other: Version, range: Range) -> bool {
+        other.era() == self.position.era() && self.earlier.lacks(range)
+    }
+
+    /// Returns whether the key has a value that counts.
+    #[must_use]
+    pub fn has_value(&self, key: &str) -> bool {
+        let record = self.records.get(key);
+        record.is_some_and(|record| record.value.is_some()) && !self.earlier.is_hidden(key)
     }
 
     /// Gives up the values retained from before `era` and returns the deletions of those keys that the
     /// current era does not have.
     pub fn release_retained(&mut self, era: Era) -> Vec<Change> {
-        let (given_up, kept): (IndexMap<_, _>, IndexMap<_, _>) = std::mem::take(&mut self.retained)
-            .into_iter()
-            .partition(|(_, record)| record.version.era() < era);
-        self.retained = kept;
-        let has_value = |key: &Arc<str>| {
-            let record = self.records.get(key);
-            record.is_some_and(|record| record.value.is_some())
-        };
-        let missing = given_up.into_keys().filter(|key| !has_value(key));
+        let given_up = self.earlier.release_values(era).into_iter();
+        let missing = given_up.filter(|key| !self.has_value(key));
         let deletions = missing.map(|key| Change {
             key,
             value: None,
@@ -279,6 +290,8 @@
             changes: self.changes_after(version),
             is_listing: !is_known,
             retained: self.retained(),
+            deletions: self.earlier.deletions(),
+            known: self.earlier.known(),
             position: self.position,
             gap: self.gap,
         }
@@ -309,6 +322,8 @@
             changes,
             is_listing,
             retained,
+            deletions,
+            known,
             position,
             gap,
         } = snapshot;
@@ -329,11 +344,11 @@
             applied
         };
         self.position = self.position.max(position);
-        applied.extend(
-            retained
-                .into_iter()
-                .filter_map(|change| self.retain(change)),
-        );
+        let retained = retained.into_iter();
+        applied.extend(retained.filter_map(|change| self.retain(change)));
+        let deletions = deletions.into_iter();
+        applied.extend(deletions.filter_map(|deletion| self.hide(deletion)));
+        self.earlier.extend_known(known);
         applied
     }
 
@@ -349,41 +364,52 @@
             .collect()
     }
 
-    /// Like [`merge`](Self::merge), but retains the values of a state of an older era. It is for an
-    /// instance that has just started: its own state has no values of earlier eras.
+    /// Like [`merge`](Self::merge), but retains the state of an older era. It is for an instance that has just started:
+    /// its own state has nothing of earlier eras.
     pub fn merge_retaining(&mut self, snapshot: Snapshot) -> Vec<Change> {
         if snapshot.position.era() >= self.position.era() {
             return self.merge(snapshot);
         }
         let known = snapshot.changes.into_iter().chain(snapshot.retained);
-        known
-            .filter(|change| change.value.is_some())
-            .filter_map(|change| self.retain(change))
-            .collect()
+        let (present, deleted): (Vec<Change>, Vec<Change>) =
+            known.partition(|change| change.value.is_some());
+        let deleted = deleted
+            .into_iter()
+            .map(|change| (change.key, change.version));
+        let earlier = snapshot.deletions.into_iter();
+        let deleted = deleted.chain(earlier.map(|deletion| (deletion.key, deletion.version)));
+        let deletions: Vec<Deletion> = deleted
+            .filter_map(|(key, version)| {
+                let entry = self.records.get(&key)?.version;
+                Deletion::of_copied(key, version, entry)
+            })
+            .collect();
+        let present = present.into_iter();
+        let mut applied: Vec<Change> = present.filter_map(|change| self.retain(change)).collect();
+        let deletions = deletions.into_iter();
+        applied.extend(deletions.filter_map(|deletion| self.hide(deletion)));
+        applied
     }
 
-    /// Retains a value that another instance retains, unless this mirror has the value, or retains one
+    /// Retains a value that another instance retains, unless this mirror has the value or a later state, or retains one
     /// that is at least as new. Returns the change if it is new.
     fn retain(&mut self, change: Change) -> Option<Change> {
         let current = self.records.get(&change.key);
-        let is_current = current.is_some_and(|record| record.value == change.value);
-        let known = self.retained.get(&change.key);
-        let is_known = known.is_some_and(|record| record.version >= change.version);
-        if is_current || is_known || change.version.era() >= self.position.era() {
-            return None;
-        }
-        let record = Record {
-            version: change.version,
-            value: change.value.clone(),
-        };
-        self.retained.insert(change.key.clone(), record);
-        Some(change)
+        self.earlier.retain(change, current, self.position.era())
+    }
+
+    /// Retains a deletion that another instance retains, unless the key was written again. Returns the change if it is
+    /// new.
+    fn hide(&mut self, deletion: Deletion) -> Option<Change> {
+        let current = self.records.get(&deletion.key);
+        self.earlier.hide(deletion, current, self.position.era())
     }
 
-    /// Returns the keys that have a value, with their values.
+    /// Returns the keys that have a value that counts, with their values.
     pub fn values(&self) -> impl Iterator<Item = (&Arc<str>, &Bytes)> {
         self.records
             .iter()
+            .filter(|(key, _)| !self.earlier.is_hidden(key))
             .filter_map(|(key, record)| record.value.as_ref().map(|value| (key, value)))
     }
 
--- a/crates/sg-mesh/src/relay.rs
+++ b/crates/sg-mesh/src/relay.rs
@@ -17,11 +17,14 @@
 
 use self::{
     connection::Connection,
-    message::{EncodedChange, FrameCache, PACKED, Request, Response, malformed_error},
+    message::{
+        EncodedChange, EncodedDeletion, FrameCache, PACKED, Request, Response, malformed_error,
+    },
 };
 use crate::{
     follower::Replica,
     mirror::{Change, Gap, Snapshot},
+    retention::{Deletion, EncodedRange, Range},
 };
 
 /// The largest response without compression, and the largest frame, in bytes.
@@ -192,6 +195,8 @@
         changes: decode(response.changes)?,
         is_listing: response.listing,
         retained: decode(response.retained)?,
+        deletions: response.deletions.into_iter().map(Deletion::from).collect(),
+        known: response.known.map(Range::from),
         position: at(response.position),
         gap: response.gap.map(|(after, before)| Gap {
             after: at(after),
@@ -288,6 +293,13 @@
             changes: encode(&snapshot.changes),
             listing: snapshot.is_listing,
             retained: encode(&snapshot.retained),
+            deletions: snapshot
+                .deletions
+                .iter()
+                .cloned()
+                .map(EncodedDeletion::from)
+                .collect(),
+            known: snapshot.known.map(EncodedRange::from),
             gap: snapshot
                 .gap
                 .map(|gap| (gap.after.revision(), gap.before.revision())),
--- a/crates/sg-mesh/src/relay/message.rs
+++ b/crates/sg-mesh/src/relay/message.rs
@@ -13,7 +13,10 @@
 use sg_types::prelude::*;
 
 use super::Error;
-use crate::mirror::Change;
+use crate::{
+    mirror::Change,
+    retention::{Deletion, EncodedRange, EncodedVersion},
+};
 
 /// The first byte of a packed response, which no JSON document begins with.
 pub(super) const PACKED: u8 = 1;
@@ -47,6 +50,12 @@
     /// Values of earlier eras that the sender retains.
     #[serde(default)]
     pub retained: Vec<EncodedChange>,
+    /// Deletions of earlier eras that the sender retains. Earlier releases don't tell them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub deletions: Vec<EncodedDeletion>,
+    /// The versions of earlier eras whose lasting state the sender knows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub known: Option<EncodedRange>,
     /// The revisions between which the changes would not have been complete, of the same era. Earlier
     /// releases don't tell them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -80,6 +89,34 @@
     text: Option<String>,
 }
 
+/// A deletion of an earlier era.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct EncodedDeletion {
+    key: Arc<str>,
+    version: EncodedVersion,
+    hides: EncodedVersion,
+}
+
+impl From<Deletion> for EncodedDeletion {
+    fn from(deletion: Deletion) -> Self {
+        Self {
+            key: deletion.key,
+            version: deletion.version.into(),
+            hides: deletion.hides.into(),
+        }
+    }
+}
+
+impl From<EncodedDeletion> for Deletion {
+    fn from(encoded: EncodedDeletion) -> Self {
+        Self {
+            key: encoded.key,
+            version: encoded.version.into(),
+            hides: encoded.hides.into(),
+        }
+    }
+}
+
 impl EncodedChange {
     /// Encodes a change, with the value as text if that `is_allowed` and possible.
     pub fn new(change: &Change, text_is_allowed: bool) -> Self {
--- /dev/null
+++ b/crates/sg-mesh/src/retention.rs
@@ -0,0 +1,304 @@
+//! What a mirror keeps of the time before the store came back from an older copy.
+
+use serde::{Deserialize, Serialize};
+use sg_store::{Page, Version, version::Era};
+use sg_types::prelude::*;
+
+use crate::mirror::{Change, Record};
+
+/// What a mirror keeps of earlier eras until the owner of a key writes again. Other values are kept until the owner of
+/// the mirror gives them up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Retention {
+    /// Nothing.
+    #[default]
+    Nothing,
+    /// Values: their owners write rarely.
+    Values,
+    /// Deletions: the owners of deleted keys don't write, and those of others write all the time.
+    Deletions,
+}
+
+/// A deletion of an earlier era whose key came back with the copy.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Deletion {
+    /// The key.
+    pub key: Arc<str>,
+    /// The version of the deletion.
+    pub version: Version,
+    /// The version of the entry in the current era that doesn't count. A later one does.
+    pub hides: Version,
+}
+
+/// A range of versions of earlier eras, both ends included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Range {
+    /// The lowest version.
+    pub oldest: Version,
+    /// The highest version.
+    pub newest: Version,
+}
+
+impl Range {
+    /// Returns the smallest range that contains all of `versions`; `None` if there are none.
+    fn of(versions: impl Iterator<Item = Version> + Clone) -> Option<Self> {
+        Some(Self {
+            oldest: versions.clone().min()?,
+            newest: versions.max()?,
+        })
+    }
+
+    fn contains(self, other: Self) -> bool {
+        self.oldest <= other.oldest && other.newest <= self.newest
+    }
+
+    /// Returns the smallest range that contains both.
+    fn joined(self, other: Option<Self>) -> Self {
+        other.map_or(self, |other| Self {
+            oldest: self.oldest.min(other.oldest),
+            newest: self.newest.max(other.newest),
+        })
+    }
+}
+
+/// A version as instances send it to each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EncodedVersion(u64, u64);
+
+impl From<Version> for EncodedVersion {
+    fn from(version: Version) -> Self {
+        Self(version.era().get(), version.revision())
+    }
+}
+
+impl From<EncodedVersion> for Version {
+    fn from(EncodedVersion(era, revision): EncodedVersion) -> Self {
+        Self::at(Era::new(era), revision)
+    }
+}
+
+/// A range of versions as instances send it to each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EncodedRange {
+    oldest: EncodedVersion,
+    newest: EncodedVersion,
+}
+
+impl From<Range> for EncodedRange {
+    fn from(range: Range) -> Self {
+        Self {
+            oldest: range.oldest.into(),
+            newest: range.newest.into(),
+        }
+    }
+}
+
+impl From<EncodedRange> for Range {
+    fn from(encoded: EncodedRange) -> Self {
+        Self {
+            oldest: encoded.oldest.into(),
+            newest: encoded.newest.into(),
+        }
+    }
+}
+
+/// The state of earlier eras that may still hold.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Earlier {
+    retention: Retention,
+    values: IndexMap<Arc<str>, Record>,
+    deletions: IndexMap<Arc<str>, Deletion>,
+    /// The versions whose lasting state is known; `None` if the mirror has started in the current era.
+    known: Option<Range>,
+    /// The era of the last release: values of earlier ones don't return.
+    released: Era,
+}
+
+impl Earlier {
+    pub fn new(retention: Retention) -> Self {
+        Self {
+            retention,
+            ..Self::default()
+        }
+    }
+
+    /// Takes over the records of the era that ends with the listing `page` of a newer one. All changes in `followed`
+    /// are known, and the values from before.
+    pub fn start_era(&mut self, records: IndexMap<Arc<str>, Record>, followed: Range, page: &Page) {
+        let listed: IndexMap<&str, _> = page
+            .entries
+            .iter()
+            .map(|entry| (entry.key.as_ref(), entry))
+            .collect();
+        let (present, deleted): (IndexMap<_, _>, IndexMap<_, _>) = records
+            .into_iter()
+            .partition(|(_, record)| record.value.is_some());
+        let present = present.into_iter().chain(std::mem::take(&mut self.values));
+        self.values = present
+            .filter(|(key, record)| {
+                let entry = listed.get(key.as_ref());
+                entry.is_none_or(|entry| Some(&entry.value) != record.value.as_ref())
+            })
+            .collect();
+        let deleted = deleted
+            .into_iter()
+            .map(|(key, record)| (key, record.version));
+        let earlier = std::mem::take(&mut self.deletions).into_iter();
+        let deleted = deleted.chain(earlier.map(|(key, deletion)| (key, deletion.version)));
+        let deleted: IndexMap<Arc<str>, Version> = match self.retention {
+            Retention::Deletions => deleted.collect(),
+            Retention::Nothing | Retention::Values => IndexMap::new(),
+        };
+        for (key, version) in deleted {
+            let entry = listed.get(key.as_ref());
+            if let Some(deletion) =
+                entry.and_then(|entry| Deletion::of_copied(key, version, entry.version))
+            {
+                self.deletions.insert(deletion.key.clone(), deletion);
+            }
+        }
+        let followed = match self.retention {
+            Retention::Deletions => followed,
+            Retention::Nothing | Retention::Values => Range {
+                oldest: Version::default(),
+                ..followed
+            },
+        };
+        self.known = Some(followed.joined(self.lasting()));
+    }
+
+    /// Ends what is kept of the key of a change in the current era, once the owner has written again. Returns whether
+    /// the change is a copied entry that doesn't count.
+    pub fn supersede(&mut self, change: &Change) -> bool {
+        let value = self.values.get(&change.key);
+        if value.is_some_and(|record| change.value.is_none() || record.value == change.value) {
+            self.values.swap_remove(&change.key);
+        }
+        let Some(deletion) = self.deletions.get(&change.key) else {
+            return false;
+        };
+        let is_copied = change.version <= deletion.hides;
+        if !is_copied {
+            self.deletions.swap_remove(&change.key);
+        }
+        is_copied
+    }
+
+    /// Keeps a value that another instance keeps. `current` is the record of the key in the era `era`. Returns the change
+    /// if it is new.
+    pub fn retain(&mut self, change: Change, current: Option<&Record>, era: Era) -> Option<Change> {
+        let is_superseded =
+            current.is_some_and(|record| record.value.is_none() || record.value == change.value);
+        let known = self.values.get(&change.key);
+        let is_known = known.is_some_and(|record| record.version >= change.version);
+        let is_over = change.version.era() >= era || change.version.era() < self.released;
+        if is_superseded || is_known || is_over || change.value.is_none() {
+            return None;
+        }
+        let record = Record {
+            version: change.version,
+            value: change.value.clone(),
+        };
+        self.values.insert(change.key.clone(), record);
+        Some(change)
+    }
+
+    /// Keeps a deletion that another instance keeps. `current` is the record of the key in the era `era`. Returns the
+    /// change if it is new.
+    pub fn hide(
+        &mut self,
+        deletion: Deletion,
+        current: Option<&Record>,
+        era: Era,
+    ) -> Option<Change> {
+        let is_usable = self.retention == Retention::Deletions
+            && deletion.version.era() < era
+            && deletion.hides.era() == era;
+        let is_copied = current
+            .is_some_and(|record| record.value.is_some() && record.version <= deletion.hides);
+        let known = self.deletions.get(&deletion.key);
+        let is_known = known.is_some_and(|known| known.hides >= deletion.hides);
+        if !is_usable || !is_copied || is_known {
+            return None;
+        }
+        let change = Change {
+            key: deletion.key.clone(),
+            value: None,
+            version: deletion.version,
+        };
+        self.deletions.insert(deletion.key.clone(), deletion);
+        Some(change)
+    }
+
+    /// Records what an instance knew whose state was merged.
+    pub fn extend_known(&mut self, known: Option<Range>) {
+        self.known = known.map(|known| known.joined(self.known)).or(self.known);
+    }
+
+    /// Returns the versions whose lasting state is known; `None` if the mirror has started in the current era.
+    pub fn known(&self) -> Option<Range> {
+        self.known
+    }
+
+    /// Returns the versions of what holds until its owners write again.
+    pub fn lasting(&self) -> Option<Range> {
+        match self.retention {
+            Retention::Nothing => None,
+            Retention::Values => Range::of(self.values.values().map(|record| record.version)),
+            Retention::Deletions => Range::of(self.deletions.values().map(|d| d.version)),
+        }
+    }
+
+    /// Returns whether another instance, whose lasting state has the versions `range`, may keep what this one doesn't know.
+    pub fn lacks(&self, range: Range) -> bool {
+        !self.known.is_some_and(|known| known.contains(range))
+    }
+
+    /// Returns the kept values.
+    pub fn values(&self) -> Vec<Change> {
+        let values = self.values.iter().map(|(key, record)| Change {
+            key: key.clone(),
+            value: record.value.clone(),
+            version: record.version,
+        });
+        values.collect()
+    }
+
+    /// Returns the kept deletions.
+    pub fn deletions(&self) -> Vec<Deletion> {
+        self.deletions.values().cloned().collect()
+    }
+
+    /// Returns the number of keys whose earlier state holds.
+    pub fn len(&self) -> usize {
+        self.values.len() + self.deletions.len()
+    }
+
+    /// Returns whether the entry of `key` in the current era is a copied one that doesn't count.
+    pub fn is_hidden(&self, key: &str) -> bool {
+        self.deletions.contains_key(key)
+    }
+
+    /// Gives up the values from before `era` and returns their keys.
+    pub fn release_values(&mut self, era: Era) -> Vec<Arc<str>> {
+        self.released = self.released.max(era);
+        let (given_up, kept): (IndexMap<_, _>, IndexMap<_, _>) = std::mem::take(&mut self.values)
+            .into_iter()
+            .partition(|(_, record)| record.version.era() < era);
+        self.values = kept;
+        given_up.into_keys().collect()
+    }
+}
+
+impl Deletion {
+    /// Returns the deletion of `key` at `version` if the `entry` of a newer era is a copy from before. The copy's
+    /// revisions are those of the era in which the key was deleted.
+    pub(crate) fn of_copied(key: Arc<str>, version: Version, entry: Version) -> Option<Self> {
+        let is_copied = entry.revision() < version.revision();
+        is_copied.then_some(Self {
+            key,
+            version,
+            hides: entry,
+        })
+    }
+}
--- a/crates/sg-mesh/tests/mesh/compat.rs
+++ b/crates/sg-mesh/tests/mesh/compat.rs
@@ -12,6 +12,7 @@
     follower::Replica,
     frame::{Beacon, Departure, Frame},
     relay,
+    retention::Retention,
 };
 use sg_store::{Version, version::Era};
 use sg_types::prelude::*;
@@ -165,7 +166,7 @@
 #[tokio::test]
 async fn relay_answers_requests_of_earlier_releases() {
     for (release, _) in RELEASES {
-        let (replica, _updates) = Replica::new(3);
+        let (replica, _updates) = Replica::new([Retention::default(); 3]);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         tokio::spawn(relay::serve(replica, Timer::new(), listener));
@@ -197,7 +198,7 @@
                 .expect("a line");
             write.write_all(&response).await.expect("a write");
         });
-        let (replica, _updates) = Replica::new(3);
+        let (replica, _updates) = Replica::new([Retention::default(); 3]);
         let fetched = relay::fetch(&replica, &Timer::new(), &[address], 0).await;
         assert_eq!(fetched.expect("a response").changes, 1, "{release}");
         assert_eq!(replica.position(0), Version::at(Era::new(era), 31));
--- a/crates/sg-mesh/tests/mesh/follower.rs
+++ b/crates/sg-mesh/tests/mesh/follower.rs
@@ -7,6 +7,7 @@
     follower::{self, Options, Replica, Update},
     mirror::Snapshot,
     relay,
+    retention::Retention,
 };
 use sg_store::{Precondition, Store, Version, memory};
 use sg_types::prelude::*;
@@ -15,7 +16,7 @@
 const PREFIX: &str = "t/";
 
 fn start(store: &memory::Store, timer: &Timer) -> (Arc<Replica>, mpsc::UnboundedReceiver<Update>) {
-    let (replica, updates) = Replica::new(1);
+    let (replica, updates) = Replica::new([Retention::default()]);
     let options = Options {
         prefix: PREFIX.into(),
         watch_timeout: Span::from_millis(500),
@@ -90,7 +91,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     tokio::spawn(relay::serve(near.clone(), timer.clone(), listener));
-    let (far, mut far_updates) = Replica::new(1);
+    let (far, mut far_updates) = Replica::new([Retention::default()]);
     let fetched = relay::fetch(&far, &timer, &[address], 0)
         .await
         .expect("changes");
@@ -117,7 +118,7 @@
     let store = memory::Store::new(timer.clone());
     write(&store, "t/gone", "one").await;
     write(&store, "t/kept", "one").await;
-    let (known, mut known_updates) = Replica::new(1);
+    let (known, mut known_updates) = Replica::new([Retention::default()]);
     known.merge(0, snapshot_of(&store, &timer).await);
     next_changes(&mut known_updates).await;
     let gone = store.get("t/gone").await.expect("a response");
--- a/crates/sg-mesh/tests/mesh/members.rs
+++ b/crates/sg-mesh/tests/mesh/members.rs
@@ -30,6 +30,7 @@
         wanted_tokens: Vec::new(),
         cut_off: false,
         changed: vec![5],
+        retained: Vec::new(),
         follows: true,
         takes_digests: true,
         takes_slots: false,
--- a/crates/sg-mesh/tests/mesh/relay.rs
+++ b/crates/sg-mesh/tests/mesh/relay.rs
@@ -9,6 +9,7 @@
     follower::{Replica, Update},
     mirror::{Change, Snapshot},
     relay,
+    retention::Retention,
 };
 use sg_store::{Version, version::Era};
 use sg_types::prelude::*;
@@ -57,7 +58,7 @@
 
 /// Returns a replica that has read the prefix up to version 10.
 fn outdated() -> (Arc<Replica>, mpsc::UnboundedReceiver<Update>) {
-    let (replica, updates) = Replica::new(1);
+    let (replica, updates) = Replica::new([Retention::default()]);
     let position = Version::at(Era::default(), 10);
     replica.merge(
         0,
--- a/crates/sg-mesh/tests/mesh/restore.rs
+++ b/crates/sg-mesh/tests/mesh/restore.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use quickcheck::quickcheck;
-use sg_mesh::{Mirror, mirror::Change};
+use sg_mesh::{Mirror, mirror::Change, retention::Retention};
 use sg_store::{
     Changes, Entry, Event, Page, Version,
     version::{Era, EraTracker},
@@ -193,7 +193,166 @@
     assert!(eras.check_version(version(3, 1)).is_ok());
 }
 
+fn put(key: &str, value: &'static str, at: Version) -> Event {
+    Event::Put(entry(key, value, at))
+}
+
+fn removed(key: &str, version: Version) -> Event {
+    Event::Removed {
+        key: key.into(),
+        version,
+    }
+}
+
+/// Returns a mirror that knows of the deletion of `gone` and `again` at revision 880 and 881 of era 1, after a restore from
+/// a copy of revision 850, in which `again` was written anew before the mirror listed.
+fn mirror_with_deletions() -> Mirror {
+    let mut mirror = Mirror::new(Retention::Deletions);
+    let known = [("gone", "1", 800), ("again", "1", 800), ("kept", "1", 800)];
+    mirror.apply_listing(listing(&known, 1, 870));
+    let events = vec![
+        removed("gone", version(1, 880)),
+        removed("again", version(1, 881)),
+    ];
+    mirror.apply_watch(watched(events, 1, 900));
+    let copy = [("gone", "1", 800), ("again", "2", 885), ("kept", "1", 800)];
+    let applied = mirror.apply_listing(listing(&copy, 2, 886));
+    assert_eq!(keys(&applied), ["again", "kept"]);
+    mirror
+}
+
+#[test]
+fn a_key_that_was_deleted_does_not_come_back_with_the_copy() {
+    let mut mirror = mirror_with_deletions();
+    let values = mirror.values().map(|(key, _)| &**key);
+    assert_eq!(values.collect::<Vec<_>>(), ["again", "kept"]);
+    // A second copy has the same entry, and the owner writes later.
+    let copy = [("gone", "1", 800), ("kept", "1", 800)];
+    let applied = mirror.apply_listing(listing(&copy, 3, 840));
+    assert_eq!(keys(&applied), ["kept"]);
+    let event = put("gone", "2", version(3, 841));
+    assert_eq!(
+        keys(&mirror.apply_watch(watched(vec![event], 3, 841))),
+        ["gone"]
+    );
+    assert_eq!(mirror.lasting(), None);
+}
+
+/// Guards against instances that never ask for what others retain, or ask again and again.
+#[test]
+fn an_instance_lacks_retained_state_until_it_has_merged_it() {
+    let old = mirror_with_deletions();
+    let range = old.lasting().expect("a deletion is retained");
+    let copy = [("gone", "1", 800), ("again", "2", 885), ("kept", "1", 800)];
+    // One started in the new era, one after the deletion, one before.
+    let starts = [(None, true), (Some(890), true), (Some(875), false)];
+    for (started_at, lacks) in starts {
+        let mut mirror = Mirror::new(Retention::Deletions);
+        if let Some(revision) = started_at {
+            mirror.apply_listing(listing(&[("kept", "1", 800)], 1, revision));
+            mirror.apply_watch(watched(Vec::new(), 1, 900));
+        }
+        assert!(!mirror.lacks(old.position(), range), "of another era");
+        mirror.apply_listing(listing(&copy, 2, 886));
+        assert_eq!(
+            mirror.lacks(old.position(), range),
+            lacks,
+            "started at {started_at:?}"
+        );
+        let applied = mirror.merge(old.snapshot_after(mirror.position()));
+        assert!(!mirror.lacks(old.position(), range));
+        assert_eq!(deletions(&applied), ["gone"]);
+        assert!(mirror.has_value("again") && !mirror.has_value("gone"));
+    }
+}
+
+/// Guards against state that comes back from an instance that is late to give it up.
+#[test]
+fn retained_state_that_is_over_does_not_return() {
+    let known = [("target", "1", 860), ("evacuate", "", 870)];
+    let late = {
+        let mut late = mirror(&known);
+        late.apply_listing(listing(&[], 2, 850));
+        late
+    };
+    let mut mirror = late.clone();
+    let events = vec![
+        put("evacuate", "", version(2, 851)),
+        removed("evacuate", version(2, 852)),
+    ];
+    mirror.apply_watch(watched(events, 2, 852));
+    assert_eq!(deletions(&mirror.release_retained(Era::new(2))), ["target"]);
+    assert_eq!(mirror.merge(late.snapshot_after(mirror.position())), []);
+    assert_eq!(mirror.retained_count(), 0);
+}
+
 quickcheck! {
+    /// An instance that starts at any time knows the same targets, after a merge, as one that was there all along.
+    fn a_started_mirror_counts_the_same_values_after_a_merge(
+        steps: Vec<(u8, bool)>,
+        copied: usize,
+        started: usize,
+        later: Vec<(u8, bool)>
+    ) -> bool {
+        let mut state: IndexMap<Arc<str>, Entry> = IndexMap::new();
+        let apply = |state: &mut IndexMap<Arc<str>, Entry>, (key, present): (u8, bool), at| {
+            let key: Arc<str> = format!("k{}", key % 4).into();
+            if !present {
+                state.swap_remove(&key);
+                return removed(&key, at);
+            }
+            let entry = Entry { key: key.clone(), value: Bytes::from(at.to_string()), version: at };
+            state.insert(key, entry.clone());
+            Event::Put(entry)
+        };
+        let page = |state: &IndexMap<Arc<str>, Entry>, era: u64, revision: u64| Page {
+            entries: state.values().map(|entry| Entry {
+                version: version(era, entry.version.revision()),
+                ..entry.clone()
+            }).collect(),
+            version: version(era, revision),
+        };
+        let (copied, started) = (copied % (steps.len() + 1), started % (steps.len() + 1));
+        let mut old = Mirror::new(Retention::Deletions);
+        let mut new = Mirror::new(Retention::Deletions);
+        old.apply_listing(page(&state, 1, 1));
+        let (mut copy, mut copied_at, mut revision) = (state.clone(), 1, 1);
+        for (index, step) in steps.iter().enumerate() {
+            if index == started {
+                new.apply_listing(page(&state, 1, revision));
+            }
+            if index == copied {
+                (copy, copied_at) = (state.clone(), revision);
+            }
+            revision += 1;
+            let event = apply(&mut state, *step, version(1, revision));
+            old.apply_watch(watched(vec![event.clone()], 1, revision));
+            if index >= started {
+                new.apply_watch(watched(vec![event], 1, revision));
+            }
+        }
+        state = copy;
+        for mirror in [&mut old, &mut new] {
+            mirror.apply_listing(page(&state, 2, copied_at));
+            mirror.release_retained(Era::new(2));
+        }
+        for (index, step) in later.iter().enumerate() {
+            let at = copied_at + 1 + index as u64;
+            let event = apply(&mut state, *step, version(2, at));
+            old.apply_watch(watched(vec![event.clone()], 2, at));
+            new.apply_watch(watched(vec![event], 2, at));
+        }
+        if old.lasting().is_some_and(|range| new.lacks(old.position(), range)) {
+            new.merge(old.snapshot_after(new.position()));
+        }
+        let counted = |mirror: &Mirror| {
+            let mut keys: Vec<Arc<str>> = mirror.values().map(|(key, _)| key.clone()).collect();
+            keys.sort();
+            keys
+        };
+        counted(&old) == counted(&new)
+    }
+
     /// A value known before a restore is in the listing, retained, or both.
     fn no_known_value_is_lost(before: Vec<(u8, u8)>, copy: Vec<(u8, u8)>) -> bool {
         let entries = |pairs: &[(u8, u8)], era| -> Vec<Entry> {
