fix(sg-proxy): reset a connection whose request is given up before the response begins

Callers: a request that had got 504 ran seconds later, once its path carried data again, also in a domain that had been evacuated meanwhile. Cause: closing the socket in the ordinary way leaves the request in the kernel, which goes on delivering it. Callers' connections were reset, targets' were not. Change: the stream of a connection to a target, or to another instance, resets it on drop while the response to the request in flight hasn't begun. Native daemons send through a library that gives no access to the socket: not changed.

--- a/crates/sg-proxy/src/target_stream/filter.rs
+++ b/crates/sg-proxy/src/target_stream/filter.rs
@@ -131,6 +131,12 @@
         self.passed_over
     }
 
+    /// Returns whether a request was sent whose response has not begun.
+    #[must_use]
+    pub fn awaits_response(&self) -> bool {
+        self.state != State::Pass
+    }
+
     /// Returns whether bytes can be read past the filter, which is told of them by [`Filter::pass`].
     #[must_use]
     pub fn is_open(&self) -> bool {
--- a/crates/sg-proxy/src/target_stream/mod.rs
+++ b/crates/sg-proxy/src/target_stream/mod.rs
@@ -121,6 +121,19 @@
     }
 }
 
+impl Drop for TargetStream {
+    /// Drops the bytes of a request that is given up. The kernel would deliver them once the target reads again or the
+    /// path carries them, and the target would run the request.
+    fn drop(&mut self) {
+        if !self.link.0.filter.lock().awaits_response() {
+            return;
+        }
+        if let Err(error) = self.stream.set_zero_linger() {
+            log::debug!(error:% = error; "connection to a target not reset");
+        }
+    }
+}
+
 impl AsyncRead for TargetStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/sg-proxy/tests/proxy/slow_peers.rs
+++ b/crates/sg-proxy/tests/proxy/slow_peers.rs
@@ -116,6 +116,31 @@
     }
 }
 
+/// Guards against a request that was given up and runs later, when its target reads again or the path carries it.
+#[tokio::test]
+async fn rest_of_a_request_that_was_given_up_is_not_delivered() {
+    for is_relayed in [false, true] {
+        let length = 60_000;
+        let (address, reading) = start_pausing_target(length, 1 << 10);
+        let instance = Instance::start(&[]).await;
+        let mut wider = catalog();
+        wider.revision = Revision::new(2);
+        wider.limits.max_body = Bytes::new(1 << 20);
+        assert!(instance.core.replace_catalog(wider));
+        if is_relayed {
+            instance.cut_off();
+            instance.set_peers(&[address]);
+        } else {
+            instance.core.upsert_target(target("t0", address));
+        }
+        let request = post("/once/x", "a", &"y".repeat(length));
+        let response = instance.send(&request).await;
+        assert_eq!(status(&response), 504, "relayed {is_relayed}: {response}");
+        let received = reading.await.expect("a target");
+        assert!(received < length, "relayed {is_relayed}: {received} bytes");
+    }
+}
+
 /// Starts a target that reads a request of `length` bytes after a pause. Returns how many bytes it read.
 fn start_pausing_target(length: usize, receive_buffer: u32) -> (SocketAddr, JoinHandle<usize>) {
     let socket = TcpSocket::new_v4().expect("a socket");
