fix(sg-proxy): a response with an invalid status line that names its request ends the request's wait

Callers: a request whose target responded with a status line that is no number waited until its deadline for 504, on a connection on which the target had named requests before. Cause: what can't be parsed was taken for bytes in front of the response, also if it names the request in flight. Change: such a head is passed to the HTTP library, which reports it; the caller gets 502 at once, or the request goes to another target if it may.

--- a/crates/sg-forward/tests/forward/responses.rs
+++ b/crates/sg-forward/tests/forward/responses.rs
@@ -53,6 +53,19 @@
     assert_eq!(response.body, "hello");
 }
 
+/// Guards against a response without a valid status being passed on.
+#[tokio::test]
+async fn a_response_without_a_valid_status_is_none() {
+    for status in ["000", "099", "20", "abc"] {
+        let text = format!("HTTP/1.1 {status} X\r\ncontent-length: 4\r\n\r\nodd!");
+        let behave = move |_: &str, _: usize| Behavior::RespondAndClose(text.clone());
+        let (_target, _env, entry) = set_up(behave).await;
+        let response = exchange(entry.address, read("/read")).await;
+        response.expect(Outcome::Unknown, Reason::ConnectionLost);
+        assert!(!response.body.contains("odd!"), "{response:?}");
+    }
+}
+
 /// Guards against a late copy of another request's response that names no request.
 #[tokio::test]
 async fn a_response_without_a_name_is_not_taken_from_a_target_that_names_requests() {
--- a/crates/sg-proxy/src/target_stream/filter.rs
+++ b/crates/sg-proxy/src/target_stream/filter.rs
@@ -7,7 +7,7 @@
 
 use http::HeaderName;
 
-use super::framing::{BodyLength, Head, Parsed};
+use super::framing::{BodyLength, HEAD_START, Head, Parsed};
 use crate::{
     chunks::{Framing, Rest, Step},
     connections::MAX_HEAD_BYTES,
@@ -17,8 +17,6 @@
 const MAX_PASSED_OVER_BYTES: u64 = 1 << 20;
 /// Maximum number of bytes that are no response, in front of the response to a request.
 const MAX_SURPLUS_BYTES: usize = 4 << 10;
-/// Start of the head of a response.
-const HEAD_START: &[u8] = b"HTTP/1.";
 /// Number of requests that a connection remembers.
 const MAX_CARRIED: usize = 128;
 
@@ -242,8 +240,11 @@
     /// Returns whether the response may follow bytes that are none. A target that has named requests on the
     /// connection names the one in flight, too, so that its response is found by the id.
     fn waits_behind_surplus(&self) -> bool {
-        let is_short = self.bytes.len() - self.ready <= MAX_SURPLUS_BYTES;
-        is_short && self.id.is_some() && self.names_requests
+        let bytes = &self.bytes[self.ready..];
+        let is_short = bytes.len() <= MAX_SURPLUS_BYTES;
+        let is_own =
+            || Head::id_behind_invalid_status(bytes, &self.id_header) == self.id.as_deref();
+        is_short && self.id.is_some() && self.names_requests && !is_own()
     }
 
     /// Discards the bytes before the next head, if one has begun. The bytes are kept until then, for the HTTP
--- a/crates/sg-proxy/src/target_stream/framing.rs
+++ b/crates/sg-proxy/src/target_stream/framing.rs
@@ -5,6 +5,9 @@
 /// Maximum number of header fields of a response, that of the HTTP library.
 const MAX_FIELDS: usize = 100;
 
+/// Start of the head of a response.
+pub const HEAD_START: &[u8] = b"HTTP/1.";
+
 /// Result of parsing the bytes at which a response should begin.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Parsed<'a> {
@@ -58,6 +61,22 @@
         })
     }
 
+    /// Returns the id of the request that a head names whose status line can't be parsed, once all its fields are there.
+    pub fn id_behind_invalid_status(bytes: &'a [u8], id_header: &HeaderName) -> Option<&'a [u8]> {
+        let line_end = bytes.iter().position(|byte| *byte == b'\n')?;
+        if !bytes.starts_with(HEAD_START) {
+            return None;
+        }
+        let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let parsed = httparse::parse_headers(&bytes[line_end + 1..], &mut fields);
+        let Ok(httparse::Status::Complete((_, fields))) = parsed else {
+            return None;
+        };
+        let mut fields = fields.iter();
+        let id = fields.find(|field| field.name.eq_ignore_ascii_case(id_header.as_str()))?;
+        Some(id.value)
+    }
+
     /// Returns whether another head follows for the same request.
     pub fn is_interim(&self) -> bool {
         (100..200).contains(&self.status) && self.status != 101
--- a/crates/sg-proxy/tests/proxy/main.rs
+++ b/crates/sg-proxy/tests/proxy/main.rs
@@ -24,5 +24,6 @@
 mod slots;
 mod slow_peers;
 mod started_early;
+mod statuses;
 mod stops;
 mod stopwatch;
--- a/crates/sg-store/tests/store/http.rs
+++ b/crates/sg-store/tests/store/http.rs
@@ -54,7 +54,7 @@
             let _ = socket.read(&mut request).await;
             if let Action::Respond(status, body) = action {
                 let text = format!(
-                    "HTTP/1.1 {status} X\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
+                    "HTTP/1.1 {status:03} X\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
                     body.len()
                 );
                 let _ = socket.write_all(text.as_bytes()).await;
@@ -94,6 +94,8 @@
     )])
     .await;
     assert!(matches!(lost, Err(Error::ResponseLost { .. })), "{lost:?}");
+    let lost = swap(vec![Action::Respond(0, "{}")]).await;
+    assert!(matches!(lost, Err(Error::ResponseLost { .. })), "{lost:?}");
     let rejected = swap(vec![Action::Respond(429, "{}")]).await;
     assert!(matches!(rejected, Err(Error::Rejected { status: 429, .. })));
     let client = client(vec![unreachable_address()]);
