--- a/crates/sg-mesh/src/retention.rs
+++ b/crates/sg-mesh/src/retention.rs
@@ -1,7 +1,7 @@
 //! What a mirror keeps of the time before the store came back from an older copy.
 
 use serde::{Deserialize, Serialize};
-use sg_store::{Page, Version, version::Era};
+use sg_store::{Entry, Page, Version, version::Era};
 use sg_types::prelude::*;
 
 use crate::mirror::{Change, Record};
@@ -125,7 +125,7 @@
     /// Takes over the records of the era that ends with the listing `page` of a newer one. All changes in `followed`
     /// are known, and the values from before.
     pub fn start_era(&mut self, records: IndexMap<Arc<str>, Record>, followed: Range, page: &Page) {
-        let listed: IndexMap<&str, _> = page
+        let listed: IndexMap<&str, &Entry> = page
             .entries
             .iter()
             .map(|entry| (entry.key.as_ref(), entry))
@@ -140,33 +140,37 @@
                 entry.is_none_or(|entry| Some(&entry.value) != record.value.as_ref())
             })
             .collect();
-        let deleted = deleted
-            .into_iter()
-            .map(|(key, record)| (key, record.version));
-        let earlier = std::mem::take(&mut self.deletions).into_iter();
-        let deleted = deleted.chain(earlier.map(|(key, deletion)| (key, deletion.version)));
-        let deleted: IndexMap<Arc<str>, Version> = match self.retention {
-            Retention::Deletions => deleted.collect(),
-            Retention::Nothing | Retention::Values => IndexMap::new(),
-        };
-        for (key, version) in deleted {
-            let entry = listed.get(key.as_ref());
-            if let Some(deletion) =
-                entry.and_then(|entry| Deletion::of_copied(key, version, entry.version))
-            {
-                self.deletions.insert(deletion.key.clone(), deletion);
-            }
-        }
-        let followed = match self.retention {
-            Retention::Deletions => followed,
-            Retention::Nothing | Retention::Values => Range {
-                oldest: Version::default(),
-                ..followed
-            },
+        let deleted = deleted.into_iter();
+        let deleted = deleted.map(|(key, record)| (key, record.version));
+        self.retain_deletions(deleted, &listed);
+        let oldest = match self.retention {
+            Retention::Deletions => followed.oldest,
+            Retention::Nothing | Retention::Values => Version::default(),
         };
+        let followed = Range { oldest, ..followed };
         self.known = Some(followed.joined(self.lasting()));
     }
 
+    /// Keeps those of the deletions `deleted`, and of the earlier ones, whose keys are listed in the new era.
+    fn retain_deletions(
+        &mut self,
+        deleted: impl Iterator<Item = (Arc<str>, Version)>,
+        listed: &IndexMap<&str, &Entry>,
+    ) {
+        let earlier = std::mem::take(&mut self.deletions).into_iter();
+        if self.retention != Retention::Deletions {
+            return;
+        }
+        let deleted = deleted.chain(earlier.map(|(key, deletion)| (key, deletion.version)));
+        let retained = deleted.filter_map(|(key, version)| {
+            let entry = listed.get(key.as_ref())?.version;
+            Deletion::of_copied(key, version, entry)
+        });
+        self.deletions = retained
+            .map(|deletion| (deletion.key.clone(), deletion))
+            .collect();
+    }
+
     /// Ends what is kept of the key of a change in the current era, once the owner has written again. Returns whether
     /// the change is a copied entry that doesn't count.
     pub fn supersede(&mut self, change: &Change) -> bool {
--- a/crates/sg-proxy/src/serve.rs
+++ b/crates/sg-proxy/src/serve.rs
@@ -13,7 +13,7 @@
     body::RequestBody,
     content::{self, Content, FINGERPRINTED_BYTES},
     dialect::{Refusal, RequestInfo},
-    memory::{self, Segments, Use},
+    memory::{self, Hold, Segments, Use},
     quotas,
     relay::{self, Relayed},
     server,
@@ -326,6 +326,21 @@
     hasher
 }
 
+/// Returns a hold that the memory of a request is charged to, with that of its head.
+async fn hold_of_request<D: Dialect>(
+    core: &Core<D>,
+    head: &request::Parts,
+    deadline: Instant,
+) -> Result<Hold, memory::Exhausted> {
+    let hold = core.memory.hold(Use::Request);
+    let bytes = memory::head_bytes(&head.headers);
+    if bytes.get() > 0 {
+        let grown = core.timer.until(deadline, hold.grow_when_released(bytes));
+        grown.await.unwrap_or(Err(memory::Exhausted))?;
+    }
+    Ok(hold)
+}
+
 /// Receives the body of a request, and returns it with the fingerprint of the request. The body of a long
 /// request takes part in the fingerprint by its first part and its declared length.
 async fn read_body<D: Dialect>(
@@ -343,25 +358,17 @@
         stall: catalog.limits.head_timeout,
         deadline,
     };
-    let hold = core.memory.hold(Use::Request);
-    let head_bytes = memory::head_bytes(&head.headers);
-    if head_bytes.get() > 0 {
-        let charged = core
-            .timer
-            .until(deadline, hold.grow_when_released(head_bytes));
-        if !matches!(charged.await, Ok(Ok(()))) {
-            core.metrics
-                .record_body_refusal(content::Failure::Exhausted.as_str());
-            trace.is_body_unread = true;
-            return Err(memory_refusal());
-        }
-    }
-    let segments = Segments::new(Arc::new(hold));
     let mut hasher = fingerprint_start(account, head);
     let hash = |part: &[u8]| {
         hasher.update(part);
     };
-    let received = content::receive(body, segments, limits, &core.timer, hash).await;
+    let received = match hold_of_request(core, head, deadline).await {
+        Ok(hold) => {
+            let segments = Segments::new(Arc::new(hold));
+            content::receive(body, segments, limits, &core.timer, hash).await
+        }
+        Err(memory::Exhausted) => Err(content::Failure::Exhausted),
+    };
     let content = received.map_err(|failure| {
         trace.is_body_unread = true;
         core.metrics.record_body_refusal(failure.as_str());
