fix(sg-mesh): a second restore keeps the value that replaced a retained one

Callers: after two restores of the store, an instance that started decided by a configuration older than the last one until the operators wrote again (404 on an added route). Cause: of a key with a retained value and a newer record, the retained value overwrote the record when the next era began. Change: up to four values of a key are kept, oldest first, as only the owner knows which is the newer state; entries that came with the copy aren't kept beside a retained value. A value ends with all before it once the era has it again.

--- a/crates/sg-mesh/src/mirror.rs
+++ b/crates/sg-mesh/src/mirror.rs
@@ -210,7 +210,8 @@
             newest: self.position,
         };
         if self.position > Version::default() {
-            self.earlier.start_era(earlier, followed, &page);
+            self.earlier
+                .start_era(earlier, followed, self.deletions_since, &page);
         }
         self.position = page.version;
         self.changed_at = page.version;
--- a/crates/sg-mesh/src/retention.rs
+++ b/crates/sg-mesh/src/retention.rs
@@ -1,11 +1,15 @@
 //! What a mirror keeps of the time before the store came back from an older copy.
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use sg_store::{Entry, Page, Version, version::Era};
 use sg_types::prelude::*;
 
 use crate::mirror::{Change, Record};
 
+/// The largest number of values that are kept of one key.
+const MAX_VALUES: usize = 4;
+
 /// What a mirror keeps of earlier eras until the owner of a key writes again. Other values are kept until the owner of
 /// the mirror gives them up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -106,7 +110,8 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Earlier {
     retention: Retention,
-    values: IndexMap<Arc<str>, Record>,
+    /// The values of each key, oldest first. Only the owner knows which one is the newest state.
+    values: IndexMap<Arc<str>, Vec<Record>>,
     deletions: IndexMap<Arc<str>, Deletion>,
     /// The versions whose lasting state is known; `None` if the mirror has started in the current era.
     known: Option<Range>,
@@ -123,8 +128,14 @@
     }
 
     /// Takes over the records of the era that ends with the listing `page` of a newer one. All changes in `followed`
-    /// are known, and the values from before.
-    pub fn start_era(&mut self, records: IndexMap<Arc<str>, Record>, followed: Range, page: &Page) {
+    /// are known, and the values from before. `first_listing` is the version of the first listing of the era that ends.
+    pub fn start_era(
+        &mut self,
+        records: IndexMap<Arc<str>, Record>,
+        followed: Range,
+        first_listing: Version,
+        page: &Page,
+    ) {
         let listed: IndexMap<&str, &Entry> = page
             .entries
             .iter()
@@ -133,13 +144,22 @@
         let (present, deleted): (IndexMap<_, _>, IndexMap<_, _>) = records
             .into_iter()
             .partition(|(_, record)| record.value.is_some());
-        let present = present.into_iter().chain(std::mem::take(&mut self.values));
-        self.values = present
-            .filter(|(key, record)| {
-                let entry = listed.get(key.as_ref());
-                entry.is_none_or(|entry| Some(&entry.value) != record.value.as_ref())
-            })
-            .collect();
+        for (key, record) in present {
+            let kept = self.values.entry(key).or_default();
+            let is_copied = |other: &Record| {
+                record.version <= first_listing
+                    && record.version.revision() < other.version.revision()
+            };
+            if !kept.iter().any(is_copied) {
+                keep_value(kept, record);
+            }
+        }
+        self.values.retain(|key, kept| {
+            if let Some(entry) = listed.get(key.as_ref()) {
+                end_caught_up(kept, &entry.value);
+            }
+            !kept.is_empty()
+        });
         let deleted = deleted.into_iter();
         let deleted = deleted.map(|(key, record)| (key, record.version));
         self.retain_deletions(deleted, &listed);
@@ -174,9 +194,14 @@
     /// Ends what is kept of the key of a change in the current era, once the owner has written again. Returns whether
     /// the change is a copied entry that doesn't count.
     pub fn supersede(&mut self, change: &Change) -> bool {
-        let value = self.values.get(&change.key);
-        if value.is_some_and(|record| change.value.is_none() || record.value == change.value) {
-            self.values.swap_remove(&change.key);
+        if let Some(kept) = self.values.get_mut(&change.key) {
+            match &change.value {
+                Some(value) => end_caught_up(kept, value),
+                None => kept.clear(),
+            }
+            if kept.is_empty() {
+                self.values.swap_remove(&change.key);
+            }
         }
         let Some(deletion) = self.deletions.get(&change.key) else {
             return false;
@@ -193,18 +218,16 @@
     pub fn retain(&mut self, change: Change, current: Option<&Record>, era: Era) -> Option<Change> {
         let is_superseded =
             current.is_some_and(|record| record.value.is_none() || record.value == change.value);
-        let known = self.values.get(&change.key);
-        let is_known = known.is_some_and(|record| record.version >= change.version);
         let is_over = change.version.era() >= era || change.version.era() < self.released;
-        if is_superseded || is_known || is_over || change.value.is_none() {
+        if is_superseded || is_over || change.value.is_none() {
             return None;
         }
         let record = Record {
             version: change.version,
             value: change.value.clone(),
         };
-        self.values.insert(change.key.clone(), record);
-        Some(change)
+        let kept = self.values.entry(change.key.clone()).or_default();
+        keep_value(kept, record).then_some(change)
     }
 
     /// Keeps a deletion that another instance keeps. `current` is the record of the key in the era `era`. Returns the
@@ -248,7 +271,7 @@
     pub fn lasting(&self) -> Option<Range> {
         match self.retention {
             Retention::Nothing => None,
-            Retention::Values => Range::of(self.values.values().map(|record| record.version)),
+            Retention::Values => Range::of(self.records().map(|(_, record)| record.version)),
             Retention::Deletions => Range::of(self.deletions.values().map(|d| d.version)),
         }
     }
@@ -260,7 +283,7 @@
 
     /// Returns the kept values.
     pub fn values(&self) -> Vec<Change> {
-        let values = self.values.iter().map(|(key, record)| Change {
+        let values = self.records().map(|(key, record)| Change {
             key: key.clone(),
             value: record.value.clone(),
             version: record.version,
@@ -268,6 +291,11 @@
         values.collect()
     }
 
+    fn records(&self) -> impl Iterator<Item = (&Arc<str>, &Record)> + Clone {
+        let values = self.values.iter();
+        values.flat_map(|(key, kept)| kept.iter().map(move |record| (key, record)))
+    }
+
     /// Returns the kept deletions.
     pub fn deletions(&self) -> Vec<Deletion> {
         self.deletions.values().cloned().collect()
@@ -286,12 +314,39 @@
     /// Gives up the values from before `era` and returns their keys.
     pub fn release_values(&mut self, era: Era) -> Vec<Arc<str>> {
         self.released = self.released.max(era);
-        let (given_up, kept): (IndexMap<_, _>, IndexMap<_, _>) = std::mem::take(&mut self.values)
-            .into_iter()
-            .partition(|(_, record)| record.version.era() < era);
-        self.values = kept;
-        given_up.into_keys().collect()
+        let mut given_up = Vec::new();
+        self.values.retain(|key, kept| {
+            kept.retain(|record| record.version.era() >= era);
+            if kept.is_empty() {
+                given_up.push(key.clone());
+            }
+            !kept.is_empty()
+        });
+        given_up
+    }
+}
+
+/// Ends the records up to the one with `value`, which the current era has again.
+fn end_caught_up(kept: &mut Vec<Record>, value: &Bytes) {
+    let same = kept
+        .iter()
+        .rposition(|record| record.value.as_ref() == Some(value));
+    if let Some(index) = same {
+        kept.drain(..=index);
+    }
+}
+
+/// Adds a record to those of a key, unless its value is among them. Returns whether it was added.
+fn keep_value(kept: &mut Vec<Record>, record: Record) -> bool {
+    if kept.iter().any(|other| other.value == record.value) {
+        return false;
+    }
+    let index = kept.partition_point(|other| other.version < record.version);
+    kept.insert(index, record);
+    if kept.len() > MAX_VALUES {
+        kept.remove(0);
     }
+    true
 }
 
 impl Deletion {
--- a/crates/sg-mesh/tests/mesh/restore.rs
+++ b/crates/sg-mesh/tests/mesh/restore.rs
@@ -266,6 +266,25 @@
     }
 }
 
+/// Guards against a value that is lost in a second restore, because an earlier one of the same key was retained.
+#[test]
+fn a_value_that_replaced_a_retained_one_outlasts_a_second_restore() {
+    let mut mirror = mirror(&[("config", "v2", 860)]);
+    mirror.apply_listing(listing(&[("config", "v1", 840)], 2, 850));
+    let event = put("config", "v3", version(2, 851));
+    mirror.apply_watch(watched(vec![event], 2, 851));
+    mirror.apply_listing(listing(&[("config", "v1", 840)], 3, 845));
+    let mut started = Mirror::new(Retention::Values);
+    started.apply_listing(listing(&[("config", "v1", 840)], 3, 845));
+    let applied = started.merge(mirror.snapshot_after(started.position()));
+    let values = applied.iter().filter_map(|change| change.value.as_deref());
+    assert_eq!(values.collect::<Vec<_>>(), [b"v2", b"v3"]);
+    // The owner writes the last value again, and the earlier one ends with it.
+    let event = put("config", "v3", version(3, 846));
+    started.apply_watch(watched(vec![event], 3, 846));
+    assert_eq!(started.retained_count(), 0);
+}
+
 /// Guards against state that comes back from an instance that is late to give it up.
 #[test]
 fn retained_state_that_is_over_does_not_return() {
